chore: lay out the workspace, the ports and the record types

Packages by concern with one direction of dependencies; the interfaces that the other parts are built against (clock, log, instance list, targets, peers, log entries, state view, decision lines).

--- /dev/null
+++ b/packages/outcomes/src/result.ts
@@ -0,0 +1,13 @@
+/**
+ * The one place that takes `ts-results` in. Its ES module build gives its
+ * values by default import only, so every other module imports from here.
+ */
+import results from "ts-results";
+import type { Err as ErrOf, Ok as OkOf, Result as ResultOf } from "ts-results";
+
+export const { Ok, Err } = results;
+
+/** Either a value or a typed failure. Check `.ok`, then read `.val`. */
+export type Result<T, E> = ResultOf<T, E>;
+export type Ok<T> = OkOf<T>;
+export type Err<E> = ErrOf<E>;
--- /dev/null
+++ b/packages/ports/src/target.ts
@@ -0,0 +1,113 @@
+/**
+ * What an instance says to a target, and what can come back. A target runs a
+ * request in one of its 2 places. A checking target runs only what comes under
+ * a live grant with its highest fencing token.
+ */
+import type { Position } from "@lentilspur/outcomes/position";
+import type { Result } from "@lentilspur/outcomes/result";
+
+export interface TargetAddress {
+  readonly id: string;
+  /** `host:port`, by IP number. */
+  readonly address: string;
+}
+
+export interface HeaderField {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** One request on its way to a target. */
+export interface DispatchRequest {
+  readonly requestId: string;
+  readonly clientAccount: string;
+  readonly key: string;
+  /** The unit of ownership that holds the key, such as `s:17` or `k:case-9`. */
+  readonly unit: string;
+  /** Fencing token of the stewardship under which this is sent. */
+  readonly stewardToken: Position;
+  /** Fencing token of the unit's ownership. */
+  readonly unitToken: Position;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  /** How much longer the caller waits, in milliseconds. */
+  readonly remainingMs: number;
+  readonly maxAnswerBytes: number;
+}
+
+/** A complete answer: a cut one is never given as this. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+}
+
+export type DispatchFailure =
+  /** Proved not run: no connection, or the target said so before starting. */
+  | {
+    readonly kind: "not-run";
+    readonly cause: "unreachable" | "refused" | "fenced" | "shed" | "draining";
+    readonly message: string;
+    readonly retryAfterMs?: number;
+  }
+  /** It may have run. */
+  | {
+    readonly kind: "unknown";
+    readonly cause: "silent" | "reset" | "cut" | "too-large" | "cancelled";
+    readonly message: string;
+  };
+
+/** Grants for units, all under one steward token; renews those held. */
+export interface GrantRequest {
+  readonly stewardToken: Position;
+  /** From receipt, on the target's own monotonic clock. */
+  readonly ttlMs: number;
+  readonly add: readonly GrantedUnit[];
+  /** Units that the target must give up before it answers. */
+  readonly remove: readonly string[];
+}
+
+export interface GrantedUnit {
+  readonly unit: string;
+  readonly token: Position;
+}
+
+export interface GrantReply {
+  /** Changes whenever the target's process starts anew. */
+  readonly bootId: string;
+  /** Units that the target still works on although they were removed. */
+  readonly busyUnits: readonly string[];
+}
+
+/** What a target says of itself; late or wrong at times. */
+export interface TargetReport {
+  readonly bootId: string;
+  readonly state: "warming" | "live" | "leaving";
+  readonly runningRequests: number;
+  readonly places: number;
+}
+
+export type TargetFailure =
+  | { readonly kind: "fenced"; readonly highestToken: Position }
+  /** Nothing listens there: the process has ended or never started. */
+  | { readonly kind: "refused"; readonly message: string }
+  | { readonly kind: "silent"; readonly message: string }
+  | { readonly kind: "unsupported"; readonly message: string };
+
+export interface TargetPort {
+  dispatch(
+    target: TargetAddress,
+    request: DispatchRequest,
+    signal: AbortSignal,
+  ): Promise<Result<TargetAnswer, DispatchFailure>>;
+  grant(
+    target: TargetAddress,
+    request: GrantRequest,
+  ): Promise<Result<GrantReply, TargetFailure>>;
+  probe(target: TargetAddress): Promise<Result<TargetReport, TargetFailure>>;
+  /** Asks the target to stop working on a request; best effort. */
+  cancel(target: TargetAddress, requestId: string): Promise<void>;
+}
--- /dev/null
+++ b/packages/ports/src/virtual_clock.ts
@@ -0,0 +1,89 @@
+/**
+ * A clock that stands until it is advanced. Sleepers wake in the order of
+ * their times; between two of them, everything that became ready runs first,
+ * so a run is the same every time.
+ */
+import type { Clock } from "./clock.ts";
+
+interface Sleeper {
+  readonly at: number;
+  readonly order: number;
+  readonly wake: () => void;
+}
+
+/** Rounds of the event loop that let ready continuations finish. */
+const SETTLING_ROUNDS = 3;
+
+export class VirtualClock implements Clock {
+  #now = 0;
+  #order = 0;
+  #sleepers: Sleeper[] = [];
+
+  now(): number {
+    return this.#now;
+  }
+
+  sleep(ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      const at = this.#now + Math.max(0, ms);
+      const sleeper = { at, order: this.#order++, wake: resolve };
+      this.#sleepers.push(sleeper);
+      signal?.addEventListener("abort", () => this.#cancelSleeper(sleeper), {
+        once: true,
+      });
+    });
+  }
+
+  /** Moves time on by `ms`, waking every sleeper on the way. */
+  async advance(ms: number): Promise<void> {
+    const end = this.#now + ms;
+    await this.#settle();
+    for (;;) {
+      const next = this.#takeNextSleeper(end);
+      if (next === undefined) {
+        break;
+      }
+      this.#now = Math.max(this.#now, next.at);
+      next.wake();
+      await this.#settle();
+    }
+    this.#now = end;
+  }
+
+  #takeNextSleeper(end: number): Sleeper | undefined {
+    let best = -1;
+    for (let index = 0; index < this.#sleepers.length; index++) {
+      const candidate = this.#sleepers[index]!;
+      if (candidate.at > end) {
+        continue;
+      }
+      const chosen = this.#sleepers[best];
+      if (chosen === undefined || isBefore(candidate, chosen)) {
+        best = index;
+      }
+    }
+    return best < 0 ? undefined : this.#sleepers.splice(best, 1)[0];
+  }
+
+  #cancelSleeper(sleeper: Sleeper): void {
+    const index = this.#sleepers.indexOf(sleeper);
+    if (index >= 0) {
+      this.#sleepers.splice(index, 1);
+      sleeper.wake();
+    }
+  }
+
+  async #settle(): Promise<void> {
+    for (let round = 0; round < SETTLING_ROUNDS; round++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+}
+
+function isBefore(left: Sleeper, right: Sleeper): boolean {
+  return left.at < right.at ||
+    (left.at === right.at && left.order < right.order);
+}
