--- a/packages/ports/src/clock.ts
+++ b/packages/ports/src/clock.ts
@@ -5,7 +5,7 @@
 
 export interface Clock {
   /** Milliseconds on a monotonic clock that goes on while the process is stopped. */
-  now(): number;
+  readMs(): number;
   /** Resolves after `ms`, or at once when `signal` aborts. Never rejects. */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
 }
@@ -13,5 +13,5 @@
 /** Numbers that look random; tests pass a seeded one. */
 export interface Random {
   /** A number in [0, 1). */
-  next(): number;
+  draw(): number;
 }
--- a/packages/ports/src/system_clock.ts
+++ b/packages/ports/src/system_clock.ts
@@ -8,7 +8,7 @@
  * was away.
  */
 export class SystemClock implements Clock {
-  now(): number {
+  readMs(): number {
     return performance.now();
   }
 
@@ -29,7 +29,7 @@
 }
 
 export class SystemRandom implements Random {
-  next(): number {
+  draw(): number {
     return Math.random();
   }
 }
--- a/packages/ports/src/virtual_clock.ts
+++ b/packages/ports/src/virtual_clock.ts
@@ -19,7 +19,7 @@
   #order = 0;
   #sleepers: Sleeper[] = [];
 
-  now(): number {
+  readMs(): number {
     return this.#now;
   }
 
