--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,18 @@
         "error",
         { requireDefaultForNonUnion: true },
       ],
-      "@typescript-eslint/no-floating-promises": "error",
+      "@typescript-eslint/no-floating-promises": [
+        "error",
+        {
+          allowForKnownSafeCalls: [
+            {
+              from: "package",
+              package: "node:test",
+              name: ["test", "describe", "it"],
+            },
+          ],
+        },
+      ],
       "@typescript-eslint/no-misused-promises": [
         "error",
         { checksVoidReturn: false },
