--- /dev/null
+++ b/packages/router/src/authority.ts
@@ -0,0 +1,67 @@
+/**
+ * The seam between the control side, which knows what this instance may do,
+ * and the data path, which does it. The data path asks right before each act;
+ * an answer is good for the same turn of the event loop only.
+ */
+import type { Position } from "@lentilspur/outcomes/position";
+import type { RememberedRequest } from "@lentilspur/ports/peer";
+import type { TargetAddress } from "@lentilspur/ports/target";
+import type { UnitId } from "@lentilspur/state/entries";
+
+export type Permission =
+  | {
+    readonly kind: "permitted";
+    readonly unit: UnitId;
+    readonly target: TargetAddress;
+    readonly stewardToken: Position;
+    readonly unitToken: Position;
+    /** A target that does not check is never sent more than this much time. */
+    readonly maxRunMs: number;
+  }
+  /** Another instance stewards the owner, as far as this one has folded. */
+  | { readonly kind: "not-steward"; readonly steward: string | null }
+  /** A short move or take-over is under way; wait for a change, then ask again. */
+  | {
+    readonly kind: "owner-changing";
+    readonly why: "moving" | "granting" | "waiting-out" | "unowned";
+  }
+  /** This instance may not act for anything until its lease is renewed. */
+  | { readonly kind: "lease-lapsed" };
+
+export interface Authority {
+  check(template: string, key: string): Permission;
+  /** Resolves after the next change of what `check` may answer, or `maxMs`. */
+  waitForChange(maxMs: number, signal?: AbortSignal): Promise<void>;
+}
+
+/** What a steward's own contact with a target has shown lately. */
+export interface TargetContact {
+  /** When a dispatch or probe last got any bytes back; own clock. */
+  readonly lastHeardAt: number;
+  readonly consecutiveFailures: number;
+}
+
+/** What the control side asks of the data path. */
+export interface UnitWork {
+  /** Resolves once no dispatched request of the unit is unsettled. */
+  waitForIdle(
+    template: string,
+    unit: UnitId,
+    signal?: AbortSignal,
+  ): Promise<void>;
+  /** Handled request ids of these units, for the next steward. */
+  collectMemory(
+    template: string,
+    units: readonly UnitId[],
+  ): readonly RememberedRequest[];
+  /** Ids minted before the floor and not remembered are answered as unknown. */
+  addMemory(
+    template: string,
+    units: readonly UnitId[],
+    floor: Position,
+    remembered: readonly RememberedRequest[],
+  ): void;
+  /** Forgets units that this instance no longer serves. */
+  removeMemory(template: string, units: readonly UnitId[]): void;
+  getContact(target: string): TargetContact | undefined;
+}
