--- /dev/null
+++ b/packages/policy/src/target_scheduler.ts
@@ -0,0 +1,326 @@
+/**
+ * One queue for one target's places: whom it serves next, who waits, who is
+ * refused, and when a refused caller should come back. One queue for all
+ * places of a target follows section 3.2 of "New Techniques to Curtail Tail
+ * Latency in Stream Processing Systems".
+ *
+ * It answers overload (early refusal by predicted wait), a caller that takes
+ * more than its share (fair queueing, and the newest job of the most greedy
+ * yields), long jobs among short ones (one place is kept from long jobs), a
+ * target that sustains less than it declares (a limit from own observations)
+ * and callers that all come back at once (spread return times).
+ */
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { CostModel } from "./cost_model.ts";
+import { FairQueue, type QueuedJob } from "./fair_queue.ts";
+import { ReturnSchedule } from "./return_schedule.ts";
+import type {
+  NextStep,
+  OfferResult,
+  RefusalReason,
+  ScheduledJob,
+  ServiceObservation,
+} from "./scheduled_job.ts";
+import { computeResidualMs, computeWaitMs } from "./wait_estimate.ts";
+
+export type {
+  AdmissionDecision,
+  NextStep,
+  OfferResult,
+  RefusalReason,
+  ScheduledJob,
+  ServiceObservation,
+} from "./scheduled_job.ts";
+
+/** Admit only what is predicted to start within this share of the queue's bound. */
+const ADMISSION_SHARE = 0.8;
+/** Deviations above the mean service time that must fit before the deadline. */
+const ADMISSION_DEVIATIONS = 2;
+/** Predictions are renewed for waiting jobs no more often than this. */
+const RECHECK_MS = 10;
+/** A waiting job is given up when its predicted wait passes its time by this. */
+const GIVE_UP_SHARE = 1.25;
+/** A long job may take the last place once this share of its time has passed. */
+const LONG_AGED_SHARE = 0.5;
+
+export interface TargetSchedulerOptions {
+  /** Requests that the target runs at a time, as declared. */
+  readonly places: number;
+  /** Bound on waiting jobs, over all client accounts. */
+  readonly maxQueued: number;
+  /** Bound on the time that a job waits. */
+  readonly maxQueueMs: number;
+  /** True for a target that has just started; it begins with one place. */
+  readonly cold?: boolean;
+  /** Service time assumed before the first observation. */
+  readonly priorServiceMs?: number;
+}
+
+export interface SchedulerDescription {
+  readonly queued: number;
+  readonly running: number;
+  readonly concurrencyLimit: number;
+  /** Typical (geometric mean) service time of late. */
+  readonly estimatedServiceMs: number;
+  /** Wait that a job behind everything queued would have. */
+  readonly estimatedWaitMs: number;
+}
+
+interface RunningJob {
+  readonly queued: QueuedJob;
+  readonly startedAtMs: number;
+}
+
+export class TargetScheduler {
+  readonly #options: TargetSchedulerOptions;
+  readonly #costs: CostModel;
+  readonly #limit: ConcurrencyLimit;
+  readonly #queue = new FairQueue();
+  readonly #returns = new ReturnSchedule();
+  readonly #running = new Map<string, RunningJob>();
+  #expired: ScheduledJob[] = [];
+  #checkedAtMs = -Infinity;
+
+  constructor(options: TargetSchedulerOptions) {
+    this.#options = options;
+    this.#costs = new CostModel(
+      options.priorServiceMs === undefined
+        ? {}
+        : { priorMs: options.priorServiceMs },
+    );
+    this.#limit = new ConcurrencyLimit(options.places, {
+      cold: options.cold ?? false,
+    });
+  }
+
+  /** Decides at once whether a job may wait. */
+  offer(job: ScheduledJob, nowMs: number): OfferResult {
+    const queued = this.#describeJob(job);
+    const place = this.#queue.locateNew(job, queued.costMs);
+    const waitMs = this.#estimateWaitMs(place.workAheadMs, nowMs);
+    if (nowMs + waitMs > queued.latestStartMs) {
+      return this.#refuse(job, "deadline-too-short", nowMs);
+    }
+    if (waitMs > this.#options.maxQueueMs * ADMISSION_SHARE) {
+      return this.#refuse(job, "queue-full", nowMs);
+    }
+    if (this.#queue.size < this.#options.maxQueued) {
+      this.#queue.add(queued);
+      return { kind: "admitted", shed: [] };
+    }
+    return this.#offerToFullQueue(queued, place.finishTag, nowMs);
+  }
+
+  /** The next job to start, if a place is free for one. */
+  take(nowMs: number): NextStep {
+    if (nowMs < this.#limit.pausedUntilMs) {
+      return { kind: "idle", wakeAtMs: this.#limit.pausedUntilMs };
+    }
+    while (this.#running.size < this.#limit.places) {
+      const queued = this.#queue.takeNext((each, lagMs) =>
+        this.#mayRun(each, lagMs, nowMs)
+      );
+      if (queued === undefined) {
+        break;
+      }
+      if (nowMs <= queued.latestStartMs) {
+        this.#running.set(queued.job.id, { queued, startedAtMs: nowMs });
+        return { kind: "run", job: queued.job };
+      }
+      this.#queue.settle(queued.job.clientAccount, -queued.costMs);
+      this.#expired.push(queued.job);
+    }
+    return { kind: "idle", wakeAtMs: this.#computeWakeAt(nowMs) };
+  }
+
+  /** Waiting jobs that can no longer be served in time; answer them at once. */
+  takeExpired(nowMs: number): readonly ScheduledJob[] {
+    const expired = this.#expired;
+    this.#expired = [];
+    if (nowMs - this.#checkedAtMs < RECHECK_MS) {
+      return expired;
+    }
+    this.#checkedAtMs = nowMs;
+    const freeAfterMs = this.#listFreeTimes(nowMs);
+    const late = this.#queue.takeWhere((queued, workAheadMs) => {
+      const waitMs = computeWaitMs(freeAfterMs, workAheadMs);
+      const leftMs = queued.latestStartMs - nowMs;
+      return leftMs < 0 || waitMs > leftMs * GIVE_UP_SHARE;
+    });
+    return [...expired, ...late.map((queued) => queued.job)];
+  }
+
+  /** Frees the place of a started job and learns from how it went. */
+  settle(
+    jobId: string,
+    observation: ServiceObservation,
+    nowMs: number,
+  ): void {
+    const running = this.#running.get(jobId);
+    if (running === undefined) {
+      return;
+    }
+    this.#running.delete(jobId);
+    const { queued } = running;
+    this.#limit.observe(observation.kind, nowMs);
+    switch (observation.kind) {
+      case "completed":
+      case "timed-out":
+        this.#costs.observe(queued.job, observation.serviceMs);
+        break;
+      case "failed":
+      case "shed-by-target":
+        break;
+    }
+    const extraMs = observation.serviceMs - queued.costMs;
+    this.#queue.settle(queued.job.clientAccount, extraMs);
+  }
+
+  /** Withdraws a job whose caller has gone; true if it was still waiting. */
+  cancel(jobId: string, _nowMs: number): boolean {
+    return this.#queue.takeWhere(({ job }) => job.id === jobId).length > 0;
+  }
+
+  /** Withdraws the waiting jobs of a unit that moves away. */
+  removeUnit(template: string, unit: string): readonly ScheduledJob[] {
+    return this.#queue
+      .takeWhere(({ job }) => job.template === template && job.unit === unit)
+      .map((queued) => queued.job);
+  }
+
+  /** Withdraws all waiting jobs. */
+  removeAll(): readonly ScheduledJob[] {
+    return this.#queue.takeWhere(() => true).map((queued) => queued.job);
+  }
+
+  /** When a caller whose job was given up should come back, in milliseconds. */
+  assignReturnMs(job: ScheduledJob, nowMs: number): number {
+    const { meanMs } = this.#costs.estimate(job);
+    const sharers = Math.max(1, this.#queue.activeAccounts);
+    return this.#returns.assign(job.clientAccount, {
+      nowMs,
+      backlogMs: this.#estimateWaitMs(this.#queue.workMs, nowMs),
+      intervalMs: meanMs * sharers / this.#limit.places,
+    });
+  }
+
+  describe(nowMs: number): SchedulerDescription {
+    return {
+      queued: this.#queue.size,
+      running: this.#running.size,
+      concurrencyLimit: this.#limit.places,
+      estimatedServiceMs: this.#costs.typicalMs,
+      estimatedWaitMs: this.#estimateWaitMs(this.#queue.workMs, nowMs),
+    };
+  }
+
+  #describeJob(job: ScheduledJob): QueuedJob {
+    const { meanMs, deviationMs } = this.#costs.estimate(job);
+    const neededMs = meanMs + ADMISSION_DEVIATIONS * deviationMs;
+    return {
+      job,
+      costMs: meanMs,
+      long: this.#costs.isLong(job),
+      latestStartMs: Math.min(
+        job.deadlineAtMs - neededMs,
+        job.arrivedAtMs + this.#options.maxQueueMs,
+      ),
+    };
+  }
+
+  #offerToFullQueue(
+    queued: QueuedJob,
+    finishTag: number,
+    nowMs: number,
+  ): OfferResult {
+    const worst = this.#queue.findMostOverShare();
+    if (worst === null || worst.account === queued.job.clientAccount) {
+      return this.#refuse(queued.job, "account-over-share", nowMs);
+    }
+    if (worst.finishTag <= finishTag) {
+      return this.#refuse(queued.job, "queue-full", nowMs);
+    }
+    const yielded = this.#queue.takeNewest(worst.account);
+    this.#queue.add(queued);
+    return {
+      kind: "admitted",
+      shed: yielded === undefined ? [] : [yielded.job],
+    };
+  }
+
+  #refuse(
+    job: ScheduledJob,
+    reason: RefusalReason,
+    nowMs: number,
+  ): OfferResult {
+    return {
+      kind: "refused",
+      reason,
+      limit: this.#formatLimit(job, reason),
+      retryAfterMs: this.assignReturnMs(job, nowMs),
+      shed: [],
+    };
+  }
+
+  #formatLimit(job: ScheduledJob, reason: RefusalReason): string {
+    switch (reason) {
+      case "queue-full":
+        return `${this.#options.maxQueued} jobs or ${this.#options.maxQueueMs} ms in the target's queue`;
+      case "deadline-too-short":
+        return `the deadline of ${
+          Math.round(job.deadlineAtMs - job.arrivedAtMs)
+        } ms`;
+      case "account-over-share":
+        return `the share of client account "${job.clientAccount}" in the target's queue`;
+    }
+  }
+
+  /**
+   * Two long jobs in two places make every short one wait for a long one. So
+   * the last place is kept from them, until one has aged or its account has
+   * fallen behind by more than the job itself.
+   */
+  #mayRun(queued: QueuedJob, lagMs: number, nowMs: number): boolean {
+    if (!queued.long || this.#options.places < 2) {
+      return true;
+    }
+    if (this.#countLongRunning() < this.#limit.places - 1) {
+      return true;
+    }
+    const { job } = queued;
+    const allowedMs = queued.latestStartMs - job.arrivedAtMs;
+    const aged = nowMs - job.arrivedAtMs >= allowedMs * LONG_AGED_SHARE;
+    return aged || lagMs > queued.costMs;
+  }
+
+  #countLongRunning(): number {
+    let count = 0;
+    for (const { queued } of this.#running.values()) {
+      count += queued.long ? 1 : 0;
+    }
+    return count;
+  }
+
+  #estimateWaitMs(workAheadMs: number, nowMs: number): number {
+    return computeWaitMs(this.#listFreeTimes(nowMs), workAheadMs);
+  }
+
+  /** For each place in use or usable, when it is expected to be free. */
+  #listFreeTimes(nowMs: number): readonly number[] {
+    const pauseMs = Math.max(0, this.#limit.pausedUntilMs - nowMs);
+    const times: number[] = [];
+    for (const { queued, startedAtMs } of this.#running.values()) {
+      const residualMs = computeResidualMs(queued.costMs, nowMs - startedAtMs);
+      times.push(Math.max(pauseMs, residualMs));
+    }
+    while (times.length < this.#limit.places) {
+      times.push(pauseMs);
+    }
+    const surplus = Math.max(0, times.length - this.#limit.places);
+    return times.toSorted((left, right) => left - right).slice(surplus);
+  }
+
+  #computeWakeAt(nowMs: number): number | null {
+    return this.#queue.size === 0 ? null : nowMs + RECHECK_MS;
+  }
+}
