feat(outcomes): tell a resend that its request already ran

A resend of a request that ran, whose answer is no longer kept, has the outcome ran, which no kind could state. The control side also needs to know from where on the memory of a unit is complete, to pass it on.

--- a/packages/outcomes/src/error_kinds.ts
+++ b/packages/outcomes/src/error_kinds.ts
@@ -23,6 +23,7 @@
   | "owner-changing"
   | "not-ready"
   | "resend-not-remembered"
+  | "already-ran"
   | "target-refused"
   | "target-unreachable"
   | "target-silent"
@@ -39,7 +40,7 @@
    * `not-run` stands only where it is proved. `either` means that the place
    * that raises the error must state the outcome itself.
    */
-  readonly outcome: "not-run" | "unknown" | "either";
+  readonly outcome: Outcome | "either";
   /** Whether the same request may be sent again as it is. */
   readonly mayResend: boolean;
   /** One sentence that says what happened and what to do next. */
@@ -137,6 +138,12 @@
     mayResend: false,
     advice: "Look up whether the earlier send of this id took effect",
   },
+  "already-ran": {
+    status: 409,
+    outcome: "ran",
+    mayResend: false,
+    advice: "Look up the result; the first answer to this id is not kept",
+  },
   "target-refused": {
     status: 503,
     outcome: "not-run",
--- a/packages/router/src/authority.ts
+++ b/packages/router/src/authority.ts
@@ -54,7 +54,18 @@
     template: string,
     units: readonly UnitId[],
   ): readonly RememberedRequest[];
-  /** Ids minted before the floor and not remembered are answered as unknown. */
+  /**
+   * Ids of the unit minted at or after this position are all in
+   * `collectMemory`. `undefined` where no request has met the unit's present
+   * tokens: then its unit token or steward token is the floor, whichever is
+   * higher.
+   */
+  getMemoryFloor(template: string, unit: UnitId): Position | undefined;
+  /**
+   * Ids minted before the floor and not remembered are answered as unknown.
+   * The floor holds for the unit's tokens at its next request; with any later
+   * token the floor is that token, until this is called again.
+   */
   addMemory(
     template: string,
     units: readonly UnitId[],
