feat(declarations): validate templates and client accounts with positions

Operators keep templates and client account parameters in YAML files. Every fault names file, line, column and path, what was found and what is allowed; one fault anywhere gives no configuration at all.

--- /dev/null
+++ b/packages/declarations/src/declared_documents.ts
@@ -0,0 +1,120 @@
+/** Documents checked one by one against the schema of their kind. */
+import type { z } from "zod";
+import {
+  type ClientAccountDocument,
+  clientAccountSchema,
+} from "./client_account_schema.ts";
+import { type DeclarationFault, describeValue } from "./declaration_fault.ts";
+import { formatPath, type SourceDocument } from "./document_source.ts";
+import { type TemplateDocument, templateSchema } from "./template_schema.ts";
+
+/** A valid document together with where it stands. */
+export interface Declared<Content> {
+  readonly source: SourceDocument;
+  readonly content: Content;
+}
+
+export interface DeclaredDocuments {
+  readonly templates: readonly Declared<TemplateDocument>[];
+  readonly clientAccounts: readonly Declared<ClientAccountDocument>[];
+  readonly faults: readonly DeclarationFault[];
+}
+
+/** Sorts documents by kind and checks each against its schema. */
+export function checkDocuments(
+  sources: readonly SourceDocument[],
+): DeclaredDocuments {
+  const templates: Declared<TemplateDocument>[] = [];
+  const clientAccounts: Declared<ClientAccountDocument>[] = [];
+  const faults: DeclarationFault[] = [];
+  for (const source of sources) {
+    switch (source.getText("kind")) {
+      case "Template":
+        takeDocument(source, templateSchema, { accepted: templates, faults });
+        break;
+      case "ClientAccount":
+        takeDocument(source, clientAccountSchema, {
+          accepted: clientAccounts,
+          faults,
+        });
+        break;
+      case undefined:
+      default:
+        faults.push(createKindFault(source));
+    }
+  }
+  return { templates, clientAccounts, faults };
+}
+
+interface Sink<Content> {
+  readonly accepted: Declared<Content>[];
+  readonly faults: DeclarationFault[];
+}
+
+function takeDocument<Content>(
+  source: SourceDocument,
+  schema: z.ZodType<Content>,
+  sink: Sink<Content>,
+): void {
+  const parsed = schema.safeParse(source.value);
+  if (parsed.success) {
+    sink.accepted.push({ source, content: parsed.data });
+    return;
+  }
+  for (const issue of parsed.error.issues) {
+    sink.faults.push(...toFaults(source, issue));
+  }
+}
+
+function createKindFault(source: SourceDocument): DeclarationFault {
+  const kind = getValueAt(source.value, ["kind"]);
+  return source.createFault(
+    ["kind"],
+    kind === undefined ? "no kind" : describeValue(kind),
+    "Template or ClientAccount",
+  );
+}
+
+function toFaults(
+  source: SourceDocument,
+  issue: z.core.$ZodIssue,
+): readonly DeclarationFault[] {
+  if (issue.code !== "unrecognized_keys") {
+    const value = getValueAt(source.value, issue.path);
+    const found = describeFound(issue.path, value);
+    return [source.createFault(issue.path, found, issue.message)];
+  }
+  return issue.keys.map((key) => ({
+    file: source.file,
+    ...source.locateKey(issue.path, key),
+    path: formatPath([...issue.path, key]),
+    found: `an unknown field ${JSON.stringify(key)}`,
+    allowed: issue.message,
+  }));
+}
+
+/**
+ * What stands where a digest belongs may be a credential in clear text. It is
+ * not quoted, because messages end up in terminals and build logs.
+ */
+function describeFound(
+  path: readonly PropertyKey[],
+  value: unknown,
+): string {
+  return path[0] === "credentialDigests" && typeof value === "string"
+    ? `a text of ${value.length} characters that is no digest`
+    : describeValue(value);
+}
+
+function getValueAt(
+  value: unknown,
+  path: readonly PropertyKey[],
+): unknown {
+  return path.reduce<unknown>(
+    (current, step) =>
+      typeof current === "object" && current !== null
+        ? (current as Readonly<Record<PropertyKey, unknown>>)[step]
+        : undefined,
+    value,
+  );
+}
--- /dev/null
+++ b/packages/declarations/src/template_schema.ts
@@ -0,0 +1,103 @@
+/** The form of a `kind: Template` document, and the template it makes. */
+import { z } from "zod";
+import { TEMPLATE_DEFAULTS } from "./defaults.ts";
+import {
+  booleanSchema,
+  createDurationSchema,
+  createIntegerSchema,
+  createNumberSchema,
+  createObjectSchema,
+  createSizeSchema,
+  nameSchema,
+} from "./field_schemas.ts";
+import { ROUTE_PATH_ALLOWED, validateRoutePath } from "./route_path.ts";
+import type { Template } from "./template.ts";
+
+/** The fold keeps an owner for each shard: 65536 bound its memory. */
+export const MAX_SHARD_COUNT = 65_536;
+
+/** Beyond ten minutes a caller has long given up. */
+const durationSchema = createDurationSchema({ min: 1, max: 600_000 });
+
+/** Bodies are held in memory while they wait, so they stay small. */
+const sizeSchema = createSizeSchema({ min: 1, max: 16 * 1_048_576 });
+
+const weightSchema = createNumberSchema({ min: 0, max: 1_000 });
+
+const METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] as const;
+
+const routeSchema = createObjectSchema({
+  method: z.enum(METHODS, { error: `one of ${METHODS.join(", ")}` }),
+  path: z
+    .string({ error: ROUTE_PATH_ALLOWED })
+    .refine(validateRoutePath, { error: ROUTE_PATH_ALLOWED }),
+  /** No default: whoever adds a route has to decide this. */
+  idempotent: booleanSchema,
+});
+
+const ROUTES_ALLOWED = "a list of 1 to 256 routes";
+
+const defaults = TEMPLATE_DEFAULTS;
+
+/** The document; its output is resolved but not yet in the template's shape. */
+export const templateSchema = createObjectSchema({
+  kind: z.literal("Template"),
+  name: nameSchema,
+  routes: z
+    .array(routeSchema, { error: ROUTES_ALLOWED })
+    .min(1, { error: ROUTES_ALLOWED })
+    .max(256, { error: ROUTES_ALLOWED }),
+  shardCount: createIntegerSchema({ min: 1, max: MAX_SHARD_COUNT }),
+  placesPerTarget: createIntegerSchema({ min: 1, max: 1_024 })
+    .default(defaults.placesPerTarget),
+  deadlines: createObjectSchema({
+    default: durationSchema.prefault(defaults.deadlines.default),
+    max: durationSchema.prefault(defaults.deadlines.max),
+  }).prefault({}),
+  limits: createObjectSchema({
+    maxBody: sizeSchema.prefault(defaults.limits.maxBody),
+    maxAnswer: sizeSchema.prefault(defaults.limits.maxAnswer),
+    maxQueuedPerTarget: createIntegerSchema({ min: 1, max: 65_536 })
+      .default(defaults.limits.maxQueuedPerTarget),
+    maxQueueTime: durationSchema.prefault(defaults.limits.maxQueueTime),
+  }).prefault({}),
+  placement: createObjectSchema({
+    imbalance: weightSchema.default(defaults.placement.imbalance),
+    churn: weightSchema.default(defaults.placement.churn),
+    unservedTime: weightSchema.default(defaults.placement.unservedTime),
+  }).prefault({}),
+  retry: createObjectSchema({
+    budgetRatio: createNumberSchema({ min: 0, max: 1 })
+      .default(defaults.retry.budgetRatio),
+    maxAttempts: createIntegerSchema({ min: 1, max: 10 })
+      .default(defaults.retry.maxAttempts),
+  }).prefault({}),
+  maxHotKeys: createIntegerSchema({ min: 0, max: 1_024 })
+    .default(defaults.maxHotKeys),
+  drainPriority: createIntegerSchema({ min: 0, max: 100 })
+    .default(defaults.drainPriority),
+});
+
+export type TemplateDocument = z.output<typeof templateSchema>;
+
+/** Gives a valid document the shape that the rest of the system reads. */
+export function toTemplate(document: TemplateDocument): Template {
+  const { deadlines, limits } = document;
+  return {
+    name: document.name,
+    routes: document.routes,
+    shardCount: document.shardCount,
+    placesPerTarget: document.placesPerTarget,
+    deadlines: { defaultMs: deadlines.default, maxMs: deadlines.max },
+    limits: {
+      maxBodyBytes: limits.maxBody,
+      maxAnswerBytes: limits.maxAnswer,
+      maxQueuedPerTarget: limits.maxQueuedPerTarget,
+      maxQueueMs: limits.maxQueueTime,
+    },
+    placement: document.placement,
+    retry: document.retry,
+    maxHotKeys: document.maxHotKeys,
+    drainPriority: document.drainPriority,
+  };
+}
--- /dev/null
+++ b/packages/declarations/src/validate.ts
@@ -0,0 +1,62 @@
+/**
+ * From files to a configuration, or to everything that is wrong with them.
+ * Nothing may be published unless all of it is valid, so there is no partial
+ * result.
+ */
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import { toClientAccount } from "./client_account_schema.ts";
+import {
+  compareText,
+  type DeclarationFault,
+  sortDeclarationFaults,
+} from "./declaration_fault.ts";
+import {
+  checkDocuments,
+  type DeclaredDocuments,
+} from "./declared_documents.ts";
+import {
+  type DeclarationFile,
+  parseDeclarationFile,
+} from "./document_source.ts";
+import { checkReferences } from "./references.ts";
+import type { Configuration } from "./template.ts";
+import { toTemplate } from "./template_schema.ts";
+
+/**
+ * Checks `files` as one whole. `inForce` is what they are to replace; without
+ * it, fields that are fixed for life cannot be checked.
+ */
+export function validateDeclarations(
+  files: readonly DeclarationFile[],
+  inForce?: Configuration,
+): Result<Configuration, readonly DeclarationFault[]> {
+  const parsed = files.map(parseDeclarationFile);
+  const sources = parsed.flatMap(({ documents }) => documents);
+  const documents = checkDocuments(sources);
+  const faults = [
+    ...parsed.flatMap((file) => file.faults),
+    ...documents.faults,
+    ...checkReferences({ sources, documents, inForce }),
+  ];
+  return faults.length > 0
+    ? Err(sortDeclarationFaults(faults))
+    : Ok(toConfiguration(documents));
+}
+
+function toConfiguration(documents: DeclaredDocuments): Configuration {
+  const templates = documents.templates
+    .map(({ content }) => toTemplate(content));
+  const clientAccounts = documents.clientAccounts
+    .map(({ content }) => toClientAccount(content));
+  return {
+    templates: templates.sort(compareNames),
+    clientAccounts: clientAccounts.sort(compareNames),
+  };
+}
+
+function compareNames(
+  a: { readonly name: string },
+  b: { readonly name: string },
+): number {
+  return compareText(a.name, b.name);
+}
