--- /dev/null
+++ b/packages/platform/src/connection_pool.ts
@@ -0,0 +1,167 @@
+/**
+ * Connections to one address. Idle ones are probed, so that a request is never
+ * put on a connection that has gone silent while nobody looked.
+ */
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import type { Clock } from "@lentilspur/ports/clock";
+import {
+  type HttpAnswer,
+  HttpConnection,
+  type HttpRequest,
+  openConnection,
+  type OpenFailure,
+  type SendFailure,
+} from "./http_connection.ts";
+
+export interface PoolOptions {
+  readonly clock: Clock;
+  /** Connections open or being opened at one time. */
+  readonly maxConnections: number;
+  /** Longest wait for a connection to open. */
+  readonly connectTimeoutMs: number;
+  /** An idle connection that has given no answer for this long is not used. */
+  readonly maxUnheardMs: number;
+}
+
+export type PoolFailure =
+  | ({ readonly stage: "opening" } & OpenFailure)
+  | ({ readonly stage: "sending" } & SendFailure);
+
+/** What the keeper of a pool sends on idle connections. */
+export interface Probe {
+  readonly path: string;
+  readonly timeoutMs: number;
+  /** Idle connections to hold ready. */
+  readonly warmConnections: number;
+}
+
+const MAX_PROBE_ANSWER_BYTES = 65_536;
+
+export class ConnectionPool {
+  readonly #address: string;
+  readonly #options: PoolOptions;
+  readonly #idle: HttpConnection[] = [];
+  #connections = 0;
+  #closed = false;
+
+  constructor(address: string, options: PoolOptions) {
+    this.#address = address;
+    this.#options = options;
+  }
+
+  get idleConnections(): number {
+    return this.#idle.length;
+  }
+
+  /** Sends on an idle connection or on a fresh one. Sends nothing twice. */
+  async send(request: HttpRequest): Promise<Result<HttpAnswer, PoolFailure>> {
+    const taken = this.#takeIdle();
+    if (taken !== undefined) {
+      return await this.#sendOn(taken, request);
+    }
+    const opened = await this.#open();
+    return opened.ok
+      ? await this.#sendOn(opened.val, request)
+      : Err({ stage: "opening", ...opened.val });
+  }
+
+  /**
+   * Probes the idle connections, drops the silent ones and opens others, up to
+   * the number to hold ready.
+   */
+  async probeIdle(probe: Probe): Promise<void> {
+    const waiting = this.#idle.splice(0);
+    const missing = probe.warmConnections - waiting.length;
+    const probes = waiting.map((one) => this.#probeOne(one, probe));
+    for (let count = 0; count < missing; count++) {
+      probes.push(this.#openWarm(probe));
+    }
+    await Promise.all(probes);
+  }
+
+  /** Ends idle connections; those in use end after their request. */
+  close(): void {
+    this.#closed = true;
+    for (const connection of this.#idle.splice(0)) {
+      this.#remove(connection);
+    }
+  }
+
+  async #sendOn(
+    connection: HttpConnection,
+    request: HttpRequest,
+  ): Promise<Result<HttpAnswer, PoolFailure>> {
+    const sent = await connection.send(request);
+    if (!sent.ok) {
+      this.#remove(connection);
+      return Err({ stage: "sending", ...sent.val });
+    }
+    this.#addIdle(connection);
+    return Ok(sent.val);
+  }
+
+  async #probeOne(connection: HttpConnection, probe: Probe): Promise<void> {
+    if (!connection.isOpen) {
+      this.#remove(connection);
+      return;
+    }
+    await this.#sendOn(connection, {
+      method: "GET",
+      path: probe.path,
+      timeoutMs: probe.timeoutMs,
+      maxAnswerBytes: MAX_PROBE_ANSWER_BYTES,
+    });
+  }
+
+  async #openWarm(probe: Probe): Promise<void> {
+    const opened = await this.#open();
+    if (opened.ok) {
+      await this.#probeOne(opened.val, probe);
+    }
+  }
+
+  async #open(): Promise<Result<HttpConnection, OpenFailure>> {
+    if (this.#connections >= this.#options.maxConnections) {
+      const limit = this.#options.maxConnections;
+      const message = `All ${limit} connections to ${this.#address} are in use`;
+      return Err({ kind: "unreachable", message });
+    }
+    this.#connections++;
+    const opened = await openConnection(this.#address, {
+      timeoutMs: this.#options.connectTimeoutMs,
+      clock: this.#options.clock,
+    });
+    if (!opened.ok) {
+      this.#connections--;
+    }
+    return opened;
+  }
+
+  /** The one used last, since the peer is the least likely to have closed it. */
+  #takeIdle(): HttpConnection | undefined {
+    const oldest = this.#options.clock.readMs() - this.#options.maxUnheardMs;
+    for (;;) {
+      const connection = this.#idle.pop();
+      if (connection === undefined) {
+        return undefined;
+      }
+      if (connection.isOpen && connection.lastHeardAt >= oldest) {
+        return connection;
+      }
+      this.#remove(connection);
+    }
+  }
+
+  #addIdle(connection: HttpConnection): void {
+    if (this.#closed || !connection.isOpen) {
+      this.#remove(connection);
+      return;
+    }
+    this.#idle.push(connection);
+  }
+
+  #remove(connection: HttpConnection): void {
+    this.#connections--;
+    connection.close();
+  }
+}
