--- /dev/null
+++ b/packages/proof/src/audit_input.ts
@@ -0,0 +1,129 @@
+/**
+ * Reads what operators collected: files of JSON lines that hold decision lines,
+ * exported log records, or both. A line that cannot be read is counted and
+ * reported, never guessed at.
+ */
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
+import type { LogRecord } from "@lentilspur/ports/log";
+import { z } from "zod";
+import type { DecisionLine } from "./decision_line.ts";
+
+/** What one line of input turned out to be. */
+export type AuditInput =
+  | { readonly kind: "line"; readonly line: DecisionLine }
+  | { readonly kind: "record"; readonly record: LogRecord }
+  /** Headers and seals of export files; `export verify` judges them. */
+  | { readonly kind: "frame" }
+  | {
+    readonly kind: "unreadable";
+    readonly file: string;
+    readonly lineNumber: number;
+  };
+
+const headSchema = z.object({
+  instance: z.string().min(1),
+  sequence: z.int().min(0),
+  elapsedMs: z.number(),
+  time: z.string(),
+  foldedOffset: z.int(),
+});
+
+const subjectSchema = headSchema.extend({
+  requestId: z.string(),
+  clientAccount: z.string(),
+  template: z.string(),
+  key: z.string(),
+  idempotent: z.boolean(),
+});
+
+const outcomeSchema = z.enum(["ran", "not-run", "unknown"]);
+
+/** Only what the checks lean on; further fields pass through. */
+const lineSchema = z.discriminatedUnion("decision", [
+  subjectSchema.extend({
+    decision: z.literal("request-routed"),
+    unit: z.string(),
+    target: z.string(),
+    steward: z.string(),
+  }).loose(),
+  subjectSchema.extend({
+    decision: z.literal("request-dispatched"),
+    unit: z.string(),
+    target: z.string(),
+    stewardToken: z.int(),
+    unitToken: z.int(),
+    attempt: z.int(),
+  }).loose(),
+  subjectSchema.extend({
+    decision: z.literal("request-settled"),
+    unit: z.string(),
+    target: z.string(),
+    attempt: z.int(),
+    outcome: outcomeSchema,
+  }).loose(),
+  subjectSchema.extend({
+    decision: z.literal("request-answered"),
+    outcome: outcomeSchema,
+    status: z.int(),
+  }).loose(),
+  subjectSchema.extend({
+    decision: z.literal("resend-recognised"),
+    unit: z.string(),
+    memory: z.enum(["answered", "joined", "not-remembered"]),
+  }).loose(),
+  headSchema.extend({
+    decision: z.literal("configuration-in-force"),
+    version: z.int(),
+    position: z.int(),
+  }).loose(),
+  headSchema.extend({
+    decision: z.enum([
+      "move-proposed",
+      "move-released",
+      "grant-sent",
+      "target-declared-lost",
+      "instance-taken-over",
+      "lease-changed",
+      "stewardship-changed",
+    ]),
+  }).loose(),
+]);
+
+const recordSchema = z.object({ offset: z.int().min(0), payload: z.string() });
+
+const frameSchema = z.object({ kind: z.enum(["header", "seal"]) });
+
+/** Streams the lines of one file; memory holds one line at a time. */
+export async function* readAuditFile(file: string): AsyncGenerator<AuditInput> {
+  const lines = createInterface({
+    input: createReadStream(file),
+    crlfDelay: Infinity,
+  });
+  let lineNumber = 0;
+  for await (const text of lines) {
+    lineNumber++;
+    if (text.trim() !== "") {
+      yield parseAuditLine(text) ?? { kind: "unreadable", file, lineNumber };
+    }
+  }
+}
+
+/** Undefined where the text is neither a decision line nor a record. */
+export function parseAuditLine(text: string): AuditInput | undefined {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+  const line = lineSchema.safeParse(value);
+  if (line.success) {
+    return { kind: "line", line: line.data as unknown as DecisionLine };
+  }
+  const record = recordSchema.safeParse(value);
+  if (record.success) {
+    return { kind: "record", record: record.data };
+  }
+  return frameSchema.safeParse(value).success ? { kind: "frame" } : undefined;
+}
