feat(ports): end a grant by the target's own clock

A grant that ran from its receipt could be taken up out of the socket buffer of a target that thaws, together with the requests behind it, while its units have another owner. It now names the process and a moment of that process's own monotonic clock; checking targets check before start and before effect.

--- a/packages/ports/src/target.ts
+++ b/packages/ports/src/target.ts
@@ -60,11 +60,23 @@
     readonly message: string;
   };
 
-/** Grants for units, all under one steward token; renews those held. */
+/**
+ * Grants for units, all under one steward token; renews those held.
+ *
+ * A grant ends at a moment of the target's own monotonic clock, as the target
+ * last told it. Were it to run from its receipt, a target that thaws after an
+ * hour would take up a grant that lay in its socket buffer, together with the
+ * requests behind it, while its units have another owner.
+ *
+ * A checking target checks twice: before it starts a request, and right before
+ * the request takes effect, so that one frozen halfway through has none.
+ */
 export interface GrantRequest {
   readonly stewardToken: Position;
-  /** From receipt, on the target's own monotonic clock. */
-  readonly ttlMs: number;
+  /** The process this is meant for; any other refuses it. */
+  readonly bootId: string;
+  /** On the target's own monotonic clock: its `elapsedMs` plus the grant's life. */
+  readonly validUntilMs: number;
   readonly add: readonly GrantedUnit[];
   /** Units that the target must give up before it answers. */
   readonly remove: readonly string[];
@@ -78,6 +90,8 @@
 export interface GrantReply {
   /** Changes whenever the target's process starts anew. */
   readonly bootId: string;
+  /** The target's own monotonic clock, read while it made this reply. */
+  readonly elapsedMs: number;
   /** Units that the target still works on although they were removed. */
   readonly busyUnits: readonly string[];
 }
@@ -85,6 +99,8 @@
 /** What a target says of itself; late or wrong at times. */
 export interface TargetReport {
   readonly bootId: string;
+  /** The target's own monotonic clock, read while it made this report. */
+  readonly elapsedMs: number;
   readonly state: "warming" | "live" | "leaving";
   readonly runningRequests: number;
   readonly places: number;
@@ -92,6 +108,8 @@
 
 export type TargetFailure =
   | { readonly kind: "fenced"; readonly highestToken: Position }
+  /** The grant named another process: the target has started anew. */
+  | { readonly kind: "restarted"; readonly bootId: string }
   /** Nothing listens there: the process has ended or never started. */
   | { readonly kind: "refused"; readonly message: string }
   | { readonly kind: "silent"; readonly message: string }
