--- /dev/null
+++ b/packages/ownership/src/guardian.ts
@@ -0,0 +1,64 @@
+/**
+ * The guardian's side: pledges to holders, and consents to their take-over.
+ *
+ * A pledge binds this process alone and is bounded in time. A consent is for
+ * good: an append that carries it may take effect at any later moment, so a
+ * guardian that has consented never pledges to that holder again.
+ */
+import type { ConsentReply, RenewReply } from "@lentilspur/ports/peer";
+
+export class Guardian {
+  readonly #pledgedUntil = new Map<string, number>();
+  readonly #consented = new Set<string>();
+
+  /**
+   * `mayPledge` is whether this instance's own lease holds. A guardian that is
+   * taken over itself has stopped pledging by then, so its last pledge lapses
+   * within one lease of its removal and it can be waited out.
+   */
+  answerRenewal(
+    holder: string,
+    leaseMs: number,
+    options: { readonly nowMs: number; readonly mayPledge: boolean },
+  ): RenewReply {
+    if (this.#consented.has(holder)) {
+      return { kind: "revoked" };
+    }
+    if (!options.mayPledge) {
+      return { kind: "unable", message: "The guardian's own lease is lapsed" };
+    }
+    const before = this.#pledgedUntil.get(holder) ?? options.nowMs;
+    this.#pledgedUntil.set(holder, Math.max(options.nowMs + leaseMs, before));
+    return { kind: "pledged" };
+  }
+
+  answerConsent(holder: string, nowMs: number): ConsentReply {
+    const until = this.#pledgedUntil.get(holder);
+    if (until !== undefined && nowMs < until) {
+      return { kind: "pledged", forMs: until - nowMs };
+    }
+    this.#consented.add(holder);
+    this.#pledgedUntil.delete(holder);
+    return { kind: "consented" };
+  }
+
+  /** How long this guardian's pledge has been lapsed; undefined if it stands. */
+  computeSilenceMs(holder: string, nowMs: number): number | undefined {
+    const until = this.#pledgedUntil.get(holder);
+    return until === undefined || nowMs < until ? undefined : nowMs - until;
+  }
+
+  hasConsented(holder: string): boolean {
+    return this.#consented.has(holder);
+  }
+
+  /** The fold has removed this holder for good. */
+  removeHolder(holder: string): void {
+    this.#pledgedUntil.delete(holder);
+    this.#consented.delete(holder);
+  }
+
+  listHolders(): readonly string[] {
+    return [...this.#pledgedUntil.keys(), ...this.#consented];
+  }
+}
