--- a/packages/platform/src/target_client.ts
+++ b/packages/platform/src/target_client.ts
@@ -51,11 +51,14 @@
 
 const GRANT_ANSWER = z.object({
   bootId: z.string(),
+  elapsedMs: z.number(),
   busyUnits: z.array(z.string()),
 });
 const FENCED_ANSWER = z.object({ highestToken: z.number() });
+const RESTARTED_ANSWER = z.object({ bootId: z.string() });
 const REPORT_ANSWER = z.object({
   bootId: z.string(),
+  elapsedMs: z.number(),
   state: z.enum(["warming", "live", "leaving"]),
   runningRequests: z.number(),
   places: z.number(),
@@ -236,6 +239,10 @@
   if (answer.status === 409 && fenced.success) {
     return Err({ kind: "fenced", highestToken: fenced.data.highestToken });
   }
+  const restarted = RESTARTED_ANSWER.safeParse(body);
+  if (answer.status === 409 && restarted.success) {
+    return Err({ kind: "restarted", bootId: restarted.data.bootId });
+  }
   const message = `The target answered with status ${answer.status}`;
   return Err({ kind: "unsupported", message });
 }
