feat(ports): bind transferred request memory to the change it covers

Memory that is handed on before a move is released, and counts under whatever token comes next, would count after a move that failed: the old steward serves on, dies, and its successor takes old memory for complete. The memory now goes out after the change and names its token.

--- a/packages/ports/src/peer.ts
+++ b/packages/ports/src/peer.ts
@@ -76,6 +76,11 @@
   readonly template: string;
   readonly target: string;
   readonly units: readonly string[];
+  /**
+   * The accepted change that this memory is complete up to: the new unit token
+   * of a released move, or the new steward token of a hand-over.
+   */
+  readonly token: Position;
   /** Ids minted before this position may be missing from `remembered`. */
   readonly completeSince: Position;
   readonly remembered: readonly RememberedRequest[];
--- a/packages/router/src/authority.ts
+++ b/packages/router/src/authority.ts
@@ -41,6 +41,21 @@
   readonly consecutiveFailures: number;
 }
 
+/** Handled requests of some units, as known when they changed hands. */
+export interface UnitMemory {
+  /**
+   * The change that this memory is complete up to: the new unit token of a
+   * released move, or the new steward token of a hand-over. The memory counts
+   * only while the unit is served under exactly this unit or steward token as
+   * the higher of the two; were it bound to whatever tokens come next, memory
+   * of a move that failed would count after the steward kept serving and died.
+   */
+  readonly token: Position;
+  /** Ids minted before this and not remembered are answered as unknown. */
+  readonly floor: Position;
+  readonly remembered: readonly RememberedRequest[];
+}
+
 /** What the control side asks of the data path. */
 export interface UnitWork {
   /** Resolves once no dispatched request of the unit is unsettled. */
@@ -61,16 +76,11 @@
    * higher.
    */
   getMemoryFloor(template: string, unit: UnitId): Position | undefined;
-  /**
-   * Ids minted before the floor and not remembered are answered as unknown.
-   * The floor holds for the unit's tokens at its next request; with any later
-   * token the floor is that token, until this is called again.
-   */
+  /** Takes memory over that an earlier steward, or another unit, collected. */
   addMemory(
     template: string,
     units: readonly UnitId[],
-    floor: Position,
-    remembered: readonly RememberedRequest[],
+    memory: UnitMemory,
   ): void;
   /** Forgets units that this instance no longer serves. */
   removeMemory(template: string, units: readonly UnitId[]): void;
