feat(cli): check, diff, publish, status, history and credential

A publication is written against an expected version, its verdict is read back, and each way it can end is told apart: accepted, refused and by whom, not sent, or unknown with the id to resume by. A lost answer is resolved by appending the same envelope again, which the fold lets act once.

--- /dev/null
+++ b/packages/cli/bin/lentilspur.js
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/** Starts the built command; `npm run build` makes it. */
+import { runMain } from "../dist/main.js";
+
+await runMain();
--- /dev/null
+++ b/packages/cli/src/commands/diff.ts
@@ -0,0 +1,65 @@
+/** `lentilspur diff DIR`: what a publication of the declarations would change. */
+import { formatDeclarationFault } from "@lentilspur/declarations/declaration_fault";
+import {
+  describeChanges,
+  diffConfigurations,
+} from "@lentilspur/declarations/diff";
+import { validateDeclarations } from "@lentilspur/declarations/validate";
+import { command, positional } from "cmd-ts";
+import type { CommandContext } from "../command_context.ts";
+import { readDeclarationFiles } from "../declaration_files.ts";
+import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "../exit_codes.ts";
+import { logOptions, runWithLog } from "../log_options.ts";
+import type { LogSession } from "../log_session.ts";
+
+export function createDiffCommand(context: CommandContext) {
+  return command({
+    name: "diff",
+    description:
+      `Show field by field what publishing the declarations would change, and the version to publish against. ${EXIT_CODES_HELP}`,
+    args: {
+      directory: positional({
+        displayName: "DIR",
+        description: "The directory of the declarations",
+      }),
+      ...logOptions,
+    },
+    handler: ({ directory, ...options }): Promise<ExitCode> =>
+      runWithLog(
+        context,
+        options,
+        (session) => printDifference(context, session, directory),
+      ),
+  });
+}
+
+async function printDifference(
+  context: CommandContext,
+  session: LogSession,
+  directory: string,
+): Promise<ExitCode> {
+  const files = await readDeclarationFiles(directory);
+  if (!files.ok) {
+    context.printError(files.val);
+    return EXIT_CODES.refused;
+  }
+  const inForce = session.configuration;
+  const result = validateDeclarations(files.val, inForce);
+  if (!result.ok) {
+    result.val.forEach((fault) =>
+      context.printError(formatDeclarationFault(fault))
+    );
+    return EXIT_CODES.refused;
+  }
+  const version = session.view.configurationVersion;
+  const changes = diffConfigurations(inForce, result.val);
+  if (changes.length === 0) {
+    context.print(`No difference from version ${version}, which is in force`);
+    return EXIT_CODES.done;
+  }
+  describeChanges(inForce, changes).forEach((line) => context.print(line));
+  context.print(
+    `${changes.length} documents differ from version ${version}; publish with --expect-version ${version}`,
+  );
+  return EXIT_CODES.done;
+}
--- /dev/null
+++ b/packages/cli/src/declaration_files.ts
@@ -0,0 +1,39 @@
+/** Reads a directory of declarations, with everything below it. */
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import type { DeclarationFile } from "@lentilspur/declarations/document_source";
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+
+const EXTENSION_PATTERN = /\.ya?ml$/;
+
+/**
+ * Reads every `.yaml` and `.yml` file. The failure is a sentence: nothing of a
+ * directory that can be read only in part is ever used, because what is
+ * missing from it would count as removed.
+ */
+export async function readDeclarationFiles(
+  directory: string,
+): Promise<Result<readonly DeclarationFile[], string>> {
+  try {
+    const names = await readdir(directory, { recursive: true });
+    const wanted = names.filter((name) => EXTENSION_PATTERN.test(name)).sort();
+    if (wanted.length === 0) {
+      return Err(`No .yaml file stands in ${JSON.stringify(directory)}`);
+    }
+    const files = await Promise.all(
+      wanted.map((name) => readDeclarationFile(directory, name)),
+    );
+    return Ok(files);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Err(`Cannot read ${JSON.stringify(directory)}: ${reason}`);
+  }
+}
+
+async function readDeclarationFile(
+  directory: string,
+  name: string,
+): Promise<DeclarationFile> {
+  const path = join(directory, name);
+  return { name: path, text: await readFile(path, "utf8") };
+}
--- /dev/null
+++ b/packages/cli/src/log_options.ts
@@ -0,0 +1,101 @@
+/** Options that every command shares which reads or writes the log. */
+import { formatDuration, parseDuration } from "@lentilspur/declarations/units";
+import { extendType, option, string } from "cmd-ts";
+import type { CommandContext, OpenLog } from "./command_context.ts";
+import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
+import { describeLogFailure, LogSession } from "./log_session.ts";
+
+export const DEFAULT_LOG_STREAM = "lentilspur";
+export const DEFAULT_CHECKPOINT_STREAM = "lentilspur-checkpoints";
+
+export interface LogOptions {
+  readonly logUrl: string;
+  readonly logStream: string;
+  readonly checkpointStream: string;
+}
+
+export const logOptions = {
+  logUrl: option({
+    long: "log-url",
+    env: "LENTILSPUR_LOG_URL",
+    type: string,
+    description: "The platform's log, such as http://127.0.0.1:7000",
+  }),
+  logStream: option({
+    long: "log-stream",
+    env: "LENTILSPUR_LOG_STREAM",
+    type: string,
+    description: "The log's stream of records",
+    defaultValue: () => DEFAULT_LOG_STREAM,
+    defaultValueIsSerializable: true,
+  }),
+  checkpointStream: option({
+    long: "checkpoint-stream",
+    env: "LENTILSPUR_CHECKPOINT_STREAM",
+    type: string,
+    description: "The log's stream of checkpoints",
+    defaultValue: () => DEFAULT_CHECKPOINT_STREAM,
+    defaultValueIsSerializable: true,
+  }),
+};
+
+/** A duration with its unit, such as `10s`; milliseconds inside. */
+export const durationType = extendType(string, {
+  displayName: "duration",
+  description: "a whole number with ms, s, min or h",
+  from: (text): Promise<number> => {
+    const ms = parseDuration(text);
+    return ms === undefined
+      ? Promise.reject(
+        new Error(`"${text}" is no duration, write it such as 500ms or 10s`),
+      )
+      : Promise.resolve(ms);
+  },
+});
+
+/** Makes an option for a duration with a default. */
+export function createDurationOption(
+  long: string,
+  description: string,
+  defaultMs: number,
+) {
+  return option({
+    long,
+    type: durationType,
+    description: `${description} (${formatDuration(defaultMs)} if left out)`,
+    defaultValue: () => defaultMs,
+    defaultValueIsSerializable: false,
+  });
+}
+
+/** Reads the log to its end, lets `act` work on it, and closes the log. */
+export async function runWithLog(
+  context: CommandContext,
+  options: LogOptions,
+  act: (session: LogSession) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const log = context.openLog(options.logUrl);
+  try {
+    return await runSession(context, { ...options, log }, act);
+  } finally {
+    log.close();
+  }
+}
+
+async function runSession(
+  context: CommandContext,
+  options: LogOptions & { readonly log: OpenLog },
+  act: (session: LogSession) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const session = new LogSession({
+    log: options.log,
+    stream: options.logStream,
+    clock: context.clock,
+  });
+  const read = await session.readToEnd();
+  if (!read.ok) {
+    context.printError(describeLogFailure(read.val));
+    return EXIT_CODES.unavailable;
+  }
+  return await act(session);
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,52 @@
+/** The `lentilspur` command: one subcommand a module of `commands/`. */
+import process from "node:process";
+import { runSafely, subcommands } from "cmd-ts";
+import { type CommandContext, createSystemContext } from "./command_context.ts";
+import { createCheckCommand } from "./commands/check.ts";
+import { createCredentialCommand } from "./commands/credential.ts";
+import { createDiffCommand } from "./commands/diff.ts";
+import { createHistoryCommand } from "./commands/history.ts";
+import { createPublishCommand } from "./commands/publish.ts";
+import { createStatusCommand } from "./commands/status.ts";
+import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "./exit_codes.ts";
+
+/** A new command is one module of `commands/` and one line here. */
+function createCommands(context: CommandContext) {
+  return subcommands({
+    name: "lentilspur",
+    description:
+      `Routes requests to servers that own their keys exclusively. Operators check, diff and publish declarations; serve runs an instance. ${EXIT_CODES_HELP}`,
+    cmds: {
+      check: createCheckCommand(context),
+      diff: createDiffCommand(context),
+      publish: createPublishCommand(context),
+      status: createStatusCommand(context),
+      history: createHistoryCommand(context),
+      credential: createCredentialCommand(context),
+    },
+  });
+}
+
+/** Runs one command line, without the program's name, to its exit code. */
+export async function runCommandLine(
+  words: readonly string[],
+  context: CommandContext,
+): Promise<ExitCode> {
+  const result = await runSafely(createCommands(context), [...words]);
+  if (result._tag === "ok") {
+    return await result.value.value;
+  }
+  const { message, into, exitCode } = result.error.config;
+  if (into === "stdout") {
+    context.print(message);
+  } else {
+    context.printError(message);
+  }
+  return exitCode === 0 ? EXIT_CODES.done : EXIT_CODES.usage;
+}
+
+/** Entry of the program; `bin/lentilspur.js` calls it. */
+export async function runMain(): Promise<void> {
+  const words = process.argv.slice(2);
+  process.exitCode = await runCommandLine(words, createSystemContext());
+}
--- /dev/null
+++ b/packages/cli/src/publish_test.ts
@@ -0,0 +1,367 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import type { Clock } from "@lentilspur/ports/clock";
+import type { LogBatch, LogFailure } from "@lentilspur/ports/log";
+import { serializeEnvelope } from "@lentilspur/state/entry_schema";
+import type { CommandContext, OpenLog } from "./command_context.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+import { runCommandLine } from "./main.ts";
+
+type AppendFault = "answer-lost" | "not-taken" | "taken-later" | "refused";
+
+/** A log in memory whose next appends and reads can be made to fail. */
+class FakeLog implements OpenLog {
+  readonly records: string[] = [];
+  readonly appendFaults: AppendFault[] = [];
+  readonly #delayed: string[] = [];
+  down = false;
+
+  append(
+    _stream: string,
+    payload: string,
+  ): Promise<Result<number, LogFailure>> {
+    const fault = this.down ? "not-taken" : this.appendFaults.shift();
+    const silence = Err({ kind: "unavailable", message: "timed out" } as const);
+    switch (fault) {
+      case undefined:
+        return Promise.resolve(Ok(this.records.push(payload) - 1));
+      case "answer-lost":
+        this.records.push(payload);
+        return Promise.resolve(silence);
+      case "taken-later":
+        this.#delayed.push(payload);
+        return Promise.resolve(silence);
+      case "not-taken":
+        return Promise.resolve(silence);
+      case "refused":
+        return Promise.resolve(Err({ kind: "refused", message: "no route" }));
+    }
+  }
+
+  read(
+    _stream: string,
+    fromOffset: number,
+  ): Promise<Result<LogBatch, LogFailure>> {
+    if (this.down) {
+      return Promise.resolve(Err({ kind: "unavailable", message: "down" }));
+    }
+    const records = this.records.slice(fromOffset)
+      .map((payload, index) => ({ offset: fromOffset + index, payload }));
+    return Promise.resolve(Ok({ records, nextOffset: this.records.length }));
+  }
+
+  /** Lets appends take effect whose answers were lost long ago. */
+  settle(): void {
+    this.records.push(...this.#delayed.splice(0));
+  }
+
+  close(): void {}
+}
+
+/** Sleeping takes no time but moves the clock. */
+class InstantClock implements Clock {
+  #nowMs = 0;
+
+  readMs(): number {
+    return this.#nowMs;
+  }
+
+  sleep(ms: number): Promise<void> {
+    this.#nowMs += ms;
+    return Promise.resolve();
+  }
+}
+
+/** One operator's terminal beside a shared log. */
+class Terminal {
+  readonly log: FakeLog;
+  readonly versions = new Map<string, number>();
+  readonly #lines: string[] = [];
+
+  constructor(log: FakeLog) {
+    this.log = log;
+  }
+
+  /** Returns the exit code; the output is in `takeOutput`. */
+  run(...words: readonly string[]): Promise<number> {
+    return runCommandLine(words, this.#createContext());
+  }
+
+  publish(directory: string, ...more: readonly string[]): Promise<number> {
+    return this.run(
+      "publish",
+      directory,
+      "--log-url=http://log",
+      "--operator=neema",
+      ...more,
+    );
+  }
+
+  takeOutput(): string {
+    return this.#lines.splice(0).join("\n");
+  }
+
+  #createContext(): CommandContext {
+    return {
+      clock: new InstantClock(),
+      fetchStatus: (address) => {
+        const version = this.versions.get(address);
+        return Promise.resolve(
+          version === undefined ? Err("timed out") : Ok({
+            instanceId: address,
+            dataCentre: "Bole",
+            configurationVersion: version,
+            inForceSinceMs: 1_500,
+            foldedOffset: 3,
+            leaseHeld: true,
+            ready: true,
+          }),
+        );
+      },
+      print: (line) => void this.#lines.push(line),
+      printError: (line) => void this.#lines.push(line),
+      openLog: () => this.log,
+      readTime: () => new Date(0),
+      mintId: () => "0a1b2c3d-rest",
+    };
+  }
+}
+
+const DIGEST = `sha256:${"ab".repeat(32)}`;
+
+/** A directory with one template whose limit is given, and one account. */
+function makeDirectory(maxQueued = 64, accountName = "nile"): string {
+  const directory = mkdtempSync(join(tmpdir(), "lentilspur-"));
+  writeFileSync(
+    join(directory, "ledger.yaml"),
+    `kind: Template
+name: ledger
+shardCount: 64
+limits:
+  maxQueuedPerTarget: ${maxQueued}
+routes:
+  - method: GET
+    path: /ledger/{key}
+    idempotent: true
+---
+kind: ClientAccount
+name: ${accountName}
+credentialDigests: ["${DIGEST}"]
+templates:
+  - template: ledger
+`,
+  );
+  return directory;
+}
+
+function addMember(log: FakeLog, id: string): void {
+  const instance = {
+    id,
+    peerAddress: "127.0.0.1:1",
+    httpAddress: id,
+    dataCentre: "Bole",
+  };
+  log.records.push(serializeEnvelope({
+    id: `join-${id}`,
+    author: id,
+    entries: [{ kind: "instance-joined", instance, guardians: [] }],
+  }));
+}
+
+test("publishes, shows the history and finds no difference after", async () => {
+  const terminal = new Terminal(new FakeLog());
+  const directory = makeDirectory();
+  const code = await terminal.publish(directory, "--expect-version=0");
+  assert.equal(code, EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /Version 1 is accepted at offset 0/);
+  await terminal.run("history", "--log-url=http://log");
+  assert.match(
+    terminal.takeOutput(),
+    /version 1 by neema[^]*\+ template ledger/,
+  );
+  await terminal.run("diff", directory, "--log-url=http://log");
+  assert.match(terminal.takeOutput(), /No difference from version 1/);
+});
+
+test("tells the slower of two operators who was first and with what", async () => {
+  // Two operators start from version 1. Both publish; the second is refused,
+  // nothing of the second's reaches the log, and the second reads the name of
+  // the first, the version now in force and the documents that changed.
+  const log = new FakeLog();
+  const [first, second] = [new Terminal(log), new Terminal(log)];
+  await first.publish(makeDirectory(64), "--expect-version=0");
+  await first.publish(makeDirectory(128), "--expect-version=1");
+  const before = log.records.length;
+  const code = await second.run(
+    "publish",
+    makeDirectory(32),
+    "--log-url=http://log",
+    "--operator=juma",
+    "--expect-version=1",
+  );
+  assert.equal(code, EXIT_CODES.refused);
+  assert.equal(log.records.length, before);
+  assert.match(
+    second.takeOutput(),
+    /written against version 1, but version 2 is in force[^]*version 2 by neema: template ledger/,
+  );
+});
+
+test("loses cleanly when the other record reaches the log first", async () => {
+  // Both read version 0 before either appends. The log puts the other's
+  // record first; this one stands in the log too, but is rejected.
+  const log = new FakeLog();
+  const [other, terminal] = [new Terminal(new FakeLog()), new Terminal(log)];
+  await other.publish(makeDirectory(32), "--expect-version=0");
+  const append = log.append.bind(log);
+  log.append = (stream, payload) => {
+    log.records.push(...other.log.records.splice(0));
+    return append(stream, payload);
+  };
+  const code = await terminal.publish(makeDirectory(), "--expect-version=0");
+  assert.equal(code, EXIT_CODES.refused);
+  assert.equal(log.records.length, 2);
+  assert.match(terminal.takeOutput(), /version 1 by neema/);
+});
+
+test("finds its record when only the answer to the append was lost", async () => {
+  // The log takes the record and the connection breaks before the answer. An
+  // operator who is told "failed" would publish again; told is the truth.
+  const log = new FakeLog();
+  log.appendFaults.push("answer-lost");
+  const terminal = new Terminal(log);
+  const code = await terminal.publish(makeDirectory(), "--expect-version=0");
+  assert.equal(code, EXIT_CODES.done);
+  assert.equal(log.records.length, 1);
+});
+
+test("an append that takes effect after its repetition changes nothing", async () => {
+  // The first append hangs in the platform, its repetition is accepted, and
+  // the first arrives after all: one version, one line in the history.
+  const log = new FakeLog();
+  log.appendFaults.push("taken-later");
+  const terminal = new Terminal(log);
+  await terminal.publish(makeDirectory(), "--expect-version=0");
+  log.settle();
+  assert.equal(log.records.length, 2);
+  await terminal.run("history", "--log-url=http://log");
+  const lines = terminal.takeOutput().match(/^version \d/gm);
+  assert.deepEqual(lines, ["version 1"]);
+});
+
+/** Publishes into a log that goes silent, and returns the id to resume. */
+async function publishIntoSilence(
+  terminal: Terminal,
+  directory: string,
+): Promise<string> {
+  const faults = Array<AppendFault>(1_000).fill("not-taken");
+  terminal.log.appendFaults.push("taken-later", ...faults);
+  const code = await terminal.publish(directory, "--expect-version=0");
+  assert.equal(code, EXIT_CODES.unknown);
+  const output = terminal.takeOutput();
+  assert.match(output, /^UNKNOWN whether it was accepted/m);
+  terminal.log.appendFaults.length = 0;
+  return /--resume (\S+);/.exec(output)?.[1] ?? "";
+}
+
+test("says unknown during an outage, and resumes to one publication", async () => {
+  // The log stops answering in the middle of a publication. Whether it took
+  // the record cannot be known, so neither "accepted" nor "failed" is said.
+  // After the outage the operator resumes; the record had arrived meanwhile.
+  const terminal = new Terminal(new FakeLog());
+  const directory = makeDirectory();
+  const id = await publishIntoSilence(terminal, directory);
+  terminal.log.settle();
+  const resume = ["--expect-version=0", `--resume=${id}`];
+  assert.equal(await terminal.publish(directory, ...resume), EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /Version 1 is accepted at offset 0/);
+  assert.equal(terminal.log.records.length, 1);
+});
+
+test("resumes by appending anew where nothing had arrived", async () => {
+  const terminal = new Terminal(new FakeLog());
+  const directory = makeDirectory();
+  const id = await publishIntoSilence(terminal, directory);
+  const resume = ["--expect-version=0", `--resume=${id}`];
+  assert.equal(await terminal.publish(directory, ...resume), EXIT_CODES.done);
+  terminal.log.settle();
+  await terminal.run("diff", directory, "--log-url=http://log");
+  assert.match(terminal.takeOutput(), /No difference from version 1/);
+});
+
+test("refuses to resume with other content than the first attempt", async () => {
+  // The files changed while the outcome was unknown. Sent under the same id,
+  // either content could win; so nothing is sent.
+  const terminal = new Terminal(new FakeLog());
+  const id = await publishIntoSilence(terminal, makeDirectory());
+  const resume = ["--expect-version=0", `--resume=${id}`];
+  const code = await terminal.publish(makeDirectory(7), ...resume);
+  assert.equal(code, EXIT_CODES.refused);
+  assert.equal(terminal.log.records.length, 0);
+});
+
+test("tells a lost publication as refused once another took its version", async () => {
+  const terminal = new Terminal(new FakeLog());
+  const directory = makeDirectory();
+  const id = await publishIntoSilence(terminal, directory);
+  await terminal.publish(makeDirectory(9), "--expect-version=0");
+  terminal.takeOutput();
+  const resume = ["--expect-version=0", `--resume=${id}`];
+  const code = await terminal.publish(directory, ...resume);
+  assert.equal(code, EXIT_CODES.refused);
+  assert.match(terminal.takeOutput(), /but version 1 is in force/);
+});
+
+test("says that nothing was published when the log cannot be reached", async () => {
+  const log = new FakeLog();
+  log.appendFaults.push("refused");
+  const terminal = new Terminal(log);
+  const code = await terminal.publish(makeDirectory(), "--expect-version=0");
+  assert.equal(code, EXIT_CODES.unavailable);
+  log.down = true;
+  const again = await terminal.publish(makeDirectory(), "--expect-version=0");
+  assert.equal(again, EXIT_CODES.unavailable);
+  assert.equal(log.records.length, 0);
+});
+
+test("removes documents only when asked to", async () => {
+  // A file is missing from a checkout. Publishing it would lock a client
+  // account out, so the removal is named and refused unless asked for.
+  const terminal = new Terminal(new FakeLog());
+  await terminal.publish(makeDirectory(64, "nile"), "--expect-version=0");
+  const renamed = makeDirectory(64, "awash");
+  const refused = await terminal.publish(renamed, "--expect-version=1");
+  assert.equal(refused, EXIT_CODES.refused);
+  assert.match(terminal.takeOutput(), /lacks clientAccount nile/);
+  const more = ["--expect-version=1", "--allow-removals"];
+  assert.equal(await terminal.publish(renamed, ...more), EXIT_CODES.done);
+});
+
+test("names the instances that lag or do not answer", async () => {
+  const log = new FakeLog();
+  ["a:1", "b:1", "c:1"].forEach((id) => addMember(log, id));
+  const terminal = new Terminal(log);
+  terminal.versions.set("a:1", 1).set("b:1", 0);
+  const code = await terminal.publish(makeDirectory(), "--expect-version=0");
+  assert.equal(code, EXIT_CODES.lagging);
+  const output = terminal.takeOutput();
+  assert.match(output, /In force on 1 of 3 instances/);
+  assert.match(output, /^b:1 .*version 0 BEHIND/m);
+  assert.match(output, /^c:1 .*no answer, timed out/m);
+  terminal.versions.set("b:1", 1).set("c:1", 1);
+  const status = await terminal.run("status", "--log-url=http://log");
+  assert.equal(status, EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /in force on 3 of 3 instances/);
+});
+
+test("tells wrong usage apart from a refusal", async () => {
+  const terminal = new Terminal(new FakeLog());
+  const code = await terminal.publish(makeDirectory(), "--expect-version=one");
+  assert.equal(code, EXIT_CODES.usage);
+  assert.match(terminal.takeOutput(), /"one" is no version/);
+  assert.equal(await terminal.run("publish", "--help"), EXIT_CODES.done);
+});
