feat(router): carry a request from its entry through the steward to its target

The steward recognises resends, queues for a place of the target and asks the authority in the turn in which it sends.

--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -32,7 +32,7 @@
 const CONTROL_TIMEOUT_MS = 500;
 const TRANSFER_TIMEOUT_MS = 2_000;
 /** The steward answers at the request's deadline; this covers the way back. */
-const FORWARD_GRACE_MS = 500;
+const FORWARD_GRACE_MS = 200;
 /** Peers are new with every start, so connections to gone ones are dropped. */
 const IDLE_PEER_MS = 60_000;
 
--- a/packages/router/src/authority.ts
+++ b/packages/router/src/authority.ts
@@ -71,9 +71,8 @@
   ): readonly RememberedRequest[];
   /**
    * Ids of the unit minted at or after this position are all in
-   * `collectMemory`. `undefined` where no request has met the unit's present
-   * tokens: then its unit token or steward token is the floor, whichever is
-   * higher.
+   * `collectMemory`. `undefined` for a unit that the fold does not know, or
+   * whose target has no steward.
    */
   getMemoryFloor(template: string, unit: UnitId): Position | undefined;
   /** Takes memory over that an earlier steward, or another unit, collected. */
--- /dev/null
+++ b/packages/router/src/steward/dispatcher.ts
@@ -0,0 +1,259 @@
+/**
+ * The steward's side of a request's path: wait for the right to act, recognise
+ * resends, and run what is new on the key's owner.
+ */
+import type { Template } from "@lentilspur/declarations/template";
+import {
+  makeRequestError,
+  type RequestError,
+} from "@lentilspur/outcomes/error_kinds";
+import type { Position } from "@lentilspur/outcomes/position";
+import type { Clock, Random } from "@lentilspur/ports/clock";
+import type {
+  ForwardReply,
+  ForwardRequest,
+  RememberedRequest,
+} from "@lentilspur/ports/peer";
+import type { DispatchFailure, TargetPort } from "@lentilspur/ports/target";
+import { RetryBudget } from "@lentilspur/policy/retry_budget";
+import type { DecisionSink } from "@lentilspur/proof/decision_line";
+import type { UnitId } from "@lentilspur/state/entries";
+import { hashKeyToShard, makeShardUnit } from "@lentilspur/state/units";
+import type {
+  Authority,
+  TargetContact,
+  UnitMemory,
+  UnitWork,
+} from "../authority.ts";
+import type { StateSource } from "../state_source.ts";
+import { makeDispatchError } from "./dispatch_errors.ts";
+import { ForwardJob } from "./forward_job.ts";
+import { PermissionGate, type Permitted } from "./permission_gate.ts";
+import { RequestMemory } from "./request_memory.ts";
+import { type Handled, ResendDesk } from "./resend_desk.ts";
+import { TargetRunner } from "./target_runner.ts";
+
+/** How long a fenced or drained target is given before the key is looked up. */
+const CHANGE_POLL_MS = 100;
+/**
+ * 870 non-idempotent requests a second (three in ten of a node's 2,900) for
+ * two epochs of 5 minutes are 522,000 records.
+ */
+const DEFAULT_MAX_RECORDS = 525_000;
+
+export interface DispatcherOptions {
+  readonly authority: Authority;
+  readonly state: StateSource;
+  readonly targets: TargetPort;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly decisions: DecisionSink;
+  readonly maxChangeWaitMs: number;
+  /** Non-idempotent requests remembered; more are refused as not run. */
+  readonly maxRememberedRequests?: number;
+}
+
+export class Dispatcher implements UnitWork {
+  readonly #options: DispatcherOptions;
+  readonly #gate: PermissionGate;
+  readonly #runner: TargetRunner;
+  readonly #memory: RequestMemory<Handled>;
+  readonly #desk: ResendDesk;
+  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #budgetTemplates = new Map<string, Template>();
+
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+    this.#gate = new PermissionGate(options);
+    this.#runner = new TargetRunner(options);
+    this.#memory = new RequestMemory({
+      maxRecords: options.maxRememberedRequests ?? DEFAULT_MAX_RECORDS,
+      locateShard: (template, key) => this.#locateShard(template, key),
+    });
+    this.#desk = new ResendDesk({ ...options, memory: this.#memory });
+  }
+
+  /** Serves one forwarded request; never rejects. */
+  async forward(
+    request: ForwardRequest,
+    signal: AbortSignal,
+  ): Promise<ForwardReply> {
+    const view = this.#options.state.getView();
+    const template = view.getTemplate(request.template);
+    if (template === undefined) {
+      return { kind: "not-steward", foldedOffset: view.nextOffset };
+    }
+    const job = new ForwardJob({
+      request,
+      template,
+      weight: this.#getWeight(request),
+      nowMs: this.#options.clock.readMs(),
+    });
+    try {
+      return job.resolveReply(await this.#handleJob(job, signal));
+    } catch (error) {
+      return { kind: "failed", error: makeInternalError(error) };
+    }
+  }
+
+  waitForIdle(
+    template: string,
+    unit: UnitId,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    return this.#runner.activity.waitForIdle(template, unit, signal);
+  }
+
+  collectMemory(
+    template: string,
+    units: readonly UnitId[],
+  ): readonly RememberedRequest[] {
+    return this.#memory.collect(template, units);
+  }
+
+  getMemoryFloor(template: string, unit: UnitId): Position | undefined {
+    const view = this.#options.state.getView();
+    const state = view.getUnit(template, unit);
+    const target = state?.owner == null
+      ? undefined
+      : view.getTarget(state.owner);
+    if (state === undefined || target === undefined) {
+      return undefined;
+    }
+    const { token: unitToken } = state;
+    const { stewardToken } = target;
+    return this.#memory.getFloor(template, { unit, unitToken, stewardToken });
+  }
+
+  addMemory(
+    template: string,
+    units: readonly UnitId[],
+    memory: UnitMemory,
+  ): void {
+    this.#memory.add(template, units, memory);
+  }
+
+  removeMemory(template: string, units: readonly UnitId[]): void {
+    this.#memory.remove(template, units);
+  }
+
+  getContact(target: string): TargetContact | undefined {
+    return this.#runner.contacts.get(target);
+  }
+
+  async #handleJob(
+    job: ForwardJob,
+    signal: AbortSignal,
+  ): Promise<ForwardReply> {
+    for (;;) {
+      const gate = await this.#gate.wait(job, signal);
+      if (gate.kind === "ended") {
+        return gate.reply;
+      }
+      const { permission } = gate;
+      const reply = job.request.idempotent
+        ? await this.#run(job, permission, { signal, markDispatched })
+        : await this.#desk.handle(job, permission, {
+          signal,
+          run: (options) => this.#run(job, permission, options),
+        });
+      if (reply.kind !== "moved") {
+        return reply;
+      }
+    }
+  }
+
+  /** Dispatches until there is an answer, or a retry is not allowed. */
+  async #run(
+    job: ForwardJob,
+    permission: Permitted,
+    options: {
+      readonly signal: AbortSignal;
+      readonly markDispatched: () => void;
+    },
+  ): Promise<ForwardReply | { readonly kind: "moved" }> {
+    const { authority } = this.#options;
+    const budget = this.#claimBudget(job.template);
+    budget.recordFirstSend();
+    for (;;) {
+      const result = await this.#runner.run(job, permission, options);
+      switch (result.kind) {
+        case "answered":
+        case "moved":
+          return result;
+        case "refused":
+          return { kind: "failed", error: result.error };
+        case "failed":
+          break;
+      }
+      const error = makeDispatchError(result.failure, result.target);
+      if (error.outcome === "unknown") {
+        job.recordUnknown(error);
+      }
+      if (options.signal.aborted) {
+        return { kind: "failed", error };
+      }
+      if (isOwnerChanging(result.failure)) {
+        await authority.waitForChange(CHANGE_POLL_MS, options.signal);
+        return { kind: "moved" };
+      }
+      const mayRunAgain = error.outcome === "not-run" || job.request.idempotent;
+      if (!mayRunAgain || !await this.#mayRetry(job, budget, options.signal)) {
+        return { kind: "failed", error };
+      }
+    }
+  }
+
+  /** Waits out the pause before a retry, if one is allowed in time. */
+  async #mayRetry(
+    job: ForwardJob,
+    budget: RetryBudget,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { clock, random } = this.#options;
+    const pauseMs = budget.computeBackoffMs(job.attempt, random);
+    const now = clock.readMs();
+    if (now + pauseMs >= job.deadlineAtMs || !budget.claim(job.attempt, now)) {
+      return false;
+    }
+    await clock.sleep(pauseMs, signal);
+    return !signal.aborted;
+  }
+
+  #claimBudget(template: Template): RetryBudget {
+    const known = this.#budgets.get(template.name);
+    if (known && this.#budgetTemplates.get(template.name) === template) {
+      return known;
+    }
+    const budget = new RetryBudget(template.retry);
+    this.#budgets.set(template.name, budget);
+    this.#budgetTemplates.set(template.name, template);
+    return budget;
+  }
+
+  #getWeight(request: ForwardRequest): number {
+    const account = this.#options.state.getView()
+      .getClientAccount(request.clientAccount);
+    const parameters = account?.templates.find((each) =>
+      each.template === request.template
+    );
+    return parameters?.weight ?? 1;
+  }
+
+  #locateShard(template: string, key: string): UnitId {
+    const declared = this.#options.state.getView().getTemplate(template);
+    return makeShardUnit(hashKeyToShard(key, declared?.shardCount ?? 1));
+  }
+}
+
+/** Lookups leave no record. */
+function markDispatched(): void {}
+
+/** The target is right to refuse: the key is, or soon will be, elsewhere. */
+function isOwnerChanging(failure: DispatchFailure): boolean {
+  return failure.cause === "fenced" || failure.cause === "draining";
+}
+
+function makeInternalError(error: unknown): RequestError {
+  return makeRequestError("internal", `The steward failed: ${String(error)}`);
+}
--- /dev/null
+++ b/packages/router/src/steward/unit_activity.ts
@@ -0,0 +1,58 @@
+/** Which units have dispatched requests that are not settled. */
+import type { UnitId } from "@lentilspur/state/entries";
+import { formatUnitName } from "./memory_floors.ts";
+
+interface Activity {
+  running: number;
+  readonly waiters: Set<() => void>;
+}
+
+export class UnitActivity {
+  readonly #units = new Map<string, Activity>();
+
+  add(template: string, unit: UnitId): void {
+    this.#claim(formatUnitName(template, unit)).running++;
+  }
+
+  settle(template: string, unit: UnitId): void {
+    const name = formatUnitName(template, unit);
+    const activity = this.#units.get(name);
+    if (activity === undefined) {
+      return;
+    }
+    activity.running--;
+    if (activity.running === 0) {
+      this.#units.delete(name);
+      activity.waiters.forEach((wake) => wake());
+    }
+  }
+
+  /** Resolves once the unit has nothing unsettled, or on abort. */
+  waitForIdle(
+    template: string,
+    unit: UnitId,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    const activity = this.#units.get(formatUnitName(template, unit));
+    if (activity === undefined || signal?.aborted) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      activity.waiters.add(resolve);
+      signal?.addEventListener("abort", () => {
+        activity.waiters.delete(resolve);
+        resolve();
+      }, { once: true });
+    });
+  }
+
+  #claim(name: string): Activity {
+    const known = this.#units.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const activity = { running: 0, waiters: new Set<() => void>() };
+    this.#units.set(name, activity);
+    return activity;
+  }
+}
