feat(ports): end fake grants by the target's own clock

The fakes follow the grant's new shape: a process id, an end on the target's clock, a second check before the effect. Places and shown load have modules of their own.

--- a/packages/ports/src/fake_grants.ts
+++ b/packages/ports/src/fake_grants.ts
@@ -28,24 +28,31 @@
 
   /** Takes a grant; the failure is the highest token seen. */
   apply(request: GrantRequest, nowMs: number): Result<void, Position> {
-    if (request.stewardToken < this.#highestToken) {
+    const { stewardToken, validUntilMs } = request;
+    if (stewardToken < this.#highestToken) {
       return Err(this.#highestToken);
     }
+    const hasLapsed = nowMs > this.#liveUntilMs;
+    if (hasLapsed) {
+      this.#lapses++;
+      this.#lastLapsedAtMs = this.#liveUntilMs;
+    }
     // A steward that has taken over starts from nothing: what its predecessor
     // granted is void, whether the successor knew of it or not. So are grants
     // that lapsed: a renewal after a freeze must name its units again.
-    const isSuccessor = request.stewardToken > this.#highestToken;
-    const hasLapsed = nowMs > this.#liveUntilMs;
+    const isSuccessor = stewardToken > this.#highestToken;
     if (isSuccessor || hasLapsed) {
       this.#tokens.clear();
+      this.#liveUntilMs = -Infinity;
     }
-    if (hasLapsed) {
-      this.#lapses++;
-      this.#lastLapsedAtMs = this.#liveUntilMs;
+    this.#highestToken = stewardToken;
+    // Failure: a grant is held up on one connection, a later one takes the
+    // unit back over another, and then the first arrives and gives it again.
+    // The later grant ends later, so the first is seen to be out of order.
+    if (validUntilMs >= this.#liveUntilMs) {
+      this.#liveUntilMs = validUntilMs;
+      request.add.forEach(({ unit, token }) => this.#tokens.set(unit, token));
     }
-    this.#highestToken = request.stewardToken;
-    this.#liveUntilMs = nowMs + request.ttlMs;
-    request.add.forEach(({ unit, token }) => this.#tokens.set(unit, token));
     request.remove.forEach((unit) => this.#tokens.delete(unit));
     return Ok(undefined);
   }
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -3,10 +3,13 @@
  * sheds, honours deadlines and cancellations, misreports its load, freezes and
  * comes back, and keeps a history of what it ran. It checks grants or not.
  */
+import { createHash } from "node:crypto";
 import type { Position } from "@lentilspur/outcomes/position";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "./clock.ts";
 import { FakeGrants } from "./fake_grants.ts";
+import { FakeShownLoad } from "./fake_shown_load.ts";
+import { FakePlaces, waitForAbort } from "./fake_places.ts";
 import type {
   GrantReply,
   GrantRequest,
@@ -17,8 +20,11 @@
 
 export interface FakeTargetOptions {
   readonly id: string;
+  readonly template: string;
   readonly clock: Clock;
   readonly checksGrants: boolean;
+  /** What the target's own clock shows more than `clock`. */
+  readonly clockOffsetMs?: number;
   readonly places?: number;
   /** Requests that may wait in the target before it sheds. */
   readonly maxWaiting?: number;
@@ -33,6 +39,7 @@
 
 /** A request as it reaches the target. */
 export interface TargetRequest {
+  readonly method: string;
   readonly requestId: string;
   readonly clientAccount: string;
   readonly key: string;
@@ -44,7 +51,11 @@
 }
 
 export type TargetReply =
-  | { readonly kind: "ran"; readonly ending: RunEnding }
+  | {
+    readonly kind: "ran";
+    readonly ending: RunEnding;
+    readonly body: Uint8Array;
+  }
   | {
     readonly kind: "not-run";
     readonly cause: "fenced" | "shed" | "draining" | "refused";
@@ -65,9 +76,9 @@
   readonly grants: FakeGrants;
   readonly ended: AbortController;
   readonly running: Set<Run>;
-  readonly waiting: Waiter[];
-  /** Places claimed by requests that are about to start or run. */
-  claimed: number;
+  readonly places: FakePlaces;
+  /** Requests started so far. */
+  started: number;
 }
 
 interface Run {
@@ -79,16 +90,11 @@
   readonly lapses: number;
 }
 
-interface Waiter {
-  readonly request: TargetRequest;
-  readonly wake: AbortController;
-  isCancelled: boolean;
-}
-
 export class FakeTarget {
   readonly #options: FakeTargetOptions;
   readonly #clock: Clock;
   readonly #history: TargetRun[] = [];
+  readonly #load: FakeShownLoad;
   #boots = 0;
   #boot: Boot;
   #thaw: AbortController | undefined;
@@ -96,11 +102,11 @@
   #isDraining = false;
   #isShedding = false;
   #statedReport: Partial<TargetReport> = {};
-  #loads: { readonly atMs: number; readonly running: number }[] = [];
 
   constructor(options: FakeTargetOptions) {
     this.#options = options;
     this.#clock = options.clock;
+    this.#load = new FakeShownLoad(options.reportLagMs ?? 0);
     this.#boot = this.#createBoot();
   }
 
@@ -131,7 +137,7 @@
     this.#isListening = false;
     this.#boot.ended.abort();
     for (const run of this.#boot.running) {
-      this.#recordEnd(run, "killed");
+      this.#recordEnd(run, "killed", { atMs: this.#readMs() });
     }
     this.#boot.running.clear();
     this.resume();
@@ -167,8 +173,9 @@
     await this.#waitWhileFrozen();
     return {
       bootId: this.#boot.id,
+      elapsedMs: this.#readMs(),
       state: this.#describeState(),
-      runningRequests: this.#computeShownLoad(),
+      runningRequests: this.#load.compute(this.#readMs()),
       places: this.#places,
       ...this.#statedReport,
     };
@@ -183,13 +190,16 @@
       const message = "This target does not check grants";
       return Err({ kind: "unsupported", message });
     }
-    const applied = boot.grants.apply(request, this.#clock.readMs());
+    if (request.bootId !== boot.id) {
+      return Err({ kind: "restarted", bootId: boot.id });
+    }
+    const applied = boot.grants.apply(request, this.#readMs());
     if (!applied.ok) {
       return Err({ kind: "fenced", highestToken: applied.val });
     }
     const busy = [...boot.running].map((run) => run.request.unit);
     const busyUnits = request.remove.filter((unit) => busy.includes(unit));
-    return Ok({ bootId: boot.id, busyUnits });
+    return Ok({ bootId: boot.id, elapsedMs: this.#readMs(), busyUnits });
   }
 
   /** Stops a request that runs or waits. */
@@ -200,12 +210,7 @@
         run.stop.abort();
       }
     }
-    for (const waiter of this.#boot.waiting) {
-      if (waiter.request.requestId === requestId) {
-        waiter.isCancelled = true;
-        waiter.wake.abort();
-      }
-    }
+    this.#boot.places.cancel(requestId);
   }
 
   /** Takes a request that has arrived. Resolves when it can be answered. */
@@ -214,7 +219,7 @@
     await this.#waitWhileFrozen();
     // A frozen process reads what the kernel kept for it when it goes on, and
     // counts the deadline from then.
-    const arrivedAt = this.#clock.readMs();
+    const arrivedAt = this.#readMs();
     if (boot.ended.signal.aborted) {
       return { kind: "lost" };
     }
@@ -222,20 +227,25 @@
     if (refusal !== undefined) {
       return refusal;
     }
-    const waited = await this.#waitForPlace(boot, request);
-    if (waited !== "has-place") {
-      return waited === "ended"
-        ? { kind: "lost" }
-        : makeRefusal("refused", "The request was cancelled before it ran");
-    }
-    const late = this.#checkStart(boot, request, arrivedAt);
-    if (late !== undefined) {
-      this.#releasePlace(boot);
-      return late;
+    const claimed = await boot.places.claim(request.requestId, {
+      ended: boot.ended.signal,
+      waitWhileFrozen: () => this.#waitWhileFrozen(),
+    });
+    switch (claimed) {
+      case "claimed": {
+        const reply = await this.#runInPlace(boot, request, arrivedAt);
+        boot.places.release();
+        return reply;
+      }
+      case "cancelled":
+        return makeRefusal("refused", "It was cancelled before it ran");
+      case "ended":
+        return { kind: "lost" };
     }
-    const ending = await this.#run(boot, request, arrivedAt);
-    this.#releasePlace(boot);
-    return ending === "killed" ? { kind: "lost" } : { kind: "ran", ending };
+  }
+
+  #readMs(): number {
+    return this.#clock.readMs() + (this.#options.clockOffsetMs ?? 0);
   }
 
   get #places(): number {
@@ -247,51 +257,19 @@
       return makeRefusal("draining", "The target is leaving");
     }
     const maxWaiting = this.#options.maxWaiting ?? DEFAULT_MAX_WAITING;
-    if (this.#isShedding || boot.waiting.length >= maxWaiting) {
+    if (this.#isShedding || boot.places.countWaiting() >= maxWaiting) {
       return makeRefusal("shed", "The target sheds load");
     }
     return undefined;
   }
 
-  async #waitForPlace(
-    boot: Boot,
-    request: TargetRequest,
-  ): Promise<"has-place" | "cancelled" | "ended"> {
-    while (boot.claimed >= this.#places) {
-      const wake = new AbortController();
-      const waiter: Waiter = { request, wake, isCancelled: false };
-      boot.waiting.push(waiter);
-      await waitForAbort(AbortSignal.any([wake.signal, boot.ended.signal]));
-      boot.waiting.splice(boot.waiting.indexOf(waiter), 1);
-      await this.#waitWhileFrozen();
-      if (boot.ended.signal.aborted) {
-        return "ended";
-      }
-      if (waiter.isCancelled) {
-        this.#sendWake(boot);
-        return "cancelled";
-      }
-    }
-    boot.claimed++;
-    return "has-place";
-  }
-
-  #releasePlace(boot: Boot): void {
-    boot.claimed--;
-    this.#sendWake(boot);
-  }
-
-  #sendWake(boot: Boot): void {
-    boot.waiting.find((waiter) => !waiter.wake.signal.aborted)?.wake.abort();
-  }
-
   /** The checks right before a request starts; none of them waits. */
   #checkStart(
     boot: Boot,
     request: TargetRequest,
     arrivedAt: number,
   ): TargetReply | undefined {
-    const now = this.#clock.readMs();
+    const now = this.#readMs();
     if (now > arrivedAt + request.deadlineMs) {
       return makeRefusal("refused", "The deadline has passed");
     }
@@ -301,32 +279,40 @@
     return undefined;
   }
 
-  async #run(
+  async #runInPlace(
     boot: Boot,
     request: TargetRequest,
     arrivedAt: number,
-  ): Promise<RunEnding> {
-    const now = this.#clock.readMs();
+  ): Promise<TargetReply> {
+    const refusal = this.#checkStart(boot, request, arrivedAt);
+    if (refusal !== undefined) {
+      return refusal;
+    }
+    const now = this.#readMs();
     const stop = new AbortController();
     const { lapses } = boot.grants;
     const run: Run = { request, index: this.#history.length, stop, lapses };
     this.#history.push(this.#makeRun(boot, request, now));
     boot.running.add(run);
-    this.#recordLoad(boot);
+    this.#load.record(boot.running.size, this.#readMs());
     const leftMs = arrivedAt + request.deadlineMs - now;
     const runMs = Math.min(this.#computeRunMs(boot, request), leftMs);
     const ended = AbortSignal.any([stop.signal, boot.ended.signal]);
     await this.#clock.sleep(runMs, ended);
     await this.#waitWhileFrozen();
     if (boot.ended.signal.aborted) {
-      return "killed";
+      return { kind: "lost" };
     }
     const isCut = stop.signal.aborted || runMs === leftMs;
     const ending = this.#chooseEnding(boot, run, isCut);
     boot.running.delete(run);
-    this.#recordEnd(run, ending, boot.grants.lapsedAtMs);
-    this.#recordLoad(boot);
-    return ending;
+    const body = makeAnswerBody(this.#history[run.index]!, ending);
+    this.#recordEnd(run, ending, {
+      atMs: ending === "lapsed" ? boot.grants.lapsedAtMs : this.#readMs(),
+      answerDigest: createHash("sha256").update(body).digest("hex"),
+    });
+    this.#load.record(boot.running.size, this.#readMs());
+    return { kind: "ran", ending, body };
   }
 
   #chooseEnding(boot: Boot, run: Run, isCut: boolean): RunEnding {
@@ -334,7 +320,7 @@
     // after its units have gone to another. A checking target asks once more
     // before the effect, and there is none.
     const { grants } = boot;
-    const isUnbroken = grants.isUnbroken(run.lapses, this.#clock.readMs());
+    const isUnbroken = grants.isUnbroken(run.lapses, this.#readMs());
     if (this.#options.checksGrants && !isUnbroken) {
       return "lapsed";
     }
@@ -350,7 +336,7 @@
 
   #isCold(boot: Boot): boolean {
     const coldMs = this.#options.coldMs ?? 0;
-    return this.#clock.readMs() < boot.startedAt + coldMs;
+    return this.#readMs() < boot.startedAt + coldMs;
   }
 
   #describeState(): TargetReport["state"] {
@@ -360,24 +346,13 @@
     return this.#isCold(this.#boot) ? "warming" : "live";
   }
 
-  #computeShownLoad(): number {
-    const shownAt = this.#clock.readMs() - (this.#options.reportLagMs ?? 0);
-    return this.#loads.findLast((load) => load.atMs <= shownAt)?.running ?? 0;
-  }
-
-  #recordLoad(boot: Boot): void {
-    const atMs = this.#clock.readMs();
-    const oldest = atMs - (this.#options.reportLagMs ?? 0);
-    const shown = this.#loads.findLastIndex((load) => load.atMs <= oldest);
-    this.#loads.splice(0, Math.max(0, shown));
-    this.#loads.push({ atMs, running: boot.running.size });
-  }
-
   #makeRun(boot: Boot, request: TargetRequest, startedAtMs: number): TargetRun {
     const { deadlineMs: _, ...subject } = request;
     return {
       target: this.id,
+      template: this.#options.template,
       bootId: boot.id,
+      sequence: boot.started++,
       ...subject,
       startedAtMs,
       endedAtMs: null,
@@ -385,10 +360,14 @@
     };
   }
 
-  #recordEnd(run: Run, ending: RunEnding, lapsedAtMs = 0): void {
-    const endedAtMs = ending === "lapsed" ? lapsedAtMs : this.#clock.readMs();
+  #recordEnd(
+    run: Run,
+    ending: RunEnding,
+    end: { readonly atMs: number; readonly answerDigest?: string },
+  ): void {
+    const { atMs: endedAtMs, ...answer } = end;
     const begun = this.#history[run.index]!;
-    this.#history[run.index] = { ...begun, endedAtMs, ending };
+    this.#history[run.index] = { ...begun, endedAtMs, ending, ...answer };
   }
 
   async #waitWhileFrozen(): Promise<void> {
@@ -401,28 +380,26 @@
     this.#boots++;
     return {
       id: `${this.#options.id}/${this.#boots}`,
-      startedAt: this.#clock.readMs(),
+      startedAt: this.#readMs(),
       grants: new FakeGrants(),
       ended: new AbortController(),
       running: new Set(),
-      waiting: [],
-      claimed: 0,
+      places: new FakePlaces(this.#places),
+      started: 0,
     };
   }
 }
 
+/** Says whose answer it is, so that a mix-up shows. */
+function makeAnswerBody(run: TargetRun, ending: RunEnding): Uint8Array {
+  const { target, requestId, key, unit, unitToken } = run;
+  const answer = { target, requestId, key, unit, unitToken, ending };
+  return Buffer.from(JSON.stringify(answer));
+}
+
 function makeRefusal(
   cause: "fenced" | "shed" | "draining" | "refused",
   message: string,
 ): TargetReply {
   return { kind: "not-run", cause, message };
 }
-
-function waitForAbort(signal: AbortSignal): Promise<void> {
-  if (signal.aborted) {
-    return Promise.resolve();
-  }
-  return new Promise((resolve) => {
-    signal.addEventListener("abort", () => resolve(), { once: true });
-  });
-}
--- a/packages/ports/src/fake_target_network.ts
+++ b/packages/ports/src/fake_target_network.ts
@@ -5,6 +5,7 @@
  */
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "./clock.ts";
+import { waitForAbort } from "./fake_places.ts";
 import type { FakeTarget, TargetReply } from "./fake_target.ts";
 import type {
   DispatchFailure,
@@ -158,16 +159,15 @@
     if (!target.isListening) {
       return { kind: "lost" };
     }
-    const { requestId, clientAccount, key, unit } = request;
-    const { stewardToken, unitToken, remainingMs: deadlineMs } = request;
     const reply = await target.handle({
-      requestId,
-      clientAccount,
-      key,
-      unit,
-      stewardToken,
-      unitToken,
-      deadlineMs,
+      method: request.method,
+      requestId: request.requestId,
+      clientAccount: request.clientAccount,
+      key: request.key,
+      unit: request.unit,
+      stewardToken: request.stewardToken,
+      unitToken: request.unitToken,
+      deadlineMs: request.remainingMs,
     });
     return await this.#answer(target.id, reply);
   }
@@ -225,11 +225,7 @@
 ): Result<TargetAnswer, DispatchFailure> {
   switch (reply.kind) {
     case "ran":
-      return Ok({
-        status: 200,
-        headers: [],
-        body: Buffer.from(JSON.stringify({ ending: reply.ending })),
-      });
+      return Ok({ status: 200, headers: [], body: reply.body });
     case "not-run":
       return Err(reply);
     case "lost":
@@ -241,12 +237,6 @@
   }
 }
 
-function waitForAbort(signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    signal.addEventListener("abort", () => resolve(), { once: true });
-  });
-}
-
 function waitForEver<T>(): Promise<T> {
   return new Promise(() => undefined);
 }
--- a/packages/ports/src/target_history.ts
+++ b/packages/ports/src/target_history.ts
@@ -22,7 +22,11 @@
 /** One request that a target started. */
 export interface TargetRun {
   readonly target: string;
+  readonly template: string;
   readonly bootId: string;
+  /** Order of starts within one boot, without gaps. */
+  readonly sequence: number;
+  readonly method: string;
   readonly requestId: string;
   readonly clientAccount: string;
   readonly key: string;
@@ -34,4 +38,6 @@
   /** Null while it runs. */
   readonly endedAtMs: number | null;
   readonly ending: RunEnding;
+  /** SHA-256 of the whole answer, in hex; absent where none was made. */
+  readonly answerDigest?: string;
 }
