feat(cli): owner, stewards, declare-lost, settings and example declarations

Operators see who owns a key and who sends to its owner, and can vouch for a process's end where nothing can prove it.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -3,17 +3,27 @@
 import type { DeclarationFile } from "@lentilspur/declarations/document_source";
 import type { Configuration } from "@lentilspur/declarations/template";
 import { validateDeclarations } from "@lentilspur/declarations/validate";
-import { command, option, optional, positional, string } from "cmd-ts";
+import { command, option, optional, positional } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
 import { readDeclarationFiles } from "../declaration_files.ts";
-import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "../exit_codes.ts";
-import { logOptions, runWithLog } from "../log_options.ts";
+import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
+import { logOptions, runWithLog, urlType } from "../log_options.ts";
 
 export function createCheckCommand(context: CommandContext) {
   return command({
     name: "check",
     description:
-      `Check declarations and tell every fault with file, line and column. With a log, also check what may not change against the version in force. ${EXIT_CODES_HELP}`,
+      "Check declarations and tell every fault with file, line and column. With a log, also check what may not change against the version in force",
+    examples: [
+      {
+        description: "Check the files alone",
+        command: "lentilspur check declarations",
+      },
+      {
+        description: "Check also what is fixed for life",
+        command: "lentilspur check declarations --log-url http://10.0.0.5:7000",
+      },
+    ],
     args: {
       directory: positional({
         displayName: "DIR",
@@ -23,7 +33,7 @@
       logUrl: option({
         long: "log-url",
         env: "LENTILSPUR_LOG_URL",
-        type: optional(string),
+        type: optional(urlType),
         description: "The platform's log; left out, only the files are checked",
       }),
     },
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -8,7 +8,7 @@
 import { command, positional } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
 import { readDeclarationFiles } from "../declaration_files.ts";
-import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "../exit_codes.ts";
+import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import { logOptions, runWithLog } from "../log_options.ts";
 import type { LogSession } from "../log_session.ts";
 
@@ -16,7 +16,13 @@
   return command({
     name: "diff",
     description:
-      `Show field by field what publishing the declarations would change, and the version to publish against. ${EXIT_CODES_HELP}`,
+      "Show field by field what publishing the declarations would change, and the version to publish against",
+    examples: [
+      {
+        description: "See what a publication would change",
+        command: "lentilspur diff declarations",
+      },
+    ],
     args: {
       directory: positional({
         displayName: "DIR",
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -1,7 +1,7 @@
 /** `lentilspur history`: who published what. */
 import { command, number, option } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
-import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "../exit_codes.ts";
+import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import { logOptions, runWithLog } from "../log_options.ts";
 import type { LogSession } from "../log_session.ts";
 import { describePublication } from "../publication.ts";
@@ -12,7 +12,7 @@
   return command({
     name: "history",
     description:
-      `Show the latest accepted publications, newest first: version, operator, and each field that changed. The log keeps records for a limited time, so older publications are missing. ${EXIT_CODES_HELP}`,
+      "Show the latest accepted publications, newest first: version, operator, and each field that changed. The log keeps records for a limited time, so older publications are missing",
     args: {
       limit: option({
         long: "limit",
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -11,7 +11,7 @@
 } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
 import { readDeclarationFiles } from "../declaration_files.ts";
-import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "../exit_codes.ts";
+import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import {
   describeMemberReport,
   isInForce,
@@ -59,7 +59,19 @@
   return command({
     name: "publish",
     description:
-      `Put the declarations into force as one whole, against the version that you have seen. If somebody else has published since, nothing changes and you are told what they changed. ${EXIT_CODES_HELP}`,
+      "Put the declarations into force as one whole, against the version that you have seen. If somebody else has published since, nothing changes and you are told what they changed",
+    examples: [
+      {
+        description: "Publish against version 7",
+        command:
+          "lentilspur publish declarations --expect-version 7 --operator neema",
+      },
+      {
+        description: "Finish a publication whose outcome stayed unknown",
+        command:
+          "lentilspur publish declarations --expect-version 7 --operator neema --resume ID",
+      },
+    ],
     args: {
       directory: positional({
         displayName: "DIR",
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,7 +1,7 @@
 /** `lentilspur status`: where the published version is in force. */
 import { command } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
-import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "../exit_codes.ts";
+import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import {
   collectMemberReports,
   describeMemberReport,
@@ -14,7 +14,7 @@
   return command({
     name: "status",
     description:
-      `Ask every member instance which version it has in force and since when. ${EXIT_CODES_HELP}`,
+      "Ask every member instance which version it has in force and since when",
     args: logOptions,
     handler: (options): Promise<ExitCode> =>
       runWithLog(
--- a/packages/cli/src/log_options.ts
+++ b/packages/cli/src/log_options.ts
@@ -1,9 +1,11 @@
 /** Options that every command shares which reads or writes the log. */
 import { formatDuration, parseDuration } from "@lentilspur/declarations/units";
 import { extendType, option, string } from "cmd-ts";
+import type { z } from "zod";
 import type { CommandContext, OpenLog } from "./command_context.ts";
 import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
 import { describeLogFailure, LogSession } from "./log_session.ts";
+import { streamSchema, urlSchema } from "./setting_schemas.ts";
 
 export const DEFAULT_LOG_STREAM = "lentilspur";
 export const DEFAULT_CHECKPOINT_STREAM = "lentilspur-checkpoints";
@@ -14,17 +16,21 @@
   readonly checkpointStream: string;
 }
 
+export const urlType = createSchemaType("url", urlSchema);
+
+const streamType = createSchemaType("stream", streamSchema);
+
 export const logOptions = {
   logUrl: option({
     long: "log-url",
     env: "LENTILSPUR_LOG_URL",
-    type: string,
+    type: urlType,
     description: "The platform's log, such as http://127.0.0.1:7000",
   }),
   logStream: option({
     long: "log-stream",
     env: "LENTILSPUR_LOG_STREAM",
-    type: string,
+    type: streamType,
     description: "The log's stream of records",
     defaultValue: () => DEFAULT_LOG_STREAM,
     defaultValueIsSerializable: true,
@@ -32,7 +38,7 @@
   checkpointStream: option({
     long: "checkpoint-stream",
     env: "LENTILSPUR_CHECKPOINT_STREAM",
-    type: string,
+    type: streamType,
     description: "The log's stream of checkpoints",
     defaultValue: () => DEFAULT_CHECKPOINT_STREAM,
     defaultValueIsSerializable: true,
@@ -68,6 +74,22 @@
   });
 }
 
+/** The type of an option that a setting's schema checks. */
+function createSchemaType(
+  displayName: string,
+  schema: z.ZodType<string, string>,
+) {
+  return extendType(string, {
+    displayName,
+    from: (text): Promise<string> => {
+      const parsed = schema.safeParse(text);
+      return parsed.success ? Promise.resolve(parsed.data) : Promise.reject(
+        new Error(`"${text}" is not ${parsed.error.issues[0]?.message}`),
+      );
+    },
+  });
+}
+
 /** Reads the log to its end, lets `act` work on it, and closes the log. */
 export async function runWithLog(
   context: CommandContext,
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,10 +4,13 @@
 import { type CommandContext, createSystemContext } from "./command_context.ts";
 import { createCheckCommand } from "./commands/check.ts";
 import { createCredentialCommand } from "./commands/credential.ts";
+import { createDeclareLostCommand } from "./commands/declare_lost.ts";
 import { createDiffCommand } from "./commands/diff.ts";
 import { createHistoryCommand } from "./commands/history.ts";
+import { createOwnerCommand } from "./commands/owner.ts";
 import { createPublishCommand } from "./commands/publish.ts";
 import { createStatusCommand } from "./commands/status.ts";
+import { createStewardsCommand } from "./commands/stewards.ts";
 import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "./exit_codes.ts";
 
 /** A new command is one module of `commands/` and one line here. */
@@ -15,13 +18,16 @@
   return subcommands({
     name: "lentilspur",
     description:
-      `Routes requests to servers that own their keys exclusively. Operators check, diff and publish declarations; serve runs an instance. ${EXIT_CODES_HELP}`,
+      "Routes requests to servers that own their keys exclusively. Operators check, diff and publish declarations; serve runs an instance",
     cmds: {
       check: createCheckCommand(context),
       diff: createDiffCommand(context),
       publish: createPublishCommand(context),
       status: createStatusCommand(context),
       history: createHistoryCommand(context),
+      owner: createOwnerCommand(context),
+      stewards: createStewardsCommand(context),
+      "declare-lost": createDeclareLostCommand(context),
       credential: createCredentialCommand(context),
     },
   });
@@ -39,6 +45,7 @@
   const { message, into, exitCode } = result.error.config;
   if (into === "stdout") {
     context.print(message);
+    context.print(EXIT_CODES_HELP);
   } else {
     context.printError(message);
   }
--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -1,176 +1,13 @@
 import assert from "node:assert/strict";
-import { mkdtempSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
 import { test } from "node:test";
-import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
-import type { Clock } from "@lentilspur/ports/clock";
-import type { LogBatch, LogFailure } from "@lentilspur/ports/log";
-import { serializeEnvelope } from "@lentilspur/state/entry_schema";
-import type { CommandContext, OpenLog } from "./command_context.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
-import { runCommandLine } from "./main.ts";
-
-type AppendFault = "answer-lost" | "not-taken" | "taken-later" | "refused";
-
-/** A log in memory whose next appends and reads can be made to fail. */
-class FakeLog implements OpenLog {
-  readonly records: string[] = [];
-  readonly appendFaults: AppendFault[] = [];
-  readonly #delayed: string[] = [];
-  down = false;
-
-  append(
-    _stream: string,
-    payload: string,
-  ): Promise<Result<number, LogFailure>> {
-    const fault = this.down ? "not-taken" : this.appendFaults.shift();
-    const silence = Err({ kind: "unavailable", message: "timed out" } as const);
-    switch (fault) {
-      case undefined:
-        return Promise.resolve(Ok(this.records.push(payload) - 1));
-      case "answer-lost":
-        this.records.push(payload);
-        return Promise.resolve(silence);
-      case "taken-later":
-        this.#delayed.push(payload);
-        return Promise.resolve(silence);
-      case "not-taken":
-        return Promise.resolve(silence);
-      case "refused":
-        return Promise.resolve(Err({ kind: "refused", message: "no route" }));
-    }
-  }
-
-  read(
-    _stream: string,
-    fromOffset: number,
-  ): Promise<Result<LogBatch, LogFailure>> {
-    if (this.down) {
-      return Promise.resolve(Err({ kind: "unavailable", message: "down" }));
-    }
-    const records = this.records.slice(fromOffset)
-      .map((payload, index) => ({ offset: fromOffset + index, payload }));
-    return Promise.resolve(Ok({ records, nextOffset: this.records.length }));
-  }
-
-  /** Lets appends take effect whose answers were lost long ago. */
-  settle(): void {
-    this.records.push(...this.#delayed.splice(0));
-  }
-
-  close(): void {}
-}
-
-/** Sleeping takes no time but moves the clock. */
-class InstantClock implements Clock {
-  #nowMs = 0;
-
-  readMs(): number {
-    return this.#nowMs;
-  }
-
-  sleep(ms: number): Promise<void> {
-    this.#nowMs += ms;
-    return Promise.resolve();
-  }
-}
-
-/** One operator's terminal beside a shared log. */
-class Terminal {
-  readonly log: FakeLog;
-  readonly versions = new Map<string, number>();
-  readonly #lines: string[] = [];
-
-  constructor(log: FakeLog) {
-    this.log = log;
-  }
-
-  /** Returns the exit code; the output is in `takeOutput`. */
-  run(...words: readonly string[]): Promise<number> {
-    return runCommandLine(words, this.#createContext());
-  }
-
-  publish(directory: string, ...more: readonly string[]): Promise<number> {
-    return this.run(
-      "publish",
-      directory,
-      "--log-url=http://log",
-      "--operator=neema",
-      ...more,
-    );
-  }
-
-  takeOutput(): string {
-    return this.#lines.splice(0).join("\n");
-  }
-
-  #createContext(): CommandContext {
-    return {
-      clock: new InstantClock(),
-      fetchStatus: (address) => {
-        const version = this.versions.get(address);
-        return Promise.resolve(
-          version === undefined ? Err("timed out") : Ok({
-            instanceId: address,
-            dataCentre: "Bole",
-            configurationVersion: version,
-            inForceSinceMs: 1_500,
-            foldedOffset: 3,
-            leaseHeld: true,
-            ready: true,
-          }),
-        );
-      },
-      print: (line) => void this.#lines.push(line),
-      printError: (line) => void this.#lines.push(line),
-      openLog: () => this.log,
-      readTime: () => new Date(0),
-      mintId: () => "0a1b2c3d-rest",
-    };
-  }
-}
-
-const DIGEST = `sha256:${"ab".repeat(32)}`;
-
-/** A directory with one template whose limit is given, and one account. */
-function makeDirectory(maxQueued = 64, accountName = "nile"): string {
-  const directory = mkdtempSync(join(tmpdir(), "lentilspur-"));
-  writeFileSync(
-    join(directory, "ledger.yaml"),
-    `kind: Template
-name: ledger
-shardCount: 64
-limits:
-  maxQueuedPerTarget: ${maxQueued}
-routes:
-  - method: GET
-    path: /ledger/{key}
-    idempotent: true
----
-kind: ClientAccount
-name: ${accountName}
-credentialDigests: ["${DIGEST}"]
-templates:
-  - template: ledger
-`,
-  );
-  return directory;
-}
-
-function addMember(log: FakeLog, id: string): void {
-  const instance = {
-    id,
-    peerAddress: "127.0.0.1:1",
-    httpAddress: id,
-    dataCentre: "Bole",
-  };
-  log.records.push(serializeEnvelope({
-    id: `join-${id}`,
-    author: id,
-    entries: [{ kind: "instance-joined", instance, guardians: [] }],
-  }));
-}
+import {
+  addMember,
+  type AppendFault,
+  FakeLog,
+  makeDirectory,
+  Terminal,
+} from "./testing/fake_terminal.ts";
 
 test("publishes, shows the history and finds no difference after", async () => {
   const terminal = new Terminal(new FakeLog());
@@ -178,12 +15,12 @@
   const code = await terminal.publish(directory, "--expect-version=0");
   assert.equal(code, EXIT_CODES.done);
   assert.match(terminal.takeOutput(), /Version 1 is accepted at offset 0/);
-  await terminal.run("history", "--log-url=http://log");
+  await terminal.run("history", "--log-url=http://127.0.0.1:1");
   assert.match(
     terminal.takeOutput(),
     /version 1 by neema[^]*\+ template ledger/,
   );
-  await terminal.run("diff", directory, "--log-url=http://log");
+  await terminal.run("diff", directory, "--log-url=http://127.0.0.1:1");
   assert.match(terminal.takeOutput(), /No difference from version 1/);
 });
 
@@ -199,7 +36,7 @@
   const code = await second.run(
     "publish",
     makeDirectory(32),
-    "--log-url=http://log",
+    "--log-url=http://127.0.0.1:1",
     "--operator=juma",
     "--expect-version=1",
   );
@@ -248,7 +85,7 @@
   await terminal.publish(makeDirectory(), "--expect-version=0");
   log.settle();
   assert.equal(log.records.length, 2);
-  await terminal.run("history", "--log-url=http://log");
+  await terminal.run("history", "--log-url=http://127.0.0.1:1");
   const lines = terminal.takeOutput().match(/^version \d/gm);
   assert.deepEqual(lines, ["version 1"]);
 });
@@ -289,7 +126,7 @@
   const resume = ["--expect-version=0", `--resume=${id}`];
   assert.equal(await terminal.publish(directory, ...resume), EXIT_CODES.done);
   terminal.log.settle();
-  await terminal.run("diff", directory, "--log-url=http://log");
+  await terminal.run("diff", directory, "--log-url=http://127.0.0.1:1");
   assert.match(terminal.takeOutput(), /No difference from version 1/);
 });
 
@@ -353,7 +190,7 @@
   assert.match(output, /^b:1 .*version 0 BEHIND/m);
   assert.match(output, /^c:1 .*no answer, timed out/m);
   terminal.versions.set("b:1", 1).set("c:1", 1);
-  const status = await terminal.run("status", "--log-url=http://log");
+  const status = await terminal.run("status", "--log-url=http://127.0.0.1:1");
   assert.equal(status, EXIT_CODES.done);
   assert.match(terminal.takeOutput(), /in force on 3 of 3 instances/);
 });
--- /dev/null
+++ b/packages/cli/src/setting_schemas.ts
@@ -0,0 +1,72 @@
+/** Schemas of settings, which all arrive as text. */
+import { isIP } from "node:net";
+import { z } from "zod";
+
+interface Bounds {
+  readonly min: number;
+  readonly max: number;
+}
+
+const LABEL_PATTERN = /^[A-Za-z][A-Za-z0-9-]{0,31}$/;
+const STREAM_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** Names of data centres and instances, which stand in ids and metrics. */
+export const labelSchema = createTextSchema(
+  (text) => LABEL_PATTERN.test(text) ? text : undefined,
+  "1 to 32 letters, digits and -, beginning with a letter",
+);
+
+export const streamSchema = createTextSchema(
+  (text) => STREAM_PATTERN.test(text) ? text : undefined,
+  "1 to 63 letters, digits and . _ -, beginning with a letter or digit",
+);
+
+/** Processes reach each other by IP numbers; names would need a resolver. */
+export const hostSchema = createTextSchema(
+  (text) => isIP(text) === 0 ? undefined : text,
+  "an IP number such as 10.0.3.7",
+);
+
+export const portSchema = createCountSchema({ min: 0, max: 65_535 });
+
+export const urlSchema = createTextSchema(
+  (text) => isHttpUrl(text) ? text : undefined,
+  "a URL such as http://10.0.0.5:7000",
+);
+
+export const logLevelSchema = z.enum(["error", "warn", "info", "debug"], {
+  error: "one of error, warn, info, debug",
+});
+
+export function createCountSchema({ min, max }: Bounds) {
+  return createTextSchema((text) => {
+    const count = /^[0-9]{1,9}$/.test(text) ? Number(text) : NaN;
+    return count >= min && count <= max ? count : undefined;
+  }, `a whole number from ${min} to ${max}`);
+}
+
+export function createRatioSchema({ min, max }: Bounds) {
+  return createTextSchema((text) => {
+    const ratio = /^[0-9]+(\.[0-9]+)?$/.test(text) ? Number(text) : NaN;
+    return ratio >= min && ratio <= max ? ratio : undefined;
+  }, `a number from ${min} to ${max}`);
+}
+
+function createTextSchema<Value>(
+  parse: (text: string) => Value | undefined,
+  allowed: string,
+) {
+  return z.string().transform((text, context): Value => {
+    const value = parse(text);
+    if (value === undefined) {
+      context.addIssue({ code: "custom", message: allowed });
+      return z.NEVER;
+    }
+    return value;
+  });
+}
+
+function isHttpUrl(text: string): boolean {
+  const url = URL.canParse(text) ? new URL(text) : undefined;
+  return url?.protocol === "http:" && isIP(url.hostname) !== 0;
+}
