feat(router): control side: leases, take-over, grants, moves, planning

One task for each guardian, target and move; every step of a move can be taken up by another steward. Grants stop with the lease and during hand-overs.

--- a/packages/ownership/src/guardian.ts
+++ b/packages/ownership/src/guardian.ts
@@ -48,6 +48,11 @@
     return until === undefined || nowMs < until ? undefined : nowMs - until;
   }
 
+  /** Whether there ever was a pledge to this holder. */
+  hasPledged(holder: string): boolean {
+    return this.#pledgedUntil.has(holder);
+  }
+
   hasConsented(holder: string): boolean {
     return this.#consented.has(holder);
   }
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -25,7 +25,7 @@
   readonly #pledgedAt = new Map<string, number>();
   readonly #revokedBy = new Set<string>();
   #guardians: readonly string[] = [];
-  #pendingGuardians: readonly string[] | null = null;
+  #pendingSets: readonly (readonly string[])[] = [];
   #isEnded = true;
 
   constructor(timing: LeaseTiming) {
@@ -49,13 +49,19 @@
   }
 
   /**
-   * While a change of guardians is on its way, either set may be the one that
-   * a successor must ask. Counting on the old one alone would let the new one
-   * consent while the lease still stands; so both must hold it up until the
-   * verdict is known.
+   * While changes of guardians are on their way, any of the sets may be the
+   * one that a successor must ask: an append whose answer was lost can take
+   * effect late. Counting on the old set alone would let a new one consent
+   * while the lease still stands; so all of them must hold it up until the
+   * fold has settled the changes.
    */
-  setPendingGuardians(guardians: readonly string[] | null): void {
-    this.#pendingGuardians = guardians;
+  addPendingGuardians(guardians: readonly string[]): void {
+    this.#pendingSets = [...this.#pendingSets, guardians];
+  }
+
+  /** The guardian token has changed, so no earlier change can be accepted. */
+  clearPendingGuardians(): void {
+    this.#pendingSets = [];
   }
 
   /** `sentAtMs` is when the renewal left, so the answer's way never counts. */
@@ -72,9 +78,13 @@
     this.#pledgedAt.delete(guardian);
   }
 
+  hasRevoked(guardian: string): boolean {
+    return this.#revokedBy.has(guardian);
+  }
+
   /** Everyone whose pledge is wanted at present. */
   listGuardians(): readonly string[] {
-    return [...new Set([...this.#guardians, ...this.#pendingGuardians ?? []])];
+    return [...new Set([this.#guardians, ...this.#pendingSets].flat())];
   }
 
   /** Until when this instance may act, on its own clock. */
@@ -82,10 +92,8 @@
     if (this.#isEnded) {
       return Number.NEGATIVE_INFINITY;
     }
-    const expiry = this.#computeExpiryOf(this.#guardians);
-    return this.#pendingGuardians === null
-      ? expiry
-      : Math.min(expiry, this.#computeExpiryOf(this.#pendingGuardians));
+    const sets = [this.#guardians, ...this.#pendingSets];
+    return Math.min(...sets.map((set) => this.#computeExpiryOf(set)));
   }
 
   /**
--- a/packages/ports/src/target.ts
+++ b/packages/ports/src/target.ts
@@ -78,7 +78,11 @@
   /** On the target's own monotonic clock: its `elapsedMs` plus the grant's life. */
   readonly validUntilMs: number;
   readonly add: readonly GrantedUnit[];
-  /** Units that the target must give up before it answers. */
+  /**
+   * Units that the target gives up. Giving up a key's unit (`k:KEY`) takes that
+   * key out of every other unit too, until the unit is added again: requests
+   * for the key that came under its shard must not take effect any more.
+   */
   readonly remove: readonly string[];
 }
 
@@ -92,7 +96,10 @@
   readonly bootId: string;
   /** The target's own monotonic clock, read while it made this reply. */
   readonly elapsedMs: number;
-  /** Units that the target still works on although they were removed. */
+  /**
+   * Units that the target still works on although they were removed; a key's
+   * unit is busy while any request for that key runs.
+   */
   readonly busyUnits: readonly string[];
 }
 
--- a/packages/router/src/authority.ts
+++ b/packages/router/src/authority.ts
@@ -58,7 +58,11 @@
 
 /** What the control side asks of the data path. */
 export interface UnitWork {
-  /** Resolves once no dispatched request of the unit is unsettled. */
+  /**
+   * Resolves once no dispatched request of the unit is unsettled. For a key's
+   * unit that means every request for that key, under whichever unit it was
+   * dispatched: a key that becomes hot had been served under its shard.
+   */
   waitForIdle(
     template: string,
     unit: UnitId,
@@ -84,4 +88,11 @@
   /** Forgets units that this instance no longer serves. */
   removeMemory(template: string, units: readonly UnitId[]): void;
   getContact(target: string): TargetContact | undefined;
+  /**
+   * When a dispatch for the unit last ended without its fate being known, on
+   * this instance's clock; for a key's unit, a dispatch for that key under any
+   * unit. Kept for as long as it may still matter for a target that does not
+   * check its grants.
+   */
+  getLastUnknownMs(template: string, unit: UnitId): number | undefined;
 }
--- /dev/null
+++ b/packages/router/src/control/control.ts
@@ -0,0 +1,178 @@
+/**
+ * The control side of one instance, assembled: lease, membership, succession,
+ * stewardships, moves and planning, each a task of its own.
+ */
+import { Guardian } from "@lentilspur/ownership/guardian";
+import { Lease } from "@lentilspur/ownership/lease";
+import {
+  chooseSteward,
+  countStewardships,
+} from "@lentilspur/ownership/take_over";
+import type { Clock } from "@lentilspur/ports/clock";
+import type { InstanceListPort } from "@lentilspur/ports/instance_list";
+import type {
+  ConsentReply,
+  ConsentRequest,
+  PeerPort,
+  RenewReply,
+  RenewRequest,
+  TransferRequest,
+} from "@lentilspur/ports/peer";
+import type { TargetPort } from "@lentilspur/ports/target";
+import type { DecisionSink } from "@lentilspur/proof/decision_line";
+import type { InstanceDescription } from "@lentilspur/state/entries";
+import type { UnitWork } from "../authority.ts";
+import type { ControlTiming } from "../settings.ts";
+import { ChangeNotifier } from "./change_notifier.ts";
+import { type HandOverOptions, transferStewardship } from "./hand_over.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+import type { LogAccess } from "./log_access.ts";
+import { Membership } from "./membership.ts";
+import type { PlacementHints } from "./placement_facts.ts";
+import { Planner } from "./planner.ts";
+import { StewardSpread } from "./steward_spread.ts";
+import { Stewardships } from "./stewardships.ts";
+import { Succession } from "./succession.ts";
+import { UnitMover } from "./unit_mover.ts";
+
+export interface ControlOptions {
+  readonly instance: InstanceDescription;
+  readonly clock: Clock;
+  readonly peers: PeerPort;
+  readonly targets: TargetPort;
+  readonly instanceList: InstanceListPort;
+  readonly log: LogAccess;
+  readonly timing: ControlTiming;
+  readonly decisions: DecisionSink;
+  readonly hints: PlacementHints;
+  /** The data path is built on `stewardships`, so it comes in afterwards. */
+  readonly getWork: () => UnitWork;
+}
+
+export class Control {
+  readonly stewardships: Stewardships;
+  readonly #options: ControlOptions;
+  readonly #lease: Lease;
+  readonly #guardian = new Guardian();
+  readonly #membership: Membership;
+  readonly #leaseKeeper: LeaseKeeper;
+  readonly #running = new AbortController();
+  /** Tasks that would take on new work; they end first. */
+  readonly #planning = new AbortController();
+
+  constructor(options: ControlOptions) {
+    this.#options = options;
+    const { timing, clock, log, getWork } = options;
+    const self = options.instance.id;
+    const changes = new ChangeNotifier(clock);
+    const lease = new Lease({
+      leaseMs: timing.leaseMs,
+      marginMs: timing.leaseMarginMs,
+      driftRatio: timing.clockDriftRatio,
+    });
+    this.#lease = lease;
+    const shared = { ...options, self, lease, changes, state: log };
+    this.#leaseKeeper = new LeaseKeeper(shared);
+    this.#membership = new Membership({
+      ...shared,
+      leaseKeeper: this.#leaseKeeper,
+    });
+    this.stewardships = new Stewardships({
+      ...shared,
+      getContact: (target) => getWork().getContact(target),
+      mayAct: () => lease.isHeld(clock.readMs()),
+    });
+  }
+
+  /** Resolves once this instance is a member; its tasks go on until `stop`. */
+  async start(): Promise<void> {
+    const signal = this.#running.signal;
+    await this.#membership.join(signal);
+    if (signal.aborted) {
+      return;
+    }
+    const shared = {
+      ...this.#buildHandOverOptions(),
+      lease: this.#lease,
+      guardian: this.#guardian,
+    };
+    const planning = this.#planning.signal;
+    void this.#leaseKeeper.run(signal);
+    void this.#membership.run(signal);
+    void this.stewardships.run(signal);
+    void new UnitMover(shared).run(signal);
+    void new Succession(shared).run(planning);
+    void new Planner({ ...this.#options, ...shared }).run(planning);
+    void new StewardSpread(shared).run(planning);
+  }
+
+  /** Whether this instance may act for its targets right now. */
+  isLeaseHeld(): boolean {
+    return this.#lease.isHeld(this.#options.clock.readMs());
+  }
+
+  /** Taken over, or given up by too many guardians: it must start anew. */
+  isBeyondRenewal(): boolean {
+    return this.#lease.isBeyondRenewal();
+  }
+
+  /** Hands every target over; for a planned stop, before `stop`. */
+  async drain(): Promise<void> {
+    this.#planning.abort();
+    const { log, instance } = this.#options;
+    const signal = this.#running.signal;
+    const options = this.#buildHandOverOptions();
+    for (const state of log.getView().listTargets()) {
+      const view = log.getView();
+      const others = view.listMembers()
+        .filter((member) => member.instance.id !== instance.id);
+      const counts = countStewardships(view, others);
+      const to = chooseSteward(state.target.dataCentre, others, counts);
+      const present = view.getTarget(state.target.id);
+      if (present?.steward === instance.id && to !== undefined) {
+        await transferStewardship(options, present, to, signal);
+      }
+    }
+  }
+
+  /** Leaves the members if `drain` has handed everything over. */
+  async leave(): Promise<void> {
+    await this.#membership.leave(this.#running.signal);
+  }
+
+  /** Ends every task at once; whatever is not handed over is waited out. */
+  stop(): void {
+    this.#planning.abort();
+    this.#running.abort();
+    this.#lease.stop();
+  }
+
+  answerRenewal(request: RenewRequest): RenewReply {
+    return this.#guardian.answerRenewal(request.holder, request.leaseMs, {
+      nowMs: this.#options.clock.readMs(),
+      mayPledge: this.isLeaseHeld(),
+    });
+  }
+
+  answerConsent(request: ConsentRequest): ConsentReply {
+    const nowMs = this.#options.clock.readMs();
+    return this.#guardian.answerConsent(request.holder, nowMs);
+  }
+
+  handleTransfer(request: TransferRequest): void {
+    this.#options.getWork().addMemory(request.template, request.units, {
+      token: request.token,
+      floor: request.completeSince,
+      remembered: request.remembered,
+    });
+  }
+
+  #buildHandOverOptions(): HandOverOptions {
+    return {
+      ...this.#options,
+      self: this.#options.instance.id,
+      stewardships: this.stewardships,
+      work: this.#options.getWork(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/router/src/control/succession.ts
@@ -0,0 +1,211 @@
+/**
+ * Watches the instances that this one guards and takes over from those that
+ * have gone silent.
+ *
+ * Load pattern: a rack or a data centre is lost and many instances go silent
+ * together. Each is taken over by one entry that also spreads its targets, and
+ * concurrent entries share an append.
+ */
+import type { Guardian } from "@lentilspur/ownership/guardian";
+import {
+  computeSuccessorRank,
+  type Consents,
+  hasTakeOverQuorum,
+  planSuccession,
+  SUCCESSOR_STAGGER_MS,
+} from "@lentilspur/ownership/take_over";
+import type { Lease } from "@lentilspur/ownership/lease";
+import type { Clock } from "@lentilspur/ports/clock";
+import type { PeerPort } from "@lentilspur/ports/peer";
+import type { DecisionSink } from "@lentilspur/proof/decision_line";
+import type { MemberState } from "@lentilspur/state/view";
+import type { ControlTiming } from "../settings.ts";
+import { isWhollyAccepted, type LogAccess } from "./log_access.ts";
+import { waitAtMost } from "./time_limit.ts";
+
+export interface SuccessionOptions {
+  readonly self: string;
+  readonly guardian: Guardian;
+  readonly lease: Lease;
+  readonly clock: Clock;
+  readonly peers: PeerPort;
+  readonly log: LogAccess;
+  readonly timing: ControlTiming;
+  readonly decisions: DecisionSink;
+}
+
+const WATCH_EVERY_MS = 100;
+
+/**
+ * Silence beyond the lapse before consents are gathered: a holder that was
+ * only slow for a moment must not lose a guardian for good.
+ */
+const GRACE_MS = 100;
+
+/** Consents are asked for only while the log can take the entry they are for. */
+const LOG_CONTACT_MS = 1_500;
+
+export class Succession {
+  readonly #options: SuccessionOptions;
+  readonly #watchedSince = new Map<string, number>();
+  readonly #removedSince = new Map<string, number>();
+
+  constructor(options: SuccessionOptions) {
+    this.#options = options;
+  }
+
+  /** Runs until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, lease } = this.#options;
+    while (!signal.aborted) {
+      this.#observeMembers();
+      if (lease.isHeld(clock.readMs()) && this.#isLogInContact()) {
+        await Promise.all(
+          this.#listOverdue().map((holder) => this.#takeOver(holder, signal)),
+        );
+      }
+      await clock.sleep(WATCH_EVERY_MS, signal);
+    }
+  }
+
+  #isLogInContact(): boolean {
+    const { clock, log } = this.#options;
+    return clock.readMs() - log.getLastContactMs() < LOG_CONTACT_MS;
+  }
+
+  /** Notes since when each ward is watched and each removed guardian is gone. */
+  #observeMembers(): void {
+    const { clock, log, self, guardian } = this.#options;
+    const nowMs = clock.readMs();
+    const view = log.getView();
+    const wards = new Set<string>();
+    const gone = new Set<string>();
+    for (const member of view.listMembers()) {
+      if (computeSuccessorRank(member, self, view) !== undefined) {
+        wards.add(member.instance.id);
+      }
+      member.guardians.filter((id) => !view.getMember(id))
+        .forEach((id) => gone.add(id));
+    }
+    updateTimes(this.#watchedSince, wards, nowMs);
+    updateTimes(this.#removedSince, gone, nowMs);
+    for (const holder of guardian.listHolders()) {
+      if (view.getRemovalPosition(holder) !== undefined) {
+        guardian.removeHolder(holder);
+      }
+    }
+  }
+
+  #listOverdue(): readonly MemberState[] {
+    const { log, self } = this.#options;
+    const view = log.getView();
+    return view.listMembers().filter((holder) => {
+      const rank = holder.instance.id === self
+        ? undefined
+        : computeSuccessorRank(holder, self, view);
+      return rank !== undefined &&
+        this.#computeSilenceMs(holder.instance.id) >
+          GRACE_MS + rank * SUCCESSOR_STAGGER_MS;
+    });
+  }
+
+  /** Time since a pledge to this holder lapsed, or could have. */
+  #computeSilenceMs(holder: string): number {
+    const { clock, guardian, timing } = this.#options;
+    const nowMs = clock.readMs();
+    if (guardian.hasConsented(holder)) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const since = this.#watchedSince.get(holder) ?? nowMs;
+    return guardian.hasPledged(holder)
+      ? guardian.computeSilenceMs(holder, nowMs) ?? 0
+      : nowMs - since - timing.leaseMs;
+  }
+
+  async #takeOver(holder: MemberState, signal: AbortSignal): Promise<void> {
+    const { log, decisions } = this.#options;
+    const consents = await this.#collectConsents(holder);
+    if (!hasTakeOverQuorum(holder, consents) || signal.aborted) {
+      return;
+    }
+    const lost = holder.instance.id;
+    const stewardships = planSuccession(lost, log.getView());
+    const result = await log.submit([{
+      kind: "instance-lost",
+      instance: lost,
+      evidence: {
+        kind: "guardians",
+        guardianToken: holder.guardianToken,
+        ...consents,
+      },
+      stewardships,
+    }], signal);
+    if (isWhollyAccepted(result)) {
+      decisions.log({
+        decision: "instance-taken-over",
+        lost,
+        ...consents,
+        targets: stewardships.map((each) => each.target),
+      });
+    }
+  }
+
+  async #collectConsents(holder: MemberState): Promise<Consents> {
+    const view = this.#options.log.getView();
+    const waitedOut = holder.guardians.filter((id) => this.#isWaitedOut(id));
+    const asked = holder.guardians.filter((id) => view.getMember(id));
+    const answers = await Promise.all(
+      asked.map((id) => this.#fetchConsent(id, holder.instance.id)),
+    );
+    return { consented: asked.filter((_, index) => answers[index]), waitedOut };
+  }
+
+  /**
+   * A removed guardian had stopped pledging before its own removal, since it
+   * pledges only under its own lease. So one lease after the removal was
+   * folded here, no pledge of it can stand.
+   */
+  #isWaitedOut(guardian: string): boolean {
+    const { clock, timing } = this.#options;
+    const since = this.#removedSince.get(guardian);
+    const waitMs = timing.leaseMs * (1 + timing.clockDriftRatio) +
+      timing.leaseMarginMs;
+    return since !== undefined && clock.readMs() - since >= waitMs;
+  }
+
+  async #fetchConsent(guardian: string, holder: string): Promise<boolean> {
+    const { self, clock, peers, log, timing } = this.#options;
+    if (guardian === self) {
+      const own = this.#options.guardian.answerConsent(holder, clock.readMs());
+      return own.kind === "consented";
+    }
+    const member = log.getView().getMember(guardian);
+    if (member === undefined) {
+      return false;
+    }
+    const call = peers.consent(
+      { id: guardian, address: member.instance.peerAddress },
+      { holder, successor: self },
+    );
+    const reply = await waitAtMost(clock, timing.renewEveryMs, call);
+    return reply !== undefined && reply.ok && reply.val.kind === "consented";
+  }
+}
+
+/** Keeps the first time of each present name and forgets the absent. */
+function updateTimes(
+  times: Map<string, number>,
+  present: ReadonlySet<string>,
+  nowMs: number,
+): void {
+  for (const name of times.keys()) {
+    if (!present.has(name)) {
+      times.delete(name);
+    }
+  }
+  for (const name of present) {
+    if (!times.has(name)) {
+      times.set(name, nowMs);
+    }
+  }
+}
