fix(router): refuse late copies, count activity by key, keep unknown fates

Three ways to a second run or a second owner, found by reading the seam between control and data path: a lost first send that arrives after the unit went and came back; a key that turns hot while its requests run under the shard; a request of unknown fate on a target that does not check. The resend tests now send from an entry that has folded the changes they make; what they expect is unchanged.

--- a/packages/router/src/steward/dispatcher.ts
+++ b/packages/router/src/steward/dispatcher.ts
@@ -7,7 +7,7 @@
   makeRequestError,
   type RequestError,
 } from "@lentilspur/outcomes/error_kinds";
-import type { Position } from "@lentilspur/outcomes/position";
+import { getOffset, type Position } from "@lentilspur/outcomes/position";
 import type { Clock, Random } from "@lentilspur/ports/clock";
 import type {
   ForwardReply,
@@ -141,6 +141,10 @@
     return this.#runner.contacts.get(target);
   }
 
+  getLastUnknownMs(template: string, unit: UnitId): number | undefined {
+    return this.#runner.unknowns.getLastMs(template, unit);
+  }
+
   async #handleJob(
     job: ForwardJob,
     signal: AbortSignal,
@@ -151,6 +155,10 @@
         return gate.reply;
       }
       const { permission } = gate;
+      if (isFromBefore(permission, job.request)) {
+        const { nextOffset } = this.#options.state.getView();
+        return { kind: "not-steward", foldedOffset: nextOffset };
+      }
       const reply = job.request.idempotent
         ? await this.#run(job, permission, { signal, markDispatched })
         : await this.#desk.handle(job, permission, {
@@ -246,6 +254,18 @@
   }
 }
 
+/**
+ * Guards against a copy of a forward that was lost and arrives after the unit
+ * has been served by others and come back: marked as a first send, it would
+ * pass the memory floor and run again. An entry that had not folded the change
+ * that gave the unit its present tokens is asked to look again; its next copy
+ * is judged by what it knows then.
+ */
+function isFromBefore(permission: Permitted, request: ForwardRequest): boolean {
+  const token = Math.max(permission.unitToken, permission.stewardToken);
+  return !request.idempotent && request.foldedOffset <= getOffset(token);
+}
+
 /** Lookups leave no record. */
 function markDispatched(): void {}
 
--- a/packages/router/src/steward/dispatcher_test.ts
+++ b/packages/router/src/steward/dispatcher_test.ts
@@ -68,6 +68,9 @@
   return describeReply(await sent.reply);
 }
 
+/** From an entry that has folded every change that these tests make. */
+const SEEN = { ...HOLD, foldedOffset: 100 };
+
 test("a resend while the first send runs gets the same answer", async () => {
   // A producer's connection breaks while a hold is being made. The client
   // sends the same id through another instance, and then the first connection
@@ -127,14 +130,26 @@
   // minted before the take-over, so the predecessor may have run it.
   const { clock, authority, targets, send, decisions } = createSteward();
   authority.set({ ...PERMITTED, stewardToken: 6 * 4096 });
-  assert.equal(await describe(send(HOLD)), "resend-not-remembered unknown");
+  assert.equal(await describe(send(SEEN)), "resend-not-remembered unknown");
   assert.deepEqual(decisions.list(), ["resend-recognised"]);
-  const fresh = send({ ...HOLD, firstSend: true });
+  const fresh = send({ ...SEEN, firstSend: true });
   await clock.advance(1);
   targets.answer(makeAnswer("held"));
   assert.equal(await describe(fresh), "answered held");
 });
 
+test("a late copy from before the unit's last change is not run", async () => {
+  // A forward is lost on the way and the next copy of it runs here. The target
+  // goes to another steward and comes back, without the memory. Then the first
+  // copy arrives, still marked as a first send: without the guard it would run
+  // a second time.
+  const { authority, targets, send } = createSteward();
+  authority.set({ ...PERMITTED, stewardToken: 9 * 4096 });
+  const late = send({ ...HOLD, firstSend: true, foldedOffset: 9 });
+  assert.equal((await late.reply).kind, "not-steward");
+  assert.equal(targets.dispatched.length, 0);
+});
+
 test("a planned hand-over takes the memory along", async () => {
   const old = createSteward();
   const first = old.send(HOLD);
@@ -154,15 +169,15 @@
     remembered,
   });
   assert.equal(
-    await describe(next.send(HOLD)),
+    await describe(next.send(SEEN)),
     "resend-not-remembered unknown",
   );
-  const unseen = next.send({ ...HOLD, requestId: "0-fo0-a.9" });
+  const unseen = next.send({ ...SEEN, requestId: "0-fo0-a.9" });
   await next.clock.advance(1);
   next.targets.answer();
   assert.equal(await describe(unseen), "answered done");
   next.authority.set({ ...PERMITTED, stewardToken: 11 * 4096 });
-  const later = next.send({ ...HOLD, requestId: "0-fo0-a.10" });
+  const later = next.send({ ...SEEN, requestId: "0-fo0-a.10" });
   assert.equal(await describe(later), "resend-not-remembered unknown");
 });
 
@@ -175,7 +190,7 @@
   targets.answer();
   await first.reply;
   authority.set({ ...PERMITTED, unitToken: 8 * 4096 });
-  const other = send({ ...HOLD, requestId: "0-fo0-a.9" });
+  const other = send({ ...SEEN, requestId: "0-fo0-a.9" });
   assert.equal(await describe(other), "resend-not-remembered unknown");
 });
 
--- a/packages/router/src/steward/target_runner.ts
+++ b/packages/router/src/steward/target_runner.ts
@@ -13,7 +13,10 @@
   TargetPort,
 } from "@lentilspur/ports/target";
 import type { ServiceObservation } from "@lentilspur/policy/target_scheduler";
-import type { DecisionSink } from "@lentilspur/proof/decision_line";
+import type {
+  DecisionSink,
+  RequestSubject,
+} from "@lentilspur/proof/decision_line";
 import type { Authority } from "../authority.ts";
 import type { StateSource } from "../state_source.ts";
 import { makeCancelledError, makeRefusalError } from "./dispatch_errors.ts";
@@ -22,6 +25,7 @@
 import { TargetContacts } from "./target_contacts.ts";
 import { TargetQueue } from "./target_queue.ts";
 import { UnitActivity } from "./unit_activity.ts";
+import { UnknownOutcomes } from "./unknown_outcomes.ts";
 
 export type RunResult =
   | {
@@ -52,10 +56,12 @@
   readonly #queues = new Map<string, TargetQueue>();
   readonly activity = new UnitActivity();
   readonly contacts = new TargetContacts();
+  readonly unknowns: UnknownOutcomes;
   #jobCount = 0;
 
   constructor(options: TargetRunnerOptions) {
     this.#options = options;
+    this.unknowns = new UnknownOutcomes(options.clock);
   }
 
   /** `markDispatched` is called in the turn in which the request is sent. */
@@ -149,7 +155,7 @@
       attempt,
       queuedMs: toTenths(options.queuedMs),
     });
-    this.activity.add(subject.template, unit);
+    this.activity.add(subject.template, unit, subject.key);
     const sending = targets.dispatch(
       target,
       toDispatchRequest(job, permission, options.remainingMs),
@@ -157,7 +163,10 @@
     );
     const result = await sending;
     const now = clock.readMs();
-    this.#settleActivity(subject.template, permission, {
+    if (!result.ok && result.val.kind === "unknown") {
+      this.unknowns.record(subject.template, unit, subject.key);
+    }
+    this.#settleActivity(subject, permission, {
       mayStillRun: !result.ok && result.val.kind === "unknown",
       untilMs: options.startedAtMs + options.remainingMs,
     });
@@ -187,19 +196,22 @@
    * when it is done; for any other the unit stays busy until that deadline.
    */
   #settleActivity(
-    template: string,
+    subject: RequestSubject,
     permission: Permitted,
     options: { readonly mayStillRun: boolean; readonly untilMs: number },
   ): void {
     const { clock, state } = this.#options;
     const { unit, target } = permission;
+    const { template, key } = subject;
     const checks = state.getView().getTarget(target.id)?.target.checksGrants;
     const leftMs = options.untilMs - clock.readMs();
     if (checks === true || !options.mayStillRun || leftMs <= 0) {
-      this.activity.settle(template, unit);
+      this.activity.settle(template, unit, key);
       return;
     }
-    void clock.sleep(leftMs).then(() => this.activity.settle(template, unit));
+    void clock.sleep(leftMs).then(() =>
+      this.activity.settle(template, unit, key)
+    );
   }
 
   #claimQueue(job: ForwardJob, target: string): TargetQueue {
--- a/packages/router/src/steward/unit_activity.ts
+++ b/packages/router/src/steward/unit_activity.ts
@@ -1,5 +1,12 @@
-/** Which units have dispatched requests that are not settled. */
+/**
+ * Which units have dispatched requests that are not settled.
+ *
+ * A request counts for the unit it was dispatched under and for its key's own
+ * unit: a key that becomes hot leaves its shard while requests that were sent
+ * under the shard still run, and its move must wait for them.
+ */
 import type { UnitId } from "@lentilspur/state/entries";
+import { makeKeyUnit } from "@lentilspur/state/units";
 import { formatUnitName } from "./memory_floors.ts";
 
 interface Activity {
@@ -10,12 +17,19 @@
 export class UnitActivity {
   readonly #units = new Map<string, Activity>();
 
-  add(template: string, unit: UnitId): void {
-    this.#claim(formatUnitName(template, unit)).running++;
+  add(template: string, unit: UnitId, key: string): void {
+    for (const name of listNames(template, unit, key)) {
+      this.#claim(name).running++;
+    }
+  }
+
+  settle(template: string, unit: UnitId, key: string): void {
+    for (const name of listNames(template, unit, key)) {
+      this.#settleName(name);
+    }
   }
 
-  settle(template: string, unit: UnitId): void {
-    const name = formatUnitName(template, unit);
+  #settleName(name: string): void {
     const activity = this.#units.get(name);
     if (activity === undefined) {
       return;
@@ -56,3 +70,14 @@
     return activity;
   }
 }
+
+function listNames(
+  template: string,
+  unit: UnitId,
+  key: string,
+): ReadonlySet<string> {
+  return new Set([
+    formatUnitName(template, unit),
+    formatUnitName(template, makeKeyUnit(key)),
+  ]);
+}
