fix(state): refuse a publication that names one document twice

Found by the fuzz of the fold: each change was checked against what is in force, so two contents of one new template in one entry left units and shard count apart. Ruled out: taking the last content, since the publisher would not learn of the clash.

--- a/packages/state/src/apply_configuration.ts
+++ b/packages/state/src/apply_configuration.ts
@@ -52,6 +52,13 @@
   tables: Tables,
   changes: readonly DocumentChange[],
 ): boolean {
+  // Each change is checked against what is in force, so a document that is
+  // named twice would be checked against the wrong thing: a new template with
+  // two shard counts would declare one and have units for the other.
+  const names = new Set(changes.map(({ kind, name }) => `${kind}:${name}`));
+  if (names.size !== changes.length) {
+    return false;
+  }
   const templates = new Map<string, Template>(tables.templates);
   const accounts = new Map<string, ClientAccount>(tables.clientAccounts);
   for (const change of changes) {
--- a/packages/state/src/fold_test.ts
+++ b/packages/state/src/fold_test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { makePosition } from "@lentilspur/outcomes/position";
-import type { Template } from "@lentilspur/declarations/template";
+import type {
+  DocumentChange,
+  Template,
+} from "@lentilspur/declarations/template";
 import type { Entry, Verdict } from "./entries.ts";
 import { serializeEnvelope } from "./entry_schema.ts";
 import { Fold } from "./fold.ts";
@@ -106,6 +109,25 @@
   assert.equal(getReason(log.publish(1, wider)), "bad-reference");
 });
 
+test("a publication that names one document twice is refused", () => {
+  // Found by fuzzing: two shard counts for one new template in one entry left
+  // keys without any unit, or units that no key hashes to.
+  const log = new FoldedLog();
+  const change = (shardCount: number): DocumentChange => ({
+    kind: "template",
+    name: TEMPLATE.name,
+    content: { ...TEMPLATE, shardCount },
+  });
+  const verdict = log.append("operator:abebe", {
+    kind: "configuration-published",
+    expectedVersion: 0,
+    changes: [change(3), change(2)],
+    operator: "abebe",
+  });
+  assert.equal(getReason(verdict), "bad-reference");
+  assert.deepEqual(log.fold.listUnits(TEMPLATE.name), []);
+});
+
 test("a repeated envelope changes nothing", () => {
   // A steward appends, loses the answer and appends again. Without the
   // memory of envelope ids the second copy could hold once more.
