--- a/packages/policy/src/fair_queue.ts
+++ b/packages/policy/src/fair_queue.ts
@@ -42,6 +42,8 @@
 
 export class FairQueue {
   readonly #accounts = new Map<string, AccountQueue>();
+  /** The accounts with waiting jobs; every decision looks through these only. */
+  readonly #backlogged: AccountQueue[] = [];
   #virtualTime = 0;
   #size = 0;
 
@@ -52,19 +54,15 @@
   /** Waiting work, in milliseconds of one place. */
   get workMs(): number {
     let workMs = 0;
-    for (const account of this.#accounts.values()) {
+    for (const account of this.#backlogged) {
       workMs += account.workMs;
     }
     return workMs;
   }
 
-  /** Client accounts with waiting or running jobs. */
-  get activeAccounts(): number {
-    let count = 0;
-    for (const account of this.#accounts.values()) {
-      count += account.waiting.length + account.running > 0 ? 1 : 0;
-    }
-    return count;
+  /** Client accounts with waiting jobs. */
+  get backloggedAccounts(): number {
+    return this.#backlogged.length;
   }
 
   add(queued: QueuedJob): void {
@@ -72,6 +70,7 @@
     account.weight = queued.job.weight;
     if (account.waiting.length === 0) {
       account.startTag = Math.max(account.startTag, this.#virtualTime);
+      this.#backlogged.push(account);
     }
     account.waiting.push(queued);
     account.workMs += queued.costMs;
@@ -96,10 +95,9 @@
   /** The account whose last waiting job is due latest, and when it is done. */
   findMostOverShare(): { account: string; finishTag: number } | null {
     let worst: { account: string; finishTag: number } | null = null;
-    for (const account of this.#accounts.values()) {
+    for (const account of this.#backlogged) {
       const finishTag = account.startTag + account.workMs / account.weight;
-      const applies = account.waiting.length > 0;
-      if (applies && finishTag > (worst?.finishTag ?? -Infinity)) {
+      if (finishTag > (worst?.finishTag ?? -Infinity)) {
         worst = { account: account.name, finishTag };
       }
     }
@@ -126,10 +124,7 @@
   ): QueuedJob | undefined {
     let best: AccountQueue | undefined;
     let bestIndex = -1;
-    for (const account of this.#accounts.values()) {
-      if (account.waiting.length === 0) {
-        continue;
-      }
+    for (const account of this.#backlogged) {
       if (best !== undefined && account.startTag >= best.startTag) {
         continue;
       }
@@ -159,18 +154,35 @@
 
   /** Removes and returns the waiting jobs for which `applies` holds. */
   takeWhere(
-    applies: (queued: QueuedJob, workAheadMs: number) => boolean,
+    applies: (queued: QueuedJob) => boolean,
   ): readonly QueuedJob[] {
     const taken: QueuedJob[] = [];
-    for (const account of this.#accounts.values()) {
+    for (const account of this.#backlogged.slice()) {
+      for (let index = account.waiting.length - 1; index >= 0; index--) {
+        if (applies(account.waiting[index]!)) {
+          taken.push(this.#removeAt(account, index));
+        }
+      }
+    }
+    return taken;
+  }
+
+  /**
+   * Removes and returns jobs that `isLate` for the work ahead of them. What is
+   * removed counts no longer for those behind it in the same account.
+   */
+  takeLate(
+    isLate: (queued: QueuedJob, workAheadMs: number) => boolean,
+  ): readonly QueuedJob[] {
+    const taken: QueuedJob[] = [];
+    for (const account of this.#backlogged.slice()) {
       let ownWorkMs = 0;
       for (let index = 0; index < account.waiting.length;) {
         const queued = account.waiting[index]!;
         const dueTag = account.startTag + ownWorkMs / account.weight;
         const aheadMs = ownWorkMs + this.#computeOthersWork(account, dueTag);
-        if (applies(queued, aheadMs)) {
-          this.#removeAt(account, index);
-          taken.push(queued);
+        if (isLate(queued, aheadMs)) {
+          taken.push(this.#removeAt(account, index));
         } else {
           ownWorkMs += queued.costMs;
           index++;
@@ -190,17 +202,19 @@
 
   #removeAt(account: AccountQueue, index: number): QueuedJob {
     const [removed] = account.waiting.splice(index, 1);
-    account.workMs = account.waiting.length === 0
-      ? 0
-      : account.workMs - removed!.costMs;
+    account.workMs -= removed!.costMs;
     this.#size--;
+    if (account.waiting.length === 0) {
+      account.workMs = 0;
+      this.#backlogged.splice(this.#backlogged.indexOf(account), 1);
+    }
     return removed!;
   }
 
   #computeOthersWork(own: AccountQueue | undefined, dueTag: number): number {
     let workMs = 0;
-    for (const other of this.#accounts.values()) {
-      if (other !== own && other.waiting.length > 0) {
+    for (const other of this.#backlogged) {
+      if (other !== own) {
         const dueMs = (dueTag - other.startTag) * other.weight;
         workMs += Math.min(Math.max(0, dueMs), other.workMs);
       }
--- a/packages/policy/src/target_scheduler.ts
+++ b/packages/policy/src/target_scheduler.ts
@@ -37,7 +37,7 @@
 /** Deviations above the mean service time that must fit before the deadline. */
 const ADMISSION_DEVIATIONS = 2;
 /** Predictions are renewed for waiting jobs no more often than this. */
-const RECHECK_MS = 10;
+const RECHECK_MS = 20;
 /** A waiting job is given up when its predicted wait passes its time by this. */
 const GIVE_UP_SHARE = 1.25;
 /** A long job may take the last place once this share of its time has passed. */
@@ -54,6 +54,10 @@
   readonly cold?: boolean;
   /** Service time assumed before the first observation. */
   readonly priorServiceMs?: number;
+  /** Places that long jobs may hold at a time; by default all but one. */
+  readonly longJobPlaces?: number;
+  /** How often waiting jobs are looked through for those that will be late. */
+  readonly recheckMs?: number;
 }
 
 export interface SchedulerDescription {
@@ -80,9 +84,11 @@
   readonly #running = new Map<string, RunningJob>();
   #expired: ScheduledJob[] = [];
   #checkedAtMs = -Infinity;
+  readonly #recheckMs: number;
 
   constructor(options: TargetSchedulerOptions) {
     this.#options = options;
+    this.#recheckMs = options.recheckMs ?? RECHECK_MS;
     this.#costs = new CostModel(
       options.priorServiceMs === undefined
         ? {}
@@ -137,12 +143,12 @@
   takeExpired(nowMs: number): readonly ScheduledJob[] {
     const expired = this.#expired;
     this.#expired = [];
-    if (nowMs - this.#checkedAtMs < RECHECK_MS) {
+    if (nowMs - this.#checkedAtMs < this.#recheckMs) {
       return expired;
     }
     this.#checkedAtMs = nowMs;
     const freeAfterMs = this.#listFreeTimes(nowMs);
-    const late = this.#queue.takeWhere((queued, workAheadMs) => {
+    const late = this.#queue.takeLate((queued, workAheadMs) => {
       const waitMs = computeWaitMs(freeAfterMs, workAheadMs);
       const leftMs = queued.latestStartMs - nowMs;
       return leftMs < 0 || waitMs > leftMs * GIVE_UP_SHARE;
@@ -196,7 +202,7 @@
   /** When a caller whose job was given up should come back, in milliseconds. */
   assignReturnMs(job: ScheduledJob, nowMs: number): number {
     const { meanMs } = this.#costs.estimate(job);
-    const sharers = Math.max(1, this.#queue.activeAccounts);
+    const sharers = Math.max(1, this.#queue.backloggedAccounts);
     return this.#returns.assign(job.clientAccount, {
       nowMs,
       backlogMs: this.#estimateWaitMs(this.#queue.workMs, nowMs),
@@ -281,10 +287,7 @@
    * fallen behind by more than the job itself.
    */
   #mayRun(queued: QueuedJob, lagMs: number, nowMs: number): boolean {
-    if (!queued.long || this.#options.places < 2) {
-      return true;
-    }
-    if (this.#countLongRunning() < this.#limit.places - 1) {
+    if (!queued.long || this.#countLongRunning() < this.#longJobPlaces) {
       return true;
     }
     const { job } = queued;
@@ -293,6 +296,11 @@
     return aged || lagMs > queued.costMs;
   }
 
+  /** All places but one, unless there is only one. */
+  get #longJobPlaces(): number {
+    return this.#options.longJobPlaces ?? Math.max(1, this.#limit.places - 1);
+  }
+
   #countLongRunning(): number {
     let count = 0;
     for (const { queued } of this.#running.values()) {
@@ -321,6 +329,6 @@
   }
 
   #computeWakeAt(nowMs: number): number | null {
-    return this.#queue.size === 0 ? null : nowMs + RECHECK_MS;
+    return this.#queue.size === 0 ? null : nowMs + this.#recheckMs;
   }
 }
--- a/packages/policy/src/wait_estimate.ts
+++ b/packages/policy/src/wait_estimate.ts
@@ -7,14 +7,13 @@
  */
 
 /**
- * The time after which places, each free after `freeAfterMs`, have done
- * `workMs` of work between them and one is free for the next job.
+ * The time after which places have done `workMs` of work between them and one
+ * is free for the next job. `times` says when each is free, soonest first.
  */
 export function computeWaitMs(
-  freeAfterMs: readonly number[],
+  times: readonly number[],
   workMs: number,
 ): number {
-  const times = freeAfterMs.toSorted((left, right) => left - right);
   let remaining = workMs;
   for (let index = 0; index < times.length; index++) {
     const busyPlaces = index + 1;
