--- a/packages/platform/src/log_client.ts
+++ b/packages/platform/src/log_client.ts
@@ -19,7 +19,7 @@
 }
 
 /** The log answers within milliseconds; past this it is taken to be slow. */
-const DEFAULT_TIMEOUT_MS = 2_000;
+const DEFAULT_TIMEOUT_MS = 1_500;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** One long poll for each stream and a few appends and reads beside them. */
 const MAX_CONNECTIONS = 16;
@@ -105,13 +105,15 @@
   }
 }
 
-/** Only a connection that was never made proves that nothing took effect. */
+/** Only a call of which no byte was written proves that nothing took effect. */
 function describeFailure(failure: PoolFailure): LogFailure {
   switch (failure.stage) {
     case "opening":
       return { kind: "refused", message: failure.message };
     case "sending":
-      return { kind: "unavailable", message: failure.message };
+      return failure.written
+        ? { kind: "unavailable", message: failure.message }
+        : { kind: "refused", message: failure.message };
   }
 }
 
--- a/packages/ports/src/fake_places.ts
+++ b/packages/ports/src/fake_places.ts
@@ -1,4 +1,5 @@
 /** The places of a target: who runs, who waits, in order of arrival. */
+import { waitForAbort } from "./abort.ts";
 
 interface Waiter {
   readonly requestId: string;
@@ -68,12 +69,3 @@
     this.#waiting.find((waiter) => !waiter.wake.signal.aborted)?.wake.abort();
   }
 }
-
-export function waitForAbort(signal: AbortSignal): Promise<void> {
-  if (signal.aborted) {
-    return Promise.resolve();
-  }
-  return new Promise((resolve) => {
-    signal.addEventListener("abort", () => resolve(), { once: true });
-  });
-}
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -6,10 +6,11 @@
 import { createHash } from "node:crypto";
 import type { Position } from "@lentilspur/outcomes/position";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import { waitForAbort } from "./abort.ts";
 import type { Clock } from "./clock.ts";
 import { FakeGrants } from "./fake_grants.ts";
 import { FakeShownLoad } from "./fake_shown_load.ts";
-import { FakePlaces, waitForAbort } from "./fake_places.ts";
+import { FakePlaces } from "./fake_places.ts";
 import type {
   GrantReply,
   GrantRequest,
--- a/packages/ports/src/fake_target_network.ts
+++ b/packages/ports/src/fake_target_network.ts
@@ -4,8 +4,8 @@
  * answers.
  */
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import { waitForAbort } from "./abort.ts";
 import type { Clock } from "./clock.ts";
-import { waitForAbort } from "./fake_places.ts";
 import type { FakeTarget, TargetReply } from "./fake_target.ts";
 import type {
   DispatchFailure,
--- a/packages/ports/src/virtual_clock.ts
+++ b/packages/ports/src/virtual_clock.ts
@@ -29,11 +29,14 @@
     }
     return new Promise((resolve) => {
       const at = this.#now + Math.max(0, ms);
-      const sleeper = { at, order: this.#order++, wake: resolve };
+      const cancel = (): void => this.#cancelSleeper(sleeper);
+      const wake = (): void => {
+        signal?.removeEventListener("abort", cancel);
+        resolve();
+      };
+      const sleeper = { at, order: this.#order++, wake };
       this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", () => this.#cancelSleeper(sleeper), {
-        once: true,
-      });
+      signal?.addEventListener("abort", cancel, { once: true });
     });
   }
 
