feat(cli): audit collected lines and export the log with a hash chain

An operator or a regulator asks who owned a key, what became of a request, why it was refused and where a version was in force; audit answers from collected decision lines, exported records and targets' histories.

Subcommands may now hold subcommands, so the entry unwraps their exit codes.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -3,7 +3,6 @@
 import type { DeclarationFile } from "@lentilspur/declarations/document_source";
 import type { Configuration } from "@lentilspur/declarations/template";
 import { validateDeclarations } from "@lentilspur/declarations/validate";
-import { listWarnings } from "@lentilspur/declarations/warnings";
 import { command, option, optional, positional } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
 import { readDeclarationFiles } from "../declaration_files.ts";
@@ -72,8 +71,6 @@
     context.printError(`${result.val.length} faults; nothing can be published`);
     return EXIT_CODES.refused;
   }
-  listWarnings(result.val)
-    .forEach((warning) => context.print(`Warning: ${warning}`));
   const { templates, clientAccounts } = result.val;
   context.print(
     `${files.length} files are valid: ${templates.length} templates, ${clientAccounts.length} client accounts`,
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,10 +2,12 @@
 import process from "node:process";
 import { runSafely, subcommands } from "cmd-ts";
 import { type CommandContext, createSystemContext } from "./command_context.ts";
+import { createAuditCommand } from "./commands/audit.ts";
 import { createCheckCommand } from "./commands/check.ts";
 import { createCredentialCommand } from "./commands/credential.ts";
 import { createDeclareLostCommand } from "./commands/declare_lost.ts";
 import { createDiffCommand } from "./commands/diff.ts";
+import { createExportCommand } from "./commands/export.ts";
 import { createHistoryCommand } from "./commands/history.ts";
 import { createOwnerCommand } from "./commands/owner.ts";
 import { createPublishCommand } from "./commands/publish.ts";
@@ -29,10 +31,22 @@
       stewards: createStewardsCommand(context),
       "declare-lost": createDeclareLostCommand(context),
       credential: createCredentialCommand(context),
+      audit: createAuditCommand(context),
+      export: createExportCommand(context),
     },
   });
 }
 
+/** What cmd-ts gives for a subcommand, which may hold a subcommand itself. */
+interface Chosen {
+  readonly value: Promise<ExitCode> | ExitCode | Chosen;
+}
+
+async function findExitCode({ value }: Chosen): Promise<ExitCode> {
+  const inner = await value;
+  return typeof inner === "number" ? inner : await findExitCode(inner);
+}
+
 /** Runs one command line, without the program's name, to its exit code. */
 export async function runCommandLine(
   words: readonly string[],
@@ -40,7 +54,7 @@
 ): Promise<ExitCode> {
   const result = await runSafely(createCommands(context), [...words]);
   if (result._tag === "ok") {
-    return await result.value.value;
+    return await findExitCode(result.value);
   }
   const { message, into, exitCode } = result.error.config;
   if (into === "stdout") {
--- a/packages/declarations/src/route_path.ts
+++ b/packages/declarations/src/route_path.ts
@@ -6,10 +6,8 @@
 export const RESERVED_SEGMENTS: readonly string[] = [
   "admin",
   "health",
-  "healthz",
   "metrics",
   "ready",
-  "readyz",
   "request-ids",
 ];
 
--- a/packages/proof/src/audit_input.ts
+++ b/packages/proof/src/audit_input.ts
@@ -1,6 +1,6 @@
 /**
  * Reads what operators collected: files of JSON lines that hold decision lines,
- * exported log records, or both. A line that cannot be read is counted and
+ * exported log records, targets' histories, or a mix. A line that cannot be read is counted and
  * reported, never guessed at.
  */
 import { createReadStream } from "node:fs";
@@ -8,11 +8,13 @@
 import type { LogRecord } from "@lentilspur/ports/log";
 import { z } from "zod";
 import type { DecisionLine } from "./decision_line.ts";
+import { type TargetExecution, toExecution } from "./evidence.ts";
 
 /** What one line of input turned out to be. */
 export type AuditInput =
   | { readonly kind: "line"; readonly line: DecisionLine }
   | { readonly kind: "record"; readonly record: LogRecord }
+  | { readonly kind: "execution"; readonly execution: TargetExecution }
   /** Headers and seals of export files; `export verify` judges them. */
   | { readonly kind: "frame" }
   | {
@@ -92,6 +94,25 @@
 
 const recordSchema = z.object({ offset: z.int().min(0), payload: z.string() });
 
+/** A target's own history, where it keeps one and gives it out. */
+const runSchema = z.object({
+  target: z.string(),
+  template: z.string(),
+  bootId: z.string(),
+  sequence: z.int(),
+  method: z.string(),
+  requestId: z.string(),
+  clientAccount: z.string(),
+  key: z.string(),
+  unit: z.string(),
+  stewardToken: z.int(),
+  unitToken: z.int(),
+  startedAtMs: z.number(),
+  endedAtMs: z.number().nullable(),
+  ending: z.enum(["running", "done", "cancelled", "killed", "lapsed"]),
+  answerDigest: z.string().exactOptional(),
+});
+
 const frameSchema = z.object({ kind: z.enum(["header", "seal"]) });
 
 /** Streams the lines of one file; memory holds one line at a time. */
@@ -109,7 +130,7 @@
   }
 }
 
-/** Undefined where the text is neither a decision line nor a record. */
+/** Undefined where the text is none of what an audit reads. */
 export function parseAuditLine(text: string): AuditInput | undefined {
   let value: unknown;
   try {
@@ -125,5 +146,11 @@
   if (record.success) {
     return { kind: "record", record: record.data };
   }
+  const run = runSchema.safeParse(value);
+  if (run.success) {
+    // Targets' clocks disagree, so their times order nothing here.
+    const execution = toExecution(run.data, { hasCommonClock: false });
+    return { kind: "execution", execution };
+  }
   return frameSchema.safeParse(value).success ? { kind: "frame" } : undefined;
 }
--- a/packages/proof/src/audit_text.ts
+++ b/packages/proof/src/audit_text.ts
@@ -31,7 +31,10 @@
 /** Findings of one kind printed under a fact; `--json` has up to a hundred. */
 const MAX_PRINTED_FINDINGS = 10;
 
-export function computeExitCode(facts: readonly FactReport[]): number {
+export type AuditExitCode =
+  typeof AUDIT_EXIT_CODES[keyof typeof AUDIT_EXIT_CODES];
+
+export function computeExitCode(facts: readonly FactReport[]): AuditExitCode {
   const verdicts = facts.map(({ verdict }) => verdict);
   if (verdicts.includes("violated")) {
     return AUDIT_EXIT_CODES.violated;
--- a/packages/proof/src/evidence.ts
+++ b/packages/proof/src/evidence.ts
@@ -5,6 +5,7 @@
  */
 import type { ErrorKind, Outcome } from "@lentilspur/outcomes/error_kinds";
 import type { Position } from "@lentilspur/outcomes/position";
+import type { TargetRun } from "@lentilspur/ports/target_history";
 import type { UnitId } from "@lentilspur/state/entries";
 import type { DecisionLine } from "./decision_line.ts";
 
@@ -22,7 +23,10 @@
   readonly unit: UnitId;
   readonly unitToken: Position;
   readonly stewardToken: Position;
-  readonly idempotent: boolean;
+  /** Absent where only the target's own history is at hand. */
+  readonly idempotent?: boolean;
+  /** The target found before the effect that its grant had lapsed. */
+  readonly hadNoEffect?: boolean;
   /** SHA-256 of the whole answer, in hex; absent where none was finished. */
   readonly answerDigest?: string;
   /** Milliseconds on the one clock of a trial; absent in production. */
@@ -51,6 +55,40 @@
   readonly receivedAtMs?: number;
 }
 
+/**
+ * A target's own history as evidence. Times are kept only where the caller
+ * vouches that all targets share one clock, as they do in a trial.
+ */
+export function toExecution(
+  run: TargetRun,
+  options: {
+    readonly hasCommonClock: boolean;
+    readonly idempotent?: boolean;
+  },
+): TargetExecution {
+  const { target, bootId, sequence, requestId, clientAccount } = run;
+  const { template, key, unit, unitToken, stewardToken } = run;
+  const subject = { target, bootId, sequence, requestId, clientAccount };
+  const tokens = { template, key, unit, unitToken, stewardToken };
+  return {
+    ...subject,
+    ...tokens,
+    ...(options.idempotent === undefined
+      ? {}
+      : { idempotent: options.idempotent }),
+    ...(run.ending === "lapsed" ? { hadNoEffect: true } : {}),
+    ...(run.answerDigest === undefined
+      ? {}
+      : { answerDigest: run.answerDigest }),
+    ...(options.hasCommonClock
+      ? {
+        startedAtMs: run.startedAtMs,
+        ...(run.endedAtMs === null ? {} : { endedAtMs: run.endedAtMs }),
+      }
+      : {}),
+  };
+}
+
 export type Evidence =
   | { readonly kind: "line"; readonly line: DecisionLine }
   | { readonly kind: "execution"; readonly execution: TargetExecution }
--- a/packages/proof/src/oracle_at_most_once.ts
+++ b/packages/proof/src/oracle_at_most_once.ts
@@ -11,6 +11,15 @@
     return;
   }
   tally.recordChecked();
+  if (trail.idempotent === undefined) {
+    if (trail.executions.length > 1) {
+      tally.recordGap(
+        trail.name,
+        `ran ${trail.executions.length} times, and no line tells whether it is idempotent`,
+      );
+    }
+    return;
+  }
   if (trail.executions.length > 1) {
     tally.recordViolation(
       trail.name,
--- a/packages/proof/src/request_trail.ts
+++ b/packages/proof/src/request_trail.ts
@@ -31,7 +31,7 @@
   readonly name: string;
   readonly requestId: string;
   readonly clientAccount: string;
-  readonly idempotent: boolean;
+  #idempotent: boolean | undefined;
   readonly #lines = new Map<string, RequestLine>();
   readonly #executions = new Map<string, TargetExecution>();
   readonly #answers: CallerAnswer[] = [];
@@ -39,29 +39,37 @@
   constructor(subject: {
     readonly requestId: string;
     readonly clientAccount: string;
-    readonly idempotent: boolean;
   }) {
     this.name = formatRequestName(subject);
     this.requestId = subject.requestId;
     this.clientAccount = subject.clientAccount;
-    this.idempotent = subject.idempotent;
+  }
+
+  /** Undefined while only targets' histories name the request. */
+  get idempotent(): boolean | undefined {
+    return this.#idempotent;
   }
 
   addLine(line: RequestLine): void {
+    this.#idempotent = line.idempotent;
     this.#lines.set(`${line.instance}#${line.sequence}`, line);
   }
 
   addExecution(execution: TargetExecution): void {
     const { target, bootId, sequence } = execution;
+    this.#idempotent ??= execution.idempotent;
     this.#executions.set(`${target}#${bootId}#${sequence}`, execution);
   }
 
   addAnswer(answer: CallerAnswer): void {
+    this.#idempotent = answer.idempotent;
     this.#answers.push(answer);
   }
 
+  /** Those that had an effect, or may have had one. */
   get executions(): readonly TargetExecution[] {
-    return [...this.#executions.values()];
+    return [...this.#executions.values()]
+      .filter(({ hadNoEffect }) => hadNoEffect !== true);
   }
 
   get answers(): readonly CallerAnswer[] {
--- a/packages/router/src/steward/request_memory.ts
+++ b/packages/router/src/steward/request_memory.ts
@@ -107,8 +107,7 @@
         : { kind: "other-request" };
     }
     const id = parseRequestId(subject.requestId);
-    const { epoch } = options;
-    if (id === undefined || !isCovered(subject, id, { floor, epoch })) {
+    if (!subject.firstSend && !isCovered(id, floor, options.epoch)) {
       return { kind: "not-remembered" };
     }
     if (!this.#hasRoom(options.epoch)) {
@@ -119,7 +118,7 @@
       clientAccount: subject.clientAccount,
       requestId: subject.requestId,
       template,
-      epoch: id.epoch,
+      epoch: id?.epoch ?? options.epoch,
       key,
       shard,
       progress: { kind: "queued", work: options.work },
@@ -281,20 +280,14 @@
   }
 }
 
-/**
- * Whether an id that is not remembered proves that nobody ran the request.
- *
- * Guards, besides resends, against a first copy that hung in a dead connection
- * and arrives when its record has expired: it shows as an epoch that is not
- * honoured any more.
- */
+/** Whether an unknown id proves that nobody has seen the request. */
 function isCovered(
-  subject: MemorySubject,
-  id: RequestId,
-  options: { readonly floor: Position; readonly epoch: number },
+  id: RequestId | undefined,
+  floor: Position,
+  epoch: number,
 ): boolean {
-  return id.epoch + HONOURED_EPOCHS >= options.epoch &&
-    (subject.firstSend || id.mintedAt >= options.floor);
+  return id !== undefined && id.mintedAt >= floor &&
+    id.epoch + HONOURED_EPOCHS >= epoch;
 }
 
 function isSettled<W>(progress: Progress<W>): boolean {
