--- a/packages/router/src/entry/gateway.ts
+++ b/packages/router/src/entry/gateway.ts
@@ -4,6 +4,7 @@
  */
 import {
   ERROR_ANSWERS,
+  type ErrorKind,
   makeRequestError,
   type RequestError,
 } from "@lentilspur/outcomes/error_kinds";
@@ -30,6 +31,8 @@
   readonly clock: Clock;
   readonly decisions: DecisionSink;
   readonly maxChangeWaitMs: number;
+  /** Told of refusals that leave no decision line, for the metrics. */
+  readonly recordEarlyRefusal?: (kind: ErrorKind) => void;
 }
 
 interface Refusal {
@@ -51,7 +54,7 @@
     this.#caller = new StewardCaller(options);
   }
 
-  /** For what an HTTP server must know before it reads a body. */
+  /** Who callers are, and ids for them. */
   get intake(): RequestIntake {
     return this.#intake;
   }
@@ -64,6 +67,7 @@
     const startedAtMs = this.#options.clock.readMs();
     const accepted = await this.#intake.parse(request, signal);
     if (!accepted.ok) {
+      this.#options.recordEarlyRefusal?.(accepted.val.kind);
       return makeErrorAnswer(accepted.val);
     }
     const refusal = this.#admit(accepted.val, startedAtMs);
@@ -85,16 +89,19 @@
     request: CallerRequest,
     options: { readonly startedAtMs: number; readonly signal: AbortSignal },
   ): Promise<CallerAnswer> {
-    const { requestId, budgetMs } = accepted;
-    const reply = await this.#caller.forward(accepted, {
-      method: request.method,
-      path: request.path,
-      headers: listPassedOn(request.headers),
-      body: request.body,
-    }, {
-      signal: options.signal,
-      deadlineAtMs: options.startedAtMs + budgetMs,
-    });
+    const { requestId, budgetMs, template } = accepted;
+    const body = await request.body.read(template.limits.maxBodyBytes);
+    const reply: FinalReply = body.ok
+      ? await this.#caller.forward(accepted, {
+        method: request.method,
+        path: request.path,
+        headers: listPassedOn(request.headers),
+        body: body.val,
+      }, {
+        signal: options.signal,
+        deadlineAtMs: options.startedAtMs + budgetMs,
+      })
+      : { kind: "failed", error: body.val };
     this.#logAnswered(accepted, reply, options.startedAtMs);
     return reply.kind === "answered"
       ? makeTargetAnswer(reply.answer, requestId)
--- a/packages/router/src/entry/gateway_test.ts
+++ b/packages/router/src/entry/gateway_test.ts
@@ -14,7 +14,7 @@
   RecordedDecisions,
   TEMPLATE,
 } from "../testing/fakes.ts";
-import type { CallerAnswer, CallerRequest } from "./caller.ts";
+import { type CallerAnswer, type CallerRequest, WholeBody } from "./caller.ts";
 import { Gateway } from "./gateway.ts";
 
 type Sent = Result<ForwardReply, PeerFailure>;
@@ -81,7 +81,7 @@
     method: "POST",
     path: "/reservations/studio%203/holds?from=9",
     headers: [{ name: "authorization", value: `Bearer ${CREDENTIAL}` }],
-    body: Buffer.from("hold"),
+    body: new WholeBody(Buffer.from("hold")),
     ...change,
   };
 }
@@ -136,7 +136,10 @@
     [{ method: "DELETE" }, "404 not-run no-such-route"],
     [{ path: "/reservations/%ff/holds" }, "400 not-run malformed-request"],
     [{ path: "/reservations//holds" }, "400 not-run malformed-request"],
-    [{ body: Buffer.alloc(1_025) }, "413 not-run body-too-large"],
+    [
+      { body: new WholeBody(Buffer.alloc(1_025)) },
+      "413 not-run body-too-large",
+    ],
     [{
       headers: [authorization, { name: "lentilspur-request-id", value: "x" }],
     }, "400 not-run bad-request-id"],
--- a/packages/router/src/entry/request_intake.ts
+++ b/packages/router/src/entry/request_intake.ts
@@ -1,7 +1,7 @@
 /**
  * Reads a caller's request: who sends it, which route it takes, which key, id
  * and deadline it has. Everything that can be refused without touching the
- * rest of the system is refused here.
+ * rest of the system is refused here, before its body is read.
  */
 import type {
   AccountTemplateParameters,
@@ -69,14 +69,6 @@
     return this.#mint.mint(this.#state.getView());
   }
 
-  /** The largest body that the route allows; undefined for no route. */
-  getMaxBodyBytes(method: string, path: string): number | undefined {
-    const match = this.#claimCompiled().routes.match(method, path);
-    return match.kind === "matched"
-      ? match.template.limits.maxBodyBytes
-      : undefined;
-  }
-
   /** Refusals here are all `not-run`: nothing was passed on yet. */
   async parse(
     request: CallerRequest,
@@ -114,12 +106,6 @@
         `Client account '${account.name}' may not use template '${template.name}'`,
       );
     }
-    if (request.body.byteLength > template.limits.maxBodyBytes) {
-      return refuse(
-        "body-too-large",
-        `The body is larger than ${template.limits.maxBodyBytes} bytes`,
-      );
-    }
     const budget = parseBudget(request, template);
     if (!budget.ok) {
       return budget;
--- a/packages/router/src/steward/dispatcher_test.ts
+++ b/packages/router/src/steward/dispatcher_test.ts
@@ -150,6 +150,19 @@
   assert.equal(targets.dispatched.length, 0);
 });
 
+test("a first copy that arrives after its epoch is not run", async () => {
+  // A forward hangs in a dead connection for ten minutes while its second copy
+  // is run. The record of that run expires with its epoch. Then the first copy
+  // arrives, marked as a first send, under unchanged tokens.
+  const { state, targets, send } = createSteward();
+  for (const expectedEpoch of [0, 1]) {
+    state.apply("b", { kind: "epoch-advanced", expectedEpoch });
+  }
+  const late = send({ ...SEEN, firstSend: true });
+  assert.equal(await describe(late), "resend-not-remembered unknown");
+  assert.equal(targets.dispatched.length, 0);
+});
+
 test("a planned hand-over takes the memory along", async () => {
   const old = createSteward();
   const first = old.send(HOLD);
--- a/packages/router/src/steward/request_memory.ts
+++ b/packages/router/src/steward/request_memory.ts
@@ -107,7 +107,8 @@
         : { kind: "other-request" };
     }
     const id = parseRequestId(subject.requestId);
-    if (!subject.firstSend && !isCovered(id, floor, options.epoch)) {
+    const { epoch } = options;
+    if (id === undefined || !isCovered(subject, id, { floor, epoch })) {
       return { kind: "not-remembered" };
     }
     if (!this.#hasRoom(options.epoch)) {
@@ -118,7 +119,7 @@
       clientAccount: subject.clientAccount,
       requestId: subject.requestId,
       template,
-      epoch: id?.epoch ?? options.epoch,
+      epoch: id.epoch,
       key,
       shard,
       progress: { kind: "queued", work: options.work },
@@ -280,14 +281,20 @@
   }
 }
 
-/** Whether an unknown id proves that nobody has seen the request. */
+/**
+ * Whether an id that is not remembered proves that nobody ran the request.
+ *
+ * Guards, besides resends, against a first copy that hung in a dead connection
+ * and arrives when its record has expired: it shows as an epoch that is not
+ * honoured any more.
+ */
 function isCovered(
-  id: RequestId | undefined,
-  floor: Position,
-  epoch: number,
+  subject: MemorySubject,
+  id: RequestId,
+  options: { readonly floor: Position; readonly epoch: number },
 ): boolean {
-  return id !== undefined && id.mintedAt >= floor &&
-    id.epoch + HONOURED_EPOCHS >= epoch;
+  return id.epoch + HONOURED_EPOCHS >= options.epoch &&
+    (subject.firstSend || id.mintedAt >= options.floor);
 }
 
 function isSettled<W>(progress: Progress<W>): boolean {
