--- a/packages/router/src/control/stewardships.ts
+++ b/packages/router/src/control/stewardships.ts
@@ -6,8 +6,9 @@
 import { planLoss } from "@lentilspur/policy/placement";
 import type { Authority, Permission } from "../authority.ts";
 import { buildPlacementInput, type PlacementHints } from "./placement_facts.ts";
-import { isWhollyAccepted, type LogAccess } from "./log_access.ts";
+import { isInContact, isWhollyAccepted, type LogAccess } from "./log_access.ts";
 import { TargetKeeper, type TargetKeeperOptions } from "./target_keeper.ts";
+import type { UnitId } from "@lentilspur/state/entries";
 import type { TargetState } from "@lentilspur/state/view";
 
 export interface StewardshipsOptions extends TargetKeeperOptions {
@@ -26,6 +27,8 @@
   readonly #options: StewardshipsOptions;
   readonly #kept = new Map<string, KeptTarget>();
   readonly #handingOver = new Set<string>();
+  /** Units that a move has stopped, by template and unit. */
+  readonly #stoppedUnits = new Set<string>();
 
   constructor(options: StewardshipsOptions) {
     this.#options = options;
@@ -55,7 +58,7 @@
     if (target.steward !== self) {
       return { kind: "not-steward", steward: target.steward };
     }
-    if (unit.move !== null) {
+    if (this.#stoppedUnits.has(formatUnit(template, unit.unit))) {
       return { kind: "owner-changing", why: "moving" };
     }
     const keeper = this.getKeeper(target.target.id);
@@ -90,6 +93,21 @@
     return this.#kept.get(target)?.keeper;
   }
 
+  /**
+   * From now on nothing new is sent for this unit from here. A move that is
+   * only proposed stops nothing: its unit is served until it is its turn.
+   */
+  startMove(template: string, unit: UnitId): void {
+    this.#stoppedUnits.add(formatUnit(template, unit));
+    this.#options.changes.report();
+  }
+
+  /** The move is over, one way or the other. */
+  settleMove(template: string, unit: UnitId): void {
+    this.#stoppedUnits.delete(formatUnit(template, unit));
+    this.#options.changes.report();
+  }
+
   /** From now on nothing new is sent to this target from here. */
   startHandOver(target: string): void {
     this.#handingOver.add(target);
@@ -150,7 +168,12 @@
   async #settleLoss(keeper: TargetKeeper, signal: AbortSignal): Promise<void> {
     const { clock, log, timing, decisions, self } = this.#options;
     let finding = keeper.decideLoss(clock.readMs());
-    while (finding.kind === "suspected" && !signal.aborted) {
+    // Once the entry is written the target gets no grant again, even if it
+    // comes back; so it is written only when the log will take it soon.
+    while (
+      finding.kind !== "alive" && !signal.aborted &&
+      (finding.kind === "suspected" || !isInContact(log, clock.readMs()))
+    ) {
       await clock.sleep(timing.grantEveryMs / 2, signal);
       await keeper.renewOnce();
       finding = keeper.decideLoss(clock.readMs());
@@ -202,3 +225,7 @@
     });
   }
 }
+
+function formatUnit(template: string, unit: UnitId): string {
+  return `${template}\n${unit}`;
+}
--- a/packages/router/src/control/target_keeper.ts
+++ b/packages/router/src/control/target_keeper.ts
@@ -265,15 +265,10 @@
     return awaited === undefined || !reply.val.busyUnits.includes(awaited);
   }
 
-  /**
-   * Units to hold grants for. A moving unit keeps the grant that it has until
-   * its last request has ended, and gets none anew.
-   */
+  /** Every unit that the target owns, until its move has it given up. */
   #listWantedUnits(): readonly GrantedUnit[] {
     return this.#options.state.getView().listUnitsOfTarget(this.target.id)
-      .filter(({ unit, move }) =>
-        !this.#revoking.has(unit) && (move === null || this.#granted.has(unit))
-      )
+      .filter(({ unit }) => !this.#revoking.has(unit))
       .map(({ unit, token }) => ({ unit, token }));
   }
 
--- a/packages/router/src/control/unit_mover.ts
+++ b/packages/router/src/control/unit_mover.ts
@@ -14,7 +14,7 @@
 import type { TargetState, UnitMove } from "@lentilspur/state/view";
 import type { UnitWork } from "../authority.ts";
 import type { ControlTiming } from "../settings.ts";
-import type { LogAccess } from "./log_access.ts";
+import { isInContact, type LogAccess } from "./log_access.ts";
 import { type MemoryParcel, transferMemory } from "./memory_transfer.ts";
 import type { Stewardships } from "./stewardships.ts";
 import type { TargetKeeper } from "./target_keeper.ts";
@@ -41,6 +41,7 @@
 
 /** Short beside a move's goal of 50 ms, long beside one exchange. */
 const RETRY_REVOKE_MS = 10;
+const RETRY_LOG_MS = 100;
 
 export class UnitMover {
   readonly #options: UnitMoverOptions;
@@ -57,8 +58,7 @@
       for (const task of this.#listTasks()) {
         if (!this.#tasks.has(task.move.token)) {
           this.#tasks.add(task.move.token);
-          void this.#runTask(task, signal)
-            .finally(() => this.#tasks.delete(task.move.token));
+          void this.#runTask(task, signal);
         }
       }
       await log.waitForFold(timing.renewEveryMs, signal);
@@ -84,29 +84,45 @@
   }
 
   async #runTask(task: MoveTask, signal: AbortSignal): Promise<void> {
+    const { stewardships } = this.#options;
+    await this.#waitForLog(signal);
+    if (this.#isCurrent(task) && !signal.aborted) {
+      stewardships.startMove(task.template, task.unit);
+      await this.#moveStopped(task, signal);
+      stewardships.settleMove(task.template, task.unit);
+    }
+    this.#tasks.delete(task.move.token);
+  }
+
+  /**
+   * A unit that is stopped when the log goes down stays unserved until it is
+   * back, so none is stopped unless the log has answered lately.
+   */
+  async #waitForLog(signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.#options;
+    while (!signal.aborted && !isInContact(log, clock.readMs())) {
+      await clock.sleep(RETRY_LOG_MS, signal);
+    }
+  }
+
+  async #moveStopped(task: MoveTask, signal: AbortSignal): Promise<void> {
     const { clock, work } = this.#options;
     const startedAtMs = clock.readMs();
-    // `Authority.check` refuses a moving unit, so nothing new starts.
     await work.waitForIdle(task.template, task.unit, signal);
-    if (!this.#isCurrent(task) || signal.aborted) {
-      return;
-    }
     const keeper = this.#options.stewardships.getKeeper(task.from.target.id);
-    if (keeper?.stewardToken !== task.from.stewardToken) {
+    const isOwn = keeper?.stewardToken === task.from.stewardToken;
+    if (!isOwn || !this.#isCurrent(task) || signal.aborted) {
       return;
     }
-    if (keeper.checksGrants) {
-      const isRevoked = await this.#revoke(task, keeper, signal);
-      if (isRevoked) {
-        await this.#release(task, startedAtMs, signal);
-      }
-      return;
-    }
-    if (this.#isPinned(task, keeper)) {
+    if (!keeper.checksGrants && this.#isPinned(task, keeper)) {
       await this.#cancelMove(task, signal);
       return;
     }
-    await this.#release(task, startedAtMs, signal);
+    const isGivenUp = !keeper.checksGrants ||
+      await this.#revoke(task, keeper, signal);
+    if (isGivenUp) {
+      await this.#release(task, startedAtMs, signal);
+    }
   }
 
   async #revoke(
