fix(ownership): let a guardian pledge while it is in standing

Cause: a guardian pledged only under its own lease, so instances whose leases lapsed together (first seen when a cluster came up; a pause of the whole network does it too) refused each other for ever. Ruled out: pledging always, since a removed guardian could then never be waited out and the loss of a holder with most of its guardians would need an operator. Now a guardian pledges for 10 s after its own lease was held or the log showed it as a member by a read counted from when it was sent; successors wait that out.

--- a/packages/cli/src/setting_table.ts
+++ b/packages/cli/src/setting_table.ts
@@ -105,6 +105,10 @@
     "How long before its lease could lapse the instance stops acting",
     DEFAULT_TIMING.leaseMarginMs,
   ),
+  standing: createDurationSetting(
+    "How long an instance pledges on after it was last known to be a member. The same on all instances",
+    DEFAULT_TIMING.standingMs,
+  ),
   clockDriftRatio: {
     schema: createRatioSchema({ min: 0, max: 0.1 }),
     description: "Bound on how far two monotonic clocks drift apart",
--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -144,6 +144,7 @@
   leaseMs: "lease",
   renewEveryMs: "renewEvery",
   leaseMarginMs: "leaseMargin",
+  standingMs: "standing",
   clockDriftRatio: "clockDriftRatio",
   grantMs: "grant",
   grantEveryMs: "grantEvery",
--- a/packages/ownership/src/guardian.ts
+++ b/packages/ownership/src/guardian.ts
@@ -12,9 +12,9 @@
   readonly #consented = new Set<string>();
 
   /**
-   * `mayPledge` is whether this instance's own lease holds. A guardian that is
-   * taken over itself has stopped pledging by then, so its last pledge lapses
-   * within one lease of its removal and it can be waited out.
+   * `mayPledge` is whether this instance is in standing (see `isInStanding`).
+   * A guardian that was taken over stops pledging a bounded time later, so it
+   * can be waited out.
    */
   answerRenewal(
     holder: string,
@@ -25,7 +25,10 @@
       return { kind: "revoked" };
     }
     if (!options.mayPledge) {
-      return { kind: "unable", message: "The guardian's own lease is lapsed" };
+      return {
+        kind: "unable",
+        message: "The guardian cannot tell that it is a member",
+      };
     }
     const before = this.#pledgedUntil.get(holder) ?? options.nowMs;
     this.#pledgedUntil.set(holder, Math.max(options.nowMs + leaseMs, before));
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -43,6 +43,10 @@
     this.#isEnded = true;
   }
 
+  isStopped(): boolean {
+    return this.#isEnded;
+  }
+
   /** The guardians that the folded log names. */
   setGuardians(guardians: readonly string[]): void {
     this.#guardians = guardians;
--- a/packages/platform/src/log_tail.ts
+++ b/packages/platform/src/log_tail.ts
@@ -34,6 +34,7 @@
   #isCaughtUp = false;
   #hasStarted = false;
   #lastProgressAt: number;
+  #lastReadSentAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: LogTailOptions) {
     this.#options = options;
@@ -51,6 +52,15 @@
     return this.#lastProgressAt;
   }
 
+  /**
+   * When the last read that was answered had been sent: what it showed was so
+   * then or later. A process that was paused between a read and its answer
+   * would take the answer for fresh if it went by its arrival.
+   */
+  get lastReadSentAt(): number {
+    return this.#lastReadSentAt;
+  }
+
   /** Follows the log until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -77,14 +87,15 @@
   }
 
   async #readOnce(signal: AbortSignal): Promise<void> {
-    const { log, stream, folded } = this.#options;
+    const { log, stream, folded, clock } = this.#options;
+    const sentAt = clock.readMs();
     const batch = await log.read(stream, folded.nextOffset, {
       maxRecords: MAX_RECORDS,
       waitMs: this.#isCaughtUp ? POLL_MS : 0,
       signal,
     });
     if (batch.ok) {
-      await this.#applyBatch(batch.val, signal);
+      await this.#applyBatch(batch.val, sentAt, signal);
       return;
     }
     if (batch.val.kind === "expired") {
@@ -94,7 +105,11 @@
     await this.#backoff.wait(signal);
   }
 
-  async #applyBatch(batch: LogBatch, signal: AbortSignal): Promise<void> {
+  async #applyBatch(
+    batch: LogBatch,
+    sentAt: number,
+    signal: AbortSignal,
+  ): Promise<void> {
     const { folded, clock } = this.#options;
     if (batch.nextOffset < folded.nextOffset) {
       // Failure: the platform restored its log from an older copy. Offsets
@@ -114,6 +129,7 @@
     }
     this.#isCaughtUp = folded.nextOffset >= batch.nextOffset;
     this.#lastProgressAt = clock.readMs();
+    this.#lastReadSentAt = sentAt;
     this.#backoff.reset();
     folded.sendChange();
     if (batch.records.length === 0) {
--- a/packages/platform/src/replica.ts
+++ b/packages/platform/src/replica.ts
@@ -81,6 +81,11 @@
     return this.#tail.lastProgressAt;
   }
 
+  /** When the last read that the log answered had been sent. */
+  get lastReadSentAt(): number {
+    return this.#tail.lastReadSentAt;
+  }
+
   get statistics(): ReplicaStatistics {
     const written = this.#keeper?.statistics;
     return {
--- a/packages/router/src/control/control.ts
+++ b/packages/router/src/control/control.ts
@@ -111,6 +111,27 @@
     return this.#lease.isHeld(this.#options.clock.readMs());
   }
 
+  /**
+   * Whether this instance may pledge to others: it was surely a member not
+   * long ago. Its own lease shows that, since it lapses before a removal; and
+   * so does the log.
+   *
+   * Were only the present lease asked, instances whose leases have all lapsed
+   * (a pause of the whole network does it) would refuse each other for ever.
+   */
+  #isInStanding(): boolean {
+    const { clock, log, timing, instance } = this.#options;
+    if (this.#lease.isStopped()) {
+      return false;
+    }
+    const isListed = log.getView().getMember(instance.id) !== undefined;
+    const memberAtMs = Math.max(
+      this.#lease.computeExpiryMs(),
+      isListed ? log.getConfirmedAtMs() : Number.NEGATIVE_INFINITY,
+    );
+    return clock.readMs() < memberAtMs + timing.standingMs;
+  }
+
   /** Taken over, or given up by too many guardians: it must start anew. */
   isBeyondRenewal(): boolean {
     return this.#lease.isBeyondRenewal();
@@ -150,7 +171,7 @@
   answerRenewal(request: RenewRequest): RenewReply {
     return this.#guardian.answerRenewal(request.holder, request.leaseMs, {
       nowMs: this.#options.clock.readMs(),
-      mayPledge: this.isLeaseHeld(),
+      mayPledge: this.#isInStanding(),
     });
   }
 
--- a/packages/router/src/control/membership.ts
+++ b/packages/router/src/control/membership.ts
@@ -153,19 +153,28 @@
   }
 
   async #isLive(id: string): Promise<boolean> {
-    const { instance, log, clock, peers, timing } = this.#options;
+    const { instance, log, clock, peers, timing, lease } = this.#options;
     const member = log.getView().getMember(id);
     if (member === undefined) {
       return false;
     }
     const address = { id, address: member.instance.peerAddress };
+    const sentAtMs = clock.readMs();
     const call = peers.renew(address, {
       holder: instance.id,
       leaseMs: timing.leaseMs,
       foldedOffset: log.getView().nextOffset,
     });
     const reply = await waitAtMost(clock, timing.renewEveryMs, call);
-    return reply !== undefined && reply.ok && reply.val.kind !== "revoked";
+    if (reply === undefined || !reply.ok) {
+      return false;
+    }
+    // Counts as soon as this one is a guardian, so that a change of guardians
+    // leaves no gap in the lease.
+    if (reply.val.kind === "pledged") {
+      lease.recordPledge(id, sentAtMs);
+    }
+    return reply.val.kind !== "revoked";
   }
 }
 
--- a/packages/router/src/control/succession.ts
+++ b/packages/router/src/control/succession.ts
@@ -20,7 +20,7 @@
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { MemberState } from "@lentilspur/state/view";
 import type { ControlTiming } from "../settings.ts";
-import { isWhollyAccepted, type LogAccess } from "./log_access.ts";
+import { isInContact, isWhollyAccepted, type LogAccess } from "./log_access.ts";
 import { waitAtMost } from "./time_limit.ts";
 
 export interface SuccessionOptions {
@@ -42,9 +42,6 @@
  */
 const GRACE_MS = 100;
 
-/** Consents are asked for only while the log can take the entry they are for. */
-const LOG_CONTACT_MS = 1_500;
-
 export class Succession {
   readonly #options: SuccessionOptions;
   readonly #watchedSince = new Map<string, number>();
@@ -56,10 +53,11 @@
 
   /** Runs until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, lease } = this.#options;
+    const { clock, lease, log } = this.#options;
     while (!signal.aborted) {
       this.#observeMembers();
-      if (lease.isHeld(clock.readMs()) && this.#isLogInContact()) {
+      const nowMs = clock.readMs();
+      if (lease.isHeld(nowMs) && isInContact(log, nowMs)) {
         await Promise.all(
           this.#listOverdue().map((holder) => this.#takeOver(holder, signal)),
         );
@@ -68,11 +66,6 @@
     }
   }
 
-  #isLogInContact(): boolean {
-    const { clock, log } = this.#options;
-    return clock.readMs() - log.getLastContactMs() < LOG_CONTACT_MS;
-  }
-
   /** Notes since when each ward is watched and each removed guardian is gone. */
   #observeMembers(): void {
     const { clock, log, self, guardian } = this.#options;
@@ -161,15 +154,16 @@
   }
 
   /**
-   * A removed guardian had stopped pledging before its own removal, since it
-   * pledges only under its own lease. So one lease after the removal was
-   * folded here, no pledge of it can stand.
+   * A removed guardian had lost its own lease before its removal, and the log
+   * cannot have confirmed its membership since; it pledges for `standingMs`
+   * after either, and a pledge stands for one lease. Once both have passed
+   * since the removal was folded here, no pledge of it can stand.
    */
   #isWaitedOut(guardian: string): boolean {
     const { clock, timing } = this.#options;
     const since = this.#removedSince.get(guardian);
-    const waitMs = timing.leaseMs * (1 + timing.clockDriftRatio) +
-      timing.leaseMarginMs;
+    const waitMs = timing.leaseMarginMs +
+      (timing.standingMs + timing.leaseMs) * (1 + timing.clockDriftRatio);
     return since !== undefined && clock.readMs() - since >= waitMs;
   }
 
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -27,6 +27,11 @@
   readonly renewEveryMs: number;
   /** The holder stops this long before its lease could lapse. */
   readonly leaseMarginMs: number;
+  /**
+   * How long an instance goes on pledging to others after its own lease was
+   * last held, or the log last confirmed its membership.
+   */
+  readonly standingMs: number;
   /** Bound on how far two monotonic clocks drift apart, as a share. */
   readonly clockDriftRatio: number;
   /** Life of a grant on a checking target, from receipt. */
@@ -54,6 +59,7 @@
   leaseMs: 2_000,
   renewEveryMs: 500,
   leaseMarginMs: 200,
+  standingMs: 10_000,
   clockDriftRatio: 0.001,
   grantMs: 2_000,
   grantEveryMs: 500,
