--- a/packages/cli/src/command_context.ts
+++ b/packages/cli/src/command_context.ts
@@ -3,6 +3,7 @@
  * passes the process's own.
  */
 import { randomUUID } from "node:crypto";
+import process from "node:process";
 import { LogClient } from "@lentilspur/platform/log_client";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { LogPort } from "@lentilspur/ports/log";
@@ -17,6 +18,7 @@
 export interface CommandContext {
   readonly clock: Clock;
   readonly fetchStatus: StatusFetcher;
+  readonly environment: Readonly<Record<string, string | undefined>>;
   /** One line for the result. */
   print(line: string): void;
   /** One line for what went wrong. */
@@ -37,5 +39,6 @@
     openLog: (url) => new LogClient(url, { clock }),
     readTime: () => new Date(),
     mintId: () => randomUUID(),
+    environment: process.env,
   };
 }
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,11 +1,9 @@
 /** `lentilspur check DIR`: whether the declarations could be published. */
-import { formatDeclarationFault } from "@lentilspur/declarations/declaration_fault";
-import type { DeclarationFile } from "@lentilspur/declarations/document_source";
 import type { Configuration } from "@lentilspur/declarations/template";
-import { validateDeclarations } from "@lentilspur/declarations/validate";
+import { listWarnings } from "@lentilspur/declarations/warnings";
 import { command, option, optional, positional } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
-import { readDeclarationFiles } from "../declaration_files.ts";
+import { loadConfiguration } from "../declaration_files.ts";
 import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import { logOptions, runWithLog, urlType } from "../log_options.ts";
 
@@ -37,43 +35,29 @@
         description: "The platform's log; left out, only the files are checked",
       }),
     },
-    handler: async ({ directory, logUrl, ...options }): Promise<ExitCode> => {
-      const files = await readDeclarationFiles(directory);
-      if (!files.ok) {
-        context.printError(files.val);
-        return EXIT_CODES.refused;
-      }
-      if (logUrl === undefined) {
-        return checkFiles(context, files.val);
-      }
-      return await runWithLog(
+    handler: ({ directory, logUrl, ...options }): Promise<ExitCode> =>
+      logUrl === undefined ? checkDirectory(context, directory) : runWithLog(
         context,
         { ...options, logUrl },
-        (session) =>
-          Promise.resolve(
-            checkFiles(context, files.val, session.configuration),
-          ),
-      );
-    },
+        (session) => checkDirectory(context, directory, session.configuration),
+      ),
   });
 }
 
-function checkFiles(
+async function checkDirectory(
   context: CommandContext,
-  files: readonly DeclarationFile[],
+  directory: string,
   inForce?: Configuration,
-): ExitCode {
-  const result = validateDeclarations(files, inForce);
-  if (!result.ok) {
-    result.val.forEach((fault) =>
-      context.printError(formatDeclarationFault(fault))
-    );
-    context.printError(`${result.val.length} faults; nothing can be published`);
+): Promise<ExitCode> {
+  const configuration = await loadConfiguration(context, directory, inForce);
+  if (configuration === undefined) {
     return EXIT_CODES.refused;
   }
-  const { templates, clientAccounts } = result.val;
+  listWarnings(configuration)
+    .forEach((warning) => context.print(`Warning: ${warning}`));
+  const { templates, clientAccounts } = configuration;
   context.print(
-    `${files.length} files are valid: ${templates.length} templates, ${clientAccounts.length} client accounts`,
+    `Valid: ${templates.length} templates, ${clientAccounts.length} client accounts`,
   );
   return EXIT_CODES.done;
 }
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -1,13 +1,9 @@
 /** `lentilspur diff DIR`: what a publication of the declarations would change. */
-import { formatDeclarationFault } from "@lentilspur/declarations/declaration_fault";
-import {
-  describeChanges,
-  diffConfigurations,
-} from "@lentilspur/declarations/diff";
-import { validateDeclarations } from "@lentilspur/declarations/validate";
+import { describeChanges } from "@lentilspur/declarations/change_text";
+import { diffConfigurations } from "@lentilspur/declarations/diff";
 import { command, positional } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
-import { readDeclarationFiles } from "../declaration_files.ts";
+import { loadConfiguration } from "../declaration_files.ts";
 import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import { logOptions, runWithLog } from "../log_options.ts";
 import type { LogSession } from "../log_session.ts";
@@ -44,21 +40,13 @@
   session: LogSession,
   directory: string,
 ): Promise<ExitCode> {
-  const files = await readDeclarationFiles(directory);
-  if (!files.ok) {
-    context.printError(files.val);
-    return EXIT_CODES.refused;
-  }
   const inForce = session.configuration;
-  const result = validateDeclarations(files.val, inForce);
-  if (!result.ok) {
-    result.val.forEach((fault) =>
-      context.printError(formatDeclarationFault(fault))
-    );
+  const wanted = await loadConfiguration(context, directory, inForce);
+  if (wanted === undefined) {
     return EXIT_CODES.refused;
   }
   const version = session.view.configurationVersion;
-  const changes = diffConfigurations(inForce, result.val);
+  const changes = diffConfigurations(inForce, wanted);
   if (changes.length === 0) {
     context.print(`No difference from version ${version}, which is in force`);
     return EXIT_CODES.done;
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -26,7 +26,7 @@
     handler: ({ limit, ...options }): Promise<ExitCode> =>
       runWithLog(
         context,
-        options,
+        { ...options, from: "oldest" },
         (session) => Promise.resolve(printHistory(context, session, limit)),
       ),
   });
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -1,5 +1,4 @@
 /** `lentilspur publish DIR`: puts the declarations into force. */
-import { formatDeclarationFault } from "@lentilspur/declarations/declaration_fault";
 import {
   command,
   extendType,
@@ -24,7 +23,8 @@
 } from "../log_options.ts";
 import type { LogSession } from "../log_session.ts";
 import { operatorOption } from "../operator_option.ts";
-import { describeChangedDocuments } from "../publication.ts";
+import type { Publication } from "../publication.ts";
+import { describeOutcome, getExitCode } from "../publish_report.ts";
 import {
   publishConfiguration,
   type PublishOutcome,
@@ -132,10 +132,17 @@
     patienceMs: args.patience,
     ...(args.resume === undefined ? {} : { resume: args.resume }),
   };
-  const outcome = await publishConfiguration(session, request);
-  reportOutcome(context, outcome, { session, args });
+  const { outcome, publications } = await publishAndExplain(session, request);
+  const code = getExitCode(outcome);
+  const lines = describeOutcome(outcome, {
+    publications,
+    expectedVersion: args.expectVersion,
+  });
+  lines.forEach((line) =>
+    code === EXIT_CODES.done ? context.print(line) : context.printError(line)
+  );
   if (outcome.kind !== "accepted") {
-    return toExitCode(outcome);
+    return code;
   }
   return await reportInForce(context, session, {
     version: outcome.version,
@@ -143,129 +150,40 @@
   });
 }
 
-/** The publisher's own time, for people who read the history. */
-function makeNonce(context: CommandContext): string {
-  const time = context.readTime().toISOString().replace(/[-:]|\.\d+/g, "");
-  return `${time}-${context.mintId().slice(0, 8)}`;
-}
-
-function toExitCode(outcome: PublishOutcome): ExitCode {
-  switch (outcome.kind) {
-    case "accepted":
-    case "unchanged":
-      return EXIT_CODES.done;
-    case "invalid":
-    case "superseded":
-    case "removal-not-allowed":
-    case "template-in-use":
-    case "content-differs":
-    case "rejected":
-      return EXIT_CODES.refused;
-    case "not-appended":
-      return EXIT_CODES.unavailable;
-    case "no-longer-told":
-    case "unknown":
-      return EXIT_CODES.unknown;
-  }
-}
-
-interface ReportContext {
-  readonly session: LogSession;
-  readonly args: PublishArguments;
+interface ExplainedOutcome {
+  readonly outcome: PublishOutcome;
+  readonly publications: readonly Publication[];
 }
 
-function reportOutcome(
-  context: CommandContext,
-  outcome: PublishOutcome,
-  { session, args }: ReportContext,
-): void {
-  switch (outcome.kind) {
-    case "accepted":
-      context.print(
-        `Version ${outcome.version} is accepted at offset ${outcome.offset} (${outcome.envelopeId})`,
-      );
-      return;
-    case "unchanged":
-      context.print(
-        `Version ${outcome.version}, which is in force, says the same already; nothing was published`,
-      );
-      return;
-    case "invalid":
-      outcome.faults.forEach((fault) =>
-        context.printError(formatDeclarationFault(fault))
-      );
-      context.printError("Nothing was published; correct the faults above");
-      return;
-    case "superseded":
-      reportSuperseded(context, outcome.version, { session, args });
-      return;
-    case "removal-not-allowed":
-      context.printError(
-        `Nothing was published: the directory lacks ${outcome.documents}, which are in force; add --allow-removals if they are to go`,
-      );
-      return;
-    case "template-in-use":
-      context.printError(
-        `Nothing was published: targets still serve ${
-          outcome.templates.join(", ")
-        }; drain them before the template is removed`,
-      );
-      return;
-    case "content-differs":
-      context.printError(
-        `Nothing was sent: the declarations, operator or version differ from those of ${outcome.envelopeId}; restore them, or leave --resume out to publish anew`,
-      );
-      return;
-    case "no-longer-told":
-      context.printError(
-        `The log no longer holds the records that would tell what became of ${outcome.envelopeId}; compare with lentilspur diff`,
-      );
-      return;
-    case "rejected":
-      context.printError(
-        `Nothing was published: the log's readers rejected it as ${
-          JSON.stringify(outcome.reason)
-        }; run lentilspur diff and try again`,
-      );
-      return;
-    case "not-appended":
-      context.printError(
-        `Nothing was published: the log did not take it (${outcome.message}); try again later`,
-      );
-      return;
-    case "unknown":
-      context.printError(
-        `UNKNOWN whether it was accepted: ${outcome.message}`,
-      );
-      context.printError(
-        `Find out and finish it by the same command with --resume ${outcome.envelopeId}; that cannot publish twice`,
-      );
-      return;
+/**
+ * Who was first may stand before the checkpoint that the session began at.
+ * Then all records are read and the request is judged again; its version is
+ * past, so this cannot append anything.
+ */
+async function publishAndExplain(
+  session: LogSession,
+  request: PublishRequest,
+): Promise<ExplainedOutcome> {
+  const outcome = await publishConfiguration(session, request);
+  const isPast = session.view.configurationVersion > request.expectedVersion &&
+    (outcome.kind === "superseded" || outcome.kind === "no-longer-told");
+  if (!isPast || session.isCovering(request.expectedVersion + 1)) {
+    return { outcome, publications: session.publications };
   }
+  const whole = session.createAnew();
+  const read = await whole.readToEnd();
+  return read.ok
+    ? {
+      outcome: await publishConfiguration(whole, request),
+      publications: whole.publications,
+    }
+    : { outcome, publications: session.publications };
 }
 
-function reportSuperseded(
-  context: CommandContext,
-  version: number,
-  { session, args }: ReportContext,
-): void {
-  context.printError(
-    `Nothing was published: it was written against version ${args.expectVersion}, but version ${version} is in force`,
-  );
-  const later = session.publications
-    .filter((publication) => publication.version > args.expectVersion);
-  later.forEach((publication) =>
-    context.printError(
-      `  version ${publication.version} by ${publication.operator}: ${
-        describeChangedDocuments(publication.changes)
-      }`,
-    )
-  );
-  context.printError(
-    version > args.expectVersion
-      ? "Take their changes into your files, look at lentilspur diff, and publish against the new version"
-      : "No such version has been published; take the version from lentilspur diff",
-  );
+/** The publisher's own time, for people who read the history. */
+function makeNonce(context: CommandContext): string {
+  const time = context.readTime().toISOString().replace(/[-:]|\.\d+/g, "");
+  return `${time}-${context.mintId().slice(0, 8)}`;
 }
 
 async function reportInForce(
--- a/packages/cli/src/declaration_files.ts
+++ b/packages/cli/src/declaration_files.ts
@@ -1,9 +1,14 @@
 /** Reads a directory of declarations, with everything below it. */
 import { readdir, readFile } from "node:fs/promises";
 import { join } from "node:path";
+import { formatDeclarationFault } from "@lentilspur/declarations/declaration_fault";
 import type { DeclarationFile } from "@lentilspur/declarations/document_source";
+import type { Configuration } from "@lentilspur/declarations/template";
+import { validateDeclarations } from "@lentilspur/declarations/validate";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 
+import type { CommandContext } from "./command_context.ts";
+
 const EXTENSION_PATTERN = /\.ya?ml$/;
 
 /**
@@ -37,3 +42,28 @@
   const path = join(directory, name);
   return { name: path, text: await readFile(path, "utf8") };
 }
+
+/** Undefined where anything is at fault, which has then been printed. */
+export async function loadConfiguration(
+  context: CommandContext,
+  directory: string,
+  inForce?: Configuration,
+): Promise<Configuration | undefined> {
+  const files = await readDeclarationFiles(directory);
+  if (!files.ok) {
+    context.printError(files.val);
+    return undefined;
+  }
+  const result = validateDeclarations(files.val, inForce);
+  if (result.ok) {
+    return result.val;
+  }
+  result.val.forEach((fault) =>
+    context.printError(formatDeclarationFault(fault))
+  );
+  const count = result.val.length;
+  context.printError(
+    `${count} ${count === 1 ? "fault" : "faults"}; nothing can be published`,
+  );
+  return undefined;
+}
--- a/packages/cli/src/log_options.ts
+++ b/packages/cli/src/log_options.ts
@@ -2,7 +2,9 @@
 import { formatDuration, parseDuration } from "@lentilspur/declarations/units";
 import { extendType, option, string } from "cmd-ts";
 import type { z } from "zod";
-import type { CommandContext, OpenLog } from "./command_context.ts";
+import type { Result } from "@lentilspur/outcomes/result";
+import type { LogFailure } from "@lentilspur/ports/log";
+import type { CommandContext } from "./command_context.ts";
 import { EXIT_CODES, type ExitCode } from "./exit_codes.ts";
 import { describeLogFailure, LogSession } from "./log_session.ts";
 import { streamSchema, urlSchema } from "./setting_schemas.ts";
@@ -90,34 +92,48 @@
   });
 }
 
+export interface ReadingOptions {
+  /**
+   * `checkpoint` reads little and shows the state; `oldest` reads every record
+   * that the log still holds, and shows the publications among them.
+   */
+  readonly from?: "checkpoint" | "oldest";
+}
+
 /** Reads the log to its end, lets `act` work on it, and closes the log. */
 export async function runWithLog(
   context: CommandContext,
-  options: LogOptions,
+  options: LogOptions & ReadingOptions,
   act: (session: LogSession) => Promise<ExitCode>,
 ): Promise<ExitCode> {
   const log = context.openLog(options.logUrl);
   try {
-    return await runSession(context, { ...options, log }, act);
+    const session = new LogSession({
+      log,
+      stream: options.logStream,
+      checkpointStream: options.checkpointStream,
+      clock: context.clock,
+    });
+    const read = await readSession(session, options.from ?? "checkpoint");
+    if (!read.ok) {
+      context.printError(describeLogFailure(read.val));
+      return EXIT_CODES.unavailable;
+    }
+    return await act(session);
   } finally {
     log.close();
   }
 }
 
-async function runSession(
-  context: CommandContext,
-  options: LogOptions & { readonly log: OpenLog },
-  act: (session: LogSession) => Promise<ExitCode>,
-): Promise<ExitCode> {
-  const session = new LogSession({
-    log: options.log,
-    stream: options.logStream,
-    clock: context.clock,
-  });
-  const read = await session.readToEnd();
-  if (!read.ok) {
-    context.printError(describeLogFailure(read.val));
-    return EXIT_CODES.unavailable;
+async function readSession(
+  session: LogSession,
+  from: "checkpoint" | "oldest",
+): Promise<Result<void, LogFailure>> {
+  if (from === "checkpoint") {
+    const restored = await session.restoreCheckpoint();
+    if (!restored.ok) {
+      return restored;
+    }
   }
-  return await act(session);
+  return await session.readToEnd();
 }
--- a/packages/cli/src/log_session.ts
+++ b/packages/cli/src/log_session.ts
@@ -5,6 +5,7 @@
  */
 import type { Configuration } from "@lentilspur/declarations/template";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import { fetchNewestCheckpoint } from "@lentilspur/platform/checkpoint_reader";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { LogFailure, LogPort, LogRecord } from "@lentilspur/ports/log";
 import type { Envelope, Verdict } from "@lentilspur/state/entries";
@@ -19,6 +20,7 @@
 export interface LogSessionOptions {
   readonly log: LogPort;
   readonly stream: string;
+  readonly checkpointStream: string;
   readonly clock: Clock;
 }
 
@@ -43,18 +45,13 @@
 const OPERATOR_PREFIX = "operator:";
 
 export class LogSession {
-  readonly #log: LogPort;
-  readonly #stream: string;
-  readonly #clock: Clock;
-  readonly #fold: Fold;
+  readonly #options: LogSessionOptions;
+  #fold = new Fold();
   readonly #found = new Map<string, FoundEnvelope>();
   readonly #publications: Publication[] = [];
 
-  constructor(options: LogSessionOptions, fold: Fold = new Fold()) {
-    this.#log = options.log;
-    this.#stream = options.stream;
-    this.#clock = options.clock;
-    this.#fold = fold;
+  constructor(options: LogSessionOptions) {
+    this.#options = options;
   }
 
   get view(): StateView {
@@ -79,10 +76,49 @@
     return this.#found.get(id);
   }
 
-  /** Reads and folds up to the log's present end. */
+  /** Whether the publication that made `version` was read. */
+  isCovering(version: number): boolean {
+    return this.#publications.some((each) => each.version === version);
+  }
+
+  /** Another session on the same log, which has read nothing yet. */
+  createAnew(): LogSession {
+    return new LogSession(this.#options);
+  }
+
+  /** Goes on from the newest checkpoint, if that is ahead. */
+  async restoreCheckpoint(): Promise<Result<void, LogFailure>> {
+    const { log, checkpointStream } = this.#options;
+    const found = await fetchNewestCheckpoint(log, checkpointStream);
+    if (!found.ok) {
+      return found;
+    }
+    const fold = found.val?.fold;
+    if (fold !== undefined && fold.nextOffset > this.#fold.nextOffset) {
+      this.#fold = fold;
+    }
+    return Ok(undefined);
+  }
+
+  /**
+   * Reads and folds up to the log's present end. Where the next record has
+   * expired, a checkpoint takes the place of what is gone.
+   */
   async readToEnd(): Promise<Result<void, LogFailure>> {
+    const { log, stream } = this.#options;
     for (;;) {
-      const batch = await this.#log.read(this.#stream, this.#fold.nextOffset);
+      const startedAt = this.#fold.nextOffset;
+      const batch = await log.read(stream, startedAt);
+      if (!batch.ok && batch.val.kind === "expired") {
+        const restored = await this.restoreCheckpoint();
+        if (!restored.ok) {
+          return restored;
+        }
+        if (this.#fold.nextOffset === startedAt) {
+          return batch;
+        }
+        continue;
+      }
       if (!batch.ok) {
         return batch;
       }
@@ -111,11 +147,12 @@
     envelope: Envelope,
     patienceMs: number,
   ): Promise<AppendOutcome> {
-    const giveUpAt = this.#clock.readMs() + patienceMs;
+    const { log, stream, clock } = this.#options;
+    const giveUpAt = clock.readMs() + patienceMs;
     const payload = serializeEnvelope(envelope);
     let mayStandInLog = false;
     for (;;) {
-      const appended = await this.#log.append(this.#stream, payload);
+      const appended = await log.append(stream, payload);
       if (!appended.ok && appended.val.kind === "refused" && !mayStandInLog) {
         return { kind: "not-appended", message: appended.val.message };
       }
@@ -125,10 +162,10 @@
       if (found !== undefined) {
         return { kind: "decided", found };
       }
-      if (this.#clock.readMs() >= giveUpAt) {
+      if (clock.readMs() >= giveUpAt) {
         return { kind: "unknown", message: describeDoubt(appended, read) };
       }
-      await this.#clock.sleep(RETRY_PAUSE_MS);
+      await clock.sleep(RETRY_PAUSE_MS);
     }
   }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -66,8 +66,14 @@
   return exitCode === 0 ? EXIT_CODES.done : EXIT_CODES.usage;
 }
 
+/** For the last lines of output to leave the process. */
+const EXIT_GRACE_MS = 2_000;
+
 /** Entry of the program; `bin/lentilspur.js` calls it. */
 export async function runMain(): Promise<void> {
   const words = process.argv.slice(2);
-  process.exitCode = await runCommandLine(words, createSystemContext());
+  const code = await runCommandLine(words, createSystemContext());
+  process.exitCode = code;
+  // A connection that went silent may hold the process open for minutes.
+  setTimeout(() => process.exit(code), EXIT_GRACE_MS).unref();
 }
--- a/packages/cli/src/operator_commands_test.ts
+++ b/packages/cli/src/operator_commands_test.ts
@@ -3,9 +3,7 @@
 import { EXIT_CODES } from "./exit_codes.ts";
 import { hashCredential } from "./commands/credential.ts";
 import {
-  addEntry,
-  addMember,
-  FakeLog,
+  FakePlatform,
   makeDirectory,
   Terminal,
 } from "./testing/fake_terminal.ts";
@@ -14,10 +12,10 @@
 
 /** Two instances; `b` sends to one target, which owns one shard. */
 async function createCluster(): Promise<Terminal> {
-  const terminal = new Terminal(new FakeLog());
+  const terminal = new Terminal(new FakePlatform());
   await terminal.publish(makeDirectory(), "--expect-version=0");
-  addMember(terminal.log, "a");
-  addMember(terminal.log, "b");
+  terminal.platform.addMember("a");
+  terminal.platform.addMember("b");
   const target = {
     id: "ledger-1",
     address: "127.0.0.1:9001",
@@ -25,12 +23,16 @@
     template: "ledger",
     checksGrants: false,
   };
-  addEntry(terminal.log, "b", { kind: "target-joined", target, steward: "b" });
+  terminal.platform.addEntry("b", {
+    kind: "target-joined",
+    target,
+    steward: "b",
+  });
   const units = Array.from({ length: 64 }, (_, shard) => ({
     unit: `s:${shard}`,
     to: "ledger-1",
   }));
-  addEntry(terminal.log, "a", {
+  terminal.platform.addEntry("a", {
     kind: "units-assigned",
     template: "ledger",
     units,
@@ -89,7 +91,7 @@
 });
 
 test("makes credentials that differ and whose digest fits", async () => {
-  const terminal = new Terminal(new FakeLog());
+  const terminal = new Terminal(new FakePlatform());
   await terminal.run("credential", "--json");
   await terminal.run("credential", "--json");
   const [first, second] = terminal.takeOutput().split("\n")
--- a/packages/cli/src/publication.ts
+++ b/packages/cli/src/publication.ts
@@ -1,5 +1,5 @@
 /** Publications as the log tells them: who, what, against which version. */
-import { describeChanges } from "@lentilspur/declarations/diff";
+import { describeChanges } from "@lentilspur/declarations/change_text";
 import type {
   Configuration,
   DocumentChange,
--- a/packages/cli/src/publisher.ts
+++ b/packages/cli/src/publisher.ts
@@ -96,9 +96,7 @@
   if (version === expectedVersion) {
     return undefined;
   }
-  const isCovered = session.publications
-    .some((publication) => publication.version === expectedVersion + 1);
-  return isCovered
+  return session.isCovering(expectedVersion + 1)
     ? { kind: "superseded", version }
     : { kind: "no-longer-told", envelopeId: resume };
 }
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -1,98 +1,90 @@
-/** A log in memory and a terminal beside it, for the tests of commands. */
+/** A platform in memory and terminals beside it, for the tests of commands. */
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
-import type { Clock } from "@lentilspur/ports/clock";
-import type { LogBatch, LogFailure } from "@lentilspur/ports/log";
+import { Err, Ok } from "@lentilspur/outcomes/result";
+import { FakeLog, type FakeLogLink } from "@lentilspur/ports/fake_log";
+import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import type { Entry } from "@lentilspur/state/entries";
+import { splitCheckpoint } from "@lentilspur/state/checkpoint";
 import { serializeEnvelope } from "@lentilspur/state/entry_schema";
-import type { CommandContext, OpenLog } from "../command_context.ts";
+import { Fold } from "@lentilspur/state/fold";
+import type { CommandContext } from "../command_context.ts";
 import { runCommandLine } from "../main.ts";
 
-export type AppendFault =
-  | "answer-lost"
-  | "not-taken"
-  | "taken-later"
-  | "refused";
-
-/** A log in memory whose next appends and reads can be made to fail. */
-export class FakeLog implements OpenLog {
-  readonly records: string[] = [];
-  readonly appendFaults: AppendFault[] = [];
-  readonly #delayed: string[] = [];
-  down = false;
-
-  append(
-    _stream: string,
-    payload: string,
-  ): Promise<Result<number, LogFailure>> {
-    const fault = this.down ? "not-taken" : this.appendFaults.shift();
-    const silence = Err({ kind: "unavailable", message: "timed out" } as const);
-    switch (fault) {
-      case undefined:
-        return Promise.resolve(Ok(this.records.push(payload) - 1));
-      case "answer-lost":
-        this.records.push(payload);
-        return Promise.resolve(silence);
-      case "taken-later":
-        this.#delayed.push(payload);
-        return Promise.resolve(silence);
-      case "not-taken":
-        return Promise.resolve(silence);
-      case "refused":
-        return Promise.resolve(Err({ kind: "refused", message: "no route" }));
-    }
-  }
+export const STREAM = "lentilspur";
+const CHECKPOINT_STREAM = "lentilspur-checkpoints";
 
-  read(
-    _stream: string,
-    fromOffset: number,
-  ): Promise<Result<LogBatch, LogFailure>> {
-    if (this.down) {
-      return Promise.resolve(Err({ kind: "unavailable", message: "down" }));
-    }
-    const records = this.records.slice(fromOffset)
-      .map((payload, index) => ({ offset: fromOffset + index, payload }));
-    return Promise.resolve(Ok({ records, nextOffset: this.records.length }));
+/** How far the clock moves at a time while a command runs. */
+const STEP_MS = 50;
+
+/** What all terminals and instances share. */
+export class FakePlatform {
+  readonly clock = new VirtualClock();
+  readonly log = new FakeLog(this.clock);
+
+  get recordCount(): number {
+    return this.log.listRecords(STREAM).length;
   }
 
-  /** Lets appends take effect whose answers were lost long ago. */
-  settle(): void {
-    this.records.push(...this.#delayed.splice(0));
+  /** Appends an entry as if its author were an instance. */
+  addEntry(author: string, entry: Entry): void {
+    const id = `${author}-${this.recordCount}`;
+    const payload = serializeEnvelope({ id, author, entries: [entry] });
+    this.log.appendNow(STREAM, payload);
   }
 
-  close(): void {}
+  addMember(id: string): void {
+    const instance = {
+      id,
+      peerAddress: "127.0.0.1:1",
+      httpAddress: id,
+      dataCentre: "Bole",
+    };
+    this.addEntry(id, { kind: "instance-joined", instance, guardians: [] });
+  }
 }
 
-/** Sleeping takes no time but moves the clock. */
-class InstantClock implements Clock {
-  #nowMs = 0;
-
-  readMs(): number {
-    return this.#nowMs;
-  }
+/** As an instance does before records expire. */
+export function writeCheckpoint({ log, recordCount }: FakePlatform): void {
+  const fold = new Fold();
+  log.listRecords(STREAM)
+    .forEach(({ offset, payload }) => fold.apply(offset, payload));
+  const options = { id: `checkpoint-${recordCount}`, nextOffset: recordCount };
+  splitCheckpoint(fold.serialize(), options)
+    .forEach((part) => log.appendNow(CHECKPOINT_STREAM, part));
+}
 
-  sleep(ms: number): Promise<void> {
-    this.#nowMs += ms;
-    return Promise.resolve();
-  }
+/** Leaves nothing but a checkpoint of everything so far. */
+export function expireRecords(platform: FakePlatform): void {
+  writeCheckpoint(platform);
+  platform.log.expireBefore(STREAM, platform.recordCount);
 }
 
-/** One operator's terminal beside a shared log. */
+/** One operator's terminal, with a connection to the log of its own. */
 export class Terminal {
-  readonly log: FakeLog;
+  readonly platform: FakePlatform;
+  readonly link: FakeLogLink;
+  /** What each instance answers when asked for its version; others are silent. */
   readonly versions = new Map<string, number>();
+  readonly environment: Record<string, string> = {};
   readonly #lines: string[] = [];
 
-  constructor(log: FakeLog) {
-    this.log = log;
+  constructor(platform: FakePlatform) {
+    this.platform = platform;
+    this.link = platform.log.createLink();
   }
 
   /** Returns the exit code; the output is in `takeOutput`. */
-  run(...words: readonly string[]): Promise<number> {
-    return runCommandLine(words, this.#createContext());
+  async run(...words: readonly string[]): Promise<number> {
+    let isDone = false;
+    const running = runCommandLine(words, this.#createContext())
+      .finally(() => isDone = true);
+    while (!isDone) {
+      await this.platform.clock.advance(STEP_MS);
+    }
+    return await running;
   }
 
   publish(directory: string, ...more: readonly string[]): Promise<number> {
@@ -111,7 +103,7 @@
 
   #createContext(): CommandContext {
     return {
-      clock: new InstantClock(),
+      clock: this.platform.clock,
       fetchStatus: (address) => {
         const version = this.versions.get(address);
         return Promise.resolve(
@@ -128,19 +120,30 @@
       },
       print: (line) => void this.#lines.push(line),
       printError: (line) => void this.#lines.push(line),
-      openLog: () => this.log,
+      openLog: () => ({
+        append: (stream, payload) => this.link.append(stream, payload),
+        read: (stream, from, options) => this.link.read(stream, from, options),
+        close: () => {},
+      }),
       readTime: () => new Date(0),
       mintId: () => "0a1b2c3d-rest",
+      environment: this.environment,
     };
   }
 }
 
 const DIGEST = `sha256:${"ab".repeat(32)}`;
 
+const directories: string[] = [];
+
+process.once("exit", () => {
+  directories.forEach((directory) => rmSync(directory, { recursive: true }));
+});
+
 /** A directory with one template whose limit is given, and one account. */
 export function makeDirectory(maxQueued = 64, accountName = "nile"): string {
   const directory = mkdtempSync(join(tmpdir(), "lentilspur-"));
-  process.on("exit", () => rmSync(directory, { recursive: true }));
+  directories.push(directory);
   writeFileSync(
     join(directory, "ledger.yaml"),
     `kind: Template
@@ -162,19 +165,3 @@
   );
   return directory;
 }
-
-/** Appends an entry as if its author were an instance. */
-export function addEntry(log: FakeLog, author: string, entry: Entry): void {
-  const id = `${author}-${log.records.length}`;
-  log.records.push(serializeEnvelope({ id, author, entries: [entry] }));
-}
-
-export function addMember(log: FakeLog, id: string): void {
-  const instance = {
-    id,
-    peerAddress: "127.0.0.1:1",
-    httpAddress: id,
-    dataCentre: "Bole",
-  };
-  addEntry(log, id, { kind: "instance-joined", instance, guardians: [] });
-}
--- a/packages/declarations/src/diff_test.ts
+++ b/packages/declarations/src/diff_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { applyChanges, describeChanges, diffConfigurations } from "./diff.ts";
+import { describeChanges } from "./change_text.ts";
+import { applyChanges, diffConfigurations } from "./diff.ts";
 import { renderConfiguration } from "./render.ts";
 import type { ClientAccount, Configuration, Template } from "./template.ts";
 import { validateDeclarations } from "./validate.ts";
--- a/packages/declarations/src/references.ts
+++ b/packages/declarations/src/references.ts
@@ -5,18 +5,12 @@
 import type { ClientAccountDocument } from "./client_account_schema.ts";
 import type { DeclarationFault } from "./declaration_fault.ts";
 import type { Declared, DeclaredDocuments } from "./declared_documents.ts";
-import type { SourceDocument, ValuePath } from "./document_source.ts";
-import { matchRoutePaths } from "./route_path.ts";
+import type { SourceDocument } from "./document_source.ts";
+import { formatPlace, listRepeated } from "./occurrence.ts";
+import { checkRoutes } from "./route_conflicts.ts";
 import type { Configuration } from "./template.ts";
 import type { TemplateDocument } from "./template_schema.ts";
 
-/** A value that must be the only one of its kind. */
-interface Occurrence {
-  readonly value: string;
-  readonly source: SourceDocument;
-  readonly path: ValuePath;
-}
-
 /** Everything read, valid or not, and what is in force if that is known. */
 export interface ReferenceContext {
   readonly sources: readonly SourceDocument[];
@@ -61,48 +55,6 @@
   }));
 }
 
-interface RouteOccurrence extends Occurrence {
-  readonly method: string;
-  readonly template: string;
-}
-
-function checkRoutes(
-  templates: readonly Declared<TemplateDocument>[],
-): readonly DeclarationFault[] {
-  const routes = templates.flatMap(listRoutes);
-  return routes.flatMap((route, index) => {
-    const earlier = routes.slice(0, index).find((other) =>
-      other.method === route.method && matchRoutePaths(other.value, route.value)
-    );
-    return earlier === undefined ? [] : [createRouteFault(route, earlier)];
-  });
-}
-
-function listRoutes(
-  { source, content }: Declared<TemplateDocument>,
-): readonly RouteOccurrence[] {
-  return content.routes.map((route, index) => ({
-    value: route.path,
-    method: route.method,
-    template: content.name,
-    source,
-    path: ["routes", index, "path"],
-  }));
-}
-
-function createRouteFault(
-  route: RouteOccurrence,
-  earlier: RouteOccurrence,
-): DeclarationFault {
-  return route.source.createFault(
-    route.path,
-    `${route.method} ${route.value}, which can match the same request as ${earlier.method} ${earlier.value} of template ${
-      JSON.stringify(earlier.template)
-    } at ${formatPlace(earlier)}`,
-    "routes of which at most one matches any request",
-  );
-}
-
 function checkDurations(
   { source, content }: Declared<TemplateDocument>,
 ): readonly DeclarationFault[] {
@@ -198,27 +150,3 @@
     `${current.shardCount}, which is in force and fixed for the life of a template; declare a new template under another name instead`,
   )];
 }
-
-function listRepeated(
-  occurrences: readonly Occurrence[],
-  explain: (
-    earlier: Occurrence,
-  ) => { readonly found: string; readonly allowed: string },
-): readonly DeclarationFault[] {
-  const seen = new Map<string, Occurrence>();
-  const faults: DeclarationFault[] = [];
-  for (const occurrence of occurrences) {
-    const earlier = seen.get(occurrence.value);
-    if (earlier === undefined) {
-      seen.set(occurrence.value, occurrence);
-      continue;
-    }
-    const { found, allowed } = explain(earlier);
-    faults.push(occurrence.source.createFault(occurrence.path, found, allowed));
-  }
-  return faults;
-}
-
-function formatPlace({ source, path }: Occurrence): string {
-  return `${source.file}:${source.locate(path).line}`;
-}
--- a/packages/declarations/src/route_path.ts
+++ b/packages/declarations/src/route_path.ts
@@ -6,8 +6,10 @@
 export const RESERVED_SEGMENTS: readonly string[] = [
   "admin",
   "health",
+  "healthz",
   "metrics",
   "ready",
+  "readyz",
   "request-ids",
 ];
 
--- a/packages/declarations/src/validate_test.ts
+++ b/packages/declarations/src/validate_test.ts
@@ -5,6 +5,7 @@
   formatDeclarationFault,
 } from "./declaration_fault.ts";
 import { validateDeclarations } from "./validate.ts";
+import { listWarnings } from "./warnings.ts";
 
 const DIGEST = `sha256:${"ab".repeat(32)}`;
 
@@ -264,3 +265,14 @@
   assert.equal(fault?.found, "an anchor or alias");
   assert.equal(fault?.line, 12);
 });
+
+test("warns of what is valid but seldom meant", () => {
+  const text = TEMPLATE.replace("idempotent: true", "idempotent: false");
+  const result = validateDeclarations([{ name: "a.yaml", text }]);
+  assert.ok(result.ok);
+  const warnings = listWarnings(result.val).map((line) => line.slice(0, 40));
+  assert.deepEqual(warnings, [
+    'Template "ledger" declares GET /ledger/{',
+    'No client account may use template "ledg',
+  ]);
+});
