--- a/packages/router/src/decision_log.ts
+++ b/packages/router/src/decision_log.ts
@@ -14,20 +14,48 @@
 
 export type LogLevel = InstanceSettings["logLevel"];
 
-/** A logger whose messages are finished lines. */
-export function createLogger(level: LogLevel): winston.Logger {
-  return winston.createLogger({
-    level,
-    format: winston.format.printf((info) => String(info.message)),
-    transports: [new winston.transports.Console()],
-  });
+/** Decisions come before every level: the audit needs each of them. */
+const LEVELS = { decision: 0, error: 1, warn: 2, info: 3, debug: 4 } as const;
+
+/** Writes one line at a time. */
+export class LineLog {
+  readonly #logger: winston.Logger;
+
+  /** Writes to `stream`, or to standard output. */
+  constructor(level: LogLevel, stream?: NodeJS.WritableStream) {
+    this.#logger = winston.createLogger({
+      levels: LEVELS,
+      level,
+      format: winston.format.printf((info) => String(info.message)),
+      transports: [
+        stream === undefined
+          ? new winston.transports.Console()
+          : new winston.transports.Stream({ stream }),
+      ],
+    });
+  }
+
+  /** Writes a decision as JSON, whatever the level is. */
+  logDecision(line: DecisionLine): void {
+    this.#logger.log("decision", JSON.stringify(line));
+  }
+
+  /** A line for people that is not a decision; the audit skips it. */
+  logMessage(
+    level: LogLevel,
+    message: string,
+    details: Readonly<Record<string, string | number | boolean>> = {},
+  ): void {
+    const time = new Date().toISOString();
+    const line = JSON.stringify({ level, message, ...details, time });
+    this.#logger.log(level, line);
+  }
 }
 
 export interface DecisionLogOptions {
   readonly instanceId: string;
   readonly clock: Clock;
-  /** Where finished lines go. */
-  readonly write: (line: string) => void;
+  readonly lines: LineLog;
   /** Undefined until the instance has begun to fold. */
   readonly getState: () => StateSource | undefined;
 }
@@ -41,7 +69,7 @@
   }
 
   log(decision: Decision): void {
-    const { instanceId, clock, getState, write } = this.#options;
+    const { instanceId, clock, getState, lines } = this.#options;
     const line: DecisionLine = {
       ...decision,
       instance: instanceId,
@@ -51,16 +79,6 @@
       foldedOffset: getState()?.getView().nextOffset ?? 0,
     };
     this.#sequence++;
-    write(JSON.stringify(line));
+    lines.logDecision(line);
   }
 }
-
-/** A line for people that is not a decision; the audit skips it. */
-export function formatMessage(
-  level: LogLevel,
-  message: string,
-  details: Readonly<Record<string, string | number | boolean>> = {},
-): string {
-  const time = new Date().toISOString();
-  return JSON.stringify({ level, message, ...details, time });
-}
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -3,6 +3,7 @@
  * side, and the data path. It knows no network, so the fuzzer runs the same
  * code on fakes and a virtual clock.
  */
+import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { Clock, Random } from "@lentilspur/ports/clock";
 import type { InstanceListPort } from "@lentilspur/ports/instance_list";
 import type { LogPort } from "@lentilspur/ports/log";
@@ -12,6 +13,7 @@
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { InstanceDescription } from "@lentilspur/state/entries";
 import type { StateView } from "@lentilspur/state/view";
+import { ConfigurationWatch } from "./configuration_watch.ts";
 import { Control } from "./control/control.ts";
 import type { CallerAnswer, CallerRequest } from "./entry/caller.ts";
 import { Gateway } from "./entry/gateway.ts";
@@ -32,6 +34,8 @@
   readonly targets: TargetPort;
   readonly peers: PeerPort;
   readonly decisions: DecisionSink;
+  /** Told of refusals that leave no decision line, for the metrics. */
+  readonly recordEarlyRefusal?: (kind: ErrorKind) => void;
 }
 
 type Phase = "starting" | "serving" | "stopping" | "ended";
@@ -47,6 +51,7 @@
   readonly #control: Control;
   readonly #dispatcher: Dispatcher;
   readonly #gateway: Gateway;
+  readonly #configuration: ConfigurationWatch;
   readonly #running = new AbortController();
   #phase: Phase = "starting";
   #requestsInProgress = 0;
@@ -56,6 +61,12 @@
     const { instance, timing, clock, peers, decisions } = options;
     this.#replica = createReplica(options);
     this.#access = new ReplicaAccess(this.#replica, instance.id);
+    this.#configuration = new ConfigurationWatch({
+      clock,
+      decisions,
+      readVersion: () => this.#replica.view.configurationVersion,
+    });
+    this.#replica.watch((event) => this.#configuration.observe(event));
     this.#control = new Control({
       ...options,
       log: this.#access,
@@ -78,6 +89,9 @@
       instanceId: instance.id,
       local: this.#dispatcher,
       peers,
+      ...(options.recordEarlyRefusal === undefined
+        ? {}
+        : { recordEarlyRefusal: options.recordEarlyRefusal }),
     });
     this.service = this.#buildService();
   }
@@ -120,6 +134,11 @@
     return this.#access.getView();
   }
 
+  /** Milliseconds since this instance took the present configuration up. */
+  get inForceSinceMs(): number {
+    return this.#configuration.inForceSinceMs;
+  }
+
   isLeaseHeld(): boolean {
     return this.#control.isLeaseHeld();
   }
