feat(cli): serve an instance, show what is in force

serve resolves the settings, runs the daemon until SIGTERM or SIGINT and exits with 0 after the graceful stop, or with 6 when others took the instance over. show prints the version in force as YAML that checks and publishes as it is.

--- a/packages/cli/src/commands/declare_lost.ts
+++ b/packages/cli/src/commands/declare_lost.ts
@@ -4,6 +4,7 @@
  * does not check grants and cannot be reached, or an instance whose guardians
  * are all gone.
  */
+import { OPERATOR_PREFIX } from "@lentilspur/state/apply_membership";
 import type { Entry, Verdict } from "@lentilspur/state/entries";
 import { command, flag, option, optional, string } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
@@ -105,7 +106,7 @@
   }
   const envelope = {
     id: `loss/${context.mintId()}`,
-    author: `operator:${args.operator}`,
+    author: `${OPERATOR_PREFIX}${args.operator}`,
     entries: [entry],
   };
   const outcome = await session.appendEnvelope(envelope, args.patience);
--- a/packages/cli/src/log_session.ts
+++ b/packages/cli/src/log_session.ts
@@ -8,6 +8,7 @@
 import { fetchNewestCheckpoint } from "@lentilspur/platform/checkpoint_reader";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { LogFailure, LogPort, LogRecord } from "@lentilspur/ports/log";
+import { OPERATOR_PREFIX } from "@lentilspur/state/apply_membership";
 import type { Envelope, Verdict } from "@lentilspur/state/entries";
 import {
   parseEnvelope,
@@ -42,8 +43,6 @@
 /** Pause between two attempts against a log that does not answer. */
 const RETRY_PAUSE_MS = 250;
 
-const OPERATOR_PREFIX = "operator:";
-
 export class LogSession {
   readonly #options: LogSessionOptions;
   #fold = new Fold();
@@ -169,24 +168,29 @@
     }
   }
 
-  #applyRecord(record: LogRecord): void {
-    const before = this.configuration;
-    const verdicts = this.#fold.apply(record.offset, record.payload);
-    const envelope = parseEnvelope(record.payload);
-    if (
-      envelope === undefined || !envelope.author.startsWith(OPERATOR_PREFIX)
-    ) {
+  #applyRecord({ offset, payload }: LogRecord): void {
+    const envelope = findOperatorEnvelope(payload);
+    const before = envelope === undefined ? undefined : this.configuration;
+    const verdicts = this.#fold.apply(offset, payload);
+    if (envelope === undefined || before === undefined) {
       return;
     }
-    if (this.#found.has(envelope.id)) {
-      return;
+    if (!this.#found.has(envelope.id)) {
+      const found = { offset, envelope, verdicts };
+      this.#found.set(envelope.id, found);
+      this.#publications.push(...listPublicationsOf(found, before));
     }
-    const found = { offset: record.offset, envelope, verdicts };
-    this.#found.set(envelope.id, found);
-    this.#publications.push(...listPublicationsOf(found, before));
   }
 }
 
+/** Most records are of instances; they are told apart before they are parsed. */
+function findOperatorEnvelope(payload: string): Envelope | undefined {
+  const envelope = payload.includes(OPERATOR_PREFIX)
+    ? parseEnvelope(payload)
+    : undefined;
+  return envelope?.author.startsWith(OPERATOR_PREFIX) ? envelope : undefined;
+}
+
 /** A failure as a sentence, with what to do next. */
 export function describeLogFailure(failure: LogFailure): string {
   switch (failure.kind) {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -11,6 +11,8 @@
 import { createHistoryCommand } from "./commands/history.ts";
 import { createOwnerCommand } from "./commands/owner.ts";
 import { createPublishCommand } from "./commands/publish.ts";
+import { createServeCommand } from "./commands/serve.ts";
+import { createShowCommand } from "./commands/show.ts";
 import { createStatusCommand } from "./commands/status.ts";
 import { createStewardsCommand } from "./commands/stewards.ts";
 import { EXIT_CODES, EXIT_CODES_HELP, type ExitCode } from "./exit_codes.ts";
@@ -22,9 +24,11 @@
     description:
       "Routes requests to servers that own their keys exclusively. Operators check, diff and publish declarations; serve runs an instance",
     cmds: {
+      serve: createServeCommand(context),
       check: createCheckCommand(context),
       diff: createDiffCommand(context),
       publish: createPublishCommand(context),
+      show: createShowCommand(context),
       status: createStatusCommand(context),
       history: createHistoryCommand(context),
       owner: createOwnerCommand(context),
--- a/packages/cli/src/operator_commands_test.ts
+++ b/packages/cli/src/operator_commands_test.ts
@@ -102,3 +102,39 @@
   assert.notEqual(first.credential, second.credential);
   assert.equal(hashCredential(first.credential), first.digest);
 });
+
+test("starts an instance from flags and variables and stops it", async () => {
+  const terminal = new Terminal(new FakePlatform());
+  terminal.environment["LENTILSPUR_DATA_CENTRE"] = "Bole";
+  terminal.environment["LENTILSPUR_INSTANCE_LIST_URL"] = "http://127.0.0.1:2";
+  const code = await terminal.run("serve", LOG, "--lease=3s");
+  assert.equal(code, EXIT_CODES.done);
+  const [settings] = terminal.started;
+  assert.equal(settings?.dataCentre, "Bole");
+  assert.equal(settings?.timing.leaseMs, 3_000);
+  assert.equal(settings?.instanceId, "instance-0a1b2c3d");
+  assert.equal(terminal.stopCount, 1);
+});
+
+test("ends with a code of its own when others took the instance over", async () => {
+  // A virtual machine was suspended for a minute. Its targets have other
+  // stewards by then, so the process must end and a new one must be started.
+  const terminal = new Terminal(new FakePlatform());
+  terminal.stopRequested = new Promise(() => {});
+  terminal.ended = Promise.resolve("taken-over");
+  const list = "--instance-list-url=http://127.0.0.1:2";
+  const code = await terminal.run("serve", LOG, list, "--data-centre=Bole");
+  assert.equal(code, EXIT_CODES.takenOver);
+  assert.equal(terminal.stopCount, 0);
+});
+
+test("starts nothing while a setting is at fault", async () => {
+  const terminal = new Terminal(new FakePlatform());
+  const code = await terminal.run("serve", LOG, "--lease=3");
+  assert.equal(code, EXIT_CODES.usage);
+  assert.match(
+    terminal.takeOutput(),
+    /^--data-centre[^]*^--instance-list-url[^]*^--lease is "3"[^]*3 faults/m,
+  );
+  assert.deepEqual(terminal.started, []);
+});
--- a/packages/cli/src/publish_report.ts
+++ b/packages/cli/src/publish_report.ts
@@ -104,7 +104,7 @@
   return [
     head,
     ...later,
-    "Take their changes into your files, look at lentilspur diff, and publish against the new version",
+    "Take their changes into your files (lentilspur show prints them), look at lentilspur diff, and publish against the new version",
   ];
 }
 
--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { test } from "node:test";
 import { Err } from "@lentilspur/outcomes/result";
 import { EXIT_CODES } from "./exit_codes.ts";
@@ -250,6 +252,17 @@
   assert.match(terminal.takeOutput(), /in force on 3 of 3 instances/);
 });
 
+test("shows what is in force in a form that changes nothing", async () => {
+  const terminal = new Terminal(new FakePlatform());
+  await terminal.publish(makeDirectory(), "--expect-version=0");
+  terminal.takeOutput();
+  await terminal.run("show", LOG);
+  const directory = makeDirectory();
+  writeFileSync(join(directory, "ledger.yaml"), terminal.takeOutput());
+  await terminal.run("diff", directory, LOG);
+  assert.match(terminal.takeOutput(), /^No difference from version 1/);
+});
+
 test("tells wrong usage apart from a refusal", async () => {
   const terminal = new Terminal(new FakePlatform());
   const code = await terminal.publish(makeDirectory(), "--expect-version=one");
--- a/packages/cli/src/publisher.ts
+++ b/packages/cli/src/publisher.ts
@@ -9,6 +9,7 @@
 import type { DeclarationFile } from "@lentilspur/declarations/document_source";
 import type { DocumentChange } from "@lentilspur/declarations/template";
 import { validateDeclarations } from "@lentilspur/declarations/validate";
+import { OPERATOR_PREFIX } from "@lentilspur/state/apply_membership";
 import type {
   Entry,
   Envelope,
@@ -164,7 +165,7 @@
   const nonce = request.resume?.split(ID_SEPARATOR)[1] ?? request.nonce;
   return {
     id: ["publication", nonce, digest].join(ID_SEPARATOR),
-    author: `operator:${request.operator}`,
+    author: `${OPERATOR_PREFIX}${request.operator}`,
     entries: [entry],
   };
 }
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -6,6 +6,7 @@
 import { Err, Ok } from "@lentilspur/outcomes/result";
 import { FakeLog, type FakeLogLink } from "@lentilspur/ports/fake_log";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
+import type { InstanceSettings } from "@lentilspur/router/settings";
 import type { Entry } from "@lentilspur/state/entries";
 import { splitCheckpoint } from "@lentilspur/state/checkpoint";
 import { serializeEnvelope } from "@lentilspur/state/entry_schema";
@@ -69,6 +70,11 @@
   /** What each instance answers when asked for its version; others are silent. */
   readonly versions = new Map<string, number>();
   readonly environment: Record<string, string> = {};
+  /** Settings of the instances that were started here. */
+  readonly started: InstanceSettings[] = [];
+  stopCount = 0;
+  stopRequested: Promise<void> = Promise.resolve();
+  ended: Promise<"stopped" | "taken-over"> = new Promise(() => {});
   readonly #lines: string[] = [];
 
   constructor(platform: FakePlatform) {
@@ -128,6 +134,16 @@
       readTime: () => new Date(0),
       mintId: () => "0a1b2c3d-rest",
       environment: this.environment,
+      startInstance: (settings) => {
+        this.started.push(settings);
+        return Promise.resolve(Ok({
+          httpAddress: "127.0.0.1:8080",
+          peerAddress: "127.0.0.1:8081",
+          ended: this.ended,
+          stop: () => Promise.resolve(void this.stopCount++),
+        }));
+      },
+      waitForStop: () => this.stopRequested,
     };
   }
 }
--- a/packages/declarations/src/references.ts
+++ b/packages/declarations/src/references.ts
@@ -22,12 +22,13 @@
   context: ReferenceContext,
 ): readonly DeclarationFault[] {
   const { templates, clientAccounts } = context.documents;
+  const known = listTemplateNames(context.sources);
   return [
     ...checkNames(context.sources),
     ...checkRoutes(templates),
     ...templates.flatMap(checkDurations),
     ...clientAccounts.flatMap((account) =>
-      checkAccountTemplates(account, context.sources)
+      checkAccountTemplates(account, known)
     ),
     ...checkCredentials(clientAccounts),
     ...templates.flatMap((template) =>
@@ -84,13 +85,19 @@
   return faults;
 }
 
+/** Also of templates with faults, so that one fault does not make many. */
+function listTemplateNames(
+  sources: readonly SourceDocument[],
+): readonly string[] {
+  return sources
+    .filter((source) => source.getText("kind") === "Template")
+    .flatMap((source) => source.getText("name") ?? []);
+}
+
 function checkAccountTemplates(
   { source, content }: Declared<ClientAccountDocument>,
-  sources: readonly SourceDocument[],
+  known: readonly string[],
 ): readonly DeclarationFault[] {
-  const known = sources
-    .filter((other) => other.getText("kind") === "Template")
-    .flatMap((other) => other.getText("name") ?? []);
   const occurrences = content.templates.map(({ template }, index) => ({
     value: template,
     source,
