feat(policy): shorten standing queues and tell more callers early

Change: a backlog that lasts shortens the time a new job may wait; accounts that ask for little keep a bounded credit and near-equal tags go by age; waits are estimated per lane, short or long; jobs waiting on a target that has become slower are given up by its present speed; hot keys are counted by expected cost and need several requests.

--- a/packages/policy/src/decaying_counter.ts
+++ b/packages/policy/src/decaying_counter.ts
@@ -11,6 +11,8 @@
   name: string;
   weight: number;
   error: number;
+  /** Observations, decayed as weights are. */
+  count: number;
 }
 
 /** One of the heaviest names. Weights are decayed sums, in what was added. */
@@ -19,6 +21,8 @@
   readonly weight: number;
   /** What the name has at least; the rest may stem from others. */
   readonly certainWeight: number;
+  /** Decayed number of observations since the name was last taken in. */
+  readonly count: number;
 }
 
 /** Stored weights grow with time; past this factor they are scaled back. */
@@ -46,19 +50,26 @@
     const known = this.#entries.get(name);
     if (known !== undefined) {
       known.weight += scaled;
+      known.count += this.#scale;
       return;
     }
     const error = this.#entries.size < this.#capacity ? 0 : this.#evict();
-    this.#entries.set(name, { name, weight: error + scaled, error });
+    this.#entries.set(name, {
+      name,
+      weight: error + scaled,
+      error,
+      count: this.#scale,
+    });
   }
 
   list(nowMs: number): readonly HeavyName[] {
     this.#advance(nowMs);
     return [...this.#entries.values()]
-      .map(({ name, weight, error }) => ({
+      .map(({ name, weight, error, count }) => ({
         name,
         weight: weight / this.#scale,
         certainWeight: (weight - error) / this.#scale,
+        count: count / this.#scale,
       }))
       .sort((left, right) => right.certainWeight - left.certainWeight);
   }
@@ -88,6 +99,7 @@
     for (const entry of this.#entries.values()) {
       entry.weight /= this.#scale;
       entry.error /= this.#scale;
+      entry.count /= this.#scale;
     }
     this.#scale = 1;
   }
--- a/packages/policy/src/fair_queue.ts
+++ b/packages/policy/src/fair_queue.ts
@@ -6,8 +6,8 @@
  * behind its own jobs and, of the others', only behind their fair share.
  *
  * An account's start tag is the virtual time at which its next job is due; a
- * job moves it on by cost over weight. Tags never lie behind the virtual time
- * when an account becomes active, so idle time earns no credit.
+ * job moves it on by cost over weight. Tags lie behind the virtual time never
+ * by more than a bounded credit when an account becomes active.
  */
 import type { ScheduledJob } from "./scheduled_job.ts";
 
@@ -16,6 +16,8 @@
   readonly job: ScheduledJob;
   readonly costMs: number;
   readonly long: boolean;
+  /** What a job of the target took typically when this one was admitted. */
+  readonly typicalMs: number;
   /** Starting later than this would miss the deadline or the queue's bound. */
   readonly latestStartMs: number;
 }
@@ -25,18 +27,42 @@
   weight: number;
   startTag: number;
   workMs: number;
+  /** The part of `workMs` that is long jobs. */
+  longWorkMs: number;
   running: number;
   readonly waiting: QueuedJob[];
 }
 
+/** The oldest job of an account that may run. */
+interface QueueHead {
+  readonly account: AccountQueue;
+  readonly index: number;
+  readonly arrivedAtMs: number;
+}
+
 /** Where a new job of an account would stand. */
 export interface QueuePlace {
   /** Work, in milliseconds of one place, that is served before it. */
   readonly workAheadMs: number;
+  /** The part of it that is as long, or as short, as the job itself. */
+  readonly likeAheadMs: number;
   /** Virtual time at which the account's last job would be done. */
   readonly finishTag: number;
 }
 
+/**
+ * How far behind the virtual time an account may start after it was idle, in
+ * milliseconds of one place for a weight of 1. An account that asks for little
+ * so goes before one that asks for more all the time, for this much work: ten
+ * requests of 20 ms. It bounds what an idle account can claim later.
+ */
+const IDLE_CREDIT_MS = 200;
+/**
+ * Tags that differ by less count as equal, and the oldest job goes first. Exact
+ * order by tags makes whoever sent two requests at once wait longer, although
+ * nobody is over its share; this much is five requests of 20 ms.
+ */
+const TAG_SLACK_MS = 100;
 /** Idle accounts are swept once this many are known. */
 const SWEEP_ABOVE = 256;
 
@@ -60,6 +86,15 @@
     return workMs;
   }
 
+  /** The part of `workMs` that is long jobs. */
+  get longWorkMs(): number {
+    let workMs = 0;
+    for (const account of this.#backlogged) {
+      workMs += account.longWorkMs;
+    }
+    return workMs;
+  }
+
   /** Client accounts with waiting jobs. */
   get backloggedAccounts(): number {
     return this.#backlogged.length;
@@ -69,25 +104,28 @@
     const account = this.#claimAccount(queued.job);
     account.weight = queued.job.weight;
     if (account.waiting.length === 0) {
-      account.startTag = Math.max(account.startTag, this.#virtualTime);
+      account.startTag = this.#computeStartTag(account);
       this.#backlogged.push(account);
     }
     account.waiting.push(queued);
     account.workMs += queued.costMs;
+    account.longWorkMs += queued.long ? queued.costMs : 0;
     this.#size++;
   }
 
   /** Where a job of this account and cost would stand, were it added now. */
-  locateNew(
-    job: Pick<ScheduledJob, "clientAccount" | "weight">,
-    costMs: number,
-  ): QueuePlace {
+  locateNew(queued: QueuedJob): QueuePlace {
+    const { job, costMs, long } = queued;
     const own = this.#accounts.get(job.clientAccount);
     const ownWorkMs = own?.workMs ?? 0;
-    const startTag = Math.max(own?.startTag ?? 0, this.#virtualTime);
+    const ownLikeMs = own === undefined ? 0 : getLikeWorkMs(own, long);
+    const startTag = this.#computeStartTag(own);
     const dueTag = startTag + ownWorkMs / job.weight;
+    const likeDueTag = startTag + ownLikeMs / job.weight;
     return {
       workAheadMs: ownWorkMs + this.#computeOthersWork(own, dueTag),
+      likeAheadMs: ownLikeMs +
+        this.#computeOthersLikeWork(own, likeDueTag, long),
       finishTag: dueTag + costMs / job.weight,
     };
   }
@@ -115,28 +153,28 @@
   }
 
   /**
-   * The job that is due first among those that `mayRun` allows. Each account
-   * offers its oldest allowed job. `lagMs` is the service, in milliseconds of
-   * one place, that the account has fallen behind the virtual time.
+   * Among the accounts that are due, the oldest job that `mayRun` allows; of
+   * each account the oldest such job counts. `lagMs` is the service, in
+   * milliseconds of one place, that an account is behind beyond its credit.
    */
   takeNext(
     mayRun: (queued: QueuedJob, lagMs: number) => boolean,
   ): QueuedJob | undefined {
-    let best: AccountQueue | undefined;
-    let bestIndex = -1;
-    for (const account of this.#backlogged) {
-      if (best !== undefined && account.startTag >= best.startTag) {
-        continue;
-      }
-      const lag = this.#virtualTime - account.startTag;
-      const lagMs = Math.max(0, lag) * account.weight;
-      const index = account.waiting.findIndex((each) => mayRun(each, lagMs));
-      if (index >= 0) {
-        best = account;
-        bestIndex = index;
+    const heads = this.#listHeads(mayRun);
+    let earliestTag = Infinity;
+    for (const { account } of heads) {
+      earliestTag = Math.min(earliestTag, account.startTag);
+    }
+    let best: QueueHead | undefined;
+    for (const head of heads) {
+      const due = head.account.startTag <= earliestTag + TAG_SLACK_MS;
+      if (due && head.arrivedAtMs < (best?.arrivedAtMs ?? Infinity)) {
+        best = head;
       }
     }
-    return best === undefined ? undefined : this.#startAt(best, bestIndex);
+    return best === undefined
+      ? undefined
+      : this.#startAt(best.account, best.index);
   }
 
   /** Charges what a finished job cost beyond its estimate. */
@@ -168,23 +206,25 @@
   }
 
   /**
-   * Removes and returns jobs that `isLate` for the work ahead of them. What is
+   * Removes and returns jobs that `isLate` for the like work ahead. What is
    * removed counts no longer for those behind it in the same account.
    */
   takeLate(
-    isLate: (queued: QueuedJob, workAheadMs: number) => boolean,
+    isLate: (queued: QueuedJob, likeAheadMs: number) => boolean,
   ): readonly QueuedJob[] {
     const taken: QueuedJob[] = [];
     for (const account of this.#backlogged.slice()) {
-      let ownWorkMs = 0;
+      const ownMs = { long: 0, short: 0 };
       for (let index = 0; index < account.waiting.length;) {
         const queued = account.waiting[index]!;
-        const dueTag = account.startTag + ownWorkMs / account.weight;
-        const aheadMs = ownWorkMs + this.#computeOthersWork(account, dueTag);
+        const kind = queued.long ? "long" : "short";
+        const dueTag = account.startTag + ownMs[kind] / account.weight;
+        const aheadMs = ownMs[kind] +
+          this.#computeOthersLikeWork(account, dueTag, queued.long);
         if (isLate(queued, aheadMs)) {
           taken.push(this.#removeAt(account, index));
         } else {
-          ownWorkMs += queued.costMs;
+          ownMs[kind] += queued.costMs;
           index++;
         }
       }
@@ -192,6 +232,22 @@
     return taken;
   }
 
+  #listHeads(
+    mayRun: (queued: QueuedJob, lagMs: number) => boolean,
+  ): readonly QueueHead[] {
+    const heads: QueueHead[] = [];
+    for (const account of this.#backlogged) {
+      const lag = this.#virtualTime - IDLE_CREDIT_MS - account.startTag;
+      const lagMs = Math.max(0, lag) * account.weight;
+      const index = account.waiting.findIndex((each) => mayRun(each, lagMs));
+      if (index >= 0) {
+        const { arrivedAtMs } = account.waiting[index]!.job;
+        heads.push({ account, index, arrivedAtMs });
+      }
+    }
+    return heads;
+  }
+
   #startAt(account: AccountQueue, index: number): QueuedJob {
     const queued = this.#removeAt(account, index);
     this.#virtualTime = Math.max(this.#virtualTime, account.startTag);
@@ -203,14 +259,24 @@
   #removeAt(account: AccountQueue, index: number): QueuedJob {
     const [removed] = account.waiting.splice(index, 1);
     account.workMs -= removed!.costMs;
+    account.longWorkMs -= removed!.long ? removed!.costMs : 0;
     this.#size--;
     if (account.waiting.length === 0) {
       account.workMs = 0;
+      account.longWorkMs = 0;
       this.#backlogged.splice(this.#backlogged.indexOf(account), 1);
     }
     return removed!;
   }
 
+  #computeStartTag(account: AccountQueue | undefined): number {
+    if (account !== undefined && account.waiting.length > 0) {
+      return account.startTag;
+    }
+    const earliest = this.#virtualTime - IDLE_CREDIT_MS;
+    return Math.max(account?.startTag ?? earliest, earliest);
+  }
+
   #computeOthersWork(own: AccountQueue | undefined, dueTag: number): number {
     let workMs = 0;
     for (const other of this.#backlogged) {
@@ -222,6 +288,21 @@
     return workMs;
   }
 
+  #computeOthersLikeWork(
+    own: AccountQueue | undefined,
+    dueTag: number,
+    long: boolean,
+  ): number {
+    let workMs = 0;
+    for (const other of this.#backlogged) {
+      if (other !== own) {
+        const dueMs = (dueTag - other.startTag) * other.weight;
+        workMs += Math.min(Math.max(0, dueMs), getLikeWorkMs(other, long));
+      }
+    }
+    return workMs;
+  }
+
   #claimAccount(job: ScheduledJob): AccountQueue {
     const known = this.#accounts.get(job.clientAccount);
     if (known !== undefined) {
@@ -230,8 +311,9 @@
     const account = {
       name: job.clientAccount,
       weight: job.weight,
-      startTag: this.#virtualTime,
+      startTag: this.#virtualTime - IDLE_CREDIT_MS,
       workMs: 0,
+      longWorkMs: 0,
       running: 0,
       waiting: [],
     };
@@ -239,13 +321,17 @@
     return account;
   }
 
-  /** An account without jobs that is not ahead of the virtual time says nothing. */
+  /** An account without jobs that has all its credit is as good as unknown. */
   #clearIdleAccounts(): void {
     for (const account of this.#accounts.values()) {
       const idle = account.waiting.length === 0 && account.running === 0;
-      if (idle && account.startTag <= this.#virtualTime) {
+      if (idle && account.startTag <= this.#virtualTime - IDLE_CREDIT_MS) {
         this.#accounts.delete(account.name);
       }
     }
   }
 }
+
+function getLikeWorkMs(account: AccountQueue, long: boolean): number {
+  return long ? account.longWorkMs : account.workMs - account.longWorkMs;
+}
--- a/packages/policy/src/hot_keys.ts
+++ b/packages/policy/src/hot_keys.ts
@@ -17,6 +17,8 @@
 const WINDOW_MS = 2_000;
 /** A key below this share of one place is no use moving on its own. */
 const HOT_KEY_PLACES = 0.3;
+/** A few long requests make no hot key: it takes this many within the window. */
+const MIN_COUNT = 8;
 /** A caller that uses more than this many places is shown to operators. */
 const HOT_CALLER_PLACES = 1;
 
@@ -49,7 +51,11 @@
     windowMs: WINDOW_MS,
   });
 
-  /** Records that a request held a place for `costMs`. */
+  /**
+   * Records a request that is expected to hold a place for `costMs`. The
+   * estimate serves better than what it took: a target that stops for a while
+   * would make every key hot that it was working on.
+   */
   observe(
     template: string,
     key: string,
@@ -81,8 +87,12 @@
   nowMs: number,
 ): { template: string; rest: string; places: number }[] {
   return counter.list(nowMs)
-    .map((heavy) => ({ ...splitName(heavy), places: computePlaces(heavy) }))
-    .filter(({ places }) => places >= minPlaces);
+    .map((heavy) => ({
+      ...splitName(heavy),
+      count: heavy.count,
+      places: computePlaces(heavy),
+    }))
+    .filter(({ count, places }) => count >= MIN_COUNT && places >= minPlaces);
 }
 
 /** In a steady state the decayed sum is the rate times the window. */
--- a/packages/policy/src/scheduled_job.ts
+++ b/packages/policy/src/scheduled_job.ts
@@ -51,7 +51,11 @@
   /** Nothing may start now; call again at this time, or after any event. */
   | { readonly kind: "idle"; readonly wakeAtMs: number | null };
 
-/** What became of a job that was started. */
+/**
+ * What became of a job that was started. One whose caller went away is
+ * "failed": it says nothing about the target. "timed-out" is for one that the
+ * target did not finish before its deadline.
+ */
 export interface ServiceObservation {
   readonly kind: "completed" | "failed" | "shed-by-target" | "timed-out";
   /** From dispatch to the end of the answer. */
--- a/packages/policy/src/target_scheduler.ts
+++ b/packages/policy/src/target_scheduler.ts
@@ -13,6 +13,11 @@
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { CostModel } from "./cost_model.ts";
 import { FairQueue, type QueuedJob } from "./fair_queue.ts";
+import {
+  computePlaceTimes,
+  type OccupiedPlace,
+  type PlaceTimes,
+} from "./place_times.ts";
 import { ReturnSchedule } from "./return_schedule.ts";
 import type {
   NextStep,
@@ -21,7 +26,8 @@
   ScheduledJob,
   ServiceObservation,
 } from "./scheduled_job.ts";
-import { computeResidualMs, computeWaitMs } from "./wait_estimate.ts";
+import { StandingQueue } from "./standing_queue.ts";
+import { computeWaitMs } from "./wait_estimate.ts";
 
 export type {
   AdmissionDecision,
@@ -41,7 +47,7 @@
 /** A waiting job is given up when its predicted wait passes its time by this. */
 const GIVE_UP_SHARE = 1.25;
 /** A long job may take the last place once this share of its time has passed. */
-const LONG_AGED_SHARE = 0.5;
+const LONG_AGED_SHARE = 0.75;
 
 export interface TargetSchedulerOptions {
   /** Requests that the target runs at a time, as declared. */
@@ -80,6 +86,7 @@
   readonly #costs: CostModel;
   readonly #limit: ConcurrencyLimit;
   readonly #queue = new FairQueue();
+  readonly #standing = new StandingQueue();
   readonly #returns = new ReturnSchedule();
   readonly #running = new Map<string, RunningJob>();
   #expired: ScheduledJob[] = [];
@@ -101,13 +108,15 @@
 
   /** Decides at once whether a job may wait. */
   offer(job: ScheduledJob, nowMs: number): OfferResult {
+    const times = this.#computePlaceTimes(nowMs);
+    this.#observeBacklog(job, times, nowMs);
     const queued = this.#describeJob(job);
-    const place = this.#queue.locateNew(job, queued.costMs);
-    const waitMs = this.#estimateWaitMs(place.workAheadMs, nowMs);
+    const place = this.#queue.locateNew(queued);
+    const waitMs = estimateWaitMs(queued, place.likeAheadMs, times);
     if (nowMs + waitMs > queued.latestStartMs) {
-      return this.#refuse(job, "deadline-too-short", nowMs);
+      return this.#refuse(job, this.#describeLateness(queued), nowMs);
     }
-    if (waitMs > this.#options.maxQueueMs * ADMISSION_SHARE) {
+    if (waitMs > (queued.latestStartMs - nowMs) * ADMISSION_SHARE) {
       return this.#refuse(job, "queue-full", nowMs);
     }
     if (this.#queue.size < this.#options.maxQueued) {
@@ -139,7 +148,11 @@
     return { kind: "idle", wakeAtMs: this.#computeWakeAt(nowMs) };
   }
 
-  /** Waiting jobs that can no longer be served in time; answer them at once. */
+  /**
+   * Waiting jobs that can no longer be served in time; answer them at once.
+   * A target that has become slower since they were admitted shows here before
+   * their time is up.
+   */
   takeExpired(nowMs: number): readonly ScheduledJob[] {
     const expired = this.#expired;
     this.#expired = [];
@@ -147,9 +160,10 @@
       return expired;
     }
     this.#checkedAtMs = nowMs;
-    const freeAfterMs = this.#listFreeTimes(nowMs);
-    const late = this.#queue.takeLate((queued, workAheadMs) => {
-      const waitMs = computeWaitMs(freeAfterMs, workAheadMs);
+    const times = this.#computePlaceTimes(nowMs);
+    const late = this.#queue.takeLate((queued, likeAheadMs) => {
+      const slowdown = Math.max(1, this.#costs.typicalMs / queued.typicalMs);
+      const waitMs = estimateWaitMs(queued, likeAheadMs * slowdown, times);
       const leftMs = queued.latestStartMs - nowMs;
       return leftMs < 0 || waitMs > leftMs * GIVE_UP_SHARE;
     });
@@ -199,13 +213,18 @@
     return this.#queue.takeWhere(() => true).map((queued) => queued.job);
   }
 
+  /** Time of a place that a job is expected to take, by observation. */
+  estimateCostMs(job: ScheduledJob): number {
+    return this.#costs.estimate(job).meanMs;
+  }
+
   /** When a caller whose job was given up should come back, in milliseconds. */
   assignReturnMs(job: ScheduledJob, nowMs: number): number {
     const { meanMs } = this.#costs.estimate(job);
     const sharers = Math.max(1, this.#queue.backloggedAccounts);
     return this.#returns.assign(job.clientAccount, {
       nowMs,
-      backlogMs: this.#estimateWaitMs(this.#queue.workMs, nowMs),
+      backlogMs: this.#estimateBacklogMs(nowMs),
       intervalMs: meanMs * sharers / this.#limit.places,
     });
   }
@@ -216,7 +235,7 @@
       running: this.#running.size,
       concurrencyLimit: this.#limit.places,
       estimatedServiceMs: this.#costs.typicalMs,
-      estimatedWaitMs: this.#estimateWaitMs(this.#queue.workMs, nowMs),
+      estimatedWaitMs: this.#estimateBacklogMs(nowMs),
     };
   }
 
@@ -227,13 +246,34 @@
       job,
       costMs: meanMs,
       long: this.#costs.isLong(job),
+      typicalMs: this.#costs.typicalMs,
       latestStartMs: Math.min(
         job.deadlineAtMs - neededMs,
-        job.arrivedAtMs + this.#options.maxQueueMs,
+        job.arrivedAtMs + this.#computeAllowedWaitMs(job),
       ),
     };
   }
 
+  #computeAllowedWaitMs(job: ScheduledJob): number {
+    const { maxQueueMs } = this.#options;
+    return this.#costs.isLong(job)
+      ? maxQueueMs
+      : this.#standing.computeAllowedWaitMs(job, {
+        maxQueueMs,
+        typicalMs: this.#costs.typicalMs,
+      });
+  }
+
+  /** Whether the caller's deadline or the queue's own bound is what is short. */
+  #describeLateness(queued: QueuedJob): RefusalReason {
+    const { job } = queued;
+    const { meanMs, deviationMs } = this.#costs.estimate(job);
+    const neededMs = meanMs + ADMISSION_DEVIATIONS * deviationMs;
+    return queued.latestStartMs >= job.deadlineAtMs - neededMs
+      ? "deadline-too-short"
+      : "queue-full";
+  }
+
   #offerToFullQueue(
     queued: QueuedJob,
     finishTag: number,
@@ -309,26 +349,48 @@
     return count;
   }
 
-  #estimateWaitMs(workAheadMs: number, nowMs: number): number {
-    return computeWaitMs(this.#listFreeTimes(nowMs), workAheadMs);
+  /** How long all that waits keeps the target busy. */
+  #estimateBacklogMs(nowMs: number): number {
+    return computeWaitMs(
+      this.#computePlaceTimes(nowMs).all,
+      this.#queue.workMs,
+    );
+  }
+
+  /** Long jobs wait in their own bounds; a queue of short ones is watched. */
+  #observeBacklog(job: ScheduledJob, times: PlaceTimes, nowMs: number): void {
+    const shortWorkMs = this.#queue.workMs - this.#queue.longWorkMs;
+    const waitMs = computeWaitMs(times.short, shortWorkMs);
+    const typicalMs = this.#costs.typicalMs;
+    this.#standing.observe(job, { waitMs, typicalMs }, nowMs);
   }
 
-  /** For each place in use or usable, when it is expected to be free. */
-  #listFreeTimes(nowMs: number): readonly number[] {
-    const pauseMs = Math.max(0, this.#limit.pausedUntilMs - nowMs);
-    const times: number[] = [];
+  #computePlaceTimes(nowMs: number): PlaceTimes {
+    const occupied: OccupiedPlace[] = [];
     for (const { queued, startedAtMs } of this.#running.values()) {
-      const residualMs = computeResidualMs(queued.costMs, nowMs - startedAtMs);
-      times.push(Math.max(pauseMs, residualMs));
+      occupied.push({
+        long: queued.long,
+        estimateMs: queued.costMs,
+        elapsedMs: nowMs - startedAtMs,
+      });
     }
-    while (times.length < this.#limit.places) {
-      times.push(pauseMs);
-    }
-    const surplus = Math.max(0, times.length - this.#limit.places);
-    return times.toSorted((left, right) => left - right).slice(surplus);
+    return computePlaceTimes(occupied, {
+      places: this.#limit.places,
+      longPlaces: this.#longJobPlaces,
+      pauseMs: Math.max(0, this.#limit.pausedUntilMs - nowMs),
+      longWaiting: this.#queue.longWorkMs > 0,
+    });
   }
 
   #computeWakeAt(nowMs: number): number | null {
     return this.#queue.size === 0 ? null : nowMs + this.#recheckMs;
   }
 }
+
+function estimateWaitMs(
+  queued: QueuedJob,
+  likeAheadMs: number,
+  times: PlaceTimes,
+): number {
+  return computeWaitMs(queued.long ? times.long : times.short, likeAheadMs);
+}
--- a/packages/trials/src/load/call.ts
+++ b/packages/trials/src/load/call.ts
@@ -31,5 +31,7 @@
   | { readonly kind: "refused"; readonly retryAfterMs: number }
   /** Told that it may have run. */
   | { readonly kind: "unknown" }
+  /** Went away before its deadline. */
+  | { readonly kind: "gone" }
   /** Told nothing until its deadline. */
   | { readonly kind: "unanswered" };
--- a/packages/trials/src/load/call_results.ts
+++ b/packages/trials/src/load/call_results.ts
@@ -25,6 +25,8 @@
   /** Sends, counting those that repeat a refused one. */
   sends = 0;
   firstSends = 0;
+  /** Offers to a target's queue. */
+  offers = 0;
 
   recordSend(call: Call): void {
     if (call.arrivedAtMs >= WARM_UP_MS) {
@@ -56,6 +58,8 @@
       case "unknown":
         this.unknown++;
         return;
+      case "gone":
+        return;
       case "unanswered":
         this.unanswered++;
         return;
@@ -73,6 +77,7 @@
     this.unanswered += other.unanswered;
     this.sends += other.sends;
     this.firstSends += other.firstSends;
+    this.offers += other.offers;
   }
 
   #recordLatency(call: Call, tookMs: number): void {
--- a/packages/trials/src/load/group_planner.ts
+++ b/packages/trials/src/load/group_planner.ts
@@ -60,13 +60,14 @@
     this.#held.set(unit, held);
   }
 
-  observeServed(call: Call, serviceMs: number): void {
-    this.#observe(call, serviceMs);
+  /** `tookMs` is what the call took; `expectedMs` what it was expected to. */
+  observeServed(call: Call, tookMs: number, expectedMs: number): void {
+    this.#observe(call, { loadMs: tookMs, costMs: expectedMs });
   }
 
   /** What was refused asks for a place as well. */
-  observeRefused(call: Call): void {
-    this.#observe(call, call.serviceMs);
+  observeRefused(call: Call, expectedMs: number): void {
+    this.#observe(call, { loadMs: expectedMs, costMs: expectedMs });
   }
 
   /** Called when a dispatched call has ended; moves may have waited for it. */
@@ -76,15 +77,18 @@
     }
   }
 
-  #observe(call: Call, costMs: number): void {
+  #observe(
+    call: Call,
+    observed: { readonly loadMs: number; readonly costMs: number },
+  ): void {
     const { events, options } = this.#simulation;
     const unit = this.units.locateKey(call.key).unit;
-    this.#loads.observe(unit, costMs, events.nowMs);
+    this.#loads.observe(unit, observed.loadMs, events.nowMs);
     this.#hotKeys.observe(
       options.group.template,
       String(call.key),
       String(call.account),
-      costMs,
+      observed.costMs,
       events.nowMs,
     );
   }
--- a/packages/trials/src/load/plain_queue.ts
+++ b/packages/trials/src/load/plain_queue.ts
@@ -12,6 +12,9 @@
 /** What a refused caller is told, whatever the load. */
 export const PLAIN_RETURN_MS = 100;
 
+/** It learns nothing of costs; its loads serve no planner. */
+const PLAIN_COST_MS = 1;
+
 export class PlainQueue implements TargetQueue {
   readonly #places: number;
   readonly #maxQueued: number;
@@ -77,6 +80,10 @@
     );
   }
 
+  estimateCostMs(): number {
+    return PLAIN_COST_MS;
+  }
+
   assignReturnMs(): number {
     return PLAIN_RETURN_MS;
   }
--- a/packages/trials/src/load/scenario.ts
+++ b/packages/trials/src/load/scenario.ts
@@ -34,6 +34,8 @@
   readonly unknownShare: number;
   /** Sends for each first send. */
   readonly sendsPerCall: number;
+  /** Decisions of targets' queues for each request sent by a caller. */
+  readonly offersPerCall: number;
   /** The worst-treated client account's part of its fair share. */
   readonly worstTreatment: number;
   /** Busiest target over the mean. */
@@ -71,6 +73,7 @@
     unansweredShare: results.unanswered / ended,
     unknownShare: results.unknown / ended,
     sendsPerCall: results.sends / Math.max(1, results.firstSends),
+    offersPerCall: results.offers / Math.max(1, results.sends),
     worstTreatment: Math.min(...runs.map(computeTreatment)),
     imbalance: computeMean(runs.map(computeImbalance)),
     churn: computeMean(
--- a/packages/trials/src/load/target_queue.ts
+++ b/packages/trials/src/load/target_queue.ts
@@ -13,5 +13,6 @@
   settle(jobId: string, observation: ServiceObservation, nowMs: number): void;
   cancel(jobId: string, nowMs: number): boolean;
   removeUnit(template: string, unit: string): readonly ScheduledJob[];
+  estimateCostMs(job: ScheduledJob): number;
   assignReturnMs(job: ScheduledJob, nowMs: number): number;
 }
--- a/packages/trials/src/load/variants.ts
+++ b/packages/trials/src/load/variants.ts
@@ -186,6 +186,10 @@
     return this.inner.removeUnit(template, unit);
   }
 
+  estimateCostMs(job: ScheduledJob): number {
+    return this.inner.estimateCostMs(job);
+  }
+
   assignReturnMs(job: ScheduledJob, nowMs: number): number {
     return this.inner.assignReturnMs(job, nowMs);
   }
