--- a/packages/ports/src/fake_log.ts
+++ b/packages/ports/src/fake_log.ts
@@ -20,6 +20,11 @@
   readonly retainMs?: number;
 }
 
+export interface StreamSize {
+  readonly records: number;
+  readonly bytes: number;
+}
+
 interface StoredRecord extends LogRecord {
   readonly appendedAt: number;
 }
@@ -117,6 +122,18 @@
     return this.#getStream(stream).records;
   }
 
+  /** How many records and payload bytes each stream has taken so far. */
+  describe(): Readonly<Record<string, StreamSize>> {
+    const sizes = [...this.#streams].map(([name, { records }]) => {
+      const bytes = records.reduce(
+        (sum, { payload }) => sum + payload.length,
+        0,
+      );
+      return [name, { records: records.length, bytes }] as const;
+    });
+    return Object.fromEntries(sizes);
+  }
+
   #expireRecords(stream: string): void {
     const { retainRecords, retainMs } = this.#options;
     const state = this.#getStream(stream);
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -22,6 +22,8 @@
 export interface FakeTargetOptions {
   readonly id: string;
   readonly template: string;
+  /** Tells this process from others of the same target, in boot ids. */
+  readonly processName?: string;
   readonly clock: Clock;
   readonly checksGrants: boolean;
   /** What the target's own clock shows more than `clock`. */
@@ -36,6 +38,8 @@
   readonly coldFactor?: number;
   /** How late its report shows its running requests. */
   readonly reportLagMs?: number;
+  /** Told of every start and end of a run, before anything else happens. */
+  readonly recordRun?: (run: TargetRun) => void;
 }
 
 /** A request as it reaches the target. */
@@ -293,7 +297,9 @@
     const stop = new AbortController();
     const { lapses } = boot.grants;
     const run: Run = { request, index: this.#history.length, stop, lapses };
-    this.#history.push(this.#makeRun(boot, request, now));
+    const begun = this.#makeRun(boot, request, now);
+    this.#options.recordRun?.(begun);
+    this.#history.push(begun);
     boot.running.add(run);
     this.#load.record(boot.running.size, this.#readMs());
     const leftMs = arrivedAt + request.deadlineMs - now;
@@ -313,7 +319,10 @@
       answerDigest: createHash("sha256").update(body).digest("hex"),
     });
     this.#load.record(boot.running.size, this.#readMs());
-    return { kind: "ran", ending, body };
+    // Without effect, yet begun: too little for saying that it did not run.
+    return ending === "lapsed"
+      ? { kind: "lost" }
+      : { kind: "ran", ending, body };
   }
 
   #chooseEnding(boot: Boot, run: Run, isCut: boolean): RunEnding {
@@ -368,7 +377,9 @@
   ): void {
     const { atMs: endedAtMs, ...answer } = end;
     const begun = this.#history[run.index]!;
-    this.#history[run.index] = { ...begun, endedAtMs, ending, ...answer };
+    const ended = { ...begun, endedAtMs, ending, ...answer };
+    this.#history[run.index] = ended;
+    this.#options.recordRun?.(ended);
   }
 
   async #waitWhileFrozen(): Promise<void> {
@@ -379,8 +390,10 @@
 
   #createBoot(): Boot {
     this.#boots++;
+    const { id, processName } = this.#options;
+    const name = processName === undefined ? id : `${id}/${processName}`;
     return {
-      id: `${this.#options.id}/${this.#boots}`,
+      id: `${name}/${this.#boots}`,
       startedAt: this.#readMs(),
       grants: new FakeGrants(),
       ended: new AbortController(),
--- /dev/null
+++ b/packages/standins/src/judge_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { TargetRun } from "@lentilspur/ports/target_history";
+import type { CallerRecord } from "./caller_record.ts";
+import {
+  computeUnservedMsMax,
+  listViolations,
+  type TrialEvidence,
+} from "./judge.ts";
+
+function makeRun(changes: Partial<TargetRun> = {}): TargetRun {
+  return {
+    target: "t1",
+    template: "demands",
+    bootId: "t1/1",
+    sequence: 0,
+    method: "POST",
+    requestId: "0-1-a",
+    clientAccount: "nile",
+    key: "case-9",
+    unit: "s:1",
+    stewardToken: 1,
+    unitToken: 1,
+    startedAtMs: 110,
+    endedAtMs: 120,
+    ending: "done",
+    answerDigest: "d1",
+    ...changes,
+  };
+}
+
+function makeRecord(changes: Partial<CallerRecord> = {}): CallerRecord {
+  return {
+    clientAccount: "nile",
+    template: "demands",
+    key: "case-9",
+    idempotent: false,
+    requestId: "0-1-a",
+    entry: "127.0.0.1:1",
+    outcome: "ran",
+    status: 200,
+    isOwnAnswer: true,
+    answerDigest: "d1",
+    sentAtMs: 100,
+    receivedAtMs: 130,
+    ...changes,
+  };
+}
+
+function listBroken(evidence: Partial<TrialEvidence>): readonly string[] {
+  const whole = { records: [makeRecord()], runs: [makeRun()], leaving: [] };
+  return listViolations({ ...whole, ...evidence })
+    .map((violation) => violation.promise);
+}
+
+test("a request that ran once and was answered breaks nothing", () => {
+  assert.deepEqual(listBroken({}), []);
+});
+
+test("a second run of a non-idempotent request is found", () => {
+  const second = makeRun({ startedAtMs: 500, endedAtMs: 510 });
+  assert.deepEqual(listBroken({ runs: [makeRun(), second] }), ["at-most-once"]);
+  const lapsed = makeRun({ ...second, ending: "lapsed" });
+  assert.deepEqual(listBroken({ runs: [makeRun(), lapsed] }), []);
+  const lookup = [makeRecord({ idempotent: true })];
+  const runs = [makeRun(), second];
+  assert.deepEqual(listBroken({ records: lookup, runs }), []);
+});
+
+test("a run before or after the word 'not run' is found", () => {
+  const refused = makeRecord({ outcome: "not-run", errorKind: "queue-full" });
+  const broken = ["not-run-is-true"];
+  assert.deepEqual(listBroken({ records: [refused] }), broken);
+  const late = [makeRun({ startedAtMs: 900, endedAtMs: 910 })];
+  assert.deepEqual(listBroken({ records: [refused], runs: late }), broken);
+  const resent = makeRecord({ sentAtMs: 800, receivedAtMs: 920 });
+  const records = [refused, resent];
+  assert.deepEqual(listBroken({ records, runs: late }), []);
+});
+
+test("an answer of another request, or of no run, is found", () => {
+  const broken = ["own-answer"];
+  const foreign = [makeRecord({ isOwnAnswer: false })];
+  assert.deepEqual(listBroken({ records: foreign }), broken);
+  const cut = [makeRecord({ answerDigest: "d2" })];
+  assert.deepEqual(listBroken({ records: cut }), broken);
+});
+
+test("two targets that run one key at the same time are found", () => {
+  const other = makeRun({ target: "t2", requestId: "0-1-b", startedAtMs: 119 });
+  const runs = [makeRun(), other];
+  assert.deepEqual(listBroken({ runs }), ["sole-owner"]);
+  const after = { ...other, startedAtMs: 121, endedAtMs: 125 };
+  assert.deepEqual(listBroken({ runs: [makeRun(), after] }), []);
+});
+
+test("new work on a target that has long been leaving is found", () => {
+  const leaving = (atMs: number) => [{ target: "t1", atMs }];
+  assert.deepEqual(listBroken({ leaving: leaving(0) }), []);
+  assert.deepEqual(listBroken({ leaving: leaving(-5_000) }), [
+    "leaving-target",
+  ]);
+});
+
+test("a key is unserved from its first failure to the next answer", () => {
+  const records = [
+    makeRecord({ sentAtMs: 0, receivedAtMs: 10 }),
+    makeRecord({ outcome: "not-run", sentAtMs: 100, receivedAtMs: 101 }),
+    makeRecord({ outcome: "none", sentAtMs: 150, receivedAtMs: 200 }),
+    makeRecord({ sentAtMs: 300, receivedAtMs: 320 }),
+    makeRecord({ key: "case-8", sentAtMs: 300, receivedAtMs: 330 }),
+  ];
+  assert.equal(computeUnservedMsMax(records), 220);
+});
