--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -69,7 +69,16 @@
   const { instanceId } = settings.val;
   // Listens before the start, so that a signal during it is not missed.
   const stopping = context.waitForStop();
-  const started = await context.startInstance(settings.val);
+  const started = await Promise.race([
+    context.startInstance(settings.val),
+    stopping.then(() => undefined),
+  ]);
+  if (started === undefined) {
+    // The log may be down, and then the instance cannot join; it serves nobody
+    // yet, so there is nothing to finish.
+    context.printError(`Instance ${instanceId} was stopped before it joined`);
+    return EXIT_CODES.done;
+  }
   if (!started.ok) {
     context.printError(`Instance ${instanceId} cannot start: ${started.val}`);
     return EXIT_CODES.unavailable;
--- a/packages/cli/src/operator_commands_test.ts
+++ b/packages/cli/src/operator_commands_test.ts
@@ -116,6 +116,17 @@
   assert.equal(terminal.stopCount, 1);
 });
 
+test("can be stopped before it has joined", async () => {
+  // The log is down when an instance starts, so it cannot join. Whoever
+  // started it gives up and stops it; it must not wait for the log to return.
+  const terminal = new Terminal(new FakePlatform());
+  terminal.canJoin = new Promise(() => {});
+  const list = "--instance-list-url=http://127.0.0.1:2";
+  const code = await terminal.run("serve", LOG, list, "--data-centre=Bole");
+  assert.equal(code, EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /was stopped before it joined/);
+});
+
 test("ends with a code of its own when others took the instance over", async () => {
   // A virtual machine was suspended for a minute. Its targets have other
   // stewards by then, so the process must end and a new one must be started.
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -20,6 +20,8 @@
 /** How far the clock moves at a time while a command runs. */
 const STEP_MS = 50;
 
+const STOP_AFTER_MS = 1_000;
+
 /** What all terminals and instances share. */
 export class FakePlatform {
   readonly clock = new VirtualClock();
@@ -73,7 +75,10 @@
   /** Settings of the instances that were started here. */
   readonly started: InstanceSettings[] = [];
   stopCount = 0;
-  stopRequested: Promise<void> = Promise.resolve();
+  /** Resolves once a started instance has joined. */
+  canJoin: Promise<void> = Promise.resolve();
+  /** When somebody asks to stop; a second after the start if not set. */
+  stopRequested: Promise<void> | undefined;
   ended: Promise<"stopped" | "taken-over"> = new Promise(() => {});
   readonly #lines: string[] = [];
 
@@ -136,14 +141,17 @@
       environment: this.environment,
       startInstance: (settings) => {
         this.started.push(settings);
-        return Promise.resolve(Ok({
-          httpAddress: "127.0.0.1:8080",
-          peerAddress: "127.0.0.1:8081",
-          ended: this.ended,
-          stop: () => Promise.resolve(void this.stopCount++),
-        }));
+        return this.canJoin.then(() =>
+          Ok({
+            httpAddress: "127.0.0.1:8080",
+            peerAddress: "127.0.0.1:8081",
+            ended: this.ended,
+            stop: () => Promise.resolve(void this.stopCount++),
+          })
+        );
       },
-      waitForStop: () => this.stopRequested,
+      waitForStop: () =>
+        this.stopRequested ?? this.platform.clock.sleep(STOP_AFTER_MS),
     };
   }
 }
