--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -52,8 +52,11 @@
     return EXIT_CODES.done;
   }
   describeChanges(inForce, changes).forEach((line) => context.print(line));
+  const documents = changes.length === 1
+    ? "1 document differs"
+    : `${changes.length} documents differ`;
   context.print(
-    `${changes.length} documents differ from version ${version}; publish with --expect-version ${version}`,
+    `${documents} from version ${version}; publish with --expect-version ${version}`,
   );
   return EXIT_CODES.done;
 }
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -32,16 +32,23 @@
   });
 }
 
+/** The environment and defaults are resolved with all settings together. */
 function createSettingOption(name: SettingName) {
   const { description, fallback }: Setting<unknown> = SETTINGS[name];
+  const long = getFlagName(name);
   const otherwise = fallback === undefined
     ? "required"
     : `default: ${fallback}`;
-  return option({
-    long: getFlagName(name),
-    type: optional(string),
-    description: `${description} [${getVariableName(name)}] [${otherwise}]`,
-  });
+  const topic = {
+    category: "options",
+    usage: `--${long} <value>`,
+    defaults: [`env: ${getVariableName(name)}`, otherwise],
+    description,
+  };
+  return {
+    ...option({ long, type: optional(string), description }),
+    helpTopics: () => [topic],
+  };
 }
 
 type SettingOptions = Readonly<
