--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -76,7 +76,7 @@
   return `${name}: version ${status.configurationVersion} ${mark} for ${age}, folded to ${status.foldedOffset}, ${lease}, ${ready}`;
 }
 
-/** Whole seconds above ten seconds: nobody reads the rest. */
+/** Whole seconds above one second: nobody reads the rest. */
 function computeShownAge(ms: number): number {
-  return ms < 10_000 ? Math.round(ms) : Math.round(ms / 1_000) * 1_000;
+  return ms < 1_000 ? Math.round(ms) : Math.round(ms / 1_000) * 1_000;
 }
