feat(policy): free a place whose answer is not coming

Change: an adaptive timeout per target, three times the 99th percentile of late (section 3.1 of the paper, with another rule). A lookup is sent again within the retry budget; any other request goes on waiting while its place counts as free.

--- a/packages/trials/src/load/call.ts
+++ b/packages/trials/src/load/call.ts
@@ -20,6 +20,8 @@
   admitted: boolean;
   /** Dispatches so far. */
   attempt: number;
+  /** Whether it is being given up on its present connection. */
+  timedOut: boolean;
   target: string | null;
   unit: string;
   ended: boolean;
--- a/packages/trials/src/load/simulated_target.ts
+++ b/packages/trials/src/load/simulated_target.ts
@@ -13,6 +13,8 @@
     | { readonly kind: "stopped" }
     /** It refuses what exceeds this many requests, whatever it declares. */
     | { readonly kind: "sustains"; readonly places: number }
+    /** Its answer is lost on the way, with this chance. */
+    | { readonly kind: "loses-answers"; readonly share: number }
     /** It works on a request, then resets the connection, with this chance. */
     | { readonly kind: "resets"; readonly share: number }
   );
@@ -53,6 +55,8 @@
   #updatedAtMs = 0;
   #generation = 0;
   #served: number;
+  /** Works whose answers were lost; only a cancel ends them. */
+  readonly #silent = new Map<string, Work>();
   /** Place time used, for the imbalance across owners. */
   busyMs = 0;
 
@@ -96,6 +100,9 @@
   cancel(id: string): void {
     const entry = this.#running.get(id);
     if (entry === undefined) {
+      const silent = this.#silent.get(id);
+      this.#silent.delete(id);
+      silent?.onEnd("cancelled");
       return;
     }
     this.#advance();
@@ -158,6 +165,11 @@
     this.#advance();
     this.#running.delete(entry.work.id);
     this.#scheduleNextEnd();
+    const losses = this.#findFault("loses-answers")?.share ?? 0;
+    if (entry.work.luck < losses) {
+      this.#silent.set(entry.work.id, entry.work);
+      return;
+    }
     const resets = this.#findFault("resets")?.share ?? 0;
     entry.work.onEnd(entry.work.luck < resets ? "failed" : "completed");
   }
--- a/packages/trials/src/load/variants.ts
+++ b/packages/trials/src/load/variants.ts
@@ -8,6 +8,11 @@
   ScheduledJob,
   ServiceObservation,
 } from "@lentilspur/policy/scheduled_job";
+import {
+  computePaperTimeout,
+  computeTailTimeout,
+  type TimeoutRule,
+} from "@lentilspur/policy/adaptive_timeout";
 import { TargetScheduler } from "@lentilspur/policy/target_scheduler";
 import { PLACES_PER_TARGET } from "./deployments.ts";
 import { PLAIN_RETURN_MS, PlainQueue } from "./plain_queue.ts";
@@ -22,6 +27,8 @@
   readonly cancels: boolean;
   /** Lookups that failed are sent again within a budget, or without one. */
   readonly retries: "budgeted" | "unbounded";
+  /** After how long an answer is not expected any more; null: at the deadline. */
+  readonly answerTimeout: TimeoutRule | null;
   readonly placement: "weighed" | "trusting-reports" | "fixed" | "round-robin";
   readonly placesHotKeys: boolean;
   /** A target that joins is given its part by and by. */
@@ -38,6 +45,7 @@
   limitsAccounts: true,
   cancels: true,
   retries: "budgeted",
+  answerTimeout: computeTailTimeout,
   placement: "weighed",
   placesHotKeys: true,
   startsSlowly: true,
@@ -103,6 +111,12 @@
   },
   { ...ALL, name: "- cancellation", cancels: false },
   { ...ALL, name: "- retry budget", retries: "unbounded" },
+  { ...ALL, name: "- adaptive timeout", answerTimeout: null },
+  {
+    ...ALL,
+    name: "timeout of the paper",
+    answerTimeout: computePaperTimeout,
+  },
   { ...ALL, name: "- hot key placement", placesHotKeys: false },
   { ...ALL, name: "- balancing", placement: "fixed" },
   { ...ALL, name: "- slow start", startsSlowly: false },
@@ -135,6 +149,7 @@
     limitsAccounts: false,
     cancels: false,
     retries: "unbounded",
+    answerTimeout: null,
     placement: "fixed",
     placesHotKeys: false,
     startsSlowly: false,
