--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -31,9 +31,12 @@
 
 const TIMEOUT_MS = 8_000;
 const MAX_SENDS = 6;
-const IDS_PER_FETCH = 50;
-/** Ids are honoured for minutes; fresh ones keep a trial off that edge. */
-const MAX_ID_AGE_MS = 20_000;
+const IDS_PER_FETCH = 8;
+/**
+ * An id that was minted before a take-over could have been sent before it, so
+ * its first send may be answered as unknown; fresh ids keep these few.
+ */
+const MAX_ID_AGE_MS = 1_000;
 const RESEND_PAUSE_MS = 100;
 
 const IDS_ANSWER = z.object({ requestIds: z.array(z.string()) });
@@ -122,18 +125,20 @@
   async #takeId(): Promise<string | undefined> {
     const { clock } = this.#options;
     const isOld = clock.readMs() - this.#idsFetchedAt > MAX_ID_AGE_MS;
+    if (isOld) {
+      this.#ids = [];
+    }
     for (let count = 0; count < MAX_SENDS; count++) {
-      if (this.#ids.length > 0 && !isOld) {
+      if (this.#ids.length > 0) {
         return this.#ids.pop();
       }
       this.#ids = await this.#fetchIds();
       this.#idsFetchedAt = clock.readMs();
-      if (this.#ids.length > 0) {
-        return this.#ids.pop();
+      if (this.#ids.length === 0) {
+        await clock.sleep(RESEND_PAUSE_MS);
       }
-      await clock.sleep(RESEND_PAUSE_MS);
     }
-    return undefined;
+    return this.#ids.pop();
   }
 
   async #fetchIds(): Promise<string[]> {
--- /dev/null
+++ b/packages/trials/src/start/deployment.ts
@@ -0,0 +1,126 @@
+/** The two users' deployments, in small. */
+
+export interface TargetGroup {
+  readonly template: string;
+  readonly count: number;
+  readonly checksGrants: boolean;
+  readonly runMs: number;
+}
+
+/** A kind of request that callers make. */
+export interface RequestShape {
+  readonly template: string;
+  readonly method: "GET" | "POST";
+  /** `{key}` stands for the key. */
+  readonly path: string;
+  /** Share of all requests. */
+  readonly share: number;
+}
+
+export interface AccountShape {
+  readonly name: string;
+  readonly credential: string;
+  readonly callers: number;
+}
+
+export interface Deployment {
+  readonly name: string;
+  readonly dataCentres: readonly string[];
+  readonly instances: number;
+  readonly targets: readonly TargetGroup[];
+  readonly requests: readonly RequestShape[];
+  readonly accounts: readonly AccountShape[];
+  /** Every fourth request or so is for this one. */
+  readonly hotKey: string;
+  readonly keyPrefix: string;
+}
+
+export const ABAY: Deployment = {
+  name: "abay",
+  dataCentres: ["bole", "kirkos", "yeka"],
+  instances: 4,
+  targets: [
+    { template: "case-files", count: 3, checksGrants: true, runMs: 2 },
+    { template: "demands", count: 2, checksGrants: true, runMs: 3 },
+    { template: "ledger", count: 2, checksGrants: false, runMs: 3 },
+  ],
+  requests: [
+    {
+      template: "case-files",
+      method: "GET",
+      path: "/case-files/{key}",
+      share: 0.6,
+    },
+    {
+      template: "demands",
+      method: "POST",
+      path: "/case-files/{key}/demands",
+      share: 0.2,
+    },
+    {
+      template: "ledger",
+      method: "POST",
+      path: "/ledger/{key}/settlements",
+      share: 0.2,
+    },
+  ],
+  accounts: [
+    {
+      name: "highland-mutual",
+      credential: "playground-highland-mutual",
+      callers: 8,
+    },
+    {
+      name: "lakeside-general",
+      credential: "playground-lakeside-general",
+      callers: 4,
+    },
+  ],
+  hotKey: "case-hot",
+  keyPrefix: "case",
+};
+
+export const SAUTIBA: Deployment = {
+  name: "sautiba",
+  dataCentres: ["kariakoo", "msasani", "sinza", "upanga"],
+  instances: 4,
+  targets: [
+    { template: "calendars", count: 3, checksGrants: true, runMs: 2 },
+    { template: "reservations", count: 2, checksGrants: true, runMs: 3 },
+    { template: "payments", count: 2, checksGrants: false, runMs: 3 },
+  ],
+  requests: [
+    {
+      template: "calendars",
+      method: "GET",
+      path: "/calendars/{key}",
+      share: 0.6,
+    },
+    {
+      template: "reservations",
+      method: "POST",
+      path: "/reservations/{key}/holds",
+      share: 0.2,
+    },
+    {
+      template: "payments",
+      method: "POST",
+      path: "/payments/{key}/deposits",
+      share: 0.2,
+    },
+  ],
+  accounts: [
+    {
+      name: "harbour-broadcasting",
+      credential: "playground-harbour-broadcasting",
+      callers: 8,
+    },
+    {
+      name: "coral-dubbing",
+      credential: "playground-coral-dubbing",
+      callers: 4,
+    },
+  ],
+  hotKey: "studio-hot",
+  keyPrefix: "studio",
+};
--- /dev/null
+++ b/packages/trials/src/start/once.ts
@@ -0,0 +1,200 @@
+/**
+ * One deployment in small, from a cold start: traffic with a hot key, a target
+ * that leaves, an instance that is killed and replaced, a planned stop.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { CallerRecord } from "@lentilspur/standins/caller_record";
+import { readMachineMs } from "@lentilspur/standins/caller";
+import type { LeavingTarget } from "@lentilspur/standins/judge";
+import type { Random } from "@lentilspur/ports/clock";
+import { request } from "undici";
+import { Balancer } from "./balancer.ts";
+import type { Deployment } from "./deployment.ts";
+import { type InstanceProcess, Processes, waitUntil } from "./processes.ts";
+import { Traffic } from "./traffic.ts";
+import { buildReport, type TrialReport } from "./trial_report.ts";
+
+export interface TrialOptions {
+  readonly deployment: Deployment;
+  readonly directory: string;
+  readonly print: (line: string) => void;
+  readonly random: Random;
+}
+
+/** Everything must be served this soon after a cold start. */
+const START_LIMIT_MS = 20_000;
+/** An accepted configuration is in force everywhere within this time. */
+const IN_FORCE_LIMIT = "5s";
+const STEADY_MS = 3_000;
+const LEAVING_MS = 6_000;
+const LOSS_MS = 7_000;
+
+/** One running deployment with its callers. */
+export class Trial {
+  readonly processes: Processes;
+  readonly balancer = new Balancer();
+  readonly traffic: Traffic;
+  readonly leaving: LeavingTarget[] = [];
+  readonly faults: string[] = [];
+  readonly #options: TrialOptions;
+  readonly #end = new AbortController();
+
+  constructor(
+    options: TrialOptions,
+    flags: {
+      readonly instanceFlags?: readonly string[];
+      readonly logFlags?: readonly string[];
+    } = {},
+  ) {
+    this.#options = options;
+    const { deployment, directory, random } = options;
+    this.processes = new Processes({ deployment, directory, ...flags });
+    this.traffic = new Traffic({
+      deployment,
+      random,
+      listEntries: () => this.balancer.listEntries(),
+    });
+  }
+
+  /** Starts all processes, publishes, and waits until every key is served. */
+  async start(): Promise<void> {
+    const { deployment, print } = this.#options;
+    const startedAt = readMachineMs();
+    await this.processes.startPlatform();
+    await Promise.all([
+      this.processes.startTargets(),
+      this.processes.startInstances(),
+    ]);
+    void this.balancer.run(() => this.processes.instances, this.#end.signal);
+    await this.#publish();
+    const isServed = await waitUntil(
+      () => this.traffic.checkServed(),
+      START_LIMIT_MS,
+    );
+    if (!isServed) {
+      this.faults.push("not every key was served after the start");
+    }
+    this.traffic.records.length = 0;
+    const tookMs = Math.round(readMachineMs() - startedAt);
+    print(`${deployment.name}: every key is served after ${tookMs} ms`);
+    this.traffic.start();
+  }
+
+  /** Stops the callers, reports, and ends all processes. */
+  async stopAndReport(): Promise<TrialReport> {
+    await this.traffic.stop();
+    await this.#checkVersions();
+    const report = await buildReport({
+      deployment: this.#options.deployment.name,
+      records: this.traffic.records,
+      historyFile: this.processes.historyFile,
+      leaving: this.leaving,
+      deaths: this.processes.deaths,
+      logUrl: this.processes.logUrl,
+      faults: this.faults,
+    });
+    await this.close();
+    return report;
+  }
+
+  async close(): Promise<void> {
+    this.#end.abort();
+    await this.processes.stopAll();
+  }
+
+  /** The list says that a target leaves; later its process stops. */
+  async removeTarget(): Promise<void> {
+    const target = this.processes.targets[0]!;
+    this.#options.print(`  target ${target.id} leaves`);
+    await this.processes.setTargetState(target.id, "leaving");
+    this.leaving.push({ target: target.id, atMs: readMachineMs() });
+    await sleep(LEAVING_MS);
+    await this.processes.stopTarget(target);
+    await this.processes.removeFromList(target.id);
+  }
+
+  async killAndReplaceInstance(): Promise<void> {
+    const instance = this.processes.instances[0]!;
+    this.#options.print(`  ${instance.name} is killed and replaced`);
+    await this.processes.killInstance(instance);
+    await this.processes.startInstance();
+    await sleep(LOSS_MS);
+  }
+
+  /** A planned stop fails no request that reached the instance. */
+  async stopInstance(): Promise<void> {
+    const instance = this.processes.instances[0]!;
+    this.#options.print(`  ${instance.name} stops as planned`);
+    const since = readMachineMs();
+    const code = await this.processes.stopInstance(instance);
+    if (code !== 0) {
+      this.faults.push(`${instance.name} ended with "${code}"`);
+    }
+    await sleep(STEADY_MS);
+    const failed = this.traffic.records.filter((record) =>
+      record.entry === instance.httpAddress && record.receivedAtMs >= since &&
+      !isServedOrTold(record)
+    );
+    if (failed.length > 0) {
+      this.faults.push(
+        `${failed.length} requests failed in the stop of ${instance.name}`,
+      );
+    }
+  }
+
+  async #publish(): Promise<void> {
+    const code = await this.processes.runCommand([
+      "publish",
+      `playground/${this.#options.deployment.name}`,
+      ...["--expect-version", "0", "--operator", "playground"],
+      ...["--wait-in-force", IN_FORCE_LIMIT],
+    ]);
+    if (code !== 0) {
+      this.faults.push(`publishing ended with "${code}"`);
+    }
+  }
+
+  /** What was accepted is in force on every instance at the end. */
+  async #checkVersions(): Promise<void> {
+    for (const instance of this.processes.instances) {
+      const version = await readVersion(instance);
+      if (version !== 1) {
+        this.faults.push(`${instance.name} has version "${version}" in force`);
+      }
+    }
+  }
+}
+
+/** Runs the whole of it; takes well under a minute. */
+export async function runOnce(options: TrialOptions): Promise<TrialReport> {
+  const trial = new Trial(options);
+  try {
+    await trial.start();
+    await sleep(STEADY_MS);
+    await trial.removeTarget();
+    await trial.killAndReplaceInstance();
+    await trial.stopInstance();
+    return await trial.stopAndReport();
+  } finally {
+    await trial.close();
+  }
+}
+
+/** Refused for a reason that would hold without the stop as well. */
+function isServedOrTold(record: CallerRecord): boolean {
+  return record.outcome === "ran" ||
+    record.errorKind === "queue-full" ||
+    record.errorKind === "deadline-too-short" ||
+    record.errorKind === "account-over-limit";
+}
+
+async function readVersion(instance: InstanceProcess): Promise<unknown> {
+  try {
+    const url = `http://${instance.httpAddress}/admin/status`;
+    const answer = await request(url, { signal: AbortSignal.timeout(2_000) });
+    const status = await answer.body.json() as Record<string, unknown>;
+    return status["configurationVersion"];
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/trials/src/start/start_cli.ts
@@ -0,0 +1,110 @@
+/**
+ * `npm start`: the main job on stand-ins, on loopback. With `--once` it plays
+ * both deployments with failures, prints a report and ends.
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { command, flag, run } from "cmd-ts";
+import { SeededRandom } from "../load/seeded_random.ts";
+import { ABAY, type Deployment, SAUTIBA } from "./deployment.ts";
+import { runOnce, Trial, type TrialOptions } from "./once.ts";
+import {
+  hasHeld,
+  renderReport,
+  renderSummary,
+  type TrialReport,
+} from "./trial_report.ts";
+
+const SEED = 1;
+
+const startCommand = command({
+  name: "start",
+  description: "Run lentilspur on embedded stand-ins",
+  args: {
+    once: flag({
+      long: "once",
+      description: "Play both deployments, report, and end",
+    }),
+  },
+  handler: ({ once }) => once ? runBoth() : runInteractive(),
+});
+
+async function runBoth(): Promise<void> {
+  const reports = [];
+  for (const deployment of [ABAY, SAUTIBA]) {
+    reports.push(await runAndTidy(deployment));
+  }
+  print(renderSummary(reports));
+  process.exitCode = hasHeld(reports) ? 0 : 1;
+}
+
+/** Logs and histories are kept only where they are needed to find a fault. */
+async function runAndTidy(deployment: Deployment): Promise<TrialReport> {
+  const options = makeOptions(deployment);
+  const report = await runOnce(options);
+  print(renderReport(report));
+  if (hasHeld([report])) {
+    rmSync(options.directory, { recursive: true });
+  } else {
+    print(`  logs and histories are in ${options.directory}`);
+  }
+  return report;
+}
+
+/** Runs until SIGINT or SIGTERM. */
+async function runInteractive(): Promise<void> {
+  const options = makeOptions(ABAY);
+  const trial = new Trial(options);
+  const stopped = new Promise<void>((resolve) => {
+    process.once("SIGINT", resolve);
+    process.once("SIGTERM", resolve);
+  });
+  try {
+    await trial.start();
+    const [entry] = trial.balancer.listEntries();
+    const [account] = ABAY.accounts;
+    print(`Some callers send already. Send a request yourself:
+
+  curl -i -H 'authorization: Bearer ${account!.credential}' \\
+    http://${entry}/case-files/case-9
+
+Change playground/abay, then publish it and see it in force:
+
+  node packages/cli/bin/lentilspur.js publish playground/abay \\
+    --expect-version 1 --operator me --log-url ${trial.processes.logUrl}
+  node packages/cli/bin/lentilspur.js status --log-url ${trial.processes.logUrl}
+
+Kill an instance with kill -9 and one of these process ids; callers go on:
+
+${
+      trial.processes.instances
+        .map(({ name, httpAddress, child }) =>
+          `  ${child.processId}  ${name} on http://${httpAddress}`
+        ).join("\n")
+    }
+
+Logs are in ${options.directory}. Press Ctrl-C to stop.`);
+    await stopped;
+    await trial.traffic.stop();
+  } finally {
+    await trial.close();
+  }
+}
+
+function makeOptions(deployment: Deployment): TrialOptions {
+  const prefix = join(tmpdir(), `lentilspur-${deployment.name}-`);
+  return {
+    deployment,
+    directory: mkdtempSync(prefix),
+    print,
+    random: new SeededRandom(SEED),
+  };
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+await run(startCommand, process.argv.slice(2));
--- /dev/null
+++ b/scripts/start.mjs
@@ -0,0 +1,9 @@
+/** Installs, builds and runs the main job: `npm start`, `npm start -- --once`. */
+import process from "node:process";
+import { buildProject, runTool } from "./tools.mjs";
+
+buildProject();
+runTool("node", [
+  "packages/trials/dist/start/start_cli.js",
+  ...process.argv.slice(2),
+]);
