--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -192,10 +192,15 @@
   options: { readonly version: number; readonly patienceMs: number },
 ): Promise<ExitCode> {
   const startedAt = context.clock.readMs();
-  const reports = await waitUntilInForce(session.view, {
+  const reports = await waitUntilInForce({
     ...options,
     fetchStatus: context.fetchStatus,
     clock: context.clock,
+    readMembers: async () => {
+      // While the log does not answer, the members known so far are asked.
+      await session.readToEnd();
+      return session.view.listMembers();
+    },
   });
   const elapsedMs = Math.round(context.clock.readMs() - startedAt);
   const behind = reports.filter((each) => !isInForce(each, options.version));
@@ -204,6 +209,9 @@
       reports.length - behind.length
     } of ${reports.length} instances, ${elapsedMs} ms after its acceptance was read`,
   );
+  if (reports.length === 0) {
+    context.print("No instance is a member; start one with lentilspur serve");
+  }
   behind.forEach((report) =>
     context.printError(describeMemberReport(report, options.version))
   );
--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -1,7 +1,7 @@
 /** Where a version is in force: every member instance asked directly. */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Result } from "@lentilspur/outcomes/result";
-import type { StateView } from "@lentilspur/state/view";
+import type { MemberState } from "@lentilspur/state/view";
 import { formatDuration } from "@lentilspur/declarations/units";
 import type { InstanceStatus, StatusFetcher } from "./instance_status.ts";
 
@@ -13,19 +13,24 @@
   readonly status: Result<InstanceStatus, string>;
 }
 
-/** Asks all members at once, so that one silent instance delays nobody. */
-export function collectMemberReports(
-  view: StateView,
+/** Enough that a few silent ones delay nobody, few enough for any machine. */
+const MAX_CONCURRENT = 64;
+
+/** Asks every member, many at a time; reports come in the members' order. */
+export async function collectMemberReports(
+  members: readonly MemberState[],
   fetchStatus: StatusFetcher,
 ): Promise<readonly MemberReport[]> {
-  return Promise.all(
-    view.listMembers().map(async ({ instance }) => ({
-      instance: instance.id,
-      dataCentre: instance.dataCentre,
-      httpAddress: instance.httpAddress,
-      status: await fetchStatus(instance.httpAddress),
-    })),
-  );
+  const reports: MemberReport[] = [];
+  let next = 0;
+  const runWorker = async (): Promise<void> => {
+    while (next < members.length) {
+      const index = next++;
+      reports[index] = await fetchReport(members[index]!, fetchStatus);
+    }
+  };
+  await Promise.all(Array.from({ length: MAX_CONCURRENT }, runWorker));
+  return reports;
 }
 
 export function isInForce(report: MemberReport, version: number): boolean {
@@ -37,27 +42,49 @@
   readonly fetchStatus: StatusFetcher;
   readonly clock: Clock;
   readonly patienceMs: number;
+  /** Reads who is a member now: one that left is not waited for. */
+  readonly readMembers: () => Promise<readonly MemberState[]>;
 }
 
 /** Pause between two rounds of questions. */
 const ROUND_PAUSE_MS = 100;
 
-/** Asks until all members have the version or patience ends; the last round. */
+/**
+ * Asks until all members have the version or patience ends. A member that has
+ * it is not asked again, since an accepted version never reverts.
+ */
 export async function waitUntilInForce(
-  view: StateView,
   options: InForceOptions,
 ): Promise<readonly MemberReport[]> {
-  const giveUpAt = options.clock.readMs() + options.patienceMs;
+  const { version, fetchStatus, clock } = options;
+  const giveUpAt = clock.readMs() + options.patienceMs;
+  const done = new Map<string, MemberReport>();
   for (;;) {
-    const reports = await collectMemberReports(view, options.fetchStatus);
-    const isDone = reports.every((each) => isInForce(each, options.version));
-    if (isDone || options.clock.readMs() >= giveUpAt) {
-      return reports;
+    const members = await options.readMembers();
+    const open = members.filter(({ instance }) => !done.has(instance.id));
+    const reports = await collectMemberReports(open, fetchStatus);
+    const behind = reports.filter((report) => !isInForce(report, version));
+    reports.filter((report) => isInForce(report, version))
+      .forEach((report) => done.set(report.instance, report));
+    if (behind.length === 0 || clock.readMs() >= giveUpAt) {
+      return [...done.values(), ...behind];
     }
-    await options.clock.sleep(ROUND_PAUSE_MS);
+    await clock.sleep(ROUND_PAUSE_MS);
   }
 }
 
+async function fetchReport(
+  { instance }: MemberState,
+  fetchStatus: StatusFetcher,
+): Promise<MemberReport> {
+  return {
+    instance: instance.id,
+    dataCentre: instance.dataCentre,
+    httpAddress: instance.httpAddress,
+    status: await fetchStatus(instance.httpAddress),
+  };
+}
+
 /** One line for one member. */
 export function describeMemberReport(
   report: MemberReport,
--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -252,6 +252,23 @@
   assert.match(terminal.takeOutput(), /in force on 3 of 3 instances/);
 });
 
+test("does not wait for a member that left meanwhile", async () => {
+  // An instance is being replaced while somebody publishes: it was a member
+  // when the version was accepted, and left before it could be asked.
+  const platform = new FakePlatform();
+  platform.addMember("a:1");
+  platform.addMember("b:1");
+  const terminal = new Terminal(platform);
+  terminal.versions.set("a:1", 1);
+  const leaving = platform.clock.sleep(2_000).then(() =>
+    platform.addEntry("b:1", { kind: "instance-left", instance: "b:1" })
+  );
+  const code = await terminal.publish(makeDirectory(), "--expect-version=0");
+  await leaving;
+  assert.equal(code, EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /In force on 1 of 1 instances/);
+});
+
 test("shows what is in force in a form that changes nothing", async () => {
   const terminal = new Terminal(new FakePlatform());
   await terminal.publish(makeDirectory(), "--expect-version=0");
