feat(trials): fuzz whole clusters of real instances

When all faults have ended the shared oracle judges the log, all decision lines, the targets' histories and what callers were told; no request may hang, no two stewards may send to one target, and no instance may stay behind. A process can now also be paused between a check and the act that it allowed.

--- a/packages/trials/src/cluster/fake_cluster.ts
+++ b/packages/trials/src/cluster/fake_cluster.ts
@@ -9,15 +9,19 @@
 } from "@lentilspur/declarations/template";
 import { FakeInstanceList } from "@lentilspur/ports/fake_instance_list";
 import { FakeLog, type FakeLogLink } from "@lentilspur/ports/fake_log";
-import { FakeTarget } from "@lentilspur/ports/fake_target";
+import { FakeTarget, type TargetRequest } from "@lentilspur/ports/fake_target";
 import {
   type FakeTargetLink,
   FakeTargetNetwork,
 } from "@lentilspur/ports/fake_target_network";
+import type { InstanceListPort } from "@lentilspur/ports/instance_list";
+import type { LogPort } from "@lentilspur/ports/log";
+import type { PeerPort } from "@lentilspur/ports/peer";
+import type { TargetPort } from "@lentilspur/ports/target";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import type { Decision } from "@lentilspur/proof/decision_line";
+import type { DecisionLine } from "@lentilspur/proof/decision_line";
 import { type CallerAnswer, WholeBody } from "@lentilspur/router/entry/caller";
-import { Instance } from "@lentilspur/router/instance";
+import { Instance, type InstanceOptions } from "@lentilspur/router/instance";
 import {
   type ControlTiming,
   DEFAULT_TIMING,
@@ -39,11 +43,13 @@
   readonly gate: ProcessGate;
   readonly logLink: FakeLogLink;
   readonly targetLink: FakeTargetLink;
-  readonly decisions: readonly Decision[];
+  readonly decisions: readonly DecisionLine[];
 }
 
 /** What one caller sent, and what it was told; null while it waits. */
 export interface SentRequest {
+  /** The instance that it was sent to. */
+  readonly through: string;
   readonly key: string;
   readonly idempotent: boolean;
   readonly requestId: string | undefined;
@@ -52,11 +58,25 @@
   answer: CallerAnswer | null;
 }
 
+/**
+ * Puts something between one instance and what it calls: tests break a guard
+ * with it, and nothing else does.
+ */
+export interface PortChanges {
+  readonly log?: (port: LogPort, instance: string) => LogPort;
+  readonly targets?: (port: TargetPort, instance: string) => TargetPort;
+  readonly peers?: (port: PeerPort, instance: string) => PeerPort;
+  readonly instanceList?: (port: InstanceListPort) => InstanceListPort;
+}
+
 export interface ClusterOptions {
+  readonly ports?: PortChanges;
   readonly seed?: number;
   readonly timing?: Partial<ControlTiming>;
   readonly template?: Partial<Template>;
   readonly retainRecords?: number;
+  /** How long a target runs a request; 5 ms unless stated. */
+  readonly getRunMs?: (request: TargetRequest) => number;
 }
 
 const DATA_CENTRES = ["Bole", "Kirkos", "Yeka"] as const;
@@ -69,6 +89,8 @@
   readonly peers: FakePeerNetwork;
   readonly instances = new Map<string, ClusterInstance>();
   readonly sent: SentRequest[] = [];
+  /** Of all instances that ever ran. */
+  readonly lines: DecisionLine[] = [];
   readonly #options: ClusterOptions;
   readonly #random: SeededRandom;
   #started = 0;
@@ -109,11 +131,13 @@
   }
 
   addTarget(id: string, checksGrants: boolean): FakeTarget {
+    const { getRunMs } = this.#options;
     const target = new FakeTarget({
       id,
       template: TEMPLATE_NAME,
       clock: this.clock,
       checksGrants,
+      ...(getRunMs === undefined ? {} : { getRunMs }),
     });
     this.targets.add(target);
     this.list.set({
@@ -134,8 +158,8 @@
     const gate = new ProcessGate();
     const logLink = this.log.createLink();
     const targetLink = this.targets.createLink();
-    const decisions: Decision[] = [];
-    const instance = new Instance({
+    const decisions: DecisionLine[] = [];
+    const instance: Instance = new Instance({
       instance: {
         id,
         peerAddress: id,
@@ -147,11 +171,21 @@
       checkpointStream: CHECKPOINT_STREAM,
       clock: new GatedClock(this.clock, gate),
       random: this.#random,
-      log: createGatedPort(logLink, gate),
-      instanceList: createGatedPort(this.list, gate),
-      targets: createGatedPort(targetLink, gate),
-      peers: createGatedPort(this.peers.createLink(id), gate),
-      decisions: { log: (decision) => void decisions.push(decision) },
+      ...this.#createPorts(id, { gate, logLink, targetLink }),
+      decisions: {
+        log: (decision) => {
+          const line: DecisionLine = {
+            ...decision,
+            instance: id,
+            sequence: decisions.length,
+            elapsedMs: this.clock.readMs(),
+            time: new Date(this.clock.readMs()).toISOString(),
+            foldedOffset: instance.view.nextOffset,
+          };
+          decisions.push(line);
+          this.lines.push(line);
+        },
+      },
     });
     this.peers.add(id, { service: instance.service, gate });
     const member = { id, instance, gate, logLink, targetLink, decisions };
@@ -190,6 +224,7 @@
   ): SentRequest {
     const idempotent = options.idempotent ?? true;
     const sent: SentRequest = {
+      through,
       key,
       idempotent,
       requestId: options.requestId,
@@ -230,6 +265,27 @@
     sent.answeredAtMs = this.clock.readMs();
   }
 
+  #createPorts(
+    id: string,
+    { gate, logLink, targetLink }: Pick<
+      ClusterInstance,
+      "gate" | "logLink" | "targetLink"
+    >,
+  ): Pick<InstanceOptions, "log" | "instanceList" | "targets" | "peers"> {
+    const { ports = {} } = this.#options;
+    const peerLink = this.peers.createLink(id);
+    const log = ports.log?.(logLink, id) ?? logLink;
+    const targets = ports.targets?.(targetLink, id) ?? targetLink;
+    const peers = ports.peers?.(peerLink, id) ?? peerLink;
+    const list = ports.instanceList?.(this.list) ?? this.list;
+    return {
+      log: createGatedPort(log, gate),
+      instanceList: createGatedPort(list, gate),
+      targets: createGatedPort(targets, gate),
+      peers: createGatedPort(peers, gate),
+    };
+  }
+
   #getDataCentre(number: number): string {
     return DATA_CENTRES[number % DATA_CENTRES.length]!;
   }
--- a/packages/trials/src/cluster/process_gate.ts
+++ b/packages/trials/src/cluster/process_gate.ts
@@ -9,6 +9,7 @@
   #resumed: Promise<void> | undefined;
   #resume: (() => void) | undefined;
   #isEnded = false;
+  #stopsAtCall = false;
 
   get isPaused(): boolean {
     return this.#resumed !== undefined;
@@ -22,7 +23,25 @@
     this.#resumed ??= new Promise((resolve) => this.#resume = resolve);
   }
 
+  /**
+   * Pauses right before the next call of a port leaves: between a check and
+   * the act that it allowed, where a real process may be paused as well.
+   */
+  setStopAtNextCall(): void {
+    this.#stopsAtCall = true;
+  }
+
+  /** Waits before a call of a port leaves the process. */
+  async waitBeforeCall(): Promise<void> {
+    if (this.#stopsAtCall) {
+      this.#stopsAtCall = false;
+      this.stop();
+    }
+    await this.wait();
+  }
+
   start(): void {
+    this.#stopsAtCall = false;
     this.#resume?.();
     this.#resumed = undefined;
     this.#resume = undefined;
@@ -62,7 +81,10 @@
   }
 }
 
-/** The same port, whose answers reach a paused process only when it resumes. */
+/**
+ * The same port for a pausable process: calls leave it and answers reach it
+ * only while it runs.
+ */
 export function createGatedPort<T extends object>(
   port: T,
   gate: ProcessGate,
@@ -74,6 +96,7 @@
         return member;
       }
       return async (...args: unknown[]): Promise<unknown> => {
+        await gate.waitBeforeCall();
         const result: unknown = await Reflect.apply(member, target, args);
         await gate.wait();
         return result;
--- a/packages/trials/src/fuzz/fuzz_cli.ts
+++ b/packages/trials/src/fuzz/fuzz_cli.ts
@@ -12,6 +12,7 @@
   positional,
   run,
 } from "cmd-ts";
+import { runClusterFuzz } from "./cluster_fuzz.ts";
 import { runFoldFuzz } from "./fold_commands.ts";
 import type { FuzzOutcome } from "./fuzz_outcome.ts";
 
@@ -25,6 +26,7 @@
 
 const FUZZES: readonly Fuzz[] = [
   { name: "fold", defaultRuns: 1_000, run: runFoldFuzz },
+  { name: "cluster", defaultRuns: 100, run: runClusterFuzz },
 ];
 
 const DEFAULT_SEED = 1;
@@ -66,9 +68,16 @@
   );
   if (outcome.failed) {
     console.log(`shrunk ${outcome.shrinks} times to:`);
-    console.log(outcome.sequence.replaceAll(",append", ",\nappend"));
+    console.log(formatSequence(outcome.sequence));
     console.log(outcome.error);
   }
 }
 
+/** One step a line. */
+function formatSequence(sequence: string): string {
+  return sequence
+    .replaceAll(",append", ",\nappend")
+    .replaceAll('},{"kind"', '},\n{"kind"');
+}
+
 await run(fuzzCommand, process.argv.slice(2));
