--- a/packages/policy/src/target_scheduler.ts
+++ b/packages/policy/src/target_scheduler.ts
@@ -10,6 +10,7 @@
  * target that sustains less than it declares (a limit from own observations)
  * and callers that all come back at once (spread return times).
  */
+import { Admission, type AdmissionBounds } from "./admission.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { CostModel } from "./cost_model.ts";
 import { FairQueue, type QueuedJob } from "./fair_queue.ts";
@@ -26,7 +27,6 @@
   ScheduledJob,
   ServiceObservation,
 } from "./scheduled_job.ts";
-import { StandingQueue } from "./standing_queue.ts";
 import { computeWaitMs } from "./wait_estimate.ts";
 
 export type {
@@ -38,10 +38,6 @@
   ServiceObservation,
 } from "./scheduled_job.ts";
 
-/** Admit only what is predicted to start within this share of the queue's bound. */
-const ADMISSION_SHARE = 0.8;
-/** Deviations above the mean service time that must fit before the deadline. */
-const ADMISSION_DEVIATIONS = 2;
 /** Predictions are renewed for waiting jobs no more often than this. */
 const RECHECK_MS = 20;
 /** A waiting job is given up when its predicted wait passes its time by this. */
@@ -49,13 +45,9 @@
 /** A long job may take the last place once this share of its time has passed. */
 const LONG_AGED_SHARE = 0.75;
 
-export interface TargetSchedulerOptions {
+export interface TargetSchedulerOptions extends AdmissionBounds {
   /** Requests that the target runs at a time, as declared. */
   readonly places: number;
-  /** Bound on waiting jobs, over all client accounts. */
-  readonly maxQueued: number;
-  /** Bound on the time that a job waits. */
-  readonly maxQueueMs: number;
   /** True for a target that has just started; it begins with one place. */
   readonly cold?: boolean;
   /** Service time assumed before the first observation. */
@@ -84,9 +76,9 @@
 export class TargetScheduler {
   readonly #options: TargetSchedulerOptions;
   readonly #costs: CostModel;
+  readonly #admission: Admission;
   readonly #limit: ConcurrencyLimit;
   readonly #queue = new FairQueue();
-  readonly #standing = new StandingQueue();
   readonly #returns = new ReturnSchedule();
   readonly #running = new Map<string, RunningJob>();
   #expired: ScheduledJob[] = [];
@@ -101,6 +93,7 @@
         ? {}
         : { priorMs: options.priorServiceMs },
     );
+    this.#admission = new Admission(options, this.#costs);
     this.#limit = new ConcurrencyLimit(options.places, {
       cold: options.cold ?? false,
     });
@@ -109,15 +102,15 @@
   /** Decides at once whether a job may wait. */
   offer(job: ScheduledJob, nowMs: number): OfferResult {
     const times = this.#computePlaceTimes(nowMs);
-    this.#observeBacklog(job, times, nowMs);
-    const queued = this.#describeJob(job);
+    const shortWorkMs = this.#queue.workMs - this.#queue.longWorkMs;
+    const backlogMs = computeWaitMs(times.short, shortWorkMs);
+    this.#admission.observeBacklog(job, backlogMs, nowMs);
+    const queued = this.#admission.describeJob(job);
     const place = this.#queue.locateNew(queued);
     const waitMs = estimateWaitMs(queued, place.likeAheadMs, times);
-    if (nowMs + waitMs > queued.latestStartMs) {
-      return this.#refuse(job, this.#describeLateness(queued), nowMs);
-    }
-    if (waitMs > (queued.latestStartMs - nowMs) * ADMISSION_SHARE) {
-      return this.#refuse(job, "queue-full", nowMs);
+    const reason = this.#admission.checkWait(queued, waitMs, nowMs);
+    if (reason !== null) {
+      return this.#refuse(job, reason, nowMs);
     }
     if (this.#queue.size < this.#options.maxQueued) {
       this.#queue.add(queued);
@@ -239,41 +232,6 @@
     };
   }
 
-  #describeJob(job: ScheduledJob): QueuedJob {
-    const { meanMs, deviationMs } = this.#costs.estimate(job);
-    const neededMs = meanMs + ADMISSION_DEVIATIONS * deviationMs;
-    return {
-      job,
-      costMs: meanMs,
-      long: this.#costs.isLong(job),
-      typicalMs: this.#costs.typicalMs,
-      latestStartMs: Math.min(
-        job.deadlineAtMs - neededMs,
-        job.arrivedAtMs + this.#computeAllowedWaitMs(job),
-      ),
-    };
-  }
-
-  #computeAllowedWaitMs(job: ScheduledJob): number {
-    const { maxQueueMs } = this.#options;
-    return this.#costs.isLong(job)
-      ? maxQueueMs
-      : this.#standing.computeAllowedWaitMs(job, {
-        maxQueueMs,
-        typicalMs: this.#costs.typicalMs,
-      });
-  }
-
-  /** Whether the caller's deadline or the queue's own bound is what is short. */
-  #describeLateness(queued: QueuedJob): RefusalReason {
-    const { job } = queued;
-    const { meanMs, deviationMs } = this.#costs.estimate(job);
-    const neededMs = meanMs + ADMISSION_DEVIATIONS * deviationMs;
-    return queued.latestStartMs >= job.deadlineAtMs - neededMs
-      ? "deadline-too-short"
-      : "queue-full";
-  }
-
   #offerToFullQueue(
     queued: QueuedJob,
     finishTag: number,
@@ -302,25 +260,12 @@
     return {
       kind: "refused",
       reason,
-      limit: this.#formatLimit(job, reason),
+      limit: this.#admission.formatLimit(job, reason),
       retryAfterMs: this.assignReturnMs(job, nowMs),
       shed: [],
     };
   }
 
-  #formatLimit(job: ScheduledJob, reason: RefusalReason): string {
-    switch (reason) {
-      case "queue-full":
-        return `${this.#options.maxQueued} jobs or ${this.#options.maxQueueMs} ms in the target's queue`;
-      case "deadline-too-short":
-        return `the deadline of ${
-          Math.round(job.deadlineAtMs - job.arrivedAtMs)
-        } ms`;
-      case "account-over-share":
-        return `the share of client account "${job.clientAccount}" in the target's queue`;
-    }
-  }
-
   /**
    * Two long jobs in two places make every short one wait for a long one. So
    * the last place is kept from them, until one has aged or its account has
@@ -357,14 +302,6 @@
     );
   }
 
-  /** Long jobs wait in their own bounds; a queue of short ones is watched. */
-  #observeBacklog(job: ScheduledJob, times: PlaceTimes, nowMs: number): void {
-    const shortWorkMs = this.#queue.workMs - this.#queue.longWorkMs;
-    const waitMs = computeWaitMs(times.short, shortWorkMs);
-    const typicalMs = this.#costs.typicalMs;
-    this.#standing.observe(job, { waitMs, typicalMs }, nowMs);
-  }
-
   #computePlaceTimes(nowMs: number): PlaceTimes {
     const occupied: OccupiedPlace[] = [];
     for (const { queued, startedAtMs } of this.#running.values()) {
--- a/packages/trials/src/load/call_results.ts
+++ b/packages/trials/src/load/call_results.ts
@@ -32,7 +32,11 @@
     if (call.arrivedAtMs >= WARM_UP_MS) {
       this.sends++;
       this.firstSends += call.sends === 1 ? 1 : 0;
-      addTo(this.askedMs, call.account, call.sends === 1 ? call.serviceMs : 0);
+      addTo(
+        this.askedMs,
+        call.subject.account,
+        call.sends === 1 ? call.subject.serviceMs : 0,
+      );
     }
   }
 
@@ -49,7 +53,7 @@
     switch (end.kind) {
       case "answered":
         this.answered++;
-        addTo(this.servedMs, call.account, call.serviceMs);
+        addTo(this.servedMs, call.subject.account, call.subject.serviceMs);
         this.#recordLatency(call, tookMs + times.networkMs);
         return;
       case "refused":
@@ -83,7 +87,7 @@
   #recordLatency(call: Call, tookMs: number): void {
     const value = Math.round(tookMs * PER_MS);
     this.latencies.recordValue(value);
-    if (call.bystander) {
+    if (call.subject.bystander) {
       this.bystanderLatencies.recordValue(value);
     }
   }
--- a/packages/trials/src/load/deployments.ts
+++ b/packages/trials/src/load/deployments.ts
@@ -58,3 +58,10 @@
 };
 
 export const DEPLOYMENTS: readonly Deployment[] = [ABAY, SAUTIBA];
+
+/** What the ways there and back add to an answer, on average. */
+export function computeNetworkMs(deployment: Deployment): number {
+  const { dataCentres, betweenMs, clientMs } = deployment;
+  const apart = 1 - 1 / dataCentres.length;
+  return 2 * (clientMs + apart * betweenMs);
+}
--- a/packages/trials/src/load/group_planner.ts
+++ b/packages/trials/src/load/group_planner.ts
@@ -82,12 +82,15 @@
     observed: { readonly loadMs: number; readonly costMs: number },
   ): void {
     const { events, options } = this.#simulation;
-    const unit = this.units.locateKey(call.key).unit;
-    this.#loads.observe(unit, observed.loadMs, events.nowMs);
+    const unit = this.units.locateKey(call.subject.key).unit;
+    const loadMs = options.variant.measuresLoadBy === "time"
+      ? observed.loadMs
+      : options.group.serviceMs;
+    this.#loads.observe(unit, loadMs, events.nowMs);
     this.#hotKeys.observe(
       options.group.template,
-      String(call.key),
-      String(call.account),
+      String(call.subject.key),
+      String(call.subject.account),
       observed.costMs,
       events.nowMs,
     );
@@ -255,7 +258,7 @@
 
   #isBusy(unit: SimulatedUnit): boolean {
     return this.#simulation.listRunning(unit.owner).some((call) =>
-      this.units.locateKey(call.key) === unit
+      this.units.locateKey(call.subject.key) === unit
     );
   }
 
--- a/packages/trials/src/load/group_simulation.ts
+++ b/packages/trials/src/load/group_simulation.ts
@@ -1,36 +1,39 @@
 /**
  * One template of a deployment in virtual time: callers, entries' limits, one
  * queue per target, the targets, and a planner that moves units once a second.
- * Read `#handleArrival`, `#send`, `#offer`, `#startWaiting` and `#settle` in this order for a
- * request's way.
+ * Read `#send`, `#offer`, `#startWaiting`, `#dispatch` and `#settle` in this
+ * order for a request's way.
  */
-import { AccountLimiter } from "@lentilspur/policy/account_limiter";
-import { AdaptiveTimeout } from "@lentilspur/policy/adaptive_timeout";
 import { RetryBudget } from "@lentilspur/policy/retry_budget";
 import type { ScheduledJob } from "@lentilspur/policy/scheduled_job";
-import type { Call, CallEnd } from "./call.ts";
+import {
+  type Call,
+  type CallEnd,
+  type CallSubject,
+  computeReturnMs,
+  LONG_DEADLINE_MS,
+  makeCall,
+  toScheduledJob,
+} from "./call.ts";
 import { CallResults } from "./call_results.ts";
 import {
+  computeNetworkMs,
   type Deployment,
-  PLACES_PER_TARGET,
   type TargetGroup,
 } from "./deployments.ts";
+import { EntryLimits, INSTANCES } from "./entry_limits.ts";
 import { EventQueue } from "./event_queue.ts";
 import { GroupPlanner } from "./group_planner.ts";
 import {
   END_MS,
   type LoadPattern,
-  LONG_FACTOR,
   type Stream,
   WARM_UP_MS,
 } from "./patterns.ts";
 import { SeededRandom } from "./seeded_random.ts";
-import {
-  SimulatedTarget,
-  type TargetFault,
-  type WorkEnd,
-} from "./simulated_target.ts";
-import type { TargetQueue } from "./target_queue.ts";
+import { createMember, type SimulatedMember } from "./simulated_member.ts";
+import type { WorkEnd } from "./simulated_target.ts";
+import { Traffic } from "./traffic.ts";
 import type { Variant } from "./variants.ts";
 
 export interface GroupOptions {
@@ -42,28 +45,7 @@
   readonly seed: number;
 }
 
-export interface SimulatedMember {
-  readonly target: SimulatedTarget;
-  readonly queue: TargetQueue;
-  readonly joinedAtMs: number;
-  /** Null where lookups are never given up before their deadline. */
-  readonly timeout: AdaptiveTimeout | null;
-  wakeAtMs: number;
-}
-
-/** The default of a template declaration, and its maximum. */
-const DEADLINE_MS = 2_000;
-const LONG_DEADLINE_MS = 10_000;
-const KEYS = 4_096;
-const INSTANCES = 12;
-/** An account may ask for this many times an equal part of the capacity. */
-const ACCOUNT_RATE_FACTOR = 4;
-const ACCOUNT_MAX_CONCURRENT = 256;
 const RETRY_POLICY = { budgetRatio: 0.1, maxAttempts: 2 };
-/** A caller that returns sends this often at most. */
-const MAX_SENDS = 5;
-/** When callers come back who were told nothing. */
-const UNTOLD_RETURN_MS = 1_000;
 
 export class GroupSimulation {
   readonly events = new EventQueue();
@@ -73,7 +55,7 @@
   readonly options: GroupOptions;
   readonly #random: SeededRandom;
   readonly #calls = new Map<string, Call>();
-  readonly #limiters: readonly AccountLimiter[];
+  readonly #limits: EntryLimits;
   readonly #retryBudget = new RetryBudget(RETRY_POLICY);
   readonly #networkMs: number;
   #lastId = 0;
@@ -81,13 +63,8 @@
   constructor(options: GroupOptions) {
     this.options = options;
     this.#random = new SeededRandom(options.seed);
-    this.#limiters = Array.from(
-      { length: INSTANCES },
-      () => new AccountLimiter({ instanceCount: INSTANCES }),
-    );
-    const { dataCentres, betweenMs, clientMs } = options.deployment;
-    const apart = 1 - 1 / dataCentres.length;
-    this.#networkMs = 2 * (clientMs + apart * betweenMs);
+    this.#limits = new EntryLimits(options.group, options.deployment.accounts);
+    this.#networkMs = computeNetworkMs(options.deployment);
     for (let index = 0; index < options.group.targets; index++) {
       this.addTarget(index, { cold: false });
     }
@@ -95,9 +72,13 @@
   }
 
   run(): void {
-    for (const stream of this.options.streams) {
-      this.events.schedule(stream.fromMs, () => this.#scheduleArrival(stream));
-    }
+    new Traffic({
+      group: this.options,
+      events: this.events,
+      random: this.#random,
+      isDisturbed: (key) => this.#isOnFirstTarget(key),
+      send: (subject) => this.#send(subject, 1),
+    }).start();
     this.planner.start();
     this.events.schedule(WARM_UP_MS, () => {
       for (const { target } of this.members.values()) {
@@ -108,21 +89,12 @@
   }
 
   addTarget(index: number, options: { readonly cold: boolean }): void {
-    const { adaptsTimeout } = this.options.variant;
-    const target = new SimulatedTarget({
-      id: `t${index}`,
-      events: this.events,
-      places: PLACES_PER_TARGET,
-      faults: this.#listFaults(index),
+    const member = createMember(this.options, {
+      index,
       cold: options.cold,
+      events: this.events,
     });
-    this.members.set(target.id, {
-      target,
-      queue: this.options.variant.createQueue(options),
-      joinedAtMs: options.cold ? this.events.nowMs : -Infinity,
-      timeout: adaptsTimeout ? new AdaptiveTimeout() : null,
-      wakeAtMs: Infinity,
-    });
+    this.members.set(member.target.id, member);
   }
 
   /** Puts calls that waited for a move into the new owner's queue. */
@@ -144,78 +116,13 @@
     return [...this.#calls.values()].filter((call) => call.target === target);
   }
 
-  #listFaults(index: number): readonly TargetFault[] {
-    const { faults, faultsOnAll } = this.options.pattern;
-    return index === 0 || faultsOnAll === true ? faults ?? [] : [];
-  }
-
-  #scheduleArrival(stream: Stream): void {
-    const { group } = this.options;
-    const serviceMs = group.serviceMs *
-      (stream.costClass === "long" ? LONG_FACTOR : 1);
-    const capacity = group.targets * PLACES_PER_TARGET;
-    const places = stream.share * capacity + stream.places;
-    const gapMs = this.#random.drawExponential(serviceMs / places);
-    const atMs = this.events.nowMs + gapMs;
-    if (atMs < Math.min(stream.untilMs, END_MS)) {
-      this.events.schedule(atMs, () => {
-        this.#handleArrival(stream, serviceMs);
-        this.#scheduleArrival(stream);
-      });
-    }
-  }
-
-  #handleArrival(stream: Stream, meanMs: number): void {
-    const { group, deployment } = this.options;
-    const account = stream.account ??
-      chooseAccount(deployment.accounts, this.#random);
-    const key = stream.key ?? this.#random.drawIndex(KEYS);
-    this.#send({
-      stream,
-      account,
-      key,
-      idempotent: this.#random.draw() < group.lookupShare,
-      serviceMs: this.#random.drawService(meanMs),
-      bystander: stream.bystander && account !== this.#getLoudAccount() &&
-        !this.#isOnFirstTarget(key),
-    }, 1);
-  }
-
-  #send(
-    subject: Pick<
-      Call,
-      | "stream"
-      | "account"
-      | "key"
-      | "idempotent"
-      | "serviceMs"
-      | "bystander"
-    >,
-    sends: number,
-  ): void {
-    const nowMs = this.events.nowMs;
-    const allowedMs = subject.stream.costClass === "long"
-      ? LONG_DEADLINE_MS
-      : DEADLINE_MS;
-    const call: Call = {
-      stream: subject.stream,
-      account: subject.account,
-      key: subject.key,
-      idempotent: subject.idempotent,
-      serviceMs: subject.serviceMs,
-      bystander: subject.bystander,
+  #send(subject: CallSubject, sends: number): void {
+    const call = makeCall(subject, {
       id: String(++this.#lastId),
       sends,
       instance: this.#random.drawIndex(INSTANCES),
-      admitted: false,
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + allowedMs,
-      attempt: 0,
-      timedOut: false,
-      target: null,
-      unit: "",
-      ended: false,
-    };
+      arrivedAtMs: this.events.nowMs,
+    });
     this.#calls.set(call.id, call);
     this.results.recordSend(call);
     if (this.#admit(call)) {
@@ -234,24 +141,10 @@
   }
 
   #admit(call: Call): boolean {
-    const { group, deployment, variant } = this.options;
-    if (!variant.limitsAccounts) {
+    if (!this.options.variant.limitsAccounts) {
       return true;
     }
-    const capacity = group.targets * PLACES_PER_TARGET / group.serviceMs;
-    const rate = 1_000 * ACCOUNT_RATE_FACTOR * capacity / deployment.accounts;
-    const decision = this.#limiters[call.instance]!.offer(
-      String(call.account),
-      group.template,
-      {
-        template: group.template,
-        weight: 1,
-        requestsPerSecond: rate,
-        burst: rate / INSTANCES,
-        maxConcurrent: ACCOUNT_MAX_CONCURRENT,
-      },
-      this.events.nowMs,
-    );
+    const decision = this.#limits.offer(call, this.events.nowMs);
     if (decision.kind === "refused") {
       this.#recordEnd(call, decision);
       return false;
@@ -262,7 +155,7 @@
 
   #offer(call: Call): void {
     const nowMs = this.events.nowMs;
-    const unit = this.planner.units.locateKey(call.key);
+    const unit = this.planner.units.locateKey(call.subject.key);
     call.unit = unit.unit;
     if (unit.movingTo !== null) {
       this.planner.addHeld(unit.unit, call);
@@ -321,7 +214,7 @@
     }
     member.target.start({
       id: call.id,
-      serviceMs: call.serviceMs,
+      serviceMs: call.subject.serviceMs,
       luck: this.#random.draw(),
       onEnd: (end) => this.#settle(member, call, { end, startedAtMs }),
     });
@@ -344,7 +237,7 @@
       if (call.target === null || call.attempt !== attempt || call.ended) {
         return;
       }
-      if (call.idempotent) {
+      if (call.subject.idempotent) {
         call.timedOut = true;
         member.target.cancel(call.id);
         return;
@@ -381,7 +274,10 @@
   ): void {
     const nowMs = this.events.nowMs;
     const serviceMs = nowMs - how.startedAtMs;
-    const kind = how.end === "cancelled" ? this.#describeCancel(call) : how.end;
+    // A caller that went away, or one answer that did not come, says nothing
+    // about the target; a deadline does.
+    const cancelled = nowMs < call.deadlineAtMs ? "failed" : "timed-out";
+    const kind = how.end === "cancelled" ? cancelled : how.end;
     member.queue.settle(call.id, { kind, serviceMs }, nowMs);
     call.target = null;
     if (how.end === "completed") {
@@ -394,14 +290,6 @@
     this.#startWaiting(member);
   }
 
-  /**
-   * A caller that went away, or one answer that did not come, says nothing
-   * about the target; a deadline does.
-   */
-  #describeCancel(call: Call): "timed-out" | "failed" {
-    return this.events.nowMs < call.deadlineAtMs ? "failed" : "timed-out";
-  }
-
   #settleCall(call: Call, end: WorkEnd): void {
     switch (end) {
       case "completed":
@@ -411,7 +299,7 @@
         this.#retryOrEnd(call, { kind: "refused", retryAfterMs: 100 });
         return;
       case "failed":
-        if (call.idempotent) {
+        if (call.subject.idempotent) {
           this.#retryOrEnd(call, { kind: "unknown" });
         } else {
           this.#recordEnd(call, { kind: "unknown" });
@@ -465,7 +353,7 @@
       return;
     }
     const member = this.members.get(
-      this.planner.units.locateKey(call.key).owner,
+      this.planner.units.locateKey(call.subject.key).owner,
     )!;
     member.queue.cancel(call.id, this.events.nowMs);
     if (call.target !== null) {
@@ -480,26 +368,15 @@
     call.ended = true;
     this.#calls.delete(call.id);
     if (call.admitted) {
-      const { template } = this.options.group;
-      this.#limiters[call.instance]!.release(String(call.account), template);
+      this.#limits.release(call);
     }
     const nowMs = this.events.nowMs;
     this.results.recordEnd(call, end, { nowMs, networkMs: this.#networkMs });
-    if (this.options.pattern.callersReturn === true) {
-      this.#scheduleReturn(call, end);
-    }
-  }
-
-  #scheduleReturn(call: Call, end: CallEnd): void {
-    if (end.kind === "answered" || call.sends >= MAX_SENDS) {
-      return;
-    }
-    const pauseMs = end.kind === "refused"
-      ? end.retryAfterMs
-      : UNTOLD_RETURN_MS;
-    const atMs = this.events.nowMs + pauseMs;
-    if (atMs < END_MS) {
-      this.events.schedule(atMs, () => this.#send(call, call.sends + 1));
+    const returnMs = computeReturnMs(call, end);
+    const atMs = nowMs + (returnMs ?? Infinity);
+    if (this.options.pattern.callersReturn === true && atMs < END_MS) {
+      const sends = call.sends + 1;
+      this.events.schedule(atMs, () => this.#send(call.subject, sends));
     }
   }
 
@@ -508,26 +385,7 @@
   }
 
   #toJob(call: Call): ScheduledJob {
-    return {
-      id: call.id,
-      clientAccount: String(call.account),
-      weight: 1,
-      template: this.options.group.template,
-      unit: call.unit,
-      key: String(call.key),
-      idempotent: call.idempotent,
-      costClass: call.stream.costClass,
-      arrivedAtMs: call.arrivedAtMs,
-      deadlineAtMs: call.deadlineAtMs,
-      attempt: call.attempt + 1,
-    };
-  }
-
-  #getLoudAccount(): number | null {
-    const loud = this.options.pattern.streams.find(({ account }) =>
-      account !== null
-    );
-    return loud?.account ?? null;
+    return toScheduledJob(call, this.options.group.template);
   }
 
   /** Whether the key's callers are hurt by what is wrong with the first target. */
@@ -536,13 +394,3 @@
       this.planner.units.locateKey(key).owner === "t0";
   }
 }
-
-/** Accounts ask for 1 to 4 parts each, so an equal share is not what all want. */
-function chooseAccount(accounts: number, random: SeededRandom): number {
-  for (;;) {
-    const account = random.drawIndex(accounts);
-    if (random.draw() < (1 + account % 4) / 4) {
-      return account;
-    }
-  }
-}
--- a/packages/trials/src/load/variants.ts
+++ b/packages/trials/src/load/variants.ts
@@ -25,6 +25,8 @@
   /** An answer may be given up before its deadline. */
   readonly adaptsTimeout: boolean;
   readonly placement: "weighed" | "trusting-reports" | "fixed" | "round-robin";
+  /** A unit's load: the time that it takes of places, or its requests. */
+  readonly measuresLoadBy: "time" | "requests";
   readonly placesHotKeys: boolean;
   /** A target that joins is given its part by and by. */
   readonly startsSlowly: boolean;
@@ -43,6 +45,7 @@
   retries: "budgeted",
   adaptsTimeout: true,
   placement: "weighed",
+  measuresLoadBy: "time",
   placesHotKeys: true,
   startsSlowly: true,
 };
@@ -105,11 +108,17 @@
     name: "- spread return times",
     createQueue: ({ cold }) => new HastyReturnQueue(createScheduler({ cold })),
   },
+  {
+    ...ALL,
+    name: "- one queue for both places",
+    createQueue: ({ cold }) => new QueuePerPlace(cold),
+  },
   { ...ALL, name: "- cancellation", cancels: false },
   { ...ALL, name: "- retry budget", retries: "unbounded" },
   { ...ALL, name: "- adaptive timeout", adaptsTimeout: false },
   { ...ALL, name: "- hot key placement", placesHotKeys: false },
   { ...ALL, name: "- balancing", placement: "fixed" },
+  { ...ALL, name: "- latency feedback", measuresLoadBy: "requests" },
   { ...ALL, name: "- slow start", startsSlowly: false },
   { ...ALL, name: "- own observations", placement: "trusting-reports" },
   makeBaseline("first come first served", {
@@ -254,3 +263,66 @@
     return PLAIN_RETURN_MS;
   }
 }
+
+/** A queue of its own for each place of a target; jobs go to them in turn. */
+class QueuePerPlace implements TargetQueue {
+  readonly #queues: readonly TargetScheduler[];
+  #offered = 0;
+
+  constructor(cold: boolean) {
+    this.#queues = Array.from(
+      { length: PLACES_PER_TARGET },
+      () =>
+        new TargetScheduler({
+          places: 1,
+          maxQueued: MAX_QUEUED / PLACES_PER_TARGET,
+          maxQueueMs: MAX_QUEUE_MS,
+          cold,
+        }),
+    );
+  }
+
+  offer(job: ScheduledJob, nowMs: number): OfferResult {
+    this.#offered++;
+    const queue = this.#queues[this.#offered % this.#queues.length]!;
+    return queue.offer(job, nowMs);
+  }
+
+  take(nowMs: number): ReturnType<TargetQueue["take"]> {
+    let wakeAtMs: number | null = null;
+    for (const queue of this.#queues) {
+      const step = queue.take(nowMs);
+      if (step.kind === "run") {
+        return step;
+      }
+      wakeAtMs = step.wakeAtMs ?? wakeAtMs;
+    }
+    return { kind: "idle", wakeAtMs };
+  }
+
+  takeExpired(nowMs: number): readonly ScheduledJob[] {
+    return this.#queues.flatMap((queue) => queue.takeExpired(nowMs));
+  }
+
+  settle(jobId: string, seen: ServiceObservation, nowMs: number): void {
+    for (const queue of this.#queues) {
+      queue.settle(jobId, seen, nowMs);
+    }
+  }
+
+  cancel(jobId: string, nowMs: number): boolean {
+    return this.#queues.some((queue) => queue.cancel(jobId, nowMs));
+  }
+
+  removeUnit(template: string, unit: string): readonly ScheduledJob[] {
+    return this.#queues.flatMap((queue) => queue.removeUnit(template, unit));
+  }
+
+  estimateCostMs(job: ScheduledJob): number {
+    return this.#queues[0]!.estimateCostMs(job);
+  }
+
+  assignReturnMs(job: ScheduledJob, nowMs: number): number {
+    return this.#queues[0]!.assignReturnMs(job, nowMs);
+  }
+}
