--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -75,10 +75,11 @@
 
   /** Names the limit that refused a job, for its caller and the log. */
   formatLimit(job: ScheduledJob, reason: RefusalReason): string {
-    const { maxQueued, maxQueueMs } = this.#bounds;
     switch (reason) {
-      case "queue-full":
-        return `${maxQueued} jobs or ${maxQueueMs} ms in the target's queue`;
+      case "queue-full": {
+        const waitMs = Math.round(this.#computeAllowedWaitMs(job));
+        return `${this.#bounds.maxQueued} jobs or ${waitMs} ms in the target's queue`;
+      }
       case "deadline-too-short": {
         const allowedMs = Math.round(job.deadlineAtMs - job.arrivedAtMs);
         return `the deadline of ${allowedMs} ms`;
