fix(ownership): let each grant end later than the one before

Two grants from one reading of a target's clock ended alike, so a target that thawed could not tell that a grant of a unit, read last, was older than the one that had taken the unit back: the unit would have had two owners until the grant's end. The fake target now ignores what a grant adds unless it ends later, and keeps its units over a lapse, since a renewal names only what changes; a soak showed a target refusing everything after a freeze of 3 s because it did not.

--- a/packages/ownership/src/grant_window.ts
+++ b/packages/ownership/src/grant_window.ts
@@ -13,6 +13,9 @@
   readonly marginMs: number;
 }
 
+/** Tells two ends apart; far above the rounding of a clock of some weeks. */
+const END_STEP_MS = 0.01;
+
 /** A reading of the target's clock, and the bounds on when it was taken. */
 interface ClockReading {
   readonly bootId: string;
@@ -25,6 +28,7 @@
 export class GrantWindow {
   readonly #timing: GrantTiming;
   #reading: ClockReading | undefined;
+  #lastEndMs = Number.NEGATIVE_INFINITY;
   #usableUntilMs = Number.NEGATIVE_INFINITY;
   #lapsedFromMs = Number.NEGATIVE_INFINITY;
 
@@ -45,6 +49,10 @@
    * The end of the next grant on the target's clock. Call it once for each
    * grant that is sent: from now on the target may hold that grant, whether
    * its answer arrives or not.
+   *
+   * Each end is later than the one before, even from the same reading. Were
+   * two alike, a target could not tell that a grant of a unit which it reads
+   * last was sent before the one that took the unit back.
    */
   claimNextEnd(): number {
     const reading = this.#reading;
@@ -52,9 +60,15 @@
       throw new Error("No reading of the target's clock yet, probe it first");
     }
     const { grantMs, driftRatio } = this.#timing;
-    const lapsedFromMs = reading.arrivedAtMs + grantMs * (1 + driftRatio);
+    const endMs = Math.max(
+      reading.elapsedMs + grantMs,
+      this.#lastEndMs + END_STEP_MS,
+    );
+    this.#lastEndMs = endMs;
+    const lifeMs = endMs - reading.elapsedMs;
+    const lapsedFromMs = reading.arrivedAtMs + lifeMs * (1 + driftRatio);
     this.#lapsedFromMs = Math.max(this.#lapsedFromMs, lapsedFromMs);
-    return reading.elapsedMs + grantMs;
+    return endMs;
   }
 
   /** The target has confirmed a grant that was based on this reading. */
@@ -82,6 +96,7 @@
   /** A new process holds no grants of the old one. */
   reset(): void {
     this.#reading = undefined;
+    this.#lastEndMs = Number.NEGATIVE_INFINITY;
     this.#usableUntilMs = Number.NEGATIVE_INFINITY;
   }
 }
--- a/packages/ports/src/fake_grants.ts
+++ b/packages/ports/src/fake_grants.ts
@@ -32,24 +32,21 @@
     if (stewardToken < this.#highestToken) {
       return Err(this.#highestToken);
     }
-    const hasLapsed = nowMs > this.#liveUntilMs;
-    if (hasLapsed) {
+    if (nowMs > this.#liveUntilMs) {
       this.#lapses++;
       this.#lastLapsedAtMs = this.#liveUntilMs;
     }
     // A steward that has taken over starts from nothing: what its predecessor
-    // granted is void, whether the successor knew of it or not. So are grants
-    // that lapsed: a renewal after a freeze must name its units again.
-    const isSuccessor = stewardToken > this.#highestToken;
-    if (isSuccessor || hasLapsed) {
+    // granted is void, whether the successor knew of it or not.
+    if (stewardToken > this.#highestToken) {
       this.#tokens.clear();
       this.#liveUntilMs = -Infinity;
     }
     this.#highestToken = stewardToken;
     // Failure: a grant is held up on one connection, a later one takes the
     // unit back over another, and then the first arrives and gives it again.
-    // The later grant ends later, so the first is seen to be out of order.
-    if (validUntilMs >= this.#liveUntilMs) {
+    // Each grant ends later than the one before, so the first is out of order.
+    if (validUntilMs > this.#liveUntilMs) {
       this.#liveUntilMs = validUntilMs;
       request.add.forEach(({ unit, token }) => this.#tokens.set(unit, token));
     }
--- a/packages/ports/src/fake_target_test.ts
+++ b/packages/ports/src/fake_target_test.ts
@@ -152,3 +152,15 @@
     ["sender-lost"],
   );
 });
+
+test("a grant that was overtaken does not give back what was taken", async () => {
+  // A grant of a unit is held up; a later one takes the unit back and is
+  // confirmed, so the unit goes to another target. Then the first arrives.
+  const { target } = createTarget(true);
+  const [unit] = GRANT.add;
+  const later = { ...GRANT, validUntilMs: 7_501, add: [], remove: ["s:1"] };
+  assert.ok((await target.handleGrant({ ...GRANT, add: [] })).ok);
+  assert.ok((await target.handleGrant(later)).ok);
+  assert.ok((await target.handleGrant({ ...GRANT, add: [unit!] })).ok);
+  assert.equal((await target.handle(makeRequest("a"))).kind, "not-run");
+});
