--- a/packages/trials/src/start/balancer.ts
+++ b/packages/trials/src/start/balancer.ts
@@ -7,28 +7,45 @@
 const TIMEOUT_MS = 500;
 
 export class Balancer {
-  #ready: readonly string[] = [];
+  readonly #ready = new Set<string>();
+  readonly #watched = new Set<string>();
 
   /** Instances that callers are sent to now, as `host:port`. */
   listEntries(): readonly string[] {
-    return this.#ready;
+    return [...this.#ready];
   }
 
-  /** Looks at the instances until `signal` aborts. */
+  /** Looks at the instances until `signal` aborts, at each on its own. */
   async run(
     listInstances: () => readonly InstanceProcess[],
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted) {
-      const looked = await Promise.all(
-        listInstances().map(async ({ httpAddress }) =>
-          await isReady(httpAddress) ? [httpAddress] : []
-        ),
-      );
-      this.#ready = looked.flat();
+      for (const instance of listInstances()) {
+        if (!this.#watched.has(instance.httpAddress)) {
+          this.#watched.add(instance.httpAddress);
+          void this.#watchOne(instance, signal);
+        }
+      }
       await sleep(LOOK_EVERY_MS);
     }
   }
+
+  async #watchOne(
+    { httpAddress, child }: InstanceProcess,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted && !child.hasEnded) {
+      if (await isReady(httpAddress)) {
+        this.#ready.add(httpAddress);
+      } else {
+        this.#ready.delete(httpAddress);
+      }
+      await sleep(LOOK_EVERY_MS);
+    }
+    this.#ready.delete(httpAddress);
+    this.#watched.delete(httpAddress);
+  }
 }
 
 async function isReady(address: string): Promise<boolean> {
--- a/packages/trials/src/start/once.ts
+++ b/packages/trials/src/start/once.ts
@@ -2,9 +2,11 @@
  * One deployment in small, from a cold start: traffic with a hot key, a target
  * that leaves, an instance that is killed and replaced, a planned stop.
  */
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { CallerRecord } from "@lentilspur/standins/caller_record";
 import { readMachineMs } from "@lentilspur/standins/caller";
+import type { CallerRecord } from "@lentilspur/standins/caller_record";
 import type { LeavingTarget } from "@lentilspur/standins/judge";
 import type { Random } from "@lentilspur/ports/clock";
 import { request } from "undici";
@@ -28,6 +30,8 @@
 const STEADY_MS = 3_000;
 const LEAVING_MS = 6_000;
 const LOSS_MS = 7_000;
+/** For answers on their way to reach the callers' records. */
+const SETTLE_MS = 500;
 
 /** One running deployment with its callers. */
 export class Trial {
@@ -84,6 +88,7 @@
   async stopAndReport(): Promise<TrialReport> {
     await this.traffic.stop();
     await this.#checkVersions();
+    this.#writeRecords();
     const report = await buildReport({
       deployment: this.#options.deployment.name,
       records: this.traffic.records,
@@ -121,27 +126,52 @@
     await sleep(LOSS_MS);
   }
 
-  /** A planned stop fails no request that reached the instance. */
   async stopInstance(): Promise<void> {
     const instance = this.processes.instances[0]!;
     this.#options.print(`  ${instance.name} stops as planned`);
+    await this.checkPlannedStop(instance, (record) => !isServedOrTold(record));
+    await sleep(STEADY_MS);
+  }
+
+  /**
+   * A planned stop fails no request, through whichever instance it came. Where
+   * other things go wrong meanwhile, only those cut off are held against it.
+   */
+  async checkPlannedStop(
+    instance: InstanceProcess,
+    isFailed: (record: CallerRecord) => boolean,
+  ): Promise<void> {
     const since = readMachineMs();
     const code = await this.processes.stopInstance(instance);
     if (code !== 0) {
       this.faults.push(`${instance.name} ended with "${code}"`);
     }
-    await sleep(STEADY_MS);
+    await sleep(SETTLE_MS);
     const failed = this.traffic.records.filter((record) =>
-      record.entry === instance.httpAddress && record.receivedAtMs >= since &&
-      !isServedOrTold(record)
+      record.receivedAtMs >= since && isFailed(record)
     );
-    if (failed.length > 0) {
+    for (const { requestId, entry, outcome, errorKind } of failed) {
       this.faults.push(
-        `${failed.length} requests failed in the stop of ${instance.name}`,
+        `"${requestId}" through ${entry} ended as ${outcome} ` +
+          `(${errorKind ?? "cut off"}) in the stop of ${instance.name}`,
       );
     }
   }
 
+  /** Once nothing is broken any more, every key is served again. */
+  async checkRecovery(limitMs: number): Promise<void> {
+    if (!await waitUntil(() => this.traffic.checkServed(), limitMs)) {
+      this.faults.push("not every key was served again after the last fault");
+    }
+  }
+
+  /** Beside the logs, for finding out how a fault came about. */
+  #writeRecords(): void {
+    const file = join(this.#options.directory, "callers.jsonl");
+    const lines = this.traffic.records.map((each) => JSON.stringify(each));
+    writeFileSync(file, lines.join("\n"));
+  }
+
   async #publish(): Promise<void> {
     const code = await this.processes.runCommand([
       "publish",
--- a/packages/trials/src/start/start_cli.ts
+++ b/packages/trials/src/start/start_cli.ts
@@ -6,7 +6,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import { command, flag, run } from "cmd-ts";
+import { command, flag, oneOf, option, optional, run } from "cmd-ts";
 import { SeededRandom } from "../load/seeded_random.ts";
 import { ABAY, type Deployment, SAUTIBA } from "./deployment.ts";
 import { runOnce, Trial, type TrialOptions } from "./once.ts";
@@ -27,13 +27,19 @@
       long: "once",
       description: "Play both deployments, report, and end",
     }),
+    only: option({
+      long: "only",
+      type: optional(oneOf(["abay", "sautiba"])),
+      description: "With --once, play this one only",
+    }),
   },
-  handler: ({ once }) => once ? runBoth() : runInteractive(),
+  handler: ({ once, only }) => once ? runAll(only) : runInteractive(),
 });
 
-async function runBoth(): Promise<void> {
+async function runAll(only: string | undefined): Promise<void> {
   const reports = [];
-  for (const deployment of [ABAY, SAUTIBA]) {
+  const wanted = [ABAY, SAUTIBA].filter(({ name }) => name === (only ?? name));
+  for (const deployment of wanted) {
     reports.push(await runAndTidy(deployment));
   }
   print(renderSummary(reports));
