--- a/packages/trials/src/load/account_sharing.ts
+++ b/packages/trials/src/load/account_sharing.ts
@@ -3,7 +3,7 @@
  * is declared for all of them together.
  */
 import { AccountLimiter } from "@lentilspur/policy/account_limiter";
-import type { Cell, MeasuredTable } from "../measurement.ts";
+import type { Cell, MeasuredTable, Measurement } from "../measurement.ts";
 import { EventQueue } from "./event_queue.ts";
 import { INSTANCES } from "./entry_limits.ts";
 import { SeededRandom } from "./seeded_random.ts";
@@ -43,9 +43,16 @@
   { name: "20 times the rate, spread", load: 20, reached: INSTANCES },
 ];
 
-export function measureAccountSharing(): MeasuredTable {
+export const ACCOUNT_LIMITS_MEASUREMENT: Measurement = {
+  name: "account-limits",
+  about: "how well several instances keep an account to one declared rate",
+  measure: () =>
+    Promise.resolve({ tables: [measureAccountSharing()], figures: [] }),
+};
+
+function measureAccountSharing(): MeasuredTable {
   return {
-    title: "account limits over 12 instances",
+    title: `account limits over ${INSTANCES} instances`,
     columns: ["sharing", "offered", "admitted / declared", "refused"],
     rows: SHARINGS.flatMap((sharing) =>
       OFFERS.map((offer) => measureSharing(sharing, offer))
--- a/packages/trials/src/load/load_measurement.ts
+++ b/packages/trials/src/load/load_measurement.ts
@@ -5,7 +5,6 @@
   MeasuredTable,
   Measurement,
 } from "../measurement.ts";
-import { measureAccountSharing } from "./account_sharing.ts";
 import { measureDecisionCost } from "./decision_cost.ts";
 import { DEPLOYMENTS } from "./deployments.ts";
 import { drawLoadFigures } from "./load_figures.ts";
@@ -60,7 +59,7 @@
     PATTERNS.map((_, pattern) => buildTable(results, { deployment, pattern }))
   );
   return {
-    tables: [...tables, measureAccountSharing(), cost],
+    tables: [...tables, cost],
     figures: drawLoadFigures(results),
   };
 }
--- a/packages/trials/src/measure_cli.ts
+++ b/packages/trials/src/measure_cli.ts
@@ -6,12 +6,14 @@
 import process from "node:process";
 import { binary, command, flag, run, subcommands } from "cmd-ts";
 import { CAPACITY_MEASUREMENT } from "./capacity/capacity_measurement.ts";
+import { ACCOUNT_LIMITS_MEASUREMENT } from "./load/account_sharing.ts";
 import { LOAD_MEASUREMENT } from "./load/load_measurement.ts";
 import type { MeasuredFigure, Measurement } from "./measurement.ts";
 import { formatReport, formatReportAsJson } from "./report_printer.ts";
 
 const MEASUREMENTS: readonly Measurement[] = [
   LOAD_MEASUREMENT,
+  ACCOUNT_LIMITS_MEASUREMENT,
   CAPACITY_MEASUREMENT,
 ];
 
