--- a/packages/router/src/control/stewardships.ts
+++ b/packages/router/src/control/stewardships.ts
@@ -155,13 +155,17 @@
   async #runKeeper(keeper: TargetKeeper, signal: AbortSignal): Promise<void> {
     const { clock, lease, log, timing } = this.#options;
     while (!signal.aborted) {
+      const { nextOffset } = log.getView();
       // Without its lease an instance renews no grant either, so that a
       // successor never waits for longer than the last one.
       if (lease.isHeld(clock.readMs())) {
         await keeper.renewOnce();
         await this.#settleLoss(keeper, signal);
       }
-      await log.waitForFold(timing.grantEveryMs, signal);
+      // What was folded meanwhile may have brought units to grant.
+      if (log.getView().nextOffset === nextOffset) {
+        await log.waitForFold(timing.grantEveryMs, signal);
+      }
     }
   }
 
--- a/packages/router/src/control/target_keeper.ts
+++ b/packages/router/src/control/target_keeper.ts
@@ -54,7 +54,7 @@
   /** Since when nothing has listened at the address; undefined if unsure. */
   #refusedSinceMs: number | undefined;
   #restartedAtMs: number | undefined;
-  #isExchanging = false;
+  #lastExchange: Promise<unknown> = Promise.resolve();
   #isPaused = false;
 
   constructor(state: TargetState, options: TargetKeeperOptions) {
@@ -114,15 +114,7 @@
 
   /** One round of contact: a probe, or the renewal of all grants. */
   async renewOnce(): Promise<void> {
-    if (this.#isExchanging) {
-      return;
-    }
-    this.#isExchanging = true;
-    try {
-      await this.#probeAndGrant();
-    } finally {
-      this.#isExchanging = false;
-    }
+    await this.#runInTurn(() => this.#probeAndGrant());
   }
 
   /**
@@ -131,19 +123,13 @@
    */
   async revokeUnit(unit: UnitId): Promise<boolean> {
     this.#revoking.add(unit);
-    while (this.#isExchanging) {
-      await this.#options.clock.sleep(1);
-    }
-    this.#isExchanging = true;
-    try {
+    return await this.#runInTurn(async () => {
       if (this.#window.getBootId() === undefined) {
         await this.#probe();
       }
       return this.#window.getBootId() !== undefined &&
         await this.#sendGrant([], [unit], unit);
-    } finally {
-      this.#isExchanging = false;
-    }
+    });
   }
 
   /** The move of this unit did not come about: it is granted again. */
@@ -188,6 +174,17 @@
     return Math.max(this.#lastHeardAtMs, contact?.lastHeardAt ?? 0);
   }
 
+  /**
+   * Exchanges with the target go one after another: two grants on two
+   * connections could arrive in the other order, and an older list of units
+   * would stand.
+   */
+  #runInTurn<T>(exchange: () => Promise<T>): Promise<T> {
+    const turn = this.#lastExchange.then(exchange, exchange);
+    this.#lastExchange = turn;
+    return turn;
+  }
+
   async #probeAndGrant(): Promise<void> {
     // A suspected target gets no further grants, so that the last one lapses;
     // a probe shows whether it is back.
