fix(policy): always try an idle target, and recover fast from one slow job

Cause: jobs that time out on a frozen target raise the estimate above every deadline; what the estimate refuses is never run, so nothing corrects it. Seen in the in-memory cluster: 4 s after a thaw half the keys of the target were still refused, and the fuzz saw 40 refusals in 44 s. Ruled out: not counting time-outs as service time, since a slow target shows by them. An idle target is now tried whatever the estimate, and an observation far below the mean counts half. After: no refusal after the thaw.

--- a/packages/policy/src/cost_model.ts
+++ b/packages/policy/src/cost_model.ts
@@ -16,6 +16,11 @@
 const MAX_LONG_KEYS = 64;
 /** Weight of a new observation: the last 20 or so count, as one target sees about 200 a second. */
 const SMOOTHING = 0.1;
+/**
+ * Weight of an observation far below the mean. One job that hung in a frozen
+ * target must not make its class look long for the next 50.
+ */
+const RECOVERY_SMOOTHING = 0.5;
 /** A key is dearer than its class, and a class than the rest, from this ratio on. */
 const LONG_RATIO = 3;
 /** Assumed before the first observation; one observation replaces it. */
@@ -137,7 +142,10 @@
     return;
   }
   const error = valueMs - moments.meanMs;
-  moments.meanMs += SMOOTHING * error;
-  moments.deviationMs += SMOOTHING * (Math.abs(error) - moments.deviationMs);
+  const weight = LONG_RATIO * valueMs < moments.meanMs
+    ? RECOVERY_SMOOTHING
+    : SMOOTHING;
+  moments.meanMs += weight * error;
+  moments.deviationMs += weight * (Math.abs(error) - moments.deviationMs);
   moments.count++;
 }
--- a/packages/policy/src/target_scheduler.ts
+++ b/packages/policy/src/target_scheduler.ts
@@ -105,7 +105,10 @@
     const shortWorkMs = this.#queue.workMs - this.#queue.longWorkMs;
     const backlogMs = computeWaitMs(times.short, shortWorkMs);
     this.#admission.observeBacklog(job, backlogMs, nowMs);
-    const queued = this.#admission.describeJob(job);
+    const described = this.#admission.describeJob(job);
+    const queued = this.#isIdle()
+      ? { ...described, latestStartMs: job.deadlineAtMs }
+      : described;
     const place = this.#queue.locateNew(queued);
     const waitMs = estimateWaitMs(queued, place.likeAheadMs, times);
     const reason = this.#admission.checkWait(queued, waitMs, nowMs);
@@ -232,6 +235,15 @@
     };
   }
 
+  /**
+   * An idle target is always tried. After a freeze the estimate may exceed
+   * every deadline; were jobs refused for it alone, no job would run, none
+   * would be observed, and the target would stay shut for ever.
+   */
+  #isIdle(): boolean {
+    return this.#running.size === 0 && this.#queue.size === 0;
+  }
+
   #offerToFullQueue(
     queued: QueuedJob,
     finishTag: number,
--- a/packages/policy/src/target_scheduler_test.ts
+++ b/packages/policy/src/target_scheduler_test.ts
@@ -153,3 +153,29 @@
   }
   assert.ok(times.size > 150, `only ${times.size} different times`);
 });
+
+// A target freezes and its jobs time out. After it thaws every caller is told
+// that its deadline is too short: what the estimate refuses is never run, so
+// nothing corrects the estimate. An idle target must be tried.
+test("a target that froze is tried again and taken for fast again", () => {
+  const scheduler = new TargetScheduler(OPTIONS);
+  for (let index = 0; index < 4; index++) {
+    const job = makeJob(`frozen-${index}`, { deadlineAtMs: 10_000 });
+    scheduler.offer(job, 0);
+    scheduler.take(0);
+    const timedOut = { kind: "timed-out", serviceMs: 8_000 } as const;
+    scheduler.settle(job.id, timedOut, 8_000);
+  }
+  let refused = 0;
+  for (let nowMs = 9_000; nowMs < 9_400; nowMs += 20) {
+    const job = makeJob(`thawed-${nowMs}`, { arrivedAtMs: nowMs });
+    if (scheduler.offer(job, nowMs).kind === "refused") {
+      refused++;
+      continue;
+    }
+    scheduler.take(nowMs);
+    scheduler.settle(job.id, { kind: "completed", serviceMs: 5 }, nowMs + 5);
+  }
+  assert.equal(refused, 0);
+  assert.ok(scheduler.estimateCostMs(makeJob("next")) < 50);
+});
