fix(router): give a leaving target no new work after 3 s, whatever happens

Ruled out: moving the units anyway, since the lost steward's kernel may still deliver to it. The steward now stops sending 3 s after it learnt of the leaving, from the log or, while the log is silent, from the list.

--- a/packages/router/src/control/stewardships.ts
+++ b/packages/router/src/control/stewardships.ts
@@ -3,10 +3,12 @@
  * answer to whether it may act for a key right now.
  */
 import type { Lease } from "@lentilspur/ownership/lease";
+import type { InstanceListPort } from "@lentilspur/ports/instance_list";
 import { planLoss } from "@lentilspur/policy/placement";
 import type { Authority, Permission } from "../authority.ts";
 import { buildPlacementInput, type PlacementHints } from "./placement_facts.ts";
 import { isInContact, isWhollyAccepted, type LogAccess } from "./log_access.ts";
+import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetKeeper, type TargetKeeperOptions } from "./target_keeper.ts";
 import type { UnitId } from "@lentilspur/state/entries";
 import type { TargetState } from "@lentilspur/state/view";
@@ -16,6 +18,7 @@
   readonly lease: Lease;
   readonly log: LogAccess;
   readonly hints: PlacementHints;
+  readonly instanceList: InstanceListPort;
 }
 
 interface KeptTarget {
@@ -27,16 +30,19 @@
   readonly #options: StewardshipsOptions;
   readonly #kept = new Map<string, KeptTarget>();
   readonly #handingOver = new Set<string>();
+  readonly #leaving: LeavingTargets;
   /** Units that a move has stopped, by template and unit. */
   readonly #stoppedUnits = new Set<string>();
 
   constructor(options: StewardshipsOptions) {
     this.#options = options;
+    this.#leaving = new LeavingTargets(options);
   }
 
   /** Follows the fold until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { log, timing, changes } = this.#options;
+    void this.#leaving.run(signal);
     while (!signal.aborted) {
       this.#updateKept(signal);
       changes.report();
@@ -58,6 +64,9 @@
     if (target.steward !== self) {
       return { kind: "not-steward", steward: target.steward };
     }
+    if (this.#leaving.isClosed(target.target.id, nowMs)) {
+      return { kind: "owner-changing", why: "moving" };
+    }
     if (this.#stoppedUnits.has(formatUnit(template, unit.unit))) {
       return { kind: "owner-changing", why: "moving" };
     }
