--- a/packages/proof/src/audit.ts
+++ b/packages/proof/src/audit.ts
@@ -10,6 +10,7 @@
 import { FACTS } from "./finding.ts";
 import { LogFolding } from "./log_folding.ts";
 import { Oracle } from "./oracle.ts";
+import type { OwnershipHistory } from "./ownership_history.ts";
 
 /**
  * Input bytes whose requests are followed in one pass. A followed request
@@ -24,6 +25,8 @@
   readonly unreadableLines: readonly string[];
   readonly unreadableCount: number;
   readonly passes: number;
+  /** What no gap can show; said beside the verdicts. */
+  readonly notes: readonly string[];
 }
 
 /** Locations of unreadable lines that a report names. */
@@ -60,7 +63,7 @@
           }
           break;
         case "execution":
-        case "frame":
+        case "other":
           break;
       }
     }
@@ -105,9 +108,22 @@
     unreadableLines: log.unreadable,
     unreadableCount: log.unreadableCount,
     passes,
+    notes: describeLostInstances(log.folding.history),
   };
 }
 
+/**
+ * A killed process may have lost the lines that it wrote last. No later line
+ * of it shows the gap, so a reader has to be told.
+ */
+function describeLostInstances(history: OwnershipHistory): readonly string[] {
+  return history.listMembers()
+    .filter(({ removal }) => removal === "lost")
+    .map(({ instance }) =>
+      `${instance} was lost, and lines that it wrote last may be lost with it`
+    );
+}
+
 async function observeFiles(
   files: readonly string[],
   oracle: Oracle,
--- a/packages/proof/src/audit_input.ts
+++ b/packages/proof/src/audit_input.ts
@@ -15,8 +15,11 @@
   | { readonly kind: "line"; readonly line: DecisionLine }
   | { readonly kind: "record"; readonly record: LogRecord }
   | { readonly kind: "execution"; readonly execution: TargetExecution }
-  /** Headers and seals of export files; `export verify` judges them. */
-  | { readonly kind: "frame" }
+  /**
+   * Not for the audit: headers and seals of export files, which `export
+   * verify` judges, and what instances write for people.
+   */
+  | { readonly kind: "other" }
   | {
     readonly kind: "unreadable";
     readonly file: string;
@@ -113,7 +116,10 @@
   answerDigest: z.string().exactOptional(),
 });
 
-const frameSchema = z.object({ kind: z.enum(["header", "seal"]) });
+const otherSchema = z.union([
+  z.object({ kind: z.enum(["header", "seal"]) }),
+  z.object({ level: z.string(), message: z.string() }),
+]);
 
 /** Streams the lines of one file; memory holds one line at a time. */
 export async function* readAuditFile(file: string): AsyncGenerator<AuditInput> {
@@ -132,6 +138,11 @@
 
 /** Undefined where the text is none of what an audit reads. */
 export function parseAuditLine(text: string): AuditInput | undefined {
+  // Decisions begin with a brace. A part of one that does not leaves a gap in
+  // its instance's sequence, so nothing is overlooked by skipping it.
+  if (!text.startsWith("{")) {
+    return { kind: "other" };
+  }
   let value: unknown;
   try {
     value = JSON.parse(text);
@@ -152,5 +163,5 @@
     const execution = toExecution(run.data, { hasCommonClock: false });
     return { kind: "execution", execution };
   }
-  return frameSchema.safeParse(value).success ? { kind: "frame" } : undefined;
+  return otherSchema.safeParse(value).success ? { kind: "other" } : undefined;
 }
--- a/packages/proof/src/audit_text.ts
+++ b/packages/proof/src/audit_text.ts
@@ -51,6 +51,7 @@
       ? `, ${report.unreadableCount} unreadable lines`
       : ""),
     ...report.unreadableLines.map((location) => `  unreadable: ${location}`),
+    ...report.notes.map((note) => `note: ${note}`),
     "",
     ...report.facts.flatMap(renderFact),
   ];
