--- a/packages/router/src/entry/credential_index.ts
+++ b/packages/router/src/entry/credential_index.ts
@@ -3,7 +3,7 @@
   AccountTemplateParameters,
   ClientAccount,
 } from "@lentilspur/declarations/template";
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 
 const BEARER_PATTERN = /^bearer +(\S+) *$/i;
 
@@ -44,5 +44,5 @@
 }
 
 export function hashCredential(credential: string): string {
-  return createHash("sha256").update(credential).digest("hex");
+  return hash("sha256", credential, "hex");
 }
