--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -127,11 +127,13 @@
         return;
       }
       const controller = new AbortController();
-      call.on("cancelled", () => controller.abort());
+      let isSettled = false;
+      // The library says "cancelled" at the end of answered calls as well.
+      call.on("cancelled", () => isSettled || controller.abort());
       handle(call.request, controller.signal).then(
         (reply) => callback(null, reply),
         (error: unknown) => callback(makeInternalError(error)),
-      );
+      ).finally(() => isSettled = true);
     };
   }
 }
