--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -14,6 +14,7 @@
 import {
   describeMemberReport,
   isInForce,
+  listAsked,
   waitUntilInForce,
 } from "../in_force.ts";
 import {
@@ -199,7 +200,7 @@
     readMembers: async () => {
       // While the log does not answer, the members known so far are asked.
       await session.readToEnd();
-      return session.view.listMembers();
+      return listAsked(session.view);
     },
   });
   const elapsedMs = Math.round(context.clock.readMs() - startedAt);
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,55 +1,108 @@
 /** `lentilspur status`: where the published version is in force. */
-import { command, flag } from "cmd-ts";
+import {
+  array,
+  command,
+  flag,
+  multioption,
+  option,
+  optional,
+  string,
+} from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
 import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
 import {
+  type Asked,
   collectMemberReports,
   describeMemberReport,
   isInForce,
+  listAsked,
+  type MemberReport,
 } from "../in_force.ts";
-import { logOptions, runWithLog } from "../log_options.ts";
-import type { LogSession } from "../log_session.ts";
+import { logOptions, runWithLog, urlType } from "../log_options.ts";
 
 /** Two screens; beyond it only those that lag are worth reading. */
 const MAX_SHOWN = 48;
 
+/** What is asked for, and of whom. */
+interface StatusRequest {
+  readonly asked: readonly Asked[];
+  /** The version that should be in force; the highest found if unknown. */
+  readonly version?: number;
+  /** Where the record is still at hand. */
+  readonly operator?: string | undefined;
+  readonly all: boolean;
+}
+
 export function createStatusCommand(context: CommandContext) {
   return command({
     name: "status",
     description:
       "Ask every member instance which version it has in force and since when",
+    examples: [
+      {
+        description: "While the log is down, name the instances yourself",
+        command:
+          "lentilspur status --instance 10.0.3.7:8080 --instance 10.0.4.7:8080",
+      },
+    ],
     args: {
       all: flag({
         long: "all",
         description:
           `List also those that have it, where there are more than ${MAX_SHOWN}`,
       }),
+      instances: multioption({
+        long: "instance",
+        type: array(string),
+        description:
+          "Ask this HTTP address and leave the log alone; may be given again",
+      }),
       ...logOptions,
+      logUrl: option({
+        long: "log-url",
+        env: "LENTILSPUR_LOG_URL",
+        type: optional(urlType),
+        description: "The platform's log, which says who is a member",
+      }),
+    },
+    handler: async (
+      { all, instances, logUrl, ...options },
+    ): Promise<ExitCode> => {
+      if (instances.length > 0) {
+        const asked = instances.map(toAsked);
+        return await printStatus(context, { asked, all });
+      }
+      if (logUrl === undefined) {
+        context.printError("Name the log by --log-url, or each --instance");
+        return EXIT_CODES.usage;
+      }
+      return await runWithLog(context, { ...options, logUrl }, (session) => {
+        const { view, publications } = session;
+        return printStatus(context, {
+          asked: listAsked(view),
+          version: view.configurationVersion,
+          operator: publications.at(-1)?.operator,
+          all,
+        });
+      });
     },
-    handler: ({ all, ...options }): Promise<ExitCode> =>
-      runWithLog(
-        context,
-        options,
-        (session) => printStatus(context, session, all),
-      ),
   });
 }
 
+function toAsked(httpAddress: string): Asked {
+  return { id: "instance", dataCentre: "unknown", httpAddress };
+}
+
 async function printStatus(
   context: CommandContext,
-  session: LogSession,
-  all: boolean,
+  { asked, all, version: published, operator }: StatusRequest,
 ): Promise<ExitCode> {
-  const version = session.view.configurationVersion;
-  const reports = await collectMemberReports(
-    session.view.listMembers(),
-    context.fetchStatus,
-  );
-  const latest = session.publications.at(-1);
-  const by = latest === undefined ? "" : `, published by ${latest.operator}`;
-  context.print(`version ${version}${by}`);
+  const reports = await collectMemberReports(asked, context.fetchStatus);
+  const version = published ?? findHighestVersion(reports);
   const behind = reports.filter((report) => !isInForce(report, version));
   const shown = all || reports.length <= MAX_SHOWN ? reports : behind;
+  const by = operator === undefined ? "" : `, published by ${operator}`;
+  context.print(`version ${version}${by}`);
   shown.forEach((report) =>
     context.print(describeMemberReport(report, version))
   );
@@ -69,3 +122,12 @@
     ? EXIT_CODES.done
     : EXIT_CODES.lagging;
 }
+
+function findHighestVersion(reports: readonly MemberReport[]): number {
+  return Math.max(
+    0,
+    ...reports.map(({ status }) =>
+      status.ok ? status.val.configurationVersion : 0
+    ),
+  );
+}
--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -1,7 +1,8 @@
 /** Where a version is in force: every member instance asked directly. */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Result } from "@lentilspur/outcomes/result";
-import type { MemberState } from "@lentilspur/state/view";
+import type { InstanceDescription } from "@lentilspur/state/entries";
+import type { StateView } from "@lentilspur/state/view";
 import { formatDuration } from "@lentilspur/declarations/units";
 import type { InstanceStatus, StatusFetcher } from "./instance_status.ts";
 
@@ -16,17 +17,23 @@
 /** Enough that a few silent ones delay nobody, few enough for any machine. */
 const MAX_CONCURRENT = 64;
 
-/** Asks every member, many at a time; reports come in the members' order. */
+/** Who is asked: a member as the log has it, or one that was named. */
+export type Asked = Pick<
+  InstanceDescription,
+  "id" | "dataCentre" | "httpAddress"
+>;
+
+/** Asks all, many at a time; reports come in the order of `asked`. */
 export async function collectMemberReports(
-  members: readonly MemberState[],
+  asked: readonly Asked[],
   fetchStatus: StatusFetcher,
 ): Promise<readonly MemberReport[]> {
   const reports: MemberReport[] = [];
   let next = 0;
   const runWorker = async (): Promise<void> => {
-    while (next < members.length) {
+    while (next < asked.length) {
       const index = next++;
-      reports[index] = await fetchReport(members[index]!, fetchStatus);
+      reports[index] = await fetchReport(asked[index]!, fetchStatus);
     }
   };
   await Promise.all(Array.from({ length: MAX_CONCURRENT }, runWorker));
@@ -43,7 +50,7 @@
   readonly clock: Clock;
   readonly patienceMs: number;
   /** Reads who is a member now: one that left is not waited for. */
-  readonly readMembers: () => Promise<readonly MemberState[]>;
+  readonly readMembers: () => Promise<readonly Asked[]>;
 }
 
 /** Pause between two rounds of questions. */
@@ -61,7 +68,7 @@
   const done = new Map<string, MemberReport>();
   for (;;) {
     const members = await options.readMembers();
-    const open = members.filter(({ instance }) => !done.has(instance.id));
+    const open = members.filter(({ id }) => !done.has(id));
     const reports = await collectMemberReports(open, fetchStatus);
     const behind = reports.filter((report) => !isInForce(report, version));
     reports.filter((report) => isInForce(report, version))
@@ -74,15 +81,16 @@
 }
 
 async function fetchReport(
-  { instance }: MemberState,
+  { id, dataCentre, httpAddress }: Asked,
   fetchStatus: StatusFetcher,
 ): Promise<MemberReport> {
-  return {
-    instance: instance.id,
-    dataCentre: instance.dataCentre,
-    httpAddress: instance.httpAddress,
-    status: await fetchStatus(instance.httpAddress),
-  };
+  const status = await fetchStatus(httpAddress);
+  return { instance: id, dataCentre, httpAddress, status };
+}
+
+/** The members of the state at hand. */
+export function listAsked(view: StateView): readonly Asked[] {
+  return view.listMembers().map(({ instance }) => instance);
 }
 
 /** One line for one member. */
--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -252,6 +252,16 @@
   assert.match(terminal.takeOutput(), /in force on 3 of 3 instances/);
 });
 
+test("asks named instances while the log is down", async () => {
+  const terminal = new Terminal(new FakePlatform());
+  terminal.platform.log.setDown(true);
+  terminal.versions.set("a:1", 4).set("b:1", 3);
+  const asked = ["--instance=a:1", "--instance=b:1"];
+  assert.equal(await terminal.run("status", ...asked), EXIT_CODES.lagging);
+  assert.match(terminal.takeOutput(), /b:1.* version 3 BEHIND/);
+  assert.equal(await terminal.run("status", LOG), EXIT_CODES.unavailable);
+});
+
 test("does not wait for a member that left meanwhile", async () => {
   // An instance is being replaced while somebody publishes: it was a member
   // when the version was accepted, and left before it could be asked.
