test(trials): keep two counter-examples of the cluster fuzz, judge in one place

The fuzz and the tests of the cluster had a judgement each; the fuzz now adds its own rules to the shared one, which tells the system's answers from the targets' and names the instance that a caller had reached.

--- a/packages/trials/src/cluster/cluster_judge.ts
+++ b/packages/trials/src/cluster/cluster_judge.ts
@@ -5,7 +5,7 @@
 import { createHash } from "node:crypto";
 import type { Outcome } from "@lentilspur/outcomes/error_kinds";
 import { type CallerAnswer, toExecution } from "@lentilspur/proof/evidence";
-import type { FactReport } from "@lentilspur/proof/finding";
+import type { FactReport, Finding } from "@lentilspur/proof/finding";
 import { LogFolding } from "@lentilspur/proof/log_folding";
 import { Oracle } from "@lentilspur/proof/oracle";
 import {
@@ -50,15 +50,39 @@
   return reports.flatMap(({ fact, findings }) =>
     findings
       .filter(({ kind }) => kind === "violated")
-      .map(({ subject, message }) => `${fact}: ${subject}: ${message}`)
+      .map((finding) =>
+        `${fact}: ${finding.subject}: ${finding.message}${
+          describeEvidence(finding)
+        }`
+      )
   );
 }
 
+/** One line for each piece, to be read beside the steps that led to it. */
+function describeEvidence(finding: Finding): string {
+  return finding.kind === "violated"
+    ? finding.evidence.map((each) => `\n    ${JSON.stringify(each)}`).join("")
+    : "";
+}
+
+/** Known where the caller fetched it first, or from the answer. */
+export function getRequestId(sent: SentRequest): string | undefined {
+  return sent.requestId ??
+    (sent.answer === null
+      ? undefined
+      : findHeader(sent.answer, "lentilspur-request-id"));
+}
+
+/** What the caller was told; `none` where nothing came. */
+export function describeOutcome(sent: SentRequest): Outcome | "none" {
+  return sent.answer === null
+    ? "none"
+    : findHeader(sent.answer, "lentilspur-outcome") as Outcome;
+}
+
 function describeAnswer(sent: SentRequest): CallerAnswer | undefined {
   const { answer } = sent;
-  const requestId = answer === null
-    ? sent.requestId
-    : findHeader(answer, "lentilspur-request-id");
+  const requestId = getRequestId(sent);
   if (requestId === undefined) {
     return undefined;
   }
@@ -68,22 +92,23 @@
     template: TEMPLATE_NAME,
     key: sent.key,
     idempotent: sent.idempotent,
+    instance: sent.through,
     sentAtMs: sent.sentAtMs,
   };
   if (answer === null || sent.answeredAtMs === null) {
     return { ...subject, outcome: "none" };
   }
-  const outcome = findHeader(answer, "lentilspur-outcome") as Outcome;
   const received = {
     ...subject,
-    outcome,
+    outcome: describeOutcome(sent),
     status: answer.status,
     receivedAtMs: sent.answeredAtMs,
   };
-  return outcome === "ran" && answer.status === 200
+  return answer.status === 200
     ? {
       ...received,
       answerDigest: createHash("sha256").update(answer.body).digest("hex"),
     }
-    : received;
+    // The system's own answer; which kind makes no difference here.
+    : { ...received, errorKind: "internal" };
 }
--- /dev/null
+++ b/packages/trials/src/fuzz/cluster_found_test.ts
@@ -0,0 +1,62 @@
+/** Counter-examples that the fuzz of clusters has found, shrunk and unchanged. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { describeOutcome } from "../cluster/cluster_judge.ts";
+import { replaySteps } from "./cluster_fuzz.ts";
+import { listFaults } from "./cluster_judgement.ts";
+import type { Step } from "./step.ts";
+
+test("a leaving target that was taken over gets no new work", async () => {
+  // The steward of a leaving target is paused and taken over. The target does
+  // not check its grants, so its keys are pinned to it for minutes, and the
+  // new steward went on sending it bookings long after it had read that the
+  // target leaves. Found with seed 11.
+  const steps: readonly Step[] = [
+    { kind: "pause", instance: 3 },
+    { kind: "leaving", target: 3 },
+    { kind: "advance", ms: 7000 },
+    {
+      kind: "send",
+      via: 0,
+      key: "room-1",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+    { kind: "advance", ms: 7000 },
+    {
+      kind: "send",
+      via: 0,
+      key: "actor-3",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+    { kind: "advance", ms: 1 },
+  ];
+  assert.deepEqual(listFaults(await replaySteps(steps)), []);
+});
+
+test("a target is served again after one silent request", async () => {
+  // One booking meets a silent connection. When the connection is well again,
+  // every lookup of every key of that target was refused for ever, because no
+  // request was let through that could have shown how long they take.
+  const lookUp: Step = {
+    kind: "send",
+    via: 0,
+    key: "room-2",
+    idempotent: true,
+    isMintedBefore: true,
+  };
+  const trial = await replaySteps([
+    { kind: "target-way", instance: 3, target: 3, way: "silent" },
+    { ...lookUp, idempotent: false },
+    { kind: "advance", ms: 3500 },
+    { kind: "target-way", instance: 3, target: 3, way: "open" },
+    { kind: "advance", ms: 2300 },
+    lookUp,
+    { kind: "advance", ms: 2300 },
+    lookUp,
+    { kind: "advance", ms: 2300 },
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+  assert.equal(describeOutcome(trial.cluster.sent.at(-1)!), "ran");
+});
