fix(router): keep a hot key out of its old shard on targets that check

A target that checks knew units only: a request for a key that was sent under its shard, and ran late, would take effect after the key had moved to a unit of its own elsewhere. Grants now name the keys that are not to be served under their shard, and a key's unit is busy while any request for that key runs. Ruled out: hashing keys in the target, which would tie it to our hash.

--- a/packages/ports/src/fake_grants.ts
+++ b/packages/ports/src/fake_grants.ts
@@ -6,11 +6,14 @@
 export interface GrantClaim {
   readonly stewardToken: Position;
   readonly unit: string;
+  readonly key: string;
   readonly unitToken: Position;
 }
 
 export class FakeGrants {
   readonly #tokens = new Map<string, Position>();
+  /** Keys that are not to be served under their shard. */
+  #excludedKeys: ReadonlySet<string> = new Set();
   #highestToken: Position = -1;
   #liveUntilMs = -Infinity;
   #lapses = 0;
@@ -40,6 +43,7 @@
     // granted is void, whether the successor knew of it or not.
     if (stewardToken > this.#highestToken) {
       this.#tokens.clear();
+      this.#excludedKeys = new Set();
       this.#liveUntilMs = -Infinity;
     }
     this.#highestToken = stewardToken;
@@ -49,6 +53,9 @@
     if (validUntilMs > this.#liveUntilMs) {
       this.#liveUntilMs = validUntilMs;
       request.add.forEach(({ unit, token }) => this.#tokens.set(unit, token));
+      if (request.excludedKeys !== null) {
+        this.#excludedKeys = new Set(request.excludedKeys);
+      }
     }
     request.remove.forEach((unit) => this.#tokens.delete(unit));
     return Ok(undefined);
@@ -63,6 +70,11 @@
   isLive(claim: GrantClaim, nowMs: number): boolean {
     return claim.stewardToken === this.#highestToken &&
       nowMs <= this.#liveUntilMs &&
-      this.#tokens.get(claim.unit) === claim.unitToken;
+      this.#tokens.get(claim.unit) === claim.unitToken &&
+      !this.#isExcluded(claim);
+  }
+
+  #isExcluded(claim: GrantClaim): boolean {
+    return claim.unit.startsWith("s:") && this.#excludedKeys.has(claim.key);
   }
 }
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -202,8 +202,13 @@
     if (!applied.ok) {
       return Err({ kind: "fenced", highestToken: applied.val });
     }
-    const busy = [...boot.running].map((run) => run.request.unit);
-    const busyUnits = request.remove.filter((unit) => busy.includes(unit));
+    const busy = new Set(
+      [...boot.running].flatMap(({ request: { unit, key } }) => [
+        unit,
+        `k:${key}`,
+      ]),
+    );
+    const busyUnits = request.remove.filter((unit) => busy.has(unit));
     return Ok({ bootId: boot.id, elapsedMs: this.#readMs(), busyUnits });
   }
 
--- a/packages/ports/src/fake_target_test.ts
+++ b/packages/ports/src/fake_target_test.ts
@@ -37,6 +37,7 @@
   validUntilMs: 7_500,
   add: [{ unit: "s:1", token: 50 }],
   remove: [],
+  excludedKeys: null,
 };
 
 test("a checking target runs only under its live grant and highest token", async () => {
--- a/packages/ports/src/target.ts
+++ b/packages/ports/src/target.ts
@@ -78,12 +78,15 @@
   /** On the target's own monotonic clock: its `elapsedMs` plus the grant's life. */
   readonly validUntilMs: number;
   readonly add: readonly GrantedUnit[];
+  /** Units that the target gives up. */
+  readonly remove: readonly string[];
   /**
-   * Units that the target gives up. Giving up a key's unit (`k:KEY`) takes that
-   * key out of every other unit too, until the unit is added again: requests
-   * for the key that came under its shard must not take effect any more.
+   * All keys that the target must not serve under their shard, since they have
+   * units of their own elsewhere; null where the list has not changed. Were
+   * they not named, a request for such a key that came under its shard could
+   * take effect after the key has another owner.
    */
-  readonly remove: readonly string[];
+  readonly excludedKeys: readonly string[] | null;
 }
 
 export interface GrantedUnit {
--- a/packages/router/src/control/hot_key_planner.ts
+++ b/packages/router/src/control/hot_key_planner.ts
@@ -59,7 +59,7 @@
 
   #listHotUnits(view: StateView, template: string): readonly HotUnit[] {
     const shardCount = view.getTemplate(template)?.shardCount ?? 1;
-    return view.listUnits(template).flatMap((state) => {
+    return view.listKeyUnits(template).flatMap((state) => {
       const key = getKeyOfUnit(state.unit);
       if (key === undefined) {
         return [];
--- a/packages/router/src/control/target_keeper.ts
+++ b/packages/router/src/control/target_keeper.ts
@@ -13,6 +13,7 @@
 } from "@lentilspur/ports/target";
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { TargetLossEvidence, UnitId } from "@lentilspur/state/entries";
+import { getKeyOfUnit } from "@lentilspur/state/units";
 import type { TargetState, UnitState } from "@lentilspur/state/view";
 import type { TargetContact } from "../authority.ts";
 import type { ControlTiming } from "../settings.ts";
@@ -44,6 +45,7 @@
 export class TargetKeeper {
   readonly target: TargetAddress;
   readonly stewardToken: Position;
+  readonly #template: string;
   readonly #checksGrants: boolean;
   readonly #options: TargetKeeperOptions;
   readonly #window: GrantWindow;
@@ -55,11 +57,14 @@
   #refusedSinceMs: number | undefined;
   #restartedAtMs: number | undefined;
   #lastExchange: Promise<unknown> = Promise.resolve();
+  /** As last confirmed by the target; undefined where it holds nothing. */
+  #excludedKeys: string | undefined;
   #isPaused = false;
   #grantedAllAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(state: TargetState, options: TargetKeeperOptions) {
-    const { id, address, checksGrants } = state.target;
+    const { id, address, checksGrants, template } = state.target;
+    this.#template = template;
     this.target = { id, address };
     this.stewardToken = state.stewardToken;
     this.#checksGrants = checksGrants;
@@ -235,7 +240,7 @@
     // are granted anew. Renewing in place would leave it refusing every request
     // while this steward takes its units for granted.
     if (!this.#isGrantLive() || this.#hasBeenFenced()) {
-      this.#granted.clear();
+      this.#clearGranted();
     }
     const wanted = this.#listWantedUnits();
     const add = wanted.filter(({ unit, token }) =>
@@ -260,12 +265,16 @@
     }
     const askedAtMs = clock.readMs();
     const basedOnMs = this.#window.getReadingAskedAtMs();
+    const excludedKeys = this.#listExcludedKeys();
+    const excludedText = JSON.stringify(excludedKeys);
+    const isUnchanged = excludedText === this.#excludedKeys;
     const call = targets.grant(this.target, {
       stewardToken: this.stewardToken,
       bootId: this.#window.getBootId() ?? "",
       validUntilMs: this.#window.claimNextEnd(),
       add,
       remove,
+      excludedKeys: isUnchanged ? null : excludedKeys,
     });
     const reply = await waitAtMost(clock, timing.grantEveryMs, call);
     const isAccepted = reply !== undefined && reply.ok;
@@ -279,6 +288,7 @@
     }
     add.forEach(({ unit, token }) => this.#granted.set(unit, token));
     remove.forEach((unit) => this.#granted.delete(unit));
+    this.#excludedKeys = excludedText;
     this.#window.recordConfirmed(basedOnMs);
     this.#recordHeard(askedAtMs, reply.val);
     changes.report();
@@ -292,6 +302,21 @@
       .map(({ unit, token }) => ({ unit, token }));
   }
 
+  /** Keys whose shard may be here while they themselves are elsewhere. */
+  #listExcludedKeys(): readonly string[] {
+    return this.#options.state.getView().listKeyUnits(this.#template)
+      .filter(({ unit, owner }) =>
+        owner !== this.target.id || this.#revoking.has(unit)
+      )
+      .map(({ unit }) => getKeyOfUnit(unit)!)
+      .sort();
+  }
+
+  #clearGranted(): void {
+    this.#granted.clear();
+    this.#excludedKeys = undefined;
+  }
+
   #recordHeard(
     askedAtMs: number,
     reading: { readonly bootId: string; readonly elapsedMs: number },
@@ -309,7 +334,7 @@
   /** The old process has ended with all its grants; the new one has none. */
   #recordRestart(nowMs: number): void {
     this.#window.reset();
-    this.#granted.clear();
+    this.#clearGranted();
     this.#restartedAtMs = nowMs;
   }
 
@@ -324,7 +349,7 @@
         return;
       case "fenced":
         // A later steward is at work; the fold will tell.
-        this.#granted.clear();
+        this.#clearGranted();
         return;
       case "silent":
       case "unsupported":
--- a/packages/standins/src/servers_test.ts
+++ b/packages/standins/src/servers_test.ts
@@ -114,6 +114,7 @@
     validUntilMs: report.elapsedMs + 10_000,
     add: [{ unit: dispatch.unit, token: 50 }],
     remove: [],
+    excludedKeys: null,
   };
   const granted = await client.grant(target, grant);
   const answered = await client.dispatch(target, dispatch, signal);
--- a/packages/standins/src/target_server.ts
+++ b/packages/standins/src/target_server.ts
@@ -31,6 +31,7 @@
   validUntilMs: z.number(),
   add: z.array(z.object({ unit: z.string(), token: z.number() })),
   remove: z.array(z.string()),
+  excludedKeys: z.array(z.string()).nullable(),
 });
 const CONTROL_BODY = z.object({
   isFrozen: z.boolean().optional(),
--- a/packages/state/src/fold.ts
+++ b/packages/state/src/fold.ts
@@ -150,6 +150,10 @@
     return this.#tables.units.list(template);
   }
 
+  listKeyUnits(template: string): readonly UnitState[] {
+    return this.#tables.units.listKeys(template);
+  }
+
   listUnitsOfTarget(target: string): readonly UnitState[] {
     return this.#tables.units.listOfTarget(target);
   }
--- a/packages/state/src/unit_table.ts
+++ b/packages/state/src/unit_table.ts
@@ -14,7 +14,7 @@
   readonly #byOwner = new Map<string, UnitsById>();
   readonly #byDestination = new Map<string, UnitsById>();
   /** Hot keys are few, and found without walking the shards. */
-  readonly #keyCounts = new Map<string, number>();
+  readonly #keys = new Map<string, UnitsById>();
 
   get(template: string, unit: UnitId): UnitState | undefined {
     return this.#byTemplate.get(template)?.get(unit);
@@ -22,11 +22,10 @@
 
   set(template: string, state: UnitState): void {
     const units = getOrAddMap(this.#byTemplate, template);
-    const before = units.get(state.unit);
-    if (before === undefined && getKeyOfUnit(state.unit) !== undefined) {
-      this.#keyCounts.set(template, this.countKeys(template) + 1);
+    this.#removeFromIndexes(units.get(state.unit));
+    if (getKeyOfUnit(state.unit) !== undefined) {
+      getOrAddMap(this.#keys, template).set(state.unit, state);
     }
-    this.#removeFromIndexes(before);
     units.set(state.unit, state);
     this.#addToIndexes(state);
   }
@@ -36,11 +35,9 @@
     if (before === undefined) {
       return;
     }
-    if (getKeyOfUnit(unit) !== undefined) {
-      this.#keyCounts.set(template, this.countKeys(template) - 1);
-    }
     this.#removeFromIndexes(before);
     this.#byTemplate.get(template)?.delete(unit);
+    this.#keys.get(template)?.delete(unit);
   }
 
   /** Makes every shard of a new template known, without an owner. */
@@ -56,13 +53,18 @@
       this.remove(template, state.unit);
     }
     this.#byTemplate.delete(template);
-    this.#keyCounts.delete(template);
+    this.#keys.delete(template);
   }
 
   list(template: string): readonly UnitState[] {
     return [...this.#byTemplate.get(template)?.values() ?? []];
   }
 
+  /** Hot keys that have units of their own. */
+  listKeys(template: string): readonly UnitState[] {
+    return [...this.#keys.get(template)?.values() ?? []];
+  }
+
   listOfTarget(target: string): readonly UnitState[] {
     return [...this.#byOwner.get(target)?.values() ?? []];
   }
@@ -80,7 +82,7 @@
   }
 
   countKeys(template: string): number {
-    return this.#keyCounts.get(template) ?? 0;
+    return this.#keys.get(template)?.size ?? 0;
   }
 
   /** Whether a hot key of this shard is on its way back into it. */
@@ -89,10 +91,7 @@
     shard: UnitId,
     shardCount: number,
   ): boolean {
-    if (this.countKeys(template) === 0) {
-      return false;
-    }
-    return this.list(template).some((state) => {
+    return this.listKeys(template).some((state) => {
       const key = getKeyOfUnit(state.unit);
       return key !== undefined &&
         state.move?.reason === "hot-key-over" &&
--- a/packages/state/src/view.ts
+++ b/packages/state/src/view.ts
@@ -70,6 +70,8 @@
   listTargetsOfTemplate(template: string): readonly TargetState[];
   getUnit(template: string, unit: UnitId): UnitState | undefined;
   listUnits(template: string): readonly UnitState[];
+  /** Units of hot keys; few, unlike shards. */
+  listKeyUnits(template: string): readonly UnitState[];
   listUnitsOfTarget(target: string): readonly UnitState[];
   /** Units on their way to this target. */
   listUnitsMovingTo(target: string): readonly UnitState[];
--- a/packages/trials/src/cluster/control_test.ts
+++ b/packages/trials/src/cluster/control_test.ts
@@ -285,3 +285,35 @@
   assert.ok(computeLongestWaitMs(cluster) < 200);
   await assertHeld(cluster);
 });
+
+test("a key that turned hot is not served under its shard any more", async () => {
+  // A request for the key waits in its target, sent under the shard. The key
+  // gets a unit of its own and moves to another target. Were the target told
+  // of units only, it would run the request beside the key's new owner.
+  const cluster = await startCluster(4);
+  const target = cluster.targets.get("t1")!;
+  const { view } = cluster.instances.values().next().value!.instance;
+  const unit = view.listUnitsOfTarget("t1")[0]!;
+  const { stewardToken } = view.getTarget("t1")!;
+  const report = await target.getReport();
+  const grant = {
+    stewardToken,
+    bootId: report.bootId,
+    validUntilMs: report.elapsedMs + 2_000,
+    add: [{ unit: unit.unit, token: unit.token }],
+    remove: [],
+    excludedKeys: ["room-9"],
+  };
+  assert.ok((await target.handleGrant(grant)).ok);
+  const reply = await target.handle({
+    method: "POST",
+    requestId: "late",
+    clientAccount: "producer",
+    key: "room-9",
+    unit: unit.unit,
+    stewardToken,
+    unitToken: unit.token,
+    deadlineMs: 1_000,
+  });
+  assert.equal(reply.kind === "not-run" && reply.cause, "fenced");
+});
