--- a/packages/router/src/entry/request_intake.ts
+++ b/packages/router/src/entry/request_intake.ts
@@ -20,7 +20,7 @@
 import { CredentialIndex, type KnownAccount } from "./credential_index.ts";
 import { DEADLINE_HEADER, findHeader, REQUEST_ID_HEADER } from "./headers.ts";
 import { RequestIdMint } from "./request_id_mint.ts";
-import { RouteTable } from "./route_table.ts";
+import { type RouteMatch, RouteTable } from "./route_table.ts";
 
 const MAX_REQUEST_ID_LENGTH = 96;
 const DEADLINE_PATTERN = /^[1-9][0-9]{0,8}$/;
@@ -40,6 +40,8 @@
   readonly budgetMs: number;
 }
 
+type MatchedRoute = Extract<RouteMatch, { readonly kind: "matched" }>;
+
 /** Compiled from one configuration version. */
 interface CompiledConfiguration {
   readonly version: number;
@@ -81,24 +83,11 @@
     if (account === undefined) {
       return refuse("unauthenticated", "No client account has this credential");
     }
-    const match = routes.match(request.method, request.path);
-    switch (match.kind) {
-      case "no-route":
-        return refuse(
-          "no-such-route",
-          `No template has a route for ${request.method} '${
-            getPlainPath(request.path)
-          }'`,
-        );
-      case "bad-key":
-        return refuse(
-          "malformed-request",
-          `The key '${match.found}' is empty, too long or badly encoded`,
-        );
-      case "matched":
-        break;
+    const match = checkRoute(routes, request);
+    if (!match.ok) {
+      return match;
     }
-    const { template, route, key } = match;
+    const { template, route, key } = match.val;
     const parameters = account.templates.get(template.name);
     if (parameters === undefined) {
       return refuse(
@@ -184,6 +173,29 @@
   return Err(makeRequestError(kind, message, { outcome: "not-run" }));
 }
 
+function checkRoute(
+  routes: RouteTable,
+  request: CallerRequest,
+): Result<MatchedRoute, RequestError> {
+  const match = routes.match(request.method, request.path);
+  switch (match.kind) {
+    case "matched":
+      return Ok(match);
+    case "no-route":
+      return refuse(
+        "no-such-route",
+        `No template has a route for ${request.method} '${
+          getPlainPath(request.path)
+        }'`,
+      );
+    case "bad-key":
+      return refuse(
+        "malformed-request",
+        `The key '${match.found}' is empty, too long or badly encoded`,
+      );
+  }
+}
+
 function getPlainPath(path: string): string {
   return path.split("?", 1)[0]!;
 }
--- a/packages/router/src/entry/steward_caller.ts
+++ b/packages/router/src/entry/steward_caller.ts
@@ -20,14 +20,18 @@
 import type { KeyLocation } from "@lentilspur/state/view";
 import type { StateSource } from "../state_source.ts";
 import type { AcceptedRequest } from "./request_intake.ts";
+import {
+  makeCancelledError,
+  makeChangingError,
+  makeDeadlineError,
+  makeLostError,
+  makeUnownedError,
+} from "./steward_errors.ts";
 
 /** Between two looks at a steward that declines or cannot be reached. */
 const RETRY_PAUSE_MS = 50;
 /** Forwards that may get lost before the caller is told `unknown`. */
 const MAX_LOST_FORWARDS = 2;
-/** A take-over's steps take about this long. */
-const CHANGE_RETRY_MS = 500;
-
 /** The local steward, for keys that this instance serves itself. */
 export interface LocalSteward {
   forward(request: ForwardRequest, signal: AbortSignal): Promise<ForwardReply>;
@@ -250,47 +254,3 @@
     { outcome: "unknown" },
   ));
 }
-
-function makeUnownedError(location: KeyLocation | undefined): RequestError {
-  const options = { retryAfterMs: CHANGE_RETRY_MS };
-  return location?.target == null
-    ? makeRequestError("no-owner", "No target owns the key yet", options)
-    : makeRequestError(
-      "owner-changing",
-      "The target that owns the key has no steward yet",
-      options,
-    );
-}
-
-function makeChangingError(): RequestError {
-  return makeRequestError(
-    "owner-changing",
-    "The steward of the key's owner is changing",
-    { retryAfterMs: CHANGE_RETRY_MS },
-  );
-}
-
-function makeLostError(steward: string, failure: PeerFailure): RequestError {
-  return makeRequestError(
-    "steward-lost",
-    `Steward '${steward}' could not be asked: ${failure.message}`,
-    {
-      outcome: failure.kind === "not-sent" ? "not-run" : "unknown",
-      retryAfterMs: CHANGE_RETRY_MS,
-    },
-  );
-}
-
-function makeDeadlineError(): RequestError {
-  return makeRequestError(
-    "deadline-passed",
-    "The deadline passed before a steward took the request",
-    { outcome: "not-run" },
-  );
-}
-
-function makeCancelledError(lost: number): RequestError {
-  return makeRequestError("cancelled", "The caller closed the connection", {
-    outcome: lost > 0 ? "unknown" : "not-run",
-  });
-}
