feat(router): give up on answers that are not coming

A connection that something between the two ends had lost track of held one of the target's two places until the request's deadline. The adaptive timeout of the policy now watches each dispatch: a late lookup is sent again within the retry budget; anything else waits on, but its place counts as free. Without a retry to claim, a late lookup is not given up, since it may only be slow.

The runner is split: conversions, lanes and budgets have modules of their own.

--- a/packages/router/src/steward/dispatcher.ts
+++ b/packages/router/src/steward/dispatcher.ts
@@ -2,7 +2,6 @@
  * The steward's side of a request's path: wait for the right to act, recognise
  * resends, and run what is new on the key's owner.
  */
-import type { Template } from "@lentilspur/declarations/template";
 import {
   makeRequestError,
   type RequestError,
@@ -15,7 +14,7 @@
   RememberedRequest,
 } from "@lentilspur/ports/peer";
 import type { DispatchFailure, TargetPort } from "@lentilspur/ports/target";
-import { RetryBudget } from "@lentilspur/policy/retry_budget";
+import type { RetryBudget } from "@lentilspur/policy/retry_budget";
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { UnitId } from "@lentilspur/state/entries";
 import { hashKeyToShard, makeShardUnit } from "@lentilspur/state/units";
@@ -28,10 +27,11 @@
 import type { StateSource } from "../state_source.ts";
 import { makeDispatchError } from "./dispatch_errors.ts";
 import { ForwardJob } from "./forward_job.ts";
-import { PermissionGate, type Permitted } from "./permission_gate.ts";
 import type { LoadMeter } from "./load_meter.ts";
+import { PermissionGate, type Permitted } from "./permission_gate.ts";
 import { RequestMemory } from "./request_memory.ts";
-import { type Handled, ResendDesk } from "./resend_desk.ts";
+import { type Handled, ResendDesk, type ServeOptions } from "./resend_desk.ts";
+import { RetryBudgets } from "./retry_budgets.ts";
 import { TargetRunner } from "./target_runner.ts";
 
 /** How long a fenced or drained target is given before the key is looked up. */
@@ -60,8 +60,7 @@
   readonly #runner: TargetRunner;
   readonly #memory: RequestMemory<Handled>;
   readonly #desk: ResendDesk;
-  readonly #budgets = new Map<string, RetryBudget>();
-  readonly #budgetTemplates = new Map<string, Template>();
+  readonly #budgets = new RetryBudgets();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -181,38 +180,36 @@
   async #run(
     job: ForwardJob,
     permission: Permitted,
-    options: {
-      readonly signal: AbortSignal;
-      readonly markDispatched: () => void;
-    },
+    options: ServeOptions,
   ): Promise<ForwardReply | { readonly kind: "moved" }> {
-    const { authority } = this.#options;
-    const budget = this.#claimBudget(job.template);
+    const { authority, clock } = this.#options;
+    const { signal } = options;
+    const budget = this.#budgets.claim(job.template);
     budget.recordFirstSend();
+    const claimRetry = (): boolean => budget.claim(job.attempt, clock.readMs());
     for (;;) {
-      const result = await this.#runner.run(job, permission, options);
-      switch (result.kind) {
-        case "answered":
-        case "moved":
-          return result;
-        case "refused":
-          return { kind: "failed", error: result.error };
-        case "failed":
-          break;
+      const result = await this.#runner.run(job, permission, {
+        ...options,
+        claimRetry,
+      });
+      if (result.kind === "refused") {
+        return { kind: "failed", error: result.error };
+      }
+      if (result.kind !== "failed") {
+        return result;
       }
       const error = makeDispatchError(result.failure, result.target);
       if (error.outcome === "unknown") {
         job.recordUnknown(error);
       }
-      if (options.signal.aborted) {
-        return { kind: "failed", error };
-      }
-      if (isOwnerChanging(result.failure)) {
-        await authority.waitForChange(CHANGE_POLL_MS, options.signal);
+      if (isOwnerChanging(result.failure) && !signal.aborted) {
+        await authority.waitForChange(CHANGE_POLL_MS, signal);
         return { kind: "moved" };
       }
       const mayRunAgain = error.outcome === "not-run" || job.request.idempotent;
-      if (!mayRunAgain || !await this.#mayRetry(job, budget, options.signal)) {
+      const isRetried = result.isGivenUp ||
+        mayRunAgain && await this.#mayRetry(job, budget, signal);
+      if (!isRetried || signal.aborted) {
         return { kind: "failed", error };
       }
     }
@@ -227,22 +224,12 @@
     const { clock, random } = this.#options;
     const pauseMs = budget.computeBackoffMs(job.attempt, random);
     const now = clock.readMs();
-    if (now + pauseMs >= job.deadlineAtMs || !budget.claim(job.attempt, now)) {
+    const isInTime = now + pauseMs < job.deadlineAtMs && !signal.aborted;
+    if (!isInTime || !budget.claim(job.attempt, now)) {
       return false;
     }
     await clock.sleep(pauseMs, signal);
-    return !signal.aborted;
-  }
-
-  #claimBudget(template: Template): RetryBudget {
-    const known = this.#budgets.get(template.name);
-    if (known && this.#budgetTemplates.get(template.name) === template) {
-      return known;
-    }
-    const budget = new RetryBudget(template.retry);
-    this.#budgets.set(template.name, budget);
-    this.#budgetTemplates.set(template.name, template);
-    return budget;
+    return true;
   }
 
   #getWeight(request: ForwardRequest): number {
--- a/packages/router/src/steward/dispatcher_test.ts
+++ b/packages/router/src/steward/dispatcher_test.ts
@@ -300,6 +300,58 @@
   assert.equal(targets.dispatched.length, 2);
 });
 
+/** Teaches the steward that t1 answers within a millisecond or two. */
+async function runManyLookups(
+  steward: ReturnType<typeof createSteward>,
+): Promise<void> {
+  const { clock, targets, send } = steward;
+  for (let count = 0; count < 150; count++) {
+    const sent = send(LOOKUP);
+    await clock.advance(1);
+    targets.answer();
+    await sent.reply;
+  }
+}
+
+test("a lookup on a silent connection is sent again on another", async () => {
+  // A firewall forgets one of the connections to a target. What is sent on it
+  // gets no answer, while other requests are answered in a millisecond. The
+  // producer would wait for the whole deadline.
+  const steward = createSteward();
+  await runManyLookups(steward);
+  const { clock, targets, send } = steward;
+  const before = targets.dispatched.length;
+  const sent = send({ ...LOOKUP, remainingMs: 10_000 });
+  await clock.advance(100);
+  assert.equal(targets.dispatched.length, before + 2);
+  targets.answer(makeAnswer("to the one given up"));
+  targets.answer(makeAnswer("calendar"));
+  assert.equal(await describe(sent), "answered calendar");
+});
+
+test("a deposit on a silent connection is not sent again", async () => {
+  // The same with a deposit: it may have reached the target. It waits for its
+  // answer, but others get its place.
+  const steward = createSteward();
+  await runManyLookups(steward);
+  const { clock, targets, send } = steward;
+  const before = targets.dispatched.length;
+  const deposits = ["0-fo0-a.7", "0-fo0-a.8"].map((requestId) =>
+    send({ ...HOLD, requestId, remainingMs: 10_000 })
+  );
+  await clock.advance(100);
+  assert.equal(targets.dispatched.length, before + 2);
+  const lookup = send(LOOKUP);
+  await clock.advance(1);
+  assert.equal(targets.dispatched.length, before + 3);
+  ["one", "two", "calendar"].forEach((text) =>
+    targets.answer(makeAnswer(text))
+  );
+  assert.equal(await describe(deposits[0]!), "answered one");
+  assert.equal(await describe(deposits[1]!), "answered two");
+  assert.equal(await describe(lookup), "answered calendar");
+});
+
 test("a late answer goes to nobody else", async () => {
   // A target answers a lookup after its deadline, while the place already
   // serves another caller.
--- a/packages/router/src/steward/resend_desk.ts
+++ b/packages/router/src/steward/resend_desk.ts
@@ -26,7 +26,7 @@
 
 export type Handled = SharedWork<Served>;
 
-export interface RunOptions {
+export interface ServeOptions {
   readonly signal: AbortSignal;
   readonly markDispatched: () => void;
 }
@@ -52,7 +52,7 @@
     permission: Permitted,
     options: {
       readonly signal: AbortSignal;
-      readonly run: (options: RunOptions) => Promise<Served>;
+      readonly run: (options: ServeOptions) => Promise<Served>;
     },
   ): Promise<Served> {
     const work: Handled = new SharedWork();
@@ -91,7 +91,7 @@
     record: MemoryRecord<Handled>,
     options: {
       readonly signal: AbortSignal;
-      readonly run: (options: RunOptions) => Promise<Served>;
+      readonly run: (options: ServeOptions) => Promise<Served>;
     },
   ): Promise<Served> {
     let served: Served | undefined;
--- a/packages/router/src/steward/target_runner.ts
+++ b/packages/router/src/steward/target_runner.ts
@@ -2,29 +2,36 @@
  * One dispatch: wait for a place of the target, ask the authority once more,
  * send in the same turn, and record what became of it.
  */
-import { makeRequestError } from "@lentilspur/outcomes/error_kinds";
-import type { RequestError } from "@lentilspur/outcomes/error_kinds";
+import {
+  makeRequestError,
+  type RequestError,
+} from "@lentilspur/outcomes/error_kinds";
 import type { Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import type {
   DispatchFailure,
-  DispatchRequest,
   TargetAnswer,
   TargetPort,
 } from "@lentilspur/ports/target";
-import type { ServiceObservation } from "@lentilspur/policy/target_scheduler";
 import type {
   DecisionSink,
   RequestSubject,
 } from "@lentilspur/proof/decision_line";
 import type { Authority } from "../authority.ts";
 import type { StateSource } from "../state_source.ts";
+import {
+  toDispatchRequest,
+  toObservation,
+  toScheduledJob,
+} from "./dispatch_conversion.ts";
 import { makeCancelledError, makeRefusalError } from "./dispatch_errors.ts";
 import type { ForwardJob } from "./forward_job.ts";
-import type { Permitted } from "./permission_gate.ts";
+import { LateWatch } from "./late_watch.ts";
 import { LoadMeter } from "./load_meter.ts";
+import type { Permitted } from "./permission_gate.ts";
 import { TargetContacts } from "./target_contacts.ts";
-import { TargetQueue } from "./target_queue.ts";
+import { type TargetLane, TargetLanes } from "./target_lanes.ts";
+import type { PlaceDecision } from "./target_queue.ts";
 import { UnitActivity } from "./unit_activity.ts";
 import { UnknownOutcomes } from "./unknown_outcomes.ts";
 
@@ -38,6 +45,8 @@
     readonly kind: "failed";
     readonly failure: DispatchFailure;
     readonly target: string;
+    /** The answer was late; a retry has been claimed for it. */
+    readonly isGivenUp: boolean;
   }
   /** Never sent. */
   | { readonly kind: "refused"; readonly error: RequestError }
@@ -52,47 +61,84 @@
   readonly decisions: DecisionSink;
 }
 
+export interface RunOptions {
+  readonly signal: AbortSignal;
+  /** Called in the turn in which the request is sent. */
+  readonly markDispatched: () => void;
+  /** Called once if the answer is late; true gives it up for a retry. */
+  readonly claimRetry: () => boolean;
+}
+
+/** A request whose turn has come; the place must be released. */
+interface Turn {
+  readonly kind: "turn";
+  readonly permission: Permitted;
+  readonly queuedMs: number;
+  readonly startedAtMs: number;
+  /** What the target is given, from now. */
+  readonly remainingMs: number;
+}
+
 export class TargetRunner {
-  readonly #options: TargetRunnerOptions;
-  readonly #queues = new Map<string, TargetQueue>();
   readonly activity = new UnitActivity();
   readonly contacts = new TargetContacts();
   readonly meter = new LoadMeter();
   readonly unknowns: UnknownOutcomes;
+  readonly #options: TargetRunnerOptions;
+  readonly #lanes: TargetLanes;
   #jobCount = 0;
 
   constructor(options: TargetRunnerOptions) {
     this.#options = options;
+    this.#lanes = new TargetLanes(options.clock);
     this.unknowns = new UnknownOutcomes(options.clock);
   }
 
-  /** `markDispatched` is called in the turn in which the request is sent. */
   async run(
     job: ForwardJob,
     permission: Permitted,
-    options: {
-      readonly signal: AbortSignal;
-      readonly markDispatched: () => void;
-    },
+    options: RunOptions,
   ): Promise<RunResult> {
-    const { authority, clock } = this.#options;
-    const queue = this.#claimQueue(job, permission.target.id);
-    const jobId = String(this.#jobCount++);
-    const place = await queue.waitForPlace(
-      {
-        id: jobId,
-        clientAccount: job.request.clientAccount,
-        weight: job.weight,
-        template: job.request.template,
-        unit: permission.unit,
-        key: job.request.key,
-        idempotent: job.request.idempotent,
-        arrivedAtMs: clock.readMs(),
-        deadlineAtMs: job.deadlineAtMs,
-        attempt: job.attempt + 1,
-      },
-      options.signal,
-    );
+    const { clock } = this.#options;
+    const lane = this.#lanes.claim(permission.target.id, job.template);
+    const id = String(this.#jobCount++);
+    const scheduled = toScheduledJob(job, permission, {
+      id,
+      nowMs: clock.readMs(),
+    });
+    const place = await lane.queue.waitForPlace(scheduled, options.signal);
+    const turn = this.#takeTurn(job, permission, place);
+    if (turn.kind !== "turn") {
+      lane.queue.release(id, { kind: "failed", serviceMs: 0 });
+      return turn;
+    }
+    options.markDispatched();
+    const watch = this.#watchLateness(lane, id, { job, turn, options });
+    const signal = watch?.signal ?? options.signal;
+    const result = await this.#dispatch(job, turn, signal);
+    watch?.close();
+    const now = clock.readMs();
+    const serviceMs = now - turn.startedAtMs;
+    if (result.ok) {
+      lane.timeout.observe(serviceMs, now);
+    }
+    lane.queue.release(id, toObservation(result, serviceMs));
+    const target = turn.permission.target.id;
+    return result.ok
+      ? { kind: "answered", answer: result.val, target }
+      : toFailed(result.val, target, watch?.isGivenUp ?? false);
+  }
+
+  /**
+   * Guards against a pause, or a move, between the first check and this turn:
+   * a lease that lapsed meanwhile shows here. From here to the write nothing
+   * waits.
+   */
+  #takeTurn(
+    job: ForwardJob,
+    permission: Permitted,
+    place: PlaceDecision,
+  ): Turn | Extract<RunResult, { readonly kind: "refused" | "moved" }> {
     switch (place.kind) {
       case "refused":
         return { kind: "refused", error: makeRefusalError(place) };
@@ -101,49 +147,58 @@
       case "granted":
         break;
     }
-    // Guards against a pause, or a move, between the first check and this
-    // turn: a lease that lapsed meanwhile shows here. From here to the write
-    // nothing waits.
-    const current = authority.check(job.request.template, job.request.key);
+    const { authority, clock } = this.#options;
+    const { template, key } = job.request;
+    const current = authority.check(template, key);
     if (current.kind !== "permitted" || !isSame(current, permission)) {
-      queue.release(jobId, { kind: "failed", serviceMs: 0 });
       return { kind: "moved" };
     }
     const startedAtMs = clock.readMs();
-    const remainingMs = Math.min(
-      job.deadlineAtMs - startedAtMs,
-      current.maxRunMs,
-    );
-    if (remainingMs <= 0) {
-      queue.release(jobId, { kind: "failed", serviceMs: 0 });
-      return { kind: "refused", error: makeDeadlineError() };
+    const leftMs = job.deadlineAtMs - startedAtMs;
+    const remainingMs = Math.min(leftMs, current.maxRunMs);
+    return remainingMs <= 0
+      ? { kind: "refused", error: makeDeadlineError() }
+      : {
+        kind: "turn",
+        permission: current,
+        queuedMs: place.queuedMs,
+        startedAtMs,
+        remainingMs,
+      };
+  }
+
+  /** Undefined where the deadline comes before the answer counts as late. */
+  #watchLateness(
+    lane: TargetLane,
+    id: string,
+    about: {
+      readonly job: ForwardJob;
+      readonly turn: Turn;
+      readonly options: RunOptions;
+    },
+  ): LateWatch | undefined {
+    const { timeoutMs } = lane.timeout;
+    const { job, turn, options } = about;
+    if (timeoutMs >= turn.remainingMs) {
+      return undefined;
     }
-    options.markDispatched();
-    const result = await this.#dispatch(job, current, {
-      remainingMs,
-      startedAtMs,
-      queuedMs: place.queuedMs,
+    return new LateWatch({
+      clock: this.#options.clock,
       signal: options.signal,
+      timeoutMs,
+      mayGiveUp: () => job.request.idempotent && options.claimRetry(),
+      releasePlace: () =>
+        lane.queue.release(id, { kind: "failed", serviceMs: timeoutMs }),
     });
-    const serviceMs = clock.readMs() - startedAtMs;
-    queue.release(jobId, toObservation(result, serviceMs));
-    const target = current.target.id;
-    return result.ok
-      ? { kind: "answered", answer: result.val, target }
-      : { kind: "failed", failure: result.val, target };
   }
 
   async #dispatch(
     job: ForwardJob,
-    permission: Permitted,
-    options: {
-      readonly remainingMs: number;
-      readonly startedAtMs: number;
-      readonly queuedMs: number;
-      readonly signal: AbortSignal;
-    },
+    turn: Turn,
+    signal: AbortSignal,
   ): Promise<Result<TargetAnswer, DispatchFailure>> {
-    const { targets, clock, decisions } = this.#options;
+    const { targets, decisions } = this.#options;
+    const { permission } = turn;
     const { unit, target, stewardToken, unitToken } = permission;
     const attempt = job.advanceAttempt();
     const subject = job.subject;
@@ -155,41 +210,49 @@
       stewardToken,
       unitToken,
       attempt,
-      queuedMs: toTenths(options.queuedMs),
+      queuedMs: toTenths(turn.queuedMs),
     });
     this.activity.add(subject.template, unit, subject.key);
-    const sending = targets.dispatch(
-      target,
-      toDispatchRequest(job, permission, options.remainingMs),
-      options.signal,
-    );
-    const result = await sending;
-    const now = clock.readMs();
-    if (!result.ok && result.val.kind === "unknown") {
+    const request = toDispatchRequest(job, permission, turn.remainingMs);
+    const result = await targets.dispatch(target, request, signal);
+    this.#settle(subject, turn, { attempt, result });
+    return result;
+  }
+
+  #settle(
+    subject: RequestSubject,
+    turn: Turn,
+    dispatch: {
+      readonly attempt: number;
+      readonly result: Result<TargetAnswer, DispatchFailure>;
+    },
+  ): void {
+    const now = this.#options.clock.readMs();
+    const { attempt, result } = dispatch;
+    const { unit, target } = turn.permission;
+    const tookMs = now - turn.startedAtMs;
+    const mayStillRun = !result.ok && result.val.kind === "unknown";
+    if (mayStillRun) {
       this.unknowns.record(subject.template, unit, subject.key);
     }
-    this.#settleActivity(subject, permission, {
-      mayStillRun: !result.ok && result.val.kind === "unknown",
-      untilMs: options.startedAtMs + options.remainingMs,
-    });
+    this.#settleActivity(subject, turn, mayStillRun);
     if (result.ok) {
       this.contacts.recordAnswer(target.id, now);
-      this.meter.observe({ ...subject, unit }, now - options.startedAtMs, now);
+      this.meter.observe({ ...subject, unit }, tookMs, now);
     } else {
       this.contacts.recordFailure(target.id, result.val, now);
     }
-    decisions.log({
+    this.#options.decisions.log({
       ...subject,
       decision: "request-settled",
       unit,
       target: target.id,
       attempt,
-      tookMs: toTenths(now - options.startedAtMs),
+      tookMs: toTenths(tookMs),
       ...(result.ok
         ? { outcome: "ran", status: result.val.status }
         : { outcome: result.val.kind, cause: result.val.cause }),
     });
-    return result;
   }
 
   /**
@@ -200,15 +263,15 @@
    */
   #settleActivity(
     subject: RequestSubject,
-    permission: Permitted,
-    options: { readonly mayStillRun: boolean; readonly untilMs: number },
+    turn: Turn,
+    mayStillRun: boolean,
   ): void {
     const { clock, state } = this.#options;
-    const { unit, target } = permission;
+    const { unit, target } = turn.permission;
     const { template, key } = subject;
     const checks = state.getView().getTarget(target.id)?.target.checksGrants;
-    const leftMs = options.untilMs - clock.readMs();
-    if (checks === true || !options.mayStillRun || leftMs <= 0) {
+    const leftMs = turn.startedAtMs + turn.remainingMs - clock.readMs();
+    if (checks === true || !mayStillRun || leftMs <= 0) {
       this.activity.settle(template, unit, key);
       return;
     }
@@ -216,69 +279,18 @@
       this.activity.settle(template, unit, key)
     );
   }
-
-  #claimQueue(job: ForwardJob, target: string): TargetQueue {
-    const { limits, placesPerTarget } = job.template;
-    const bounds = {
-      places: placesPerTarget,
-      maxQueued: limits.maxQueuedPerTarget,
-      maxQueueMs: limits.maxQueueMs,
-    };
-    const known = this.#queues.get(target);
-    if (known !== undefined) {
-      known.setBounds(bounds);
-      return known;
-    }
-    const queue = new TargetQueue(bounds, this.#options.clock);
-    this.#queues.set(target, queue);
-    return queue;
-  }
-}
-
-function toDispatchRequest(
-  job: ForwardJob,
-  permission: Permitted,
-  remainingMs: number,
-): DispatchRequest {
-  const { request } = job;
-  return {
-    requestId: request.requestId,
-    clientAccount: request.clientAccount,
-    key: request.key,
-    unit: permission.unit,
-    stewardToken: permission.stewardToken,
-    unitToken: permission.unitToken,
-    method: request.method,
-    path: request.path,
-    headers: request.headers,
-    body: request.body,
-    remainingMs,
-    maxAnswerBytes: job.template.limits.maxAnswerBytes,
-  };
 }
 
-function toObservation(
-  result: Result<TargetAnswer, DispatchFailure>,
-  serviceMs: number,
-): ServiceObservation {
-  if (result.ok) {
-    return { kind: "completed", serviceMs };
-  }
-  switch (result.val.cause) {
-    case "shed":
-      return { kind: "shed-by-target", serviceMs };
-    case "silent":
-      return { kind: "timed-out", serviceMs };
-    case "unreachable":
-    case "refused":
-    case "fenced":
-    case "draining":
-    case "reset":
-    case "cut":
-    case "too-large":
-    case "cancelled":
-      return { kind: "failed", serviceMs };
-  }
+/** An answer that was given up is silence to the caller, not its own doing. */
+function toFailed(
+  failure: DispatchFailure,
+  target: string,
+  isGivenUp: boolean,
+): RunResult {
+  const told: DispatchFailure = isGivenUp && failure.kind === "unknown"
+    ? { ...failure, cause: "silent" }
+    : failure;
+  return { kind: "failed", failure: told, target, isGivenUp };
 }
 
 function makeDeadlineError(): RequestError {
