--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -7,7 +7,7 @@
  * places work on requests whose callers have gone.
  */
 import type { CostModel } from "./cost_model.ts";
-import type { QueuedJob } from "./fair_queue.ts";
+import type { QueuedJob } from "./account_queue.ts";
 import type { RefusalReason, ScheduledJob } from "./scheduled_job.ts";
 import { StandingQueue } from "./standing_queue.ts";
 
--- a/packages/policy/src/fair_queue.ts
+++ b/packages/policy/src/fair_queue.ts
@@ -9,30 +9,9 @@
  * job moves it on by cost over weight. Tags lie behind the virtual time never
  * by more than a bounded credit when an account becomes active.
  */
+import { AccountQueue, type QueuedJob } from "./account_queue.ts";
 import type { ScheduledJob } from "./scheduled_job.ts";
 
-/** A waiting job with what was expected of it when it was admitted. */
-export interface QueuedJob {
-  readonly job: ScheduledJob;
-  readonly costMs: number;
-  readonly long: boolean;
-  /** What a job of the target took typically when this one was admitted. */
-  readonly typicalMs: number;
-  /** Starting later than this would miss the deadline or the queue's bound. */
-  readonly latestStartMs: number;
-}
-
-interface AccountQueue {
-  readonly name: string;
-  weight: number;
-  startTag: number;
-  workMs: number;
-  /** The part of `workMs` that is long jobs. */
-  longWorkMs: number;
-  running: number;
-  readonly waiting: QueuedJob[];
-}
-
 /** The oldest job of an account that may run. */
 interface QueueHead {
   readonly account: AccountQueue;
@@ -42,9 +21,10 @@
 
 /** Where a new job of an account would stand. */
 export interface QueuePlace {
-  /** Work, in milliseconds of one place, that is served before it. */
-  readonly workAheadMs: number;
-  /** The part of it that is as long, or as short, as the job itself. */
+  /**
+   * Work that is served before it and is as long, or as short, as the job
+   * itself, in milliseconds of one place.
+   */
   readonly likeAheadMs: number;
   /** Virtual time at which the account's last job would be done. */
   readonly finishTag: number;
@@ -107,9 +87,7 @@
       account.startTag = this.#computeStartTag(account);
       this.#backlogged.push(account);
     }
-    account.waiting.push(queued);
-    account.workMs += queued.costMs;
-    account.longWorkMs += queued.long ? queued.costMs : 0;
+    account.add(queued);
     this.#size++;
   }
 
@@ -117,16 +95,13 @@
   locateNew(queued: QueuedJob): QueuePlace {
     const { job, costMs, long } = queued;
     const own = this.#accounts.get(job.clientAccount);
-    const ownWorkMs = own?.workMs ?? 0;
-    const ownLikeMs = own === undefined ? 0 : getLikeWorkMs(own, long);
     const startTag = this.#computeStartTag(own);
-    const dueTag = startTag + ownWorkMs / job.weight;
-    const likeDueTag = startTag + ownLikeMs / job.weight;
+    const ownLikeMs = own?.getLikeWorkMs(long) ?? 0;
+    const dueTag = startTag + ownLikeMs / job.weight;
+    const workMs = (own?.workMs ?? 0) + costMs;
     return {
-      workAheadMs: ownWorkMs + this.#computeOthersWork(own, dueTag),
-      likeAheadMs: ownLikeMs +
-        this.#computeOthersLikeWork(own, likeDueTag, long),
-      finishTag: dueTag + costMs / job.weight,
+      likeAheadMs: ownLikeMs + this.#computeOthersWork(own, dueTag, long),
+      finishTag: startTag + workMs / job.weight,
     };
   }
 
@@ -134,7 +109,7 @@
   findMostOverShare(): { account: string; finishTag: number } | null {
     let worst: { account: string; finishTag: number } | null = null;
     for (const account of this.#backlogged) {
-      const finishTag = account.startTag + account.workMs / account.weight;
+      const { finishTag } = account;
       if (finishTag > (worst?.finishTag ?? -Infinity)) {
         worst = { account: account.name, finishTag };
       }
@@ -220,7 +195,7 @@
         const kind = queued.long ? "long" : "short";
         const dueTag = account.startTag + ownMs[kind] / account.weight;
         const aheadMs = ownMs[kind] +
-          this.#computeOthersLikeWork(account, dueTag, queued.long);
+          this.#computeOthersWork(account, dueTag, queued.long);
         if (isLate(queued, aheadMs)) {
           taken.push(this.#removeAt(account, index));
         } else {
@@ -257,16 +232,12 @@
   }
 
   #removeAt(account: AccountQueue, index: number): QueuedJob {
-    const [removed] = account.waiting.splice(index, 1);
-    account.workMs -= removed!.costMs;
-    account.longWorkMs -= removed!.long ? removed!.costMs : 0;
+    const removed = account.removeAt(index);
     this.#size--;
     if (account.waiting.length === 0) {
-      account.workMs = 0;
-      account.longWorkMs = 0;
       this.#backlogged.splice(this.#backlogged.indexOf(account), 1);
     }
-    return removed!;
+    return removed;
   }
 
   #computeStartTag(account: AccountQueue | undefined): number {
@@ -277,28 +248,15 @@
     return Math.max(account?.startTag ?? earliest, earliest);
   }
 
-  #computeOthersWork(own: AccountQueue | undefined, dueTag: number): number {
-    let workMs = 0;
-    for (const other of this.#backlogged) {
-      if (other !== own) {
-        const dueMs = (dueTag - other.startTag) * other.weight;
-        workMs += Math.min(Math.max(0, dueMs), other.workMs);
-      }
-    }
-    return workMs;
-  }
-
-  #computeOthersLikeWork(
+  /** Work of the other accounts that is due before a virtual time. */
+  #computeOthersWork(
     own: AccountQueue | undefined,
     dueTag: number,
     long: boolean,
   ): number {
     let workMs = 0;
     for (const other of this.#backlogged) {
-      if (other !== own) {
-        const dueMs = (dueTag - other.startTag) * other.weight;
-        workMs += Math.min(Math.max(0, dueMs), getLikeWorkMs(other, long));
-      }
+      workMs += other === own ? 0 : other.computeDueWorkMs(dueTag, long);
     }
     return workMs;
   }
@@ -308,15 +266,10 @@
     if (known !== undefined) {
       return known;
     }
-    const account = {
-      name: job.clientAccount,
+    const account = new AccountQueue(job.clientAccount, {
       weight: job.weight,
       startTag: this.#virtualTime - IDLE_CREDIT_MS,
-      workMs: 0,
-      longWorkMs: 0,
-      running: 0,
-      waiting: [],
-    };
+    });
     this.#accounts.set(job.clientAccount, account);
     return account;
   }
@@ -331,7 +284,3 @@
     }
   }
 }
-
-function getLikeWorkMs(account: AccountQueue, long: boolean): number {
-  return long ? account.longWorkMs : account.workMs - account.longWorkMs;
-}
--- a/packages/policy/src/placement_test.ts
+++ b/packages/policy/src/placement_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { planBalance, planHotKeys } from "./balance.ts";
+import { planBalance, planHotKeys, planHotKeysOver } from "./balance.ts";
 import { planDrain, planInitialAssignment, planLoss } from "./placement.ts";
 import type {
   PlacementInput,
@@ -122,3 +122,16 @@
   );
   assert.deepEqual(planHotKeys(makeInput([1, 1, 1, 1]), [hot]), []);
 });
+
+test("a key that is hot no more goes back to its shard's owner", () => {
+  const hot = {
+    unit: "k:case-9",
+    owner: "t3",
+    shardOwner: "t0",
+    moving: false,
+  };
+  const plan = (load: number) =>
+    planHotKeysOver("case-files", [{ ...hot, load }]).map(({ to }) => to);
+  assert.deepEqual(plan(0.05), ["t0"]);
+  assert.deepEqual(plan(0.5), []);
+});
--- a/packages/policy/src/target_scheduler.ts
+++ b/packages/policy/src/target_scheduler.ts
@@ -13,7 +13,8 @@
 import { Admission, type AdmissionBounds } from "./admission.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { CostModel } from "./cost_model.ts";
-import { FairQueue, type QueuedJob } from "./fair_queue.ts";
+import type { QueuedJob } from "./account_queue.ts";
+import { FairQueue } from "./fair_queue.ts";
 import {
   computePlaceTimes,
   type OccupiedPlace,
--- a/packages/policy/src/target_scheduler_test.ts
+++ b/packages/policy/src/target_scheduler_test.ts
@@ -91,6 +91,31 @@
   assert.ok(served.length <= 10, `${served.length} were served before it`);
 });
 
+// Two accounts ask for more than the target can do, one with three times the
+// weight. Neither may be starved, and their shares are what was agreed.
+test("under contention accounts are served by weight", () => {
+  const scheduler = new TargetScheduler({ ...OPTIONS, maxQueueMs: 10_000 });
+  const served = new Map<string, number>();
+  for (let round = 0; round < 400; round++) {
+    for (const [clientAccount, weight] of [["nile", 3], ["omo", 1]] as const) {
+      const id = `${clientAccount}-${round}`;
+      const deadlineAtMs = round + 60_000;
+      const arrivedAtMs = round;
+      scheduler.offer(
+        makeJob(id, { clientAccount, weight, arrivedAtMs, deadlineAtMs }),
+        round,
+      );
+    }
+    for (const id of takeAll(scheduler, round).slice(0, 1)) {
+      const account = id.split("-")[0]!;
+      served.set(account, (served.get(account) ?? 0) + 1);
+      scheduler.settle(id, { kind: "completed", serviceMs: 10 }, round);
+    }
+  }
+  const ratio = served.get("nile")! / served.get("omo")!;
+  assert.ok(ratio > 2.5 && ratio < 3.5, `served ${ratio} to 1`);
+});
+
 // Two reports of a second each are running in both places, and every lookup
 // of a millisecond waits for one of them.
 test("long jobs leave a place to short ones and are not starved", () => {
