feat(policy): see a target slow down before its jobs have ended

Change: where the jobs in all places are overdue, what waits is looked at with the speed that this shows; and a standing queue holds two service times instead of four, as service times of a slow target alone make up a tenth of a deadline.

--- a/packages/policy/src/standing_queue.ts
+++ b/packages/policy/src/standing_queue.ts
@@ -18,8 +18,8 @@
  * is given up is told within a tenth of it, ways there and back included.
  */
 const WAIT_SHARE = 0.08;
-/** Fewer services than this in the queue would leave places idle by chance. */
-const MIN_SERVICES = 4;
+/** Less than this many services in the queue would leave places idle by chance. */
+const MIN_SERVICES = 2;
 /** A backlog below this part of the allowed wait is none. */
 const CLEAR_SHARE = 0.5;
 /** The state ends when there was no backlog for this long: overload has gaps. */
--- a/packages/policy/src/target_scheduler.ts
+++ b/packages/policy/src/target_scheduler.ts
@@ -158,8 +158,12 @@
     }
     this.#checkedAtMs = nowMs;
     const times = this.#computePlaceTimes(nowMs);
+    const overdueRatio = this.#computeOverdueRatio(nowMs);
     const late = this.#queue.takeLate((queued, likeAheadMs) => {
-      const slowdown = Math.max(1, this.#costs.typicalMs / queued.typicalMs);
+      const slowdown = Math.max(
+        overdueRatio,
+        this.#costs.typicalMs / queued.typicalMs,
+      );
       const waitMs = estimateWaitMs(queued, likeAheadMs * slowdown, times);
       const leftMs = queued.latestStartMs - nowMs;
       return leftMs < 0 || waitMs > leftMs * GIVE_UP_SHARE;
@@ -315,6 +319,22 @@
     );
   }
 
+  /**
+   * How much longer than expected all running jobs take, at least 1. One that
+   * is overdue says little; when every place's is, the target has slowed down,
+   * and this shows before any of them has ended.
+   */
+  #computeOverdueRatio(nowMs: number): number {
+    if (this.#running.size < 2 || this.#running.size < this.#limit.places) {
+      return 1;
+    }
+    let least = Infinity;
+    for (const { queued, startedAtMs } of this.#running.values()) {
+      least = Math.min(least, (nowMs - startedAtMs) / queued.costMs);
+    }
+    return Math.max(1, least);
+  }
+
   #computePlaceTimes(nowMs: number): PlaceTimes {
     const occupied: OccupiedPlace[] = [];
     for (const { queued, startedAtMs } of this.#running.values()) {
