fix(router): leave a steward that has been replaced

Cause: an entry waited out the request's deadline for a paused or cut off steward although its fold already named the successor. Now it forwards anew 100 ms after the change; the steward's memory keeps that safe.

--- a/packages/router/src/entry/steward_caller.ts
+++ b/packages/router/src/entry/steward_caller.ts
@@ -7,11 +7,12 @@
   makeRequestError,
   type RequestError,
 } from "@lentilspur/outcomes/error_kinds";
-import { Ok, type Result } from "@lentilspur/outcomes/result";
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import type {
   ForwardReply,
   ForwardRequest,
+  PeerAddress,
   PeerFailure,
   PeerPort,
 } from "@lentilspur/ports/peer";
@@ -28,6 +29,10 @@
   makeUnownedError,
 } from "./steward_errors.ts";
 
+/** A change of the fold wakes the wait at once; this only bounds it. */
+const REPLACEMENT_POLL_MS = 1_000;
+/** An answer that left the old steward before the change is here by then. */
+const LATE_ANSWER_MS = 100;
 /** Between two looks at a steward that declines or cannot be reached. */
 const RETRY_PAUSE_MS = 50;
 /** Forwards that may get lost before the caller is told `unknown`. */
@@ -138,7 +143,7 @@
     steward: string,
     remainingMs: number,
   ): Promise<Result<ForwardReply, PeerFailure>> {
-    const { instanceId, state, local, peers } = this.#options;
+    const { instanceId, state, local } = this.#options;
     const request = this.#makeRequest(progress, remainingMs);
     this.#logRouted(request, location, steward);
     if (steward === instanceId) {
@@ -149,7 +154,45 @@
       return Ok({ kind: "not-steward", foldedOffset: 0 });
     }
     const peer = { id: steward, address: member.instance.peerAddress };
-    return await peers.forward(peer, request, progress.signal);
+    return await this.#forwardUnlessReplaced(progress, peer, request);
+  }
+
+  /**
+   * Guards against waiting out the deadline for a steward that is paused or
+   * gone: it shows as a fold that names another one. Its answer may be on its
+   * way, so it gets a moment more.
+   */
+  async #forwardUnlessReplaced(
+    progress: CallProgress,
+    peer: PeerAddress,
+    request: ForwardRequest,
+  ): Promise<Result<ForwardReply, PeerFailure>> {
+    const ended = new AbortController();
+    const signal = AbortSignal.any([progress.signal, ended.signal]);
+    const call = this.#options.peers.forward(peer, request, signal);
+    const replaced = this.#waitForReplacement(request, peer.id, ended.signal);
+    const result = await Promise.race([call, replaced]);
+    ended.abort();
+    return result ?? Err({
+      kind: "lost",
+      message: "another steward has taken its place",
+    });
+  }
+
+  async #waitForReplacement(
+    request: ForwardRequest,
+    steward: string,
+    signal: AbortSignal,
+  ): Promise<undefined> {
+    const { state, clock } = this.#options;
+    const { template, key } = request;
+    const isPresent = (): boolean =>
+      state.getView().locateKey(template, key)?.target?.steward === steward;
+    while (!signal.aborted && isPresent()) {
+      await state.waitForFold(REPLACEMENT_POLL_MS, signal);
+    }
+    await clock.sleep(LATE_ANSWER_MS, signal);
+    return undefined;
   }
 
   async #checkReply(
--- a/packages/trials/src/cluster/control_test.ts
+++ b/packages/trials/src/cluster/control_test.ts
@@ -120,6 +120,15 @@
   await sending;
   assert.equal(instance.isLeaseHeld(), false);
   assert.notEqual(getSteward(cluster, "t1"), paused);
+  // Lookups that other entries had passed to it did not wait out their
+  // deadlines: they went to the successor as soon as there was one.
+  const lookups = cluster.sent.filter((sent) =>
+    sent.idempotent && sent.through !== paused
+  );
+  for (const { answer, answeredAtMs, sentAtMs } of lookups) {
+    assert.equal(answer?.status, 200);
+    assert.ok(answeredAtMs! - sentAtMs <= UNSERVED_BOUND_MS);
+  }
   await assertHeld(cluster);
 });
 
