--- a/packages/trials/src/soak/soak_cli.ts
+++ b/packages/trials/src/soak/soak_cli.ts
@@ -24,6 +24,8 @@
 /** More than in the small trial, so that two can be away at a time. */
 const INSTANCES = 6;
 const CALM_MS = 2_000;
+/** One that was paused last may notice a little later that it is out. */
+const SETTLE_MS = 5_000;
 /** After the last fault, everything must be served again within this. */
 const RECOVERY_MS = 15_000;
 /** Share of faults that a second one joins. */
@@ -115,7 +117,10 @@
     const atS = Math.round((readMachineMs() - startedAt) / 1_000);
     print(`  ${atS} s: ${done.join(", and ")}`);
     await sleep(CALM_MS);
+    await injector.startReplacements();
   }
+  await sleep(SETTLE_MS);
+  await injector.startReplacements();
 }
 
 function print(line: string): void {
--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -34,6 +34,8 @@
 /** Long enough for a lease of 2 s to lapse, or short enough that it holds. */
 const PAUSES_MS = [300, 1_500, 3_000, 8_000];
 const RESTART_MS = 1_500;
+/** Exit code of an instance that was taken over while it was paused. */
+const TAKEN_OVER_CODE = 6;
 const LOG_FAULT_MS = 5_000;
 const LEAVING_MS = 7_000;
 
@@ -100,21 +102,27 @@
     }
   }
 
-  /** One that was taken over ends by itself and is replaced. */
   async #freezeInstance(instance: InstanceProcess): Promise<string> {
-    const { processes } = this.#trial;
     const pauseMs = this.#drawOne(PAUSES_MS)!;
     instance.child.send("SIGSTOP");
     await sleep(pauseMs);
     instance.child.send("SIGCONT");
-    await sleep(RESTART_MS);
     this.#taken.delete(instance.name);
-    if (instance.child.hasEnded) {
+    return `${instance.name} paused for ${pauseMs} ms`;
+  }
+
+  /** Replaces instances that were taken over and have ended by themselves. */
+  async startReplacements(): Promise<void> {
+    const { processes, faults } = this.#trial;
+    const ended = processes.instances.filter(({ child }) => child.hasEnded);
+    for (const instance of ended) {
+      if (instance.child.exitCode !== TAKEN_OVER_CODE) {
+        const { exitCode } = instance.child;
+        faults.push(`${instance.name} ended by itself with "${exitCode}"`);
+      }
       await processes.killInstance(instance);
       await processes.startInstance();
-      return `${instance.name} paused for ${pauseMs} ms, ended, replaced`;
     }
-    return `${instance.name} paused for ${pauseMs} ms`;
   }
 
   async #failTarget(
--- a/packages/trials/src/start/child.ts
+++ b/packages/trials/src/start/child.ts
@@ -53,6 +53,11 @@
     return this.#process.pid;
   }
 
+  /** Null while it runs, and after a signal. */
+  get exitCode(): number | null {
+    return this.#process.exitCode;
+  }
+
   get hasEnded(): boolean {
     return this.#process.exitCode !== null || this.#process.signalCode !== null;
   }
