--- a/packages/trials/src/start/trial_report.ts
+++ b/packages/trials/src/start/trial_report.ts
@@ -29,6 +29,8 @@
   readonly unservedMsMax: number;
   readonly appends: number;
   readonly appendedBytes: number;
+  /** Accepted entries of each kind. */
+  readonly entries: Readonly<Record<string, number>>;
   readonly violations: readonly Violation[];
   /** What else had to hold and did not. */
   readonly faults: readonly string[];
@@ -64,10 +66,11 @@
     ran: count("ran"),
     notRun: count("not-run"),
     unknown: count("unknown", "none"),
-    moves: log.moves,
+    moves: log.entries["move-released"] ?? 0,
     unservedMsMax: Math.round(computeUnservedMsMax(records)),
     appends: log.appends,
     appendedBytes: log.bytes,
+    entries: log.entries,
     violations: listViolations({ records, runs, leaving }),
     faults: facts.faults,
   };
@@ -97,28 +100,28 @@
 interface LogSummary {
   readonly appends: number;
   readonly bytes: number;
-  readonly moves: number;
+  readonly entries: Readonly<Record<string, number>>;
 }
 
-/** Folds the whole record stream and counts the accepted moves. */
+/** Folds the whole record stream and counts what was accepted. */
 async function readLog(url: string): Promise<LogSummary> {
   const log = new LogClient(url, { clock: new SystemClock() });
   const fold = new Fold();
+  const entries: Record<string, number> = {};
   let bytes = 0;
-  let moves = 0;
   for (;;) {
     const batch = await log.read(LOG_STREAM, fold.nextOffset);
     if (!batch.ok || batch.val.records.length === 0) {
       log.close();
-      return { appends: fold.nextOffset, bytes, moves };
+      return { appends: fold.nextOffset, bytes, entries };
     }
     for (const { offset, payload } of batch.val.records) {
       const verdicts = fold.apply(offset, payload);
       bytes += Buffer.byteLength(payload);
-      const entries = parseEnvelope(payload)?.entries ?? [];
-      moves += entries.filter((entry, index) =>
-        entry.kind === "move-released" && verdicts[index]?.kind === "accepted"
-      ).length;
+      parseEnvelope(payload)?.entries.forEach(({ kind }, index) => {
+        const isAccepted = verdicts[index]?.kind === "accepted";
+        entries[kind] = (entries[kind] ?? 0) + (isAccepted ? 1 : 0);
+      });
     }
   }
 }
@@ -130,6 +133,7 @@
     `${report.ran} ran, ${report.notRun} not run, ${report.unknown} unknown`,
     `  ${report.moves} moves, longest time unserved ${report.unservedMsMax} ms, ` +
     `${report.appends} appends of ${report.appendedBytes} bytes`,
+    `  accepted: ${renderCounts(report.entries)}`,
     ...violations.slice(0, MAX_SHOWN).map(({ promise, message }) =>
       `  BROKEN ${promise}: ${message}`
     ),
@@ -140,6 +144,12 @@
 
 const MAX_SHOWN = 20;
 
+function renderCounts(counts: Readonly<Record<string, number>>): string {
+  return Object.entries(counts)
+    .map(([kind, count]) => `${count} ${kind}`)
+    .join(", ");
+}
+
 /** The line of JSON that a run ends with. */
 export function renderSummary(reports: readonly TrialReport[]): string {
   const add = (pick: (report: TrialReport) => number): number =>
