--- a/packages/platform/src/target_client_test.ts
+++ b/packages/platform/src/target_client_test.ts
@@ -260,3 +260,27 @@
   assert.equal(sent.val.kind, "not-run");
   assert.deepEqual(target.received, []);
 });
+
+test("a connection that went silent while idle carries no request", async () => {
+  // Something between the two ends loses track of a connection. Nobody notices,
+  // since it is idle. A deposit put on it would be told "unknown" at its
+  // deadline, although new connections work.
+  const silent = new Set<Socket>();
+  let answered: Socket | undefined;
+  const target = await startRawTarget((socket) => {
+    if (!silent.has(socket)) {
+      answered = socket;
+      socket.write(WHOLE);
+    }
+  });
+  const client = new TargetClient({ clock: new SystemClock() });
+  const address = { id: "t", address: target.address };
+  const { signal } = new AbortController();
+  await client.dispatch(address, makeRequest(), signal);
+  silent.add(answered!);
+  await new Promise((resolve) => setTimeout(resolve, 1_600));
+  const sent = await client.dispatch(address, makeRequest(), signal);
+  client.close();
+  target.stop();
+  assert.ok(sent.ok);
+});
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -13,6 +13,7 @@
 import { HttpEntry } from "./http/http_entry.ts";
 import { Instance } from "./instance.ts";
 import { Metrics } from "./metrics.ts";
+import { ReplicaReport } from "./replica_report.ts";
 import type { InstanceSettings } from "./settings.ts";
 
 /** Larger than any body that a template may allow, with room for its head. */
@@ -60,6 +61,10 @@
   readonly #http: HttpEntry;
   readonly #peerServer: PeerServer;
   readonly #running = new AbortController();
+  readonly #replicaReport = new ReplicaReport({
+    clock: this.#clock,
+    report: (level, message) => this.#report(level, message),
+  });
   readonly ended: Promise<"stopped" | "taken-over">;
   #settleEnd: (how: "stopped" | "taken-over") => void = () => {};
   #instance: Instance | undefined;
@@ -189,6 +194,7 @@
       peers: this.#peers,
       decisions: this.#metrics,
       recordEarlyRefusal: (kind) => this.#metrics.recordEarlyRefusal(kind),
+      observeReplica: (event) => this.#replicaReport.observe(event),
     });
   }
 
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -9,6 +9,7 @@
 import type { LogPort } from "@lentilspur/ports/log";
 import type { PeerPort, PeerService } from "@lentilspur/ports/peer";
 import type { TargetPort } from "@lentilspur/ports/target";
+import type { ReplicaListener } from "@lentilspur/platform/folded_log";
 import { Replica } from "@lentilspur/platform/replica";
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { InstanceDescription } from "@lentilspur/state/entries";
@@ -36,6 +37,8 @@
   readonly decisions: DecisionSink;
   /** Told of refusals that leave no decision line, for the metrics. */
   readonly recordEarlyRefusal?: (kind: ErrorKind) => void;
+  /** Told of everything that the replica of the log meets. */
+  readonly observeReplica?: ReplicaListener;
 }
 
 type Phase = "starting" | "serving" | "stopping" | "ended";
@@ -67,6 +70,9 @@
       readVersion: () => this.#replica.view.configurationVersion,
     });
     this.#replica.watch((event) => this.#configuration.observe(event));
+    if (options.observeReplica !== undefined) {
+      this.#replica.watch(options.observeReplica);
+    }
     this.#control = new Control({
       ...options,
       log: this.#access,
