--- a/packages/platform/src/http_connection.ts
+++ b/packages/platform/src/http_connection.ts
@@ -107,7 +107,8 @@
       this.#lastHeardAt = this.#clock.readMs();
       return Ok(ending.answer);
     }
-    const written = this.#socket.bytesWritten > writtenBefore;
+    // Anything but the very same count is taken as written.
+    const written = this.#socket.bytesWritten !== writtenBefore;
     this.reset();
     return Err({ written, cause: ending.cause, message: ending.message });
   }
