--- a/packages/trials/src/measure_cli.ts
+++ b/packages/trials/src/measure_cli.ts
@@ -8,6 +8,7 @@
 import { CAPACITY_MEASUREMENT } from "./capacity/capacity_measurement.ts";
 import { ACCOUNT_LIMITS_MEASUREMENT } from "./load/account_sharing.ts";
 import { LOAD_MEASUREMENT } from "./load/load_measurement.ts";
+import { OWNERSHIP_MEASUREMENT } from "./ownership/ownership_measurement.ts";
 import { PATH_MEASUREMENT } from "./path/path_measurement.ts";
 import type { MeasuredFigure, Measurement } from "./measurement.ts";
 import { formatReport, formatReportAsJson } from "./report_printer.ts";
@@ -17,6 +18,7 @@
   ACCOUNT_LIMITS_MEASUREMENT,
   CAPACITY_MEASUREMENT,
   PATH_MEASUREMENT,
+  OWNERSHIP_MEASUREMENT,
 ];
 
 const FIGURES_DIRECTORY = "docs/figures";
