--- a/packages/trials/src/ownership/ownership_measurement.ts
+++ b/packages/trials/src/ownership/ownership_measurement.ts
@@ -54,35 +54,35 @@
 };
 
 const SCENARIOS: readonly OwnershipScenario[] = [
-  { name: "nothing", run: async () => {}, countForced: () => 0 },
+  { name: "nothing", run: () => {}, countForced: () => 0 },
   {
     name: "target joins",
-    run: async (cluster) => void cluster.addTarget("joining", true),
+    run: (cluster) => void cluster.addTarget("joining", true),
     countForced: countEvenShare,
   },
   {
     name: "target that checks leaves",
-    run: async (cluster) => cluster.list.setState("t0", "leaving"),
+    run: (cluster) => cluster.list.setState("t0", "leaving"),
     countForced: (before) => countOwned(before, "t0"),
   },
   {
     name: "target that does not check leaves",
-    run: async (cluster) => cluster.list.setState("t1", "leaving"),
+    run: (cluster) => cluster.list.setState("t1", "leaving"),
     countForced: (before) => countOwned(before, "t1"),
   },
   {
     name: "target that checks freezes",
-    run: async (cluster) => cluster.targets.get("t0")!.freeze(),
+    run: (cluster) => cluster.targets.get("t0")!.freeze(),
     countForced: (before) => countOwned(before, "t0"),
   },
   {
     name: "target that does not check ends",
-    run: async (cluster) => cluster.targets.get("t1")!.stop(),
+    run: (cluster) => cluster.targets.get("t1")!.stop(),
     countForced: (before) => countOwned(before, "t1"),
   },
   {
     name: "instance is lost",
-    run: async (cluster) => cluster.stopInstance(getSteward(cluster)),
+    run: (cluster) => cluster.stopInstance(getSteward(cluster)),
     countForced: () => 0,
   },
   {
@@ -106,12 +106,12 @@
   },
   {
     name: "instance joins",
-    run: async (cluster) => void cluster.addInstance(),
+    run: (cluster) => void cluster.addInstance(),
     countForced: () => 0,
   },
   {
     name: "a data centre's 4 instances are lost",
-    run: async (cluster) => {
+    run: (cluster) => {
       const view = getView(cluster);
       const lost = view.listMembers()
         .filter(({ instance }) => instance.dataCentre === "Yeka");
--- a/packages/trials/src/ownership/ownership_scenario.ts
+++ b/packages/trials/src/ownership/ownership_scenario.ts
@@ -29,7 +29,7 @@
 export interface OwnershipScenario {
   readonly name: string;
   /** Brings the change about. */
-  readonly run: (cluster: FakeCluster) => Promise<void>;
+  readonly run: (cluster: FakeCluster) => Promise<void> | void;
   /** Units that had to change their owner at the least. */
   readonly countForced: (before: Placement, after: Placement) => number;
 }
