perf(router): look through the members only when the fold has moved on

Cause: the watch for lost instances looked through all members ten times a second; docs/CAPACITY.md works that out as half a core at 12,000 nodes. It now does so once for each change of the fold and then looks at its wards alone.

--- a/packages/router/src/control/succession.ts
+++ b/packages/router/src/control/succession.ts
@@ -46,6 +46,9 @@
   readonly #options: SuccessionOptions;
   readonly #watchedSince = new Map<string, number>();
   readonly #removedSince = new Map<string, number>();
+  /** Whom this instance would succeed, with its rank among the successors. */
+  #wards: ReadonlyMap<string, number> = new Map();
+  #observedOffset = -1;
 
   constructor(options: SuccessionOptions) {
     this.#options = options;
@@ -66,21 +69,31 @@
     }
   }
 
-  /** Notes since when each ward is watched and each removed guardian is gone. */
+  /**
+   * Notes since when each ward is watched and each removed guardian is gone.
+   * It looks through all members, so it does that only when the fold has moved
+   * on; with thousands of members ten looks a second would take half a core.
+   */
   #observeMembers(): void {
     const { clock, log, self, guardian } = this.#options;
     const nowMs = clock.readMs();
     const view = log.getView();
-    const wards = new Set<string>();
+    if (view.nextOffset === this.#observedOffset) {
+      return;
+    }
+    this.#observedOffset = view.nextOffset;
+    const wards = new Map<string, number>();
     const gone = new Set<string>();
     for (const member of view.listMembers()) {
-      if (computeSuccessorRank(member, self, view) !== undefined) {
-        wards.add(member.instance.id);
+      const rank = computeSuccessorRank(member, self, view);
+      if (rank !== undefined && member.instance.id !== self) {
+        wards.set(member.instance.id, rank);
       }
       member.guardians.filter((id) => !view.getMember(id))
         .forEach((id) => gone.add(id));
     }
-    updateTimes(this.#watchedSince, wards, nowMs);
+    this.#wards = wards;
+    updateTimes(this.#watchedSince, new Set(wards.keys()), nowMs);
     updateTimes(this.#removedSince, gone, nowMs);
     for (const holder of guardian.listHolders()) {
       if (view.getRemovalPosition(holder) !== undefined) {
@@ -90,15 +103,13 @@
   }
 
   #listOverdue(): readonly MemberState[] {
-    const { log, self } = this.#options;
-    const view = log.getView();
-    return view.listMembers().filter((holder) => {
-      const rank = holder.instance.id === self
-        ? undefined
-        : computeSuccessorRank(holder, self, view);
-      return rank !== undefined &&
-        this.#computeSilenceMs(holder.instance.id) >
-          GRACE_MS + rank * SUCCESSOR_STAGGER_MS;
+    const view = this.#options.log.getView();
+    return [...this.#wards].flatMap(([id, rank]) => {
+      const waitMs = GRACE_MS + rank * SUCCESSOR_STAGGER_MS;
+      const holder = view.getMember(id);
+      return holder !== undefined && this.#computeSilenceMs(id) > waitMs
+        ? [holder]
+        : [];
     });
   }
 
