fix(router): let a planned stop cut off nobody

In one, the replica had stopped while the listener still took callers, and an id minted further on was refused. In the other, a peer handed a target back to the instance that was stopping, and it left with it. Now the instance reads the log until its callers are gone, hands over again until its leave is accepted, and sends late peers on for half a second.

An entry no longer judges ids by how far it has read: the steward does.

--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -142,10 +142,10 @@
   async #runStop(): Promise<void> {
     this.#report("info", "The instance stops");
     this.#http.drain();
-    const handedOver = this.#instance?.stop();
-    await this.#clock.sleep(BALANCER_NOTICE_MS);
-    await this.#http.stop();
-    await handedOver;
+    const callersGone = this.#clock.sleep(BALANCER_NOTICE_MS)
+      .then(() => this.#http.stop());
+    await this.#instance?.stop({ callersGone });
+    await callersGone;
     await this.#close();
     this.#settleEnd("stopped");
   }
--- a/packages/router/src/entry/gateway.ts
+++ b/packages/router/src/entry/gateway.ts
@@ -65,7 +65,7 @@
     signal: AbortSignal,
   ): Promise<CallerAnswer> {
     const startedAtMs = this.#options.clock.readMs();
-    const accepted = await this.#intake.parse(request, signal);
+    const accepted = this.#intake.parse(request);
     if (!accepted.ok) {
       this.#options.recordEarlyRefusal?.(accepted.val.kind);
       return makeErrorAnswer(accepted.val);
--- a/packages/router/src/entry/request_intake.ts
+++ b/packages/router/src/entry/request_intake.ts
@@ -11,10 +11,8 @@
   makeRequestError,
   type RequestError,
 } from "@lentilspur/outcomes/error_kinds";
-import { makePosition } from "@lentilspur/outcomes/position";
 import { parseRequestId } from "@lentilspur/outcomes/request_id";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
-import type { StateView } from "@lentilspur/state/view";
 import type { StateSource } from "../state_source.ts";
 import type { CallerRequest } from "./caller.ts";
 import { CredentialIndex, type KnownAccount } from "./credential_index.ts";
@@ -24,8 +22,8 @@
 
 const MAX_REQUEST_ID_LENGTH = 96;
 const DEADLINE_PATTERN = /^[1-9][0-9]{0,8}$/;
-/** How long an entry reads on to reach the position that an id was minted at. */
-const ID_CATCH_UP_MS = 1_000;
+/** Epochs last minutes; an entry that follows the log is never one behind for long. */
+const MAX_EPOCHS_AHEAD = 1;
 
 /** A request that was understood and is allowed. */
 export interface AcceptedRequest {
@@ -72,10 +70,7 @@
   }
 
   /** Refusals here are all `not-run`: nothing was passed on yet. */
-  async parse(
-    request: CallerRequest,
-    signal: AbortSignal,
-  ): Promise<Result<AcceptedRequest, RequestError>> {
+  parse(request: CallerRequest): Result<AcceptedRequest, RequestError> {
     const { credentials, routes } = this.#claimCompiled();
     const account = credentials.find(
       findHeader(request.headers, "authorization"),
@@ -99,7 +94,7 @@
     if (!budget.ok) {
       return budget;
     }
-    const id = await this.#resolveId(request, signal);
+    const id = this.#resolveId(request);
     if (!id.ok) {
       return id;
     }
@@ -114,10 +109,13 @@
     });
   }
 
-  async #resolveId(
+  /**
+   * The caller's own id, or a fresh one. An id may be from ahead of what this
+   * instance has read, since another one minted it; the steward judges it.
+   */
+  #resolveId(
     request: CallerRequest,
-    signal: AbortSignal,
-  ): Promise<Result<{ requestId: string; minted: boolean }, RequestError>> {
+  ): Result<{ requestId: string; minted: boolean }, RequestError> {
     const requestId = findHeader(request.headers, REQUEST_ID_HEADER);
     if (requestId === undefined) {
       return Ok({ requestId: this.mintRequestId(), minted: true });
@@ -133,16 +131,12 @@
         }' was minted by no instance`,
       );
     }
-    // The minting instance may have folded further than this one.
-    let view = this.#state.getView();
-    if (id.epoch > view.epoch || id.mintedAt >= getFoldedEnd(view)) {
-      await this.#state.waitForFold(ID_CATCH_UP_MS, signal);
-      view = this.#state.getView();
-    }
-    if (id.epoch > view.epoch || id.mintedAt >= getFoldedEnd(view)) {
+    // Guards the stewards' memory against invented epochs, whose records would
+    // never expire. Only an instance that lost the log lags by so much.
+    if (id.epoch > this.#state.getView().epoch + MAX_EPOCHS_AHEAD) {
       return refuse(
-        "bad-request-id",
-        `Request id '${requestId}' is newer than anything this instance has read`,
+        "not-ready",
+        `Request id '${requestId}' is newer than what this instance has read`,
       );
     }
     return Ok({ requestId, minted: false });
@@ -162,10 +156,6 @@
   }
 }
 
-function getFoldedEnd(view: StateView): number {
-  return makePosition(view.nextOffset, 0);
-}
-
 function refuse<T>(
   kind: Parameters<typeof makeRequestError>[0],
   message: string,
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -7,7 +7,12 @@
 import type { Clock, Random } from "@lentilspur/ports/clock";
 import type { InstanceListPort } from "@lentilspur/ports/instance_list";
 import type { LogPort } from "@lentilspur/ports/log";
-import type { PeerPort, PeerService } from "@lentilspur/ports/peer";
+import type {
+  ForwardReply,
+  ForwardRequest,
+  PeerPort,
+  PeerService,
+} from "@lentilspur/ports/peer";
 import type { TargetPort } from "@lentilspur/ports/target";
 import type { ReplicaListener } from "@lentilspur/platform/folded_log";
 import { Replica } from "@lentilspur/platform/replica";
@@ -41,10 +46,14 @@
   readonly observeReplica?: ReplicaListener;
 }
 
-type Phase = "starting" | "serving" | "stopping" | "ended";
+type Phase = "starting" | "serving" | "stopping" | "left" | "ended";
 
 /** Between two looks whether the requests in progress are done. */
 const DRAIN_POLL_MS = 10;
+/** A peer hands over one target a second; the last instance never gets away. */
+const LEAVE_ATTEMPTS = 5;
+/** Peers that lag behind the log still ask for this long, and are sent on. */
+const PEER_NOTICE_MS = 500;
 
 export class Instance {
   readonly service: PeerService;
@@ -162,15 +171,44 @@
   /**
    * A planned stop: hands every target over, finishes every request in
    * progress, leaves the members, and ends.
+   *
+   * It goes on reading the log until `callersGone` resolves: a caller that
+   * still comes in would otherwise meet an instance that stands still.
    */
-  async stop(): Promise<void> {
+  async stop(
+    options: { readonly callersGone?: Promise<void> } = {},
+  ): Promise<void> {
     this.#phase = "stopping";
     await this.#control.drain();
+    await options.callersGone;
+    await this.#waitForCallers();
+    await this.#leaveMembers();
+    this.#phase = "left";
+    await this.#options.clock.sleep(PEER_NOTICE_MS);
+    await this.#waitForCallers();
+    this.close();
+  }
+
+  async #waitForCallers(): Promise<void> {
     while (this.#requestsInProgress > 0) {
       await this.#options.clock.sleep(DRAIN_POLL_MS);
     }
-    await this.#control.leave();
-    this.close();
+  }
+
+  /**
+   * Guards against a peer that does not know of the stop and hands a target
+   * back: it shows as a refusal of the leave. The target is handed over again;
+   * left behind, it would be unserved until a take-over.
+   */
+  async #leaveMembers(): Promise<void> {
+    const { id } = this.#options.instance;
+    for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt++) {
+      await this.#control.drain();
+      await this.#control.leave();
+      if (this.view.getMember(id) === undefined) {
+        return;
+      }
+    }
   }
 
   /** Ends every task at once, as a loss of the process would. */
@@ -191,12 +229,24 @@
     }
   }
 
+  /** After it has left, an instance sends late callers' peers on at once. */
+  #answerForward(
+    request: ForwardRequest,
+    signal: AbortSignal,
+  ): Promise<ForwardReply> {
+    if (this.#phase !== "left") {
+      return this.#dispatcher.forward(request, signal);
+    }
+    const { nextOffset: foldedOffset } = this.view;
+    return Promise.resolve({ kind: "not-steward", foldedOffset });
+  }
+
   #buildService(): PeerService {
     return {
       renew: (request) => Promise.resolve(this.#control.answerRenewal(request)),
       consent: (request) =>
         Promise.resolve(this.#control.answerConsent(request)),
-      forward: (request, signal) => this.#dispatcher.forward(request, signal),
+      forward: (request, signal) => this.#answerForward(request, signal),
       transfer: (request) => {
         this.#control.handleTransfer(request);
         return Promise.resolve();
