--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -3,12 +3,12 @@
  * sheds, honours deadlines and cancellations, misreports its load, freezes and
  * comes back, and keeps a history of what it ran. It checks grants or not.
  */
-import { createHash } from "node:crypto";
 import type { Position } from "@lentilspur/outcomes/position";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import { waitForAbort } from "./abort.ts";
 import type { Clock } from "./clock.ts";
 import { FakeGrants } from "./fake_grants.ts";
+import { FakeHistory } from "./fake_history.ts";
 import { FakeShownLoad } from "./fake_shown_load.ts";
 import { FakePlaces } from "./fake_places.ts";
 import type {
@@ -89,7 +89,7 @@
 interface Run {
   readonly request: TargetRequest;
   /** Where it stands in the history. */
-  readonly index: number;
+  readonly place: number;
   readonly stop: AbortController;
   /** How often the grants had lapsed when it started. */
   readonly lapses: number;
@@ -98,7 +98,7 @@
 export class FakeTarget {
   readonly #options: FakeTargetOptions;
   readonly #clock: Clock;
-  readonly #history: TargetRun[] = [];
+  readonly #history: FakeHistory;
   readonly #load: FakeShownLoad;
   #boots = 0;
   #boot: Boot;
@@ -111,6 +111,7 @@
   constructor(options: FakeTargetOptions) {
     this.#options = options;
     this.#clock = options.clock;
+    this.#history = new FakeHistory({ ...options, target: options.id });
     this.#load = new FakeShownLoad(options.reportLagMs ?? 0);
     this.#boot = this.#createBoot();
   }
@@ -142,7 +143,7 @@
     this.#isListening = false;
     this.#boot.ended.abort();
     for (const run of this.#boot.running) {
-      this.#recordEnd(run, "killed", { atMs: this.#readMs() });
+      this.#history.recordKill(run.place, this.#readMs());
     }
     this.#boot.running.clear();
     this.resume();
@@ -171,7 +172,7 @@
   }
 
   listHistory(): readonly TargetRun[] {
-    return this.#history;
+    return this.#history.list();
   }
 
   async getReport(): Promise<TargetReport> {
@@ -301,13 +302,17 @@
     const now = this.#readMs();
     const stop = new AbortController();
     const { lapses } = boot.grants;
-    const run: Run = { request, index: this.#history.length, stop, lapses };
-    const begun = this.#makeRun(boot, request, now);
-    this.#options.recordRun?.(begun);
-    this.#history.push(begun);
+    const { deadlineMs, ...subject } = request;
+    const place = this.#history.recordStart({
+      bootId: boot.id,
+      sequence: boot.started++,
+      ...subject,
+      startedAtMs: now,
+    });
+    const run: Run = { request, place, stop, lapses };
     boot.running.add(run);
     this.#load.record(boot.running.size, this.#readMs());
-    const leftMs = arrivedAt + request.deadlineMs - now;
+    const leftMs = arrivedAt + deadlineMs - now;
     const runMs = Math.min(this.#computeRunMs(boot, request), leftMs);
     const ended = AbortSignal.any([stop.signal, boot.ended.signal]);
     await this.#clock.sleep(runMs, ended);
@@ -318,11 +323,10 @@
     const isCut = stop.signal.aborted || runMs === leftMs;
     const ending = this.#chooseEnding(boot, run, isCut);
     boot.running.delete(run);
-    const body = makeAnswerBody(this.#history[run.index]!, ending);
-    this.#recordEnd(run, ending, {
-      atMs: ending === "lapsed" ? boot.grants.lapsedAtMs : this.#readMs(),
-      answerDigest: createHash("sha256").update(body).digest("hex"),
-    });
+    const endedAtMs = ending === "lapsed"
+      ? boot.grants.lapsedAtMs
+      : this.#readMs();
+    const body = this.#history.recordEnd(place, ending, endedAtMs);
     this.#load.record(boot.running.size, this.#readMs());
     // Without effect, yet begun: too little for saying that it did not run.
     return ending === "lapsed"
@@ -330,7 +334,11 @@
       : { kind: "ran", ending, body };
   }
 
-  #chooseEnding(boot: Boot, run: Run, isCut: boolean): RunEnding {
+  #chooseEnding(
+    boot: Boot,
+    run: Run,
+    isCut: boolean,
+  ): "done" | "cancelled" | "lapsed" {
     // Failure: the target freezes in the middle of a request and comes back
     // after its units have gone to another. A checking target asks once more
     // before the effect, and there is none.
@@ -361,32 +369,6 @@
     return this.#isCold(this.#boot) ? "warming" : "live";
   }
 
-  #makeRun(boot: Boot, request: TargetRequest, startedAtMs: number): TargetRun {
-    const { deadlineMs: _, ...subject } = request;
-    return {
-      target: this.id,
-      template: this.#options.template,
-      bootId: boot.id,
-      sequence: boot.started++,
-      ...subject,
-      startedAtMs,
-      endedAtMs: null,
-      ending: "running",
-    };
-  }
-
-  #recordEnd(
-    run: Run,
-    ending: RunEnding,
-    end: { readonly atMs: number; readonly answerDigest?: string },
-  ): void {
-    const { atMs: endedAtMs, ...answer } = end;
-    const begun = this.#history[run.index]!;
-    const ended = { ...begun, endedAtMs, ending, ...answer };
-    this.#history[run.index] = ended;
-    this.#options.recordRun?.(ended);
-  }
-
   async #waitWhileFrozen(): Promise<void> {
     while (this.#thaw !== undefined) {
       await waitForAbort(this.#thaw.signal);
@@ -409,13 +391,6 @@
   }
 }
 
-/** Says whose answer it is, so that a mix-up shows. */
-function makeAnswerBody(run: TargetRun, ending: RunEnding): Uint8Array {
-  const { target, requestId, key, unit, unitToken } = run;
-  const answer = { target, requestId, key, unit, unitToken, ending };
-  return Buffer.from(JSON.stringify(answer));
-}
-
 function makeRefusal(
   cause: "fenced" | "shed" | "draining" | "refused",
   message: string,
