test(trials): look every key up when the faults of a trial have ended

Safety alone does not show that keys are served again. After a trial the lost and ended instances are replaced, and each key must answer one of two lookups; trials with several lost instances or a leaving target are not asked, because only an operator, or nobody, can help there.

--- a/packages/trials/src/fuzz/cluster_found_test.ts
+++ b/packages/trials/src/fuzz/cluster_found_test.ts
@@ -94,3 +94,26 @@
   ];
   assert.deepEqual(listFaults(await replaySteps(steps)), []);
 });
+
+test("a taken-over instance that wakes up sends nothing", async () => {
+  // An instance is paused for longer than its lease and taken over. When it
+  // wakes it has not yet read of that, asks its guardians, who had forgotten
+  // their consent, for new pledges, and sends to a target that another
+  // instance sends to as well. Found with seed 43.
+  const booking: Step = {
+    kind: "send",
+    via: 0,
+    key: "room-3",
+    idempotent: false,
+    isMintedBefore: false,
+  };
+  const trial = await replaySteps([
+    booking,
+    { kind: "advance", ms: 1 },
+    { kind: "pause", instance: 1 },
+    booking,
+    { kind: "advance", ms: 2300 },
+    booking,
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+});
--- a/packages/trials/src/fuzz/cluster_fuzz.ts
+++ b/packages/trials/src/fuzz/cluster_fuzz.ts
@@ -5,7 +5,7 @@
 import assert from "node:assert/strict";
 import fc from "fast-check";
 import type { ClusterOptions } from "../cluster/fake_cluster.ts";
-import { listFaults } from "./cluster_judgement.ts";
+import { listFaults, listUnservedKeys } from "./cluster_judgement.ts";
 import { ClusterTrial } from "./cluster_trial.ts";
 import { drawnStep } from "./drawn_steps.ts";
 import { createOutcome, type FuzzOutcome } from "./fuzz_outcome.ts";
@@ -87,4 +87,5 @@
 async function checkTrial(trial: ClusterTrial): Promise<void> {
   await trial.restore(SETTLING_MS);
   assert.deepEqual(listFaults(trial), []);
+  assert.deepEqual(await listUnservedKeys(trial), []);
 }
--- a/packages/trials/src/fuzz/cluster_judgement.ts
+++ b/packages/trials/src/fuzz/cluster_judgement.ts
@@ -3,9 +3,13 @@
  * histories and what callers were told, and then the fate of each request.
  */
 import type { LineOf } from "@lentilspur/proof/request_trail";
-import { checkCluster, listViolations } from "../cluster/cluster_judge.ts";
+import {
+  checkCluster,
+  describeOutcome,
+  listViolations,
+} from "../cluster/cluster_judge.ts";
 import { STREAM } from "../cluster/fake_cluster.ts";
-import type { ClusterTrial } from "./cluster_trial.ts";
+import { type ClusterTrial, KEYS } from "./cluster_trial.ts";
 
 /** Everything that is wrong with the trial; empty where nothing is. */
 export function listFaults(trial: ClusterTrial): readonly string[] {
@@ -76,6 +80,54 @@
   );
 }
 
+/** A lookup's deadline and a little; one key after another. */
+const LOOK_UP_MS = 2_500;
+const LOOK_UPS = 2;
+
+/**
+ * Looks every key up through an instance that is well. Only an operator can
+ * help where several instances were lost at once, and a leaving target gets no
+ * new work whatever happens, so such trials are not asked.
+ */
+export async function listUnservedKeys(
+  trial: ClusterTrial,
+): Promise<readonly string[]> {
+  if (trial.crashed.size > 1 || trial.leaving.length > 0) {
+    return [];
+  }
+  const via = trial.listInstances()
+    .findLast(({ instance }) => instance.isReady());
+  if (via === undefined) {
+    return ["no instance is ready"];
+  }
+  const unserved: string[] = [];
+  for (const key of KEYS) {
+    const body = await fetchLookUpError(trial, via.id, key);
+    if (body !== undefined) {
+      unserved.push(`${key} is not served: ${body}`);
+    }
+  }
+  return unserved;
+}
+
+/** The last error, where no lookup was answered. */
+async function fetchLookUpError(
+  trial: ClusterTrial,
+  via: string,
+  key: string,
+): Promise<string | undefined> {
+  for (let attempt = 1;; attempt++) {
+    const sent = trial.cluster.send(via, key);
+    await trial.cluster.clock.advance(LOOK_UP_MS);
+    if (describeOutcome(sent) === "ran") {
+      return undefined;
+    }
+    if (attempt === LOOK_UPS) {
+      return Buffer.from(sent.answer?.body ?? []).toString();
+    }
+  }
+}
+
 /** Whoever's entry was not lost has its answer by now. */
 function listHangingRequests(trial: ClusterTrial): readonly string[] {
   return trial.cluster.sent
--- a/packages/trials/src/fuzz/cluster_trial.ts
+++ b/packages/trials/src/fuzz/cluster_trial.ts
@@ -192,8 +192,25 @@
     }
   }
 
-  /** Ends every fault that is still there and lets the system settle. */
+  /**
+   * Ends every fault that is still there, puts a new instance in the place of
+   * each that ended or was lost, and lets the system settle.
+   */
   async restore(settlingMs: number): Promise<void> {
+    const { cluster } = this;
+    await this.#clearFaults(settlingMs);
+    const ended = this.listInstances()
+      .filter(({ instance }) => instance.hasEnded()).length;
+    const missing = ended + this.crashed.size;
+    for (let index = 0; index < missing; index++) {
+      cluster.addInstance();
+    }
+    if (missing > 0) {
+      await cluster.clock.advance(settlingMs);
+    }
+  }
+
+  async #clearFaults(settlingMs: number): Promise<void> {
     const { cluster } = this;
     cluster.log.setDown(false);
     cluster.list.setLag(0);
