fix(router): grant a unit again that left its target and comes back

The keeper remembered units to be given up by name alone and never forgot one whose move came about, so a unit that returned under the same steward stayed "owner-changing" until the steward changed.

--- a/packages/router/src/control/target_keeper.ts
+++ b/packages/router/src/control/target_keeper.ts
@@ -50,7 +50,11 @@
   readonly #options: TargetKeeperOptions;
   readonly #window: GrantWindow;
   readonly #granted = new Map<UnitId, Position>();
-  readonly #revoking = new Set<UnitId>();
+  /**
+   * Units that the target must give up, with the ownership that ends. One that
+   * comes back later has a new token and is granted again.
+   */
+  readonly #revoking = new Map<UnitId, Position>();
   readonly #startedAtMs: number;
   #lastHeardAtMs: number;
   /** Since when nothing has listened at the address; undefined if unsure. */
@@ -128,7 +132,11 @@
    * that it neither holds the unit nor works on it.
    */
   async revokeUnit(unit: UnitId): Promise<boolean> {
-    this.#revoking.add(unit);
+    const owned = this.#options.state.getView()
+      .listUnitsOfTarget(this.target.id).find((each) => each.unit === unit);
+    if (owned !== undefined) {
+      this.#revoking.set(unit, owned.token);
+    }
     return await this.#runInTurn(async () => {
       if (this.#window.getBootId() === undefined) {
         await this.#probe();
@@ -298,15 +306,15 @@
   /** Every unit that the target owns, until its move has it given up. */
   #listWantedUnits(): readonly GrantedUnit[] {
     return this.#options.state.getView().listUnitsOfTarget(this.target.id)
-      .filter(({ unit }) => !this.#revoking.has(unit))
+      .filter(({ unit, token }) => this.#revoking.get(unit) !== token)
       .map(({ unit, token }) => ({ unit, token }));
   }
 
   /** Keys whose shard may be here while they themselves are elsewhere. */
   #listExcludedKeys(): readonly string[] {
     return this.#options.state.getView().listKeyUnits(this.#template)
-      .filter(({ unit, owner }) =>
-        owner !== this.target.id || this.#revoking.has(unit)
+      .filter(({ unit, owner, token }) =>
+        owner !== this.target.id || this.#revoking.get(unit) === token
       )
       .map(({ unit }) => getKeyOfUnit(unit)!)
       .sort();
