--- a/packages/router/src/steward/dispatch_conversion.ts
+++ b/packages/router/src/steward/dispatch_conversion.ts
@@ -1,4 +1,5 @@
 /** Between a forwarded request, the queue's job and the target's call. */
+import type { ForwardRequest } from "@lentilspur/ports/peer";
 import type { Result } from "@lentilspur/outcomes/result";
 import type {
   ScheduledJob,
@@ -29,6 +30,7 @@
     arrivedAtMs: options.nowMs,
     deadlineAtMs: job.deadlineAtMs,
     attempt: job.attempt + 1,
+    costClass: formatCostClass(request),
   };
 }
 
@@ -78,3 +80,16 @@
       return { kind: "failed", serviceMs };
   }
 }
+
+/**
+ * The route that a request took, which tells long jobs from short ones. The
+ * entry lets only declared routes through, so there are few of them.
+ */
+function formatCostClass(request: ForwardRequest): string {
+  const [path = ""] = request.path.split("?", 1);
+  const encodedKey = encodeURIComponent(request.key);
+  const segments = path.split("/").map((segment) =>
+    segment === request.key || segment === encodedKey ? "{key}" : segment
+  );
+  return `${request.method} ${segments.join("/")}`;
+}
