feat(router): share an account's rate by what each entry sees

Entries now report to the account's home instance each second and take their max-min fair part. In the in-memory cluster of four a caller on one connection is refused nothing once its home has heard everyone.

--- a/packages/policy/src/account_limiter.ts
+++ b/packages/policy/src/account_limiter.ts
@@ -24,6 +24,16 @@
 /** What a caller is told when only a place in the system is missing. */
 const CONCURRENCY_RETRY_MS = 50;
 
+/** Offers a second below which an instance counts as seeing none. */
+const MIN_DEMAND = 0.1;
+
+/** What one instance sees of one account's traffic to one template. */
+export interface OwnDemand {
+  readonly clientAccount: string;
+  readonly template: string;
+  readonly perSecond: number;
+}
+
 interface Bucket {
   tokens: number;
   updatedAtMs: number;
@@ -97,8 +107,19 @@
   }
 
   /** Offers a second that this instance sees, for its peers. */
-  getDemand(account: string, template: string): number {
-    return this.#buckets.get(formatName(account, template))?.demand ?? 0;
+  getDemand(account: string, template: string, nowMs: number): number {
+    const bucket = this.#buckets.get(formatName(account, template));
+    return bucket === undefined ? 0 : computeDemand(bucket, nowMs);
+  }
+
+  /** Every account and template with offers of late. */
+  listDemands(nowMs: number): readonly OwnDemand[] {
+    return [...this.#buckets]
+      .map(([name, bucket]) => ({
+        ...splitName(name),
+        perSecond: computeDemand(bucket, nowMs),
+      }))
+      .filter(({ perSecond }) => perSecond >= MIN_DEMAND);
   }
 
   #computeRate(
@@ -182,3 +203,16 @@
 function formatName(account: string, template: string): string {
   return `${template}\n${account}`;
 }
+
+/** Decays since the last offer: an account that has gone asks for nothing. */
+function computeDemand(bucket: Bucket, nowMs: number): number {
+  const elapsedMs = Math.max(0, nowMs - bucket.updatedAtMs);
+  return bucket.demand * Math.exp(-elapsedMs / DEMAND_WINDOW_MS);
+}
+
+function splitName(
+  name: string,
+): { readonly clientAccount: string; readonly template: string } {
+  const [template = "", clientAccount = ""] = name.split("\n");
+  return { clientAccount, template };
+}
--- a/packages/ports/src/peer.ts
+++ b/packages/ports/src/peer.ts
@@ -102,6 +102,30 @@
   readonly hotKeys: readonly KeyLoad[];
 }
 
+/** How much of its accounts' traffic an entry sees, in requests a second. */
+export interface DemandReport {
+  readonly reporter: string;
+  readonly demands: readonly AccountDemand[];
+}
+
+export interface AccountDemand {
+  readonly clientAccount: string;
+  readonly template: string;
+  readonly perSecond: number;
+}
+
+/** What the other entries see of the same accounts. */
+export interface DemandReply {
+  readonly others: readonly OtherDemands[];
+}
+
+export interface OtherDemands {
+  readonly clientAccount: string;
+  readonly template: string;
+  /** One figure for each other member; 0 where it has reported none. */
+  readonly perSecond: readonly number[];
+}
+
 export interface UnitLoad {
   readonly unit: string;
   readonly places: number;
@@ -141,6 +165,10 @@
     peer: PeerAddress,
     report: LoadReport,
   ): Promise<Result<void, PeerFailure>>;
+  reportDemand(
+    peer: PeerAddress,
+    report: DemandReport,
+  ): Promise<Result<DemandReply, PeerFailure>>;
 }
 
 /** What an instance offers to its peers; the protocol's server calls it. */
@@ -153,4 +181,5 @@
   ): Promise<ForwardReply>;
   transfer(request: TransferRequest): Promise<void>;
   reportLoad(report: LoadReport): Promise<void>;
+  reportDemand(report: DemandReport): Promise<DemandReply>;
 }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -11,6 +11,7 @@
 } from "@lentilspur/outcomes/error_kinds";
 import type {
   ConsentReply,
+  DemandReply,
   ForwardReply,
   ForwardRequest,
   RenewReply,
@@ -21,6 +22,7 @@
   ForwardCall,
   ForwardResult,
   RenewResult,
+  ReportDemandResult,
 } from "./generated/peer.ts";
 
 export function toRenewResult(reply: RenewReply): RenewResult {
@@ -151,3 +153,12 @@
 function toOutcome(text: string): Outcome {
   return text === "ran" || text === "not-run" ? text : "unknown";
 }
+
+export function toDemandResult(reply: DemandReply): ReportDemandResult {
+  return {
+    others: reply.others.map((each) => ({
+      ...each,
+      perSecond: [...each.perSecond],
+    })),
+  };
+}
--- a/packages/protocol/src/peer_client.ts
+++ b/packages/protocol/src/peer_client.ts
@@ -8,6 +8,8 @@
 import type {
   ConsentReply,
   ConsentRequest,
+  DemandReply,
+  DemandReport,
   ForwardReply,
   ForwardRequest,
   LoadReport,
@@ -24,6 +26,7 @@
   PeerControlClient,
   PeerTrafficClient,
   type RenewResult,
+  type ReportDemandResult,
   type ReportLoadResult,
   type TransferResult,
 } from "./generated/peer.ts";
@@ -143,6 +146,22 @@
     return result.ok ? Ok(undefined) : result;
   }
 
+  async reportDemand(
+    peer: PeerAddress,
+    report: DemandReport,
+  ): Promise<Result<DemandReply, PeerFailure>> {
+    const call = {
+      ...report,
+      peerId: peer.id,
+      demands: [...report.demands],
+    };
+    return await this.#openPeer(peer).control.run<ReportDemandResult>(
+      (client, meta, options, callback) =>
+        client.reportDemand(call, meta, options, callback),
+      CONTROL_TIMEOUT_MS,
+    );
+  }
+
   close(): void {
     for (const peer of this.#peers.values()) {
       closePeer(peer);
--- a/packages/protocol/src/peer_client_test.ts
+++ b/packages/protocol/src/peer_client_test.ts
@@ -70,6 +70,10 @@
   reportLoad() {
     return Promise.resolve();
   }
+
+  reportDemand() {
+    return Promise.resolve({ others: [] });
+  }
 }
 
 async function startServer(service: PeerService): Promise<string> {
--- a/packages/protocol/src/peer_server.ts
+++ b/packages/protocol/src/peer_server.ts
@@ -14,6 +14,8 @@
   PeerTrafficService,
   type RenewCall,
   type RenewResult,
+  type ReportDemandCall,
+  type ReportDemandResult,
   type ReportLoadCall,
   type ReportLoadResult,
   type TransferCall,
@@ -21,6 +23,7 @@
 } from "./generated/peer.ts";
 import {
   toConsentResult,
+  toDemandResult,
   toForwardRequest,
   toForwardResult,
   toRenewResult,
@@ -103,6 +106,9 @@
           return {};
         },
       ),
+      reportDemand: this.#createHandler<ReportDemandCall, ReportDemandResult>(
+        async (call) => toDemandResult(await service.reportDemand(call)),
+      ),
     });
     this.#server.addService(PeerTrafficService, {
       forward: this.#createHandler<ForwardCall, ForwardResult>(
--- a/packages/router/src/entry/gateway.ts
+++ b/packages/router/src/entry/gateway.ts
@@ -9,12 +9,17 @@
   type RequestError,
 } from "@lentilspur/outcomes/error_kinds";
 import type { Clock } from "@lentilspur/ports/clock";
-import type { PeerPort } from "@lentilspur/ports/peer";
+import type {
+  DemandReply,
+  DemandReport,
+  PeerPort,
+} from "@lentilspur/ports/peer";
 import { AccountLimiter } from "@lentilspur/policy/account_limiter";
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { StateSource } from "../state_source.ts";
 import { makeErrorAnswer, makeTargetAnswer } from "./answers.ts";
 import type { CallerAnswer, CallerRequest } from "./caller.ts";
+import { DemandExchange } from "./demand_exchange.ts";
 import { listPassedOn } from "./headers.ts";
 import { type AcceptedRequest, RequestIntake } from "./request_intake.ts";
 import {
@@ -46,12 +51,24 @@
   readonly #intake: RequestIntake;
   readonly #caller: StewardCaller;
   readonly #limiter = new AccountLimiter({ instanceCount: 1 });
+  readonly #exchange: DemandExchange;
   #countedOffset = -1;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#intake = new RequestIntake(options);
     this.#caller = new StewardCaller(options);
+    this.#exchange = new DemandExchange({ ...options, limiter: this.#limiter });
+  }
+
+  /** Exchanges accounts' demand with the other entries until it aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.#exchange.run(signal);
+  }
+
+  /** Another entry tells what it sees of the accounts at home here. */
+  handleDemand(report: DemandReport): DemandReply {
+    return this.#exchange.handleReport(report);
   }
 
   /** Who callers are, and ids for them. */
--- a/packages/router/src/entry/gateway_test.ts
+++ b/packages/router/src/entry/gateway_test.ts
@@ -70,6 +70,7 @@
       consent: () => Promise.resolve(LOST as never),
       transfer: () => Promise.resolve(LOST as never),
       reportLoad: () => Promise.resolve(LOST as never),
+      reportDemand: () => Promise.resolve(LOST as never),
     },
   });
   const send = (request: Partial<CallerRequest> = {}) =>
--- a/packages/router/src/hosted_instance.ts
+++ b/packages/router/src/hosted_instance.ts
@@ -110,6 +110,9 @@
         this.#instance?.service.transfer(request) ?? Promise.resolve(),
       reportLoad: (report) =>
         this.#instance?.service.reportLoad(report) ?? Promise.resolve(),
+      reportDemand: (report) =>
+        this.#instance?.service.reportDemand(report) ??
+          Promise.resolve({ others: [] }),
     };
   }
 }
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -117,6 +117,7 @@
     void this.#replica.run(signal);
     await this.#replica.waitUntilCaughtUp(signal);
     await this.#control.start();
+    void this.#gateway.run(signal);
     if (this.#phase === "starting") {
       this.#phase = "serving";
     }
@@ -251,6 +252,8 @@
         this.#control.handleTransfer(request);
         return Promise.resolve();
       },
+      reportDemand: (report) =>
+        Promise.resolve(this.#gateway.handleDemand(report)),
       reportLoad: (report) => {
         this.#control.handleLoadReport(report);
         return Promise.resolve();
--- a/packages/trials/src/capacity/peer_slopes.ts
+++ b/packages/trials/src/capacity/peer_slopes.ts
@@ -4,6 +4,7 @@
  * both ends, which is what an instance bears that plays both parts as often.
  */
 import type {
+  DemandReply,
   ForwardRequest,
   PeerAddress,
   PeerService,
@@ -85,6 +86,10 @@
   reportLoad(): Promise<void> {
     return Promise.resolve();
   }
+
+  reportDemand(): Promise<DemandReply> {
+    return Promise.resolve({ others: [] });
+  }
 }
 
 export async function measurePeerSlopes(): Promise<PeerSlopes> {
--- a/packages/trials/src/cluster/control_test.ts
+++ b/packages/trials/src/cluster/control_test.ts
@@ -350,3 +350,27 @@
   });
   assert.equal(reply.kind === "not-run" && reply.cause, "fenced");
 });
+
+test("a caller on one connection gets the rate declared for the system", async () => {
+  // Its connection ends at one of four instances. With equal parts it would be
+  // let in at a quarter of its rate there, and refused the rest for ever.
+  const cluster = await startCluster(4, {
+    account: { requestsPerSecond: 40, burst: 10 },
+  });
+  const [through] = [...cluster.instances.keys()];
+  const sendAtMost = async (count: number): Promise<void> => {
+    for (let index = 0; index < count; index++) {
+      cluster.send(through!, `room-${index % KEYS}`);
+      await cluster.clock.advance(30);
+    }
+  };
+  await sendAtMost(200);
+  const learnt = cluster.sent.length;
+  await sendAtMost(200);
+  await cluster.clock.advance(1_000);
+  const later = cluster.sent.slice(learnt);
+  assert.equal(
+    later.filter(({ answer }) => answer?.status === 200).length,
+    200,
+  );
+});
--- a/packages/trials/src/cluster/fake_cluster.ts
+++ b/packages/trials/src/cluster/fake_cluster.ts
@@ -4,6 +4,7 @@
  */
 import { createHash } from "node:crypto";
 import type {
+  AccountTemplateParameters,
   ClientAccount,
   Template,
 } from "@lentilspur/declarations/template";
@@ -74,6 +75,7 @@
   readonly seed?: number;
   readonly timing?: Partial<ControlTiming>;
   readonly template?: Partial<Template>;
+  readonly account?: Partial<AccountTemplateParameters>;
   readonly retainRecords?: number;
   /** How long a target runs a request; 5 ms unless stated. */
   readonly getRunMs?: (request: TargetRequest) => number;
@@ -111,7 +113,7 @@
   /** Publishes one template and one client account. */
   publish(): void {
     const template = makeTemplate(this.#options.template);
-    const account = makeClientAccount();
+    const account = makeClientAccount(this.#options.account);
     this.log.appendNow(
       STREAM,
       serializeEnvelope({
@@ -323,7 +325,9 @@
   };
 }
 
-function makeClientAccount(): ClientAccount {
+function makeClientAccount(
+  changes: Partial<AccountTemplateParameters> = {},
+): ClientAccount {
   return {
     name: "producer",
     credentialDigests: [createHash("sha256").update(CREDENTIAL).digest("hex")],
@@ -333,6 +337,7 @@
       requestsPerSecond: 100_000,
       burst: 100_000,
       maxConcurrent: 10_000,
+      ...changes,
     }],
   };
 }
--- a/packages/trials/src/cluster/fake_peers.ts
+++ b/packages/trials/src/cluster/fake_peers.ts
@@ -7,6 +7,8 @@
 import type {
   ConsentReply,
   ConsentRequest,
+  DemandReply,
+  DemandReport,
   ForwardReply,
   ForwardRequest,
   LoadReport,
@@ -178,6 +180,16 @@
     });
   }
 
+  reportDemand(
+    peer: PeerAddress,
+    report: DemandReport,
+  ): Promise<Result<DemandReply, PeerFailure>> {
+    return this.#network.send(this.#from, peer, {
+      timeoutMs: CONTROL_TIMEOUT_MS,
+      run: (service) => service.reportDemand(report),
+    });
+  }
+
   transfer(
     peer: PeerAddress,
     request: TransferRequest,
--- a/packages/trials/src/fuzz/broken_guards_test.ts
+++ b/packages/trials/src/fuzz/broken_guards_test.ts
@@ -85,6 +85,7 @@
       consent: (peer, request) => port.consent(peer, request),
       transfer: (peer, request) => port.transfer(peer, request),
       reportLoad: (peer, report) => port.reportLoad(peer, report),
+      reportDemand: (peer, report) => port.reportDemand(peer, report),
       forward: (peer, request, signal) =>
         port.forward(peer, { ...request, firstSend: true }, signal),
     }),
--- a/packages/trials/src/load/account_sharing.ts
+++ b/packages/trials/src/load/account_sharing.ts
@@ -94,7 +94,9 @@
   limiters: readonly AccountLimiter[],
   nowMs: number,
 ): void {
-  const demands = limiters.map((each) => each.getDemand("nile", "case-files"));
+  const demands = limiters.map((each) =>
+    each.getDemand("nile", "case-files", nowMs)
+  );
   for (const [index, limiter] of limiters.entries()) {
     const peers = demands.filter((_, peer) => peer !== index);
     limiter.applyPeerDemand("nile", "case-files", peers, nowMs);
