fix(router): hand the lease's end down to the write, keep enough guardians

Both found by the cluster fuzz. The permission now says until when it holds, and the client looks at the clock right before the first byte.

--- a/packages/platform/src/target_client.ts
+++ b/packages/platform/src/target_client.ts
@@ -87,7 +87,10 @@
     // Failure: the caller checked its lease, then a connection had to be opened
     // or the process was paused, and the request leaves under a lease that has
     // lapsed. The clock is read again in the turn that writes the first byte.
-    const startBy = this.#clock.readMs() + this.#maxStartMs;
+    const startBy = Math.min(
+      this.#clock.readMs() + this.#maxStartMs,
+      request.notAfterMs,
+    );
     const sent = await pool.send({
       method: request.method,
       path: request.path,
--- a/packages/platform/src/target_client_test.ts
+++ b/packages/platform/src/target_client_test.ts
@@ -61,6 +61,7 @@
     body: Buffer.from("demand"),
     remainingMs: 1_000,
     maxAnswerBytes: 1_000,
+    notAfterMs: Infinity,
     ...changes,
   };
 }
--- a/packages/ports/src/fake_target_network.ts
+++ b/packages/ports/src/fake_target_network.ts
@@ -102,6 +102,13 @@
         message: `No connection to target "${address.id}"`,
       });
     }
+    if (this.#clock.readMs() > request.notAfterMs) {
+      return Err({
+        kind: "not-run",
+        cause: "unreachable",
+        message: "The sender was paused before it could write",
+      });
+    }
     const settled = new AbortController();
     const ended = AbortSignal.any([signal, settled.signal]);
     const arrived = this.#forward(target, request, ended);
--- a/packages/ports/src/fake_target_test.ts
+++ b/packages/ports/src/fake_target_test.ts
@@ -134,6 +134,7 @@
     body: new Uint8Array(),
     remainingMs: 100,
     maxAnswerBytes: 100,
+    notAfterMs: Infinity,
   };
   const links = [network.createLink(), network.createLink()] as const;
   const sent = links.map((link, index) => {
--- a/packages/ports/src/target.ts
+++ b/packages/ports/src/target.ts
@@ -36,6 +36,12 @@
   /** How much longer the caller waits, in milliseconds. */
   readonly remainingMs: number;
   readonly maxAnswerBytes: number;
+  /**
+   * On the sender's own clock: past it, nothing may be written any more. The
+   * sender's lease was held until then when it asked; a process that is paused
+   * between asking and writing finds out by this, right before it writes.
+   */
+  readonly notAfterMs: number;
 }
 
 /** A complete answer: a cut one is never given as this. */
--- a/packages/router/src/authority.ts
+++ b/packages/router/src/authority.ts
@@ -17,6 +17,8 @@
     readonly unitToken: Position;
     /** A target that does not check is never sent more than this much time. */
     readonly maxRunMs: number;
+    /** Until when this holds if nothing changes, on this instance's clock. */
+    readonly untilMs: number;
   }
   /** Another instance stewards the owner, as far as this one has folded. */
   | { readonly kind: "not-steward"; readonly steward: string | null }
--- a/packages/router/src/control/membership.ts
+++ b/packages/router/src/control/membership.ts
@@ -91,7 +91,8 @@
     if (fit.length >= wanted && fit.length === self.guardians.length) {
       return;
     }
-    const guardians = await this.#findLiveGuardians(fit);
+    const live = await this.#findLiveGuardians(fit);
+    const guardians = this.#addSilentGuardians(self, live);
     if (isSameSet(guardians, self.guardians)) {
       return;
     }
@@ -111,6 +112,23 @@
     }
   }
 
+  /**
+   * Guards against an instance that is cut off from all others: it would
+   * change to fewer guardians, or none, and when it is lost later nobody could
+   * take it over. Silent guardians stay until others answer or the fold has
+   * removed them.
+   */
+  #addSilentGuardians(
+    self: MemberState,
+    live: readonly string[],
+  ): readonly string[] {
+    const view = this.#options.log.getView();
+    const kept = self.guardians.filter((id) =>
+      !live.includes(id) && view.getMember(id) !== undefined
+    );
+    return [...live, ...kept].slice(0, Math.max(live.length, WANTED_GUARDIANS));
+  }
+
   #isFit(guardian: string): boolean {
     const { log, clock, timing, lease, leaseKeeper } = this.#options;
     if (log.getView().getMember(guardian) === undefined) {
--- a/packages/router/src/control/stewardships.ts
+++ b/packages/router/src/control/stewardships.ts
@@ -90,6 +90,7 @@
           maxRunMs: keeper.checksGrants
             ? Number.MAX_SAFE_INTEGER
             : this.#options.timing.uncheckedMaxRunMs,
+          untilMs: lease.computeExpiryMs(),
         };
     }
   }
--- a/packages/router/src/steward/dispatch_conversion.ts
+++ b/packages/router/src/steward/dispatch_conversion.ts
@@ -53,6 +53,7 @@
     body: request.body,
     remainingMs,
     maxAnswerBytes: job.template.limits.maxAnswerBytes,
+    notAfterMs: permission.untilMs,
   };
 }
 
--- a/packages/router/src/testing/fakes.ts
+++ b/packages/router/src/testing/fakes.ts
@@ -139,6 +139,7 @@
   stewardToken: 3 * 4096,
   unitToken: 4 * 4096,
   maxRunMs: 60_000,
+  untilMs: Infinity,
 };
 
 /** Answers what the test last set. */
--- a/packages/standins/src/servers_test.ts
+++ b/packages/standins/src/servers_test.ts
@@ -108,6 +108,7 @@
     body: new Uint8Array(),
     remainingMs: 5_000,
     maxAnswerBytes: 10_000,
+    notAfterMs: Infinity,
   };
   const { signal } = new AbortController();
   const before = await client.dispatch(target, dispatch, signal);
--- a/packages/trials/src/fuzz/cluster_found_test.ts
+++ b/packages/trials/src/fuzz/cluster_found_test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { describeOutcome } from "../cluster/cluster_judge.ts";
 import { replaySteps } from "./cluster_fuzz.ts";
-import { listFaults } from "./cluster_judgement.ts";
+import { listFaults, listUnservedKeys } from "./cluster_judgement.ts";
 import type { Step } from "./step.ts";
 
 test("a leaving target that was taken over gets no new work", async () => {
@@ -117,3 +117,47 @@
   ]);
   assert.deepEqual(listFaults(trial), []);
 });
+
+test("an instance that was cut off from all others can be taken over", async () => {
+  // Two instances are cut off from all others while the log can be reached.
+  // One of them gave up all its guardians, and when it was lost nobody could
+  // take its targets over, so their keys were refused for ever. Found with
+  // seed 52.
+  const trial = await replaySteps([
+    { kind: "isolate", instance: 0, isIsolated: true },
+    { kind: "isolate", instance: 1, isIsolated: true },
+    { kind: "advance", ms: 2300 },
+    { kind: "advance", ms: 2300 },
+    { kind: "crash", instance: 0 },
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+  assert.deepEqual(await listUnservedKeys(trial), []);
+});
+
+test("a steward paused right before it writes sends nothing late", async () => {
+  // A steward has asked for permission and is paused before it writes. Its
+  // target, which does not check, ends and starts anew, and its keys go to
+  // another. When the steward resumes, its request must not reach the new
+  // process. Found with seed 63.
+  const steps: readonly Step[] = [
+    { kind: "stop", instance: 0 },
+    { kind: "pause-at-call", instance: 0 },
+    {
+      kind: "send",
+      via: 0,
+      key: "room-3",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+    { kind: "target-stop", target: 1 },
+    { kind: "advance", ms: 7000 },
+    {
+      kind: "send",
+      via: 1,
+      key: "room-3",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+  ];
+  assert.deepEqual(listFaults(await replaySteps(steps)), []);
+});
