fix(router): say not-run of no resend, end ping-pong stops, help lone survivors

The trace of a steward that is cut off stated not-run for a request with an id of its own; it is now stated unknown, its steps are unchanged.

A target now goes only to who answers and is not stopping; a successor needs the log and the consents, not its own lease; and one that is cut off gives no ward up unless that is enough.

--- a/packages/outcomes/src/error_kinds.ts
+++ b/packages/outcomes/src/error_kinds.ts
@@ -37,10 +37,12 @@
 export interface ErrorAnswer {
   readonly status: number;
   /**
-   * `not-run` stands only where it is proved. `either` means that the place
-   * that raises the error must state the outcome itself.
+   * `not-run` stands only where it is proved. `not-run-of-first` is proved for
+   * the first send of a request id; of a resend it says nothing, so that is
+   * told `unknown` (see `toResendError`). `either` means that the place that
+   * raises the error must state the outcome itself.
    */
-  readonly outcome: Outcome | "either";
+  readonly outcome: Outcome | "not-run-of-first" | "either";
   /** Whether the same request may be sent again as it is. */
   readonly mayResend: boolean;
   /** One sentence that says what happened and what to do next. */
@@ -92,19 +94,19 @@
   },
   "account-over-limit": {
     status: 429,
-    outcome: "not-run",
+    outcome: "not-run-of-first",
     mayResend: true,
     advice: "Send again after the time in retry-after-ms",
   },
   "queue-full": {
     status: 503,
-    outcome: "not-run",
+    outcome: "not-run-of-first",
     mayResend: true,
     advice: "Send again after the time in retry-after-ms",
   },
   "deadline-too-short": {
     status: 503,
-    outcome: "not-run",
+    outcome: "not-run-of-first",
     mayResend: true,
     advice: "Send again later or allow more time",
   },
@@ -116,19 +118,19 @@
   },
   "no-owner": {
     status: 503,
-    outcome: "not-run",
+    outcome: "not-run-of-first",
     mayResend: true,
     advice: "Send again after the time in retry-after-ms",
   },
   "owner-changing": {
     status: 503,
-    outcome: "not-run",
+    outcome: "not-run-of-first",
     mayResend: true,
     advice: "Send again after the time in retry-after-ms",
   },
   "not-ready": {
     status: 503,
-    outcome: "not-run",
+    outcome: "not-run-of-first",
     mayResend: true,
     advice: "Send again to another instance",
   },
@@ -210,14 +212,41 @@
   message: string,
   options: { readonly outcome?: Outcome; readonly retryAfterMs?: number } = {},
 ): RequestError {
-  const fixed = ERROR_ANSWERS[kind].outcome;
-  const outcome = fixed === "either" ? options.outcome ?? "unknown" : fixed;
   return {
     kind,
-    outcome,
+    outcome: chooseOutcome(kind, options.outcome),
     message,
     ...(options.retryAfterMs === undefined
       ? {}
       : { retryAfterMs: Math.ceil(options.retryAfterMs) }),
   };
 }
+
+/**
+ * The same error for a resend, where nobody has looked whether an earlier send
+ * of the same request id ran.
+ *
+ * Guards against a caller that is told `unknown`, sends again through another
+ * entry, and is refused there before the steward's memory was asked: "not run"
+ * would be true of the second send and false of the request.
+ */
+export function toResendError(error: RequestError): RequestError {
+  const fixed = ERROR_ANSWERS[error.kind].outcome;
+  return fixed === "not-run-of-first" || fixed === "either"
+    ? { ...error, outcome: "unknown" }
+    : error;
+}
+
+function chooseOutcome(kind: ErrorKind, stated: Outcome | undefined): Outcome {
+  const { outcome } = ERROR_ANSWERS[kind];
+  switch (outcome) {
+    case "either":
+      return stated ?? "unknown";
+    case "not-run-of-first":
+      return "not-run";
+    case "ran":
+    case "not-run":
+    case "unknown":
+      return outcome;
+  }
+}
--- a/packages/router/src/control/control.ts
+++ b/packages/router/src/control/control.ts
@@ -52,6 +52,9 @@
   readonly getWork: () => UnitWork;
 }
 
+/** A rack that was just lost holds fewer of the best candidates than this. */
+const MAX_ASKED = 8;
+
 export class Control {
   readonly stewardships: Stewardships;
   readonly #options: ControlOptions;
@@ -61,6 +64,7 @@
   readonly #leaseKeeper: LeaseKeeper;
   readonly #loads: LoadTable;
   readonly #running = new AbortController();
+  #isDraining = false;
   /** Tasks that would take on new work; they end first. */
   readonly #planning = new AbortController();
 
@@ -152,6 +156,7 @@
    */
   async drain(): Promise<void> {
     this.#planning.abort();
+    this.#isDraining = true;
     const { log, instance } = this.#options;
     const signal = this.#running.signal;
     for (const { target } of log.getView().listTargets()) {
@@ -165,20 +170,36 @@
 
   async #transferTarget(target: string, signal: AbortSignal): Promise<void> {
     const { log, instance } = this.#options;
-    const view = log.getView();
-    const state = view.getTarget(target);
-    const others = view.listMembers()
-      .filter((member) => member.instance.id !== instance.id);
-    const counts = countStewardships(view, others);
-    const to = state === undefined
-      ? undefined
-      : chooseSteward(state.target.dataCentre, others, counts);
+    const to = await this.#findSuccessor(target);
+    const state = log.getView().getTarget(target);
     if (state?.steward === instance.id && to !== undefined) {
       const options = this.#buildHandOverOptions();
       await transferStewardship(options, state, to, signal);
     }
   }
 
+  /**
+   * The best steward that answers and is not stopping itself. Two instances
+   * that stop at once would else hand a target to each other, and a member that
+   * was lost a moment ago would be given one.
+   */
+  async #findSuccessor(target: string): Promise<string | undefined> {
+    const { log, instance } = this.#options;
+    const view = log.getView();
+    const dataCentre = view.getTarget(target)?.target.dataCentre ?? "";
+    let others = view.listMembers()
+      .filter((member) => member.instance.id !== instance.id);
+    const counts = countStewardships(view, others);
+    for (let asked = 0; asked < MAX_ASKED; asked++) {
+      const to = chooseSteward(dataCentre, others, counts);
+      if (to === undefined || await this.#membership.isWilling(to)) {
+        return to;
+      }
+      others = others.filter((member) => member.instance.id !== to);
+    }
+    return undefined;
+  }
+
   /** Leaves the members if `drain` has handed everything over. */
   async leave(): Promise<void> {
     await this.#membership.leave(this.#running.signal);
@@ -201,6 +222,9 @@
     if (view.getRemovalPosition(request.holder) !== undefined) {
       return { kind: "revoked" };
     }
+    if (this.#isDraining) {
+      return { kind: "unable", message: "The guardian is stopping" };
+    }
     if (view.getMember(request.holder) === undefined) {
       return { kind: "unable", message: "The holder is not a member here" };
     }
--- a/packages/router/src/control/membership.ts
+++ b/packages/router/src/control/membership.ts
@@ -4,7 +4,7 @@
 import type { Lease } from "@lentilspur/ownership/lease";
 import { chooseGuardians } from "@lentilspur/ownership/guardian_choice";
 import type { Clock } from "@lentilspur/ports/clock";
-import type { PeerPort } from "@lentilspur/ports/peer";
+import type { PeerPort, RenewReply } from "@lentilspur/ports/peer";
 import type { InstanceDescription } from "@lentilspur/state/entries";
 import { WANTED_GUARDIANS } from "@lentilspur/state/quorum";
 import type { MemberState } from "@lentilspur/state/view";
@@ -91,9 +91,10 @@
     if (fit.length >= wanted && fit.length === self.guardians.length) {
       return;
     }
-    const live = await this.#findLiveGuardians(fit);
-    const guardians = this.#addSilentGuardians(self, live);
-    if (isSameSet(guardians, self.guardians)) {
+    const guardians = await this.#findLiveGuardians(fit);
+    // An instance that is cut off from all others finds none. Without any
+    // guardian it could go on, but nobody could take it over once it is lost.
+    if (guardians.length === 0 || isSameSet(guardians, self.guardians)) {
       return;
     }
     lease.addPendingGuardians(guardians);
@@ -112,23 +113,6 @@
     }
   }
 
-  /**
-   * Guards against an instance that is cut off from all others: it would
-   * change to fewer guardians, or none, and when it is lost later nobody could
-   * take it over. Silent guardians stay until others answer or the fold has
-   * removed them.
-   */
-  #addSilentGuardians(
-    self: MemberState,
-    live: readonly string[],
-  ): readonly string[] {
-    const view = this.#options.log.getView();
-    const kept = self.guardians.filter((id) =>
-      !live.includes(id) && view.getMember(id) !== undefined
-    );
-    return [...live, ...kept].slice(0, Math.max(live.length, WANTED_GUARDIANS));
-  }
-
   #isFit(guardian: string): boolean {
     const { log, clock, timing, lease, leaseKeeper } = this.#options;
     if (log.getView().getMember(guardian) === undefined) {
@@ -170,11 +154,22 @@
     }
   }
 
+  /** Whether a member answers and would take something over. */
+  async isWilling(id: string): Promise<boolean> {
+    return await this.#fetchPledge(id) === "pledged";
+  }
+
   async #isLive(id: string): Promise<boolean> {
+    const reply = await this.#fetchPledge(id);
+    return reply === "pledged" || reply === "unable";
+  }
+
+  /** Undefined where no answer came. */
+  async #fetchPledge(id: string): Promise<RenewReply["kind"] | undefined> {
     const { instance, log, clock, peers, timing, lease } = this.#options;
     const member = log.getView().getMember(id);
     if (member === undefined) {
-      return false;
+      return undefined;
     }
     const address = { id, address: member.instance.peerAddress };
     const sentAtMs = clock.readMs();
@@ -185,14 +180,14 @@
     });
     const reply = await waitAtMost(clock, timing.renewEveryMs, call);
     if (reply === undefined || !reply.ok) {
-      return false;
+      return undefined;
     }
     // Counts as soon as this one is a guardian, so that a change of guardians
     // leaves no gap in the lease.
     if (reply.val.kind === "pledged") {
       lease.recordPledge(id, sentAtMs);
     }
-    return reply.val.kind !== "revoked";
+    return reply.val.kind;
   }
 }
 
--- a/packages/router/src/control/succession.ts
+++ b/packages/router/src/control/succession.ts
@@ -60,7 +60,9 @@
     while (!signal.aborted) {
       this.#observeMembers();
       const nowMs = clock.readMs();
-      if (lease.isHeld(nowMs) && isInContact(log, nowMs)) {
+      // Its own lease does not matter: the consents are the evidence. Were it
+      // asked, a survivor whose guardians are all lost would wait for them.
+      if (!lease.isStopped() && isInContact(log, nowMs)) {
         await Promise.all(
           this.#listOverdue().map((holder) => this.#takeOver(holder, signal)),
         );
@@ -154,14 +156,27 @@
     }
   }
 
+  /**
+   * Asks the others first: an instance that is cut off must not give its wards
+   * up for good when its own consent alone is not enough.
+   */
   async #collectConsents(holder: MemberState): Promise<Consents> {
-    const view = this.#options.log.getView();
+    const { self, clock, log, guardian } = this.#options;
+    const view = log.getView();
     const waitedOut = holder.guardians.filter((id) => this.#isWaitedOut(id));
-    const asked = holder.guardians.filter((id) => view.getMember(id));
+    const asked = holder.guardians
+      .filter((id) => id !== self && view.getMember(id));
     const answers = await Promise.all(
       asked.map((id) => this.#fetchConsent(id, holder.instance.id)),
     );
-    return { consented: asked.filter((_, index) => answers[index]), waitedOut };
+    const consented = asked.filter((_, index) => answers[index]);
+    const withOwn = { consented: [...consented, self], waitedOut };
+    const isNeeded = holder.guardians.includes(self) &&
+      hasTakeOverQuorum(holder, withOwn);
+    const own = isNeeded
+      ? guardian.answerConsent(holder.instance.id, clock.readMs())
+      : undefined;
+    return own?.kind === "consented" ? withOwn : { consented, waitedOut };
   }
 
   /**
@@ -180,10 +195,6 @@
 
   async #fetchConsent(guardian: string, holder: string): Promise<boolean> {
     const { self, clock, peers, log, timing } = this.#options;
-    if (guardian === self) {
-      const own = this.#options.guardian.answerConsent(holder, clock.readMs());
-      return own.kind === "consented";
-    }
     const member = log.getView().getMember(guardian);
     if (member === undefined) {
       return false;
--- a/packages/router/src/entry/gateway.ts
+++ b/packages/router/src/entry/gateway.ts
@@ -7,6 +7,7 @@
   type ErrorKind,
   makeRequestError,
   type RequestError,
+  toResendError,
 } from "@lentilspur/outcomes/error_kinds";
 import type { Clock } from "@lentilspur/ports/clock";
 import type {
@@ -89,9 +90,12 @@
     }
     const refusal = this.#admit(accepted.val, startedAtMs);
     if (refusal !== undefined) {
-      const reply = { kind: "failed", error: refusal.error } as const;
+      const { minted, idempotent, requestId } = accepted.val;
+      const isFirst = minted || idempotent;
+      const error = isFirst ? refusal.error : toResendError(refusal.error);
+      const reply = { kind: "failed", error } as const;
       this.#logAnswered(accepted.val, reply, startedAtMs, refusal.limit);
-      return makeErrorAnswer(refusal.error, accepted.val.requestId);
+      return makeErrorAnswer(error, requestId);
     }
     try {
       return await this.#answer(accepted.val, request, { startedAtMs, signal });
--- a/packages/router/src/entry/request_intake.ts
+++ b/packages/router/src/entry/request_intake.ts
@@ -10,6 +10,7 @@
 import {
   makeRequestError,
   type RequestError,
+  toResendError,
 } from "@lentilspur/outcomes/error_kinds";
 import { parseRequestId } from "@lentilspur/outcomes/request_id";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
@@ -134,10 +135,10 @@
     // Guards the stewards' memory against invented epochs, whose records would
     // never expire. Only an instance that lost the log lags by so much.
     if (id.epoch > this.#state.getView().epoch + MAX_EPOCHS_AHEAD) {
-      return refuse(
+      return Err(toResendError(makeRequestError(
         "not-ready",
         `Request id '${requestId}' is newer than what this instance has read`,
-      );
+      )));
     }
     return Ok({ requestId, minted: false });
   }
--- a/packages/router/src/entry/steward_caller.ts
+++ b/packages/router/src/entry/steward_caller.ts
@@ -6,6 +6,7 @@
 import {
   makeRequestError,
   type RequestError,
+  toResendError,
 } from "@lentilspur/outcomes/error_kinds";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
@@ -106,13 +107,10 @@
         return settleReply(step, progress);
       }
       if (options.signal.aborted) {
-        return settleReply(
-          makeFailed(makeCancelledError(progress.lost)),
-          progress,
-        );
+        return this.#fail(makeCancelledError(progress.lost), progress);
       }
       if (this.#options.clock.readMs() >= progress.giveUpAtMs) {
-        return settleReply(makeFailed(step.why), progress);
+        return this.#fail(step.why, progress);
       }
     }
   }
@@ -128,7 +126,7 @@
     }
     const remainingMs = progress.deadlineAtMs - this.#options.clock.readMs();
     if (remainingMs <= 0) {
-      return makeFailed(makeDeadlineError());
+      return this.#fail(makeDeadlineError(), progress);
     }
     const sent = await this.#send(progress, location, steward, remainingMs);
     if (sent.ok) {
@@ -221,7 +219,7 @@
     switch (failure.kind) {
       case "not-sent":
         if (progress.lost > 0 && !progress.accepted.idempotent) {
-          return makeFailed(why);
+          return this.#fail(why, progress);
         }
         await this.#waitForFold(progress);
         return { kind: "again", why };
@@ -229,7 +227,7 @@
         progress.lost++;
         return progress.lost < MAX_LOST_FORWARDS
           ? { kind: "again", why }
-          : makeFailed(why);
+          : this.#fail(why, progress);
     }
   }
 
@@ -239,6 +237,16 @@
     await this.#options.state.waitForFold(pauseMs, progress.signal);
   }
 
+  /** An end that no steward has judged by its memory. */
+  #fail(error: RequestError, progress: CallProgress): FinalReply {
+    const { minted, idempotent } = progress.accepted;
+    const isFirst = minted || idempotent;
+    return settleReply(
+      makeFailed(isFirst ? error : toResendError(error)),
+      progress,
+    );
+  }
+
   #makeRequest(progress: CallProgress, remainingMs: number): ForwardRequest {
     const { accepted, content } = progress;
     return {
--- a/packages/router/src/steward/dispatcher.ts
+++ b/packages/router/src/steward/dispatcher.ts
@@ -5,6 +5,7 @@
 import {
   makeRequestError,
   type RequestError,
+  toResendError,
 } from "@lentilspur/outcomes/error_kinds";
 import { getOffset, type Position } from "@lentilspur/outcomes/position";
 import type { Clock, Random } from "@lentilspur/ports/clock";
@@ -154,10 +155,12 @@
     job: ForwardJob,
     signal: AbortSignal,
   ): Promise<ForwardReply> {
+    // Lookups and first sends need no judging by the memory.
+    let isJudged = job.request.idempotent || job.request.firstSend;
     for (;;) {
       const gate = await this.#gate.wait(job, signal);
       if (gate.kind === "ended") {
-        return gate.reply;
+        return isJudged ? gate.reply : toUnjudgedReply(gate.reply);
       }
       const { permission } = gate;
       if (isFromBefore(permission, job.request)) {
@@ -173,6 +176,7 @@
       if (reply.kind !== "moved") {
         return reply;
       }
+      isJudged = true;
     }
   }
 
@@ -247,6 +251,13 @@
   }
 }
 
+/** The gate refuses before the memory is asked whether an earlier send ran. */
+function toUnjudgedReply(reply: ForwardReply): ForwardReply {
+  return reply.kind === "failed"
+    ? { kind: "failed", error: toResendError(reply.error) }
+    : reply;
+}
+
 /**
  * Guards against a copy of a forward that was lost and arrives after the unit
  * has been served by others and come back: marked as a first send, it would
--- a/packages/trials/src/fuzz/cluster_found_test.ts
+++ b/packages/trials/src/fuzz/cluster_found_test.ts
@@ -161,3 +161,23 @@
   ];
   assert.deepEqual(listFaults(await replaySteps(steps)), []);
 });
+
+test("two planned stops at once and a loss leave every key served", async () => {
+  // Two instances stop at the same moment and hand a target to each other until
+  // they give up, while a third is lost. The survivor waited for guardians that
+  // would never answer. Found with seed 9103.
+  const trial = await replaySteps([
+    { kind: "stop", instance: 0 },
+    { kind: "stop", instance: 0 },
+    { kind: "crash", instance: 0 },
+    {
+      kind: "send",
+      via: 0,
+      key: "room-1",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+  assert.deepEqual(await listUnservedKeys(trial), []);
+});
