fix(router): bound what a restart proves, let the last instance go on

Found by the cluster fuzz. A restart now voids only what was settled before the old process last answered.

--- a/packages/ownership/src/grant_window.ts
+++ b/packages/ownership/src/grant_window.ts
@@ -78,6 +78,11 @@
     this.#usableUntilMs = Math.max(this.#usableUntilMs, until);
   }
 
+  /** When the reading now in use arrived. */
+  getReadingArrivedAtMs(): number {
+    return this.#reading?.arrivedAtMs ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** When the call left that brought the reading now in use. */
   getReadingAskedAtMs(): number {
     return this.#reading?.askedAtMs ?? Number.NEGATIVE_INFINITY;
--- a/packages/router/src/control/membership.ts
+++ b/packages/router/src/control/membership.ts
@@ -93,8 +93,10 @@
     }
     const guardians = await this.#findLiveGuardians(fit);
     // An instance that is cut off from all others finds none. Without any
-    // guardian it could go on, but nobody could take it over once it is lost.
-    if (guardians.length === 0 || isSameSet(guardians, self.guardians)) {
+    // guardian it could go on, but nobody could take it over once it is lost;
+    // so it goes without only where the fold has nobody else.
+    const isCutOff = guardians.length === 0 && members.length > 1;
+    if (isCutOff || isSameSet(guardians, self.guardians)) {
       return;
     }
     lease.addPendingGuardians(guardians);
--- a/packages/router/src/control/target_keeper.ts
+++ b/packages/router/src/control/target_keeper.ts
@@ -86,7 +86,7 @@
     return this.#checksGrants;
   }
 
-  /** Since when this stewardship, or the target's process, has been known. */
+  /** From when on what this steward sends may reach the present process. */
   getSinceMs(): number {
     return this.#restartedAtMs ?? this.#startedAtMs;
   }
@@ -332,18 +332,22 @@
     const arrivedAtMs = this.#options.clock.readMs();
     const before = this.#window.getBootId();
     if (before !== undefined && before !== reading.bootId) {
-      this.#recordRestart(arrivedAtMs);
+      this.#recordRestart();
     }
     this.#window.recordReading({ ...reading, askedAtMs, arrivedAtMs });
     this.#lastHeardAtMs = arrivedAtMs;
     this.#refusedSinceMs = undefined;
   }
 
-  /** The old process has ended with all its grants; the new one has none. */
-  #recordRestart(nowMs: number): void {
+  /**
+   * The old process has ended with all its grants; the new one has none. It may
+   * have started any time after the old one last answered, so what was sent
+   * since then may have reached either.
+   */
+  #recordRestart(): void {
+    this.#restartedAtMs = this.#window.getReadingArrivedAtMs();
     this.#window.reset();
     this.#clearGranted();
-    this.#restartedAtMs = nowMs;
   }
 
   #recordFailure(failure: TargetFailure | undefined): void {
@@ -353,7 +357,7 @@
         this.#refusedSinceMs ??= nowMs;
         return;
       case "restarted":
-        this.#recordRestart(nowMs);
+        this.#recordRestart();
         return;
       case "fenced":
         // A later steward is at work; the fold will tell.
--- a/packages/router/src/control/unit_mover.ts
+++ b/packages/router/src/control/unit_mover.ts
@@ -139,16 +139,16 @@
    */
   #isPinned(task: MoveTask, keeper: TargetKeeper): boolean {
     const { clock, timing, work } = this.#options;
-    if (keeper.hasRestarted()) {
-      return false;
-    }
     const nowMs = clock.readMs();
     const sinceMs = keeper.getSinceMs();
-    if (task.from.takenOver && nowMs - sinceMs < timing.connectionLingerMs) {
+    // What was on its way to a process that has ended can never run.
+    const isTakenOver = task.from.takenOver && !keeper.hasRestarted();
+    if (isTakenOver && nowMs - sinceMs < timing.connectionLingerMs) {
       return true;
     }
     const unknownAtMs = work.getLastUnknownMs(task.template, task.unit);
     return unknownAtMs !== undefined &&
+      (!keeper.hasRestarted() || unknownAtMs >= sinceMs) &&
       nowMs - unknownAtMs < timing.connectionLingerMs;
   }
 
--- a/packages/trials/src/fuzz/cluster_found_test.ts
+++ b/packages/trials/src/fuzz/cluster_found_test.ts
@@ -181,3 +181,61 @@
   assert.deepEqual(listFaults(trial), []);
   assert.deepEqual(await listUnservedKeys(trial), []);
 });
+
+test("a request of unknown fate pins its unit after a restart too", async () => {
+  // A target that does not check starts anew, is told to leave, and freezes
+  // with a booking. Its restart counted for ever as proof that nothing could be
+  // on its way, so the key moved and ran in both when it thawed. Found with
+  // seed 9104.
+  const booking: Step = {
+    kind: "send",
+    via: 0,
+    key: "room-3",
+    idempotent: false,
+    isMintedBefore: false,
+  };
+  const steps: readonly Step[] = [
+    { kind: "target-start", target: 1 },
+    { kind: "leaving", target: 1 },
+    booking,
+    { kind: "freeze", target: 1 },
+    { kind: "advance", ms: 7000 },
+    booking,
+    { kind: "pause", instance: 0 },
+  ];
+  assert.deepEqual(listFaults(await replaySteps(steps)), []);
+});
+
+test("the last instance goes on when all others have stopped", async () => {
+  // Three of four instances stop as planned. The last one kept guardians that
+  // had left and lost its lease for good. Found with seeds 9101 and 11001.
+  const trial = await replaySteps([
+    { kind: "stop", instance: 0 },
+    { kind: "stop", instance: 0 },
+    { kind: "stop", instance: 0 },
+    {
+      kind: "send",
+      via: 0,
+      key: "room-1",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+  assert.deepEqual(await listUnservedKeys(trial), []);
+});
+
+test("two paused instances that were taken over leave no key behind", async () => {
+  // Two of four instances are paused for 12 s, guards of one another among
+  // them. Found with seed 9102.
+  const trial = await replaySteps([
+    { kind: "pause", instance: 1 },
+    { kind: "pause", instance: 0 },
+    { kind: "advance", ms: 3500 },
+    { kind: "advance", ms: 1900 },
+    { kind: "advance", ms: 7000 },
+    { kind: "freeze", target: 0 },
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+  assert.deepEqual(await listUnservedKeys(trial), []);
+});
