fix(ownership): let others succeed where too few guardians are left

Those left as members guarded only each other, all of them lost, and new instances held themselves for no successors, so two targets stayed unserved. Members that are no guardians now succeed after the guardians where these cannot make a quorum. Ruled out: letting everyone watch everyone, which costs every member a look at all others. What it rests on is unchanged: the evidence is still consents and guardians waited out.

--- a/packages/ownership/src/take_over.ts
+++ b/packages/ownership/src/take_over.ts
@@ -15,7 +15,8 @@
 export const SUCCESSOR_STAGGER_MS = 250;
 
 /**
- * Guardians of the holder first; others only where no guardian is left.
+ * Guardians of the holder first; others only where too few guardians are left
+ * for a quorum: those may be lost as well, and would wait for each other.
  * Undefined for an instance that is no successor at all.
  */
 export function computeSuccessorRank(
@@ -24,10 +25,14 @@
   view: StateView,
 ): number | undefined {
   const guardians = holder.guardians.filter((id) => view.getMember(id));
-  const candidates = guardians.length > 0 ? guardians : view.listMembers()
+  const quorum = computeTakeOverQuorum(holder.guardians.length);
+  const others = guardians.length >= quorum ? [] : view.listMembers()
     .map((member) => member.instance.id)
-    .filter((id) => id !== holder.instance.id);
-  const ranked = sortByRendezvous(holder.instance.id, candidates, (id) => id);
+    .filter((id) => id !== holder.instance.id && !guardians.includes(id));
+  const ranked = [
+    ...sortByRendezvous(holder.instance.id, guardians, (id) => id),
+    ...sortByRendezvous(holder.instance.id, others, (id) => id),
+  ];
   const rank = ranked.indexOf(self);
   return rank < 0 ? undefined : rank;
 }
--- a/packages/trials/src/fuzz/cluster_found_test.ts
+++ b/packages/trials/src/fuzz/cluster_found_test.ts
@@ -239,3 +239,27 @@
   assert.deepEqual(listFaults(trial), []);
   assert.deepEqual(await listUnservedKeys(trial), []);
 });
+
+test("lost instances that guard each other are taken over by others", async () => {
+  // One instance is paused, one cut off, one stops and one is lost, all at
+  // about the same time. Those that were left guarded only each other, and new
+  // instances held themselves for no successors. Found with seed 63.
+  const trial = await replaySteps([
+    { kind: "pause", instance: 1 },
+    { kind: "isolate", instance: 2, isIsolated: true },
+    { kind: "advance", ms: 2300 },
+    { kind: "resume", instance: 1 },
+    { kind: "advance", ms: 1 },
+    { kind: "stop", instance: 3 },
+    { kind: "crash", instance: 0 },
+    {
+      kind: "send",
+      via: 0,
+      key: "room-1",
+      idempotent: false,
+      isMintedBefore: false,
+    },
+  ]);
+  assert.deepEqual(listFaults(trial), []);
+  assert.deepEqual(await listUnservedKeys(trial), []);
+});
