--- a/packages/cli/src/command_context.ts
+++ b/packages/cli/src/command_context.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from "node:crypto";
 import { once } from "node:events";
 import process from "node:process";
-import { LogClient } from "@lentilspur/platform/log_client";
+import { LogClient } from "@lentilspur/transport/log_client";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { LogPort } from "@lentilspur/ports/log";
--- a/packages/cli/src/log_session.ts
+++ b/packages/cli/src/log_session.ts
@@ -5,7 +5,7 @@
  */
 import type { Configuration } from "@lentilspur/declarations/template";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
-import { fetchNewestCheckpoint } from "@lentilspur/platform/checkpoint_reader";
+import { fetchNewestCheckpoint } from "@lentilspur/transport/checkpoint_reader";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { LogFailure, LogPort, LogRecord } from "@lentilspur/ports/log";
 import { OPERATOR_PREFIX } from "@lentilspur/state/apply_membership";
--- /dev/null
+++ b/packages/gateway/src/catalogue.ts
@@ -0,0 +1,206 @@
+/**
+ * The configuration and the targets that this instance routes by.
+ *
+ * A configuration never goes back: one whose version is not above the one in
+ * force is ignored, whatever way it came. Targets whose entries lapsed while
+ * the store was away get a moment to come back before they count as gone.
+ */
+import type { Result } from "@lentilspur/outcomes/result";
+import type {
+  Route,
+  RoutingTable,
+  RoutingTarget,
+} from "@lentilspur/ports/routing_table";
+import { RouteIndex } from "@lentilspur/routing/route_index";
+
+export type CatalogueEvent =
+  | {
+    readonly kind: "configuration";
+    readonly version: number;
+    readonly routes: number;
+  }
+  | { readonly kind: "configuration-ignored"; readonly why: string }
+  | {
+    readonly kind: "target";
+    readonly targetId: string;
+    readonly service: string;
+    readonly state: "present" | "leaving" | "missing" | "gone";
+  }
+  | {
+    readonly kind: "target-ignored";
+    readonly targetId: string;
+    readonly why: string;
+  };
+
+export interface CatalogueOptions {
+  readonly decodeConfiguration: (text: string) => Result<RoutingTable, string>;
+  readonly decodeTarget: (
+    id: string,
+    text: string,
+  ) => Result<RoutingTarget, string>;
+  readonly observe: (event: CatalogueEvent) => void;
+}
+
+/**
+ * Entries that lapsed during an outage are back about 2 s after its end; a
+ * reader that polls twice a second sees the last of them a little later.
+ */
+export const RETURN_GRACE_MS = 2_500;
+
+interface KnownTarget {
+  target: RoutingTarget;
+  /** When its entry was found missing; it counts as gone a grace later. */
+  goneAtMs: number | null;
+  /** Since when it has been leaving; own clock. */
+  leavingSinceMs: number | null;
+}
+
+export class Catalogue {
+  readonly #options: CatalogueOptions;
+  readonly #targets = new Map<string, KnownTarget>();
+  #table: RoutingTable | undefined;
+  #index = new RouteIndex([]);
+  #targetsChanged = false;
+
+  constructor(options: CatalogueOptions) {
+    this.#options = options;
+  }
+
+  get table(): RoutingTable | undefined {
+    return this.#table;
+  }
+
+  match(host: string, path: string): Route | undefined {
+    return this.#index.match(host, path);
+  }
+
+  applyConfiguration(text: string): boolean {
+    const { decodeConfiguration, observe } = this.#options;
+    const decoded = decodeConfiguration(text);
+    if (!decoded.ok) {
+      observe({ kind: "configuration-ignored", why: decoded.val });
+      return false;
+    }
+    const table = decoded.val;
+    if (this.#table !== undefined && table.version <= this.#table.version) {
+      const why =
+        `Version ${table.version} is not above ${this.#table.version}`;
+      observe({ kind: "configuration-ignored", why });
+      return false;
+    }
+    this.#table = table;
+    this.#index = new RouteIndex(table.routes);
+    const routes = table.routes.length;
+    observe({ kind: "configuration", version: table.version, routes });
+    return true;
+  }
+
+  /** `graceMs` is how long a missing entry may still come back. */
+  applyTarget(
+    id: string,
+    text: string,
+    options: { readonly nowMs: number; readonly graceMs: number },
+  ): void {
+    if (text === "") {
+      this.#removeEntry(id, options.nowMs + options.graceMs);
+      return;
+    }
+    const decoded = this.#options.decodeTarget(id, text);
+    if (!decoded.ok) {
+      this.#options.observe({
+        kind: "target-ignored",
+        targetId: id,
+        why: decoded.val,
+      });
+      return;
+    }
+    this.#setTarget(decoded.val, options.nowMs);
+  }
+
+  /** Lets targets go whose time to come back is over; true after any change. */
+  advance(nowMs: number): boolean {
+    for (const [id, known] of this.#targets) {
+      if (known.goneAtMs !== null && nowMs >= known.goneAtMs) {
+        this.#targets.delete(id);
+        this.#report(known.target, "gone");
+      }
+    }
+    const changed = this.#targetsChanged;
+    this.#targetsChanged = false;
+    return changed;
+  }
+
+  getTarget(id: string): RoutingTarget | undefined {
+    return this.#targets.get(id)?.target;
+  }
+
+  /** Since when a target has been leaving, or `null` where it is not. */
+  getLeavingSinceMs(id: string): number | null {
+    return this.#targets.get(id)?.leavingSinceMs ?? null;
+  }
+
+  listTargets(service: string): readonly RoutingTarget[] {
+    const targets: RoutingTarget[] = [];
+    for (const { target } of this.#targets.values()) {
+      if (target.service === service) {
+        targets.push(target);
+      }
+    }
+    return targets;
+  }
+
+  /** The process that is known to be at an address. */
+  findByAddress(address: string): RoutingTarget | undefined {
+    for (const { target } of this.#targets.values()) {
+      if (target.address === address) {
+        return target;
+      }
+    }
+    return undefined;
+  }
+
+  get targetCount(): number {
+    return this.#targets.size;
+  }
+
+  #removeEntry(id: string, goneAtMs: number): void {
+    const known = this.#targets.get(id);
+    if (known !== undefined && known.goneAtMs === null) {
+      known.goneAtMs = goneAtMs;
+      this.#report(known.target, "missing");
+    }
+  }
+
+  #setTarget(target: RoutingTarget, nowMs: number): void {
+    const known = this.#targets.get(target.id);
+    if (known !== undefined && isSame(known.target, target)) {
+      known.goneAtMs = null;
+      return;
+    }
+    // One that has said that it leaves does not come back under this id.
+    const leaving = target.leaving || (known?.target.leaving ?? false);
+    const leavingSinceMs = leaving ? known?.leavingSinceMs ?? nowMs : null;
+    this.#targets.set(target.id, {
+      target: { ...target, leaving },
+      goneAtMs: null,
+      leavingSinceMs,
+    });
+    this.#report(target, leaving ? "leaving" : "present");
+  }
+
+  #report(
+    target: RoutingTarget,
+    state: "present" | "leaving" | "missing" | "gone",
+  ): void {
+    this.#targetsChanged = true;
+    const { id: targetId, service } = target;
+    this.#options.observe({ kind: "target", targetId, service, state });
+  }
+}
+
+/** A heartbeat that changes nothing but its count is no news. */
+function isSame(left: RoutingTarget, right: RoutingTarget): boolean {
+  return left.service === right.service && left.address === right.address &&
+    left.dataCentre === right.dataCentre && left.places === right.places &&
+    (left.leaving || left.leaving === right.leaving);
+}
--- /dev/null
+++ b/packages/gateway/src/event_report.ts
@@ -0,0 +1,117 @@
+/**
+ * Turns what the parts of an instance observe into log lines and metrics. Each
+ * line says what decided and how old that was, so that a request's id leads to
+ * its cause.
+ */
+import type { FailureKind } from "./caller_request.ts";
+import type { CatalogueEvent } from "./catalogue.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { KeeperServiceEvent } from "./keeper_service.ts";
+import type { LineLog, LineWeight } from "./line_log.ts";
+import type { TailEvent } from "./partition_tail.ts";
+import type { RequestEvent } from "./request_router.ts";
+
+export class EventReport {
+  readonly #lines: LineLog;
+  readonly #metrics: GatewayMetrics;
+  #shareFails = false;
+
+  constructor(lines: LineLog, metrics: GatewayMetrics) {
+    this.#lines = lines;
+    this.#metrics = metrics;
+  }
+
+  observeRequest(event: RequestEvent): void {
+    const { kind, ...fields } = event;
+    const isAnswered = event.outcome === "answered";
+    this.#lines.log(kind, isAnswered ? "routine" : "notable", fields);
+    const { service, outcome } = event;
+    switch (event.kind) {
+      case "send":
+        this.#metrics.sends.inc({ service, outcome });
+        this.#metrics.placeWait.observe({ service }, event.waitedMs / 1_000);
+        return;
+      case "final":
+        this.#metrics.requests.inc({ service, outcome });
+        this.#metrics.latency.observe(
+          { service, outcome },
+          event.tookMs / 1_000,
+        );
+        return;
+    }
+  }
+
+  observeCatalogue(event: CatalogueEvent): void {
+    const { kind, ...fields } = event;
+    this.#lines.log(kind, "notable", fields);
+  }
+
+  observeTail(event: TailEvent): void {
+    const { kind, ...fields } = event;
+    this.#lines.log(`store-${kind}`, "notable", fields);
+  }
+
+  observeKeeper(event: KeeperServiceEvent): void {
+    switch (event.kind) {
+      case "keeper":
+        this.#observeKeeperEvent(event);
+        return;
+      case "share-failed":
+        this.#reportShare(event.cause);
+        return;
+      case "share":
+        this.#shareFails = false;
+        this.#log("keeper-share", event);
+        return;
+      case "claimed":
+      case "claim-failed":
+      case "record-fault":
+        this.#log(`keeper-${event.kind}`, event);
+        return;
+    }
+  }
+
+  reportEarlyFailure(failure: {
+    readonly requestId: string | undefined;
+    readonly kind: FailureKind;
+    readonly message: string;
+  }): void {
+    const { kind: outcome, requestId, message } = failure;
+    this.#lines.log("final", "notable", { requestId, outcome, message });
+    this.#metrics.requests.inc({ service: "", outcome });
+  }
+
+  reportFault(message: string): void {
+    this.#lines.log("fault", "notable", { message });
+  }
+
+  /** A store that is away fails each join: the first one says it. */
+  #reportShare(cause: string): void {
+    if (!this.#shareFails) {
+      this.#lines.log("keeper-share-failed", "notable", { cause });
+    }
+    this.#shareFails = true;
+  }
+
+  #observeKeeperEvent(event: KeeperServiceEvent & { kind: "keeper" }): void {
+    const { partition, event: inner } = event;
+    if (inner.kind !== "order") {
+      this.#log(`keeper-${inner.kind}`, { part: partition.part, ...inner });
+      return;
+    }
+    this.#metrics.orders.inc({ order: inner.order, outcome: inner.outcome });
+    // Renewals that succeed say nothing new; the counter has them.
+    if (inner.order !== "renew" || inner.outcome !== "done") {
+      this.#log("key-order", { part: partition.part, ...inner });
+    }
+  }
+
+  #log(
+    event: string,
+    fields: Readonly<Record<string, unknown>>,
+    weight: LineWeight = "notable",
+  ): void {
+    const { kind: _kind, ...rest } = fields;
+    this.#lines.log(event, weight, rest);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -0,0 +1,110 @@
+/** Counters, gauges and latency histograms, served on the metrics address. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Around the goals (150 to 600 ms) and deadlines (1 to 6 s) of today's routes. */
+const LATENCY_BUCKETS_S = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.15,
+  0.25,
+  0.4,
+  0.6,
+  1,
+  2,
+  5,
+];
+
+export interface GatewayGauges {
+  readonly waiting: number;
+  readonly openRequests: number;
+  readonly targets: number;
+  readonly configurationVersion: number;
+  readonly droppedLines: number;
+}
+
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+  readonly requests = new Counter({
+    name: "lentilspur_requests_total",
+    help: "Requests that were answered, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.#registry],
+  });
+  readonly latency = new Histogram({
+    name: "lentilspur_request_seconds",
+    help: "From the head of a request to its answer, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly placeWait = new Histogram({
+    name: "lentilspur_place_wait_seconds",
+    help: "How long a request waited for a place at a target, by service",
+    labelNames: ["service"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.#registry],
+  });
+  readonly sends = new Counter({
+    name: "lentilspur_sends_total",
+    help: "Requests put on a connection to a target, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.#registry],
+  });
+  readonly storeCalls = new Counter({
+    name: "lentilspur_store_calls_total",
+    help: "Calls to the store, by call and outcome",
+    labelNames: ["call", "outcome"] as const,
+    registers: [this.#registry],
+  });
+  readonly orders = new Counter({
+    name: "lentilspur_key_orders_total",
+    help: "Grants, renewals and releases of keys, by outcome",
+    labelNames: ["order", "outcome"] as const,
+    registers: [this.#registry],
+  });
+
+  constructor(readGauges: () => GatewayGauges) {
+    this.#addGauge(
+      "lentilspur_waiting_requests",
+      "Requests that wait for a place",
+      () => readGauges().waiting,
+    );
+    this.#addGauge(
+      "lentilspur_open_requests",
+      "Requests without an answer yet",
+      () => readGauges().openRequests,
+    );
+    this.#addGauge(
+      "lentilspur_targets",
+      "Targets that are known",
+      () => readGauges().targets,
+    );
+    this.#addGauge(
+      "lentilspur_configuration_version",
+      "Version in force",
+      () => readGauges().configurationVersion,
+    );
+    this.#addGauge(
+      "lentilspur_dropped_lines",
+      "Log lines dropped since the start",
+      () => readGauges().droppedLines,
+    );
+  }
+
+  render(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.#registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,36 @@
+/** What an instance is told at its start; resolved and frozen. */
+import type { RetryLimits } from "@lentilspur/routing/retry_allowance";
+
+export interface ResolvedGatewaySettings {
+  readonly instance: string;
+  readonly dataCentre: string;
+  /** Address of the machine; all listeners are bound to it. */
+  readonly host: string;
+  readonly requestPort: number;
+  readonly readyPort: number;
+  readonly metricsPort: number;
+  readonly peerPort: number;
+  /** Second sends that all instances may make together. */
+  readonly retryLimits: RetryLimits;
+  /** Longest hold of keys that a target accepts. */
+  readonly maxHoldMs: number;
+  /** After a target was acknowledged as leaving, it may be sent work this long. */
+  readonly drainMs: number;
+  /** From the signal to stop until the process is killed. */
+  readonly gracePeriodMs: number;
+  /** Shortest time after which the store takes a silent member for gone. */
+  readonly minMemberTtlMs: number;
+}
+
+/** Where in the store an instance finds things, and how to read them. */
+export interface StorePlaces {
+  readonly configuration: {
+    readonly topic: string;
+    readonly part: number;
+    readonly key: string;
+  };
+  readonly targets: { readonly topic: string; readonly part: number };
+  readonly members: { readonly topic: string; readonly part: number };
+  /** The table of owners, in this many partitions. */
+  readonly owners: { readonly topic: string; readonly parts: number };
+}
--- /dev/null
+++ b/packages/gateway/src/instance.ts
@@ -0,0 +1,487 @@
+/**
+ * One instance, put together from its ports: it takes callers' requests and
+ * sends them to targets itself, and is the keeper of keys for the partitions
+ * that fall to it.
+ */
+import { randomUUID } from "node:crypto";
+import type { Result } from "@lentilspur/outcomes/result";
+import type { Clock } from "@lentilspur/ports/clock";
+import type { KeyOrders } from "@lentilspur/ports/key_orders";
+import type { RequestSender } from "@lentilspur/ports/request_sender";
+import type {
+  RoutingTable,
+  RoutingTarget,
+} from "@lentilspur/ports/routing_table";
+import type { Store } from "@lentilspur/ports/store";
+import type { HeaderField } from "@lentilspur/ports/target";
+import type { ServiceFacts } from "@lentilspur/ownership/key_keeper";
+import { KeyLoad } from "@lentilspur/ownership/key_load";
+import type { Holder } from "@lentilspur/ownership/key_table";
+import { resolveKeeperTiming } from "@lentilspur/ownership/keeper_timing";
+import type {
+  CallerFields,
+  CallerRequest,
+  FinalAnswer,
+} from "./caller_request.ts";
+import type { RetryLimits } from "@lentilspur/routing/retry_allowance";
+import { Catalogue } from "./catalogue.ts";
+import { EventReport } from "./event_report.ts";
+import { GatewayMetrics } from "./gateway_metrics.ts";
+import type {
+  ResolvedGatewaySettings,
+  StorePlaces,
+} from "./gateway_settings.ts";
+import { KeeperService } from "./keeper_service.ts";
+import { KeyDirectory } from "./key_directory.ts";
+import { KeyReport } from "./key_report.ts";
+import { LineLog } from "./line_log.ts";
+import { Members, serializeMember } from "./members.ts";
+import { PeerExchange, type PeerMessage } from "./peer_exchange.ts";
+import { RequestRouter } from "./request_router.ts";
+import { RequestServer } from "./request_server.ts";
+import { ServiceRegistry } from "./service_registry.ts";
+import { choosePart } from "./service_part.ts";
+import { SideServer } from "./side_server.ts";
+import { StoreViews } from "./store_views.ts";
+import { SuspensionGuard } from "./suspension_guard.ts";
+
+/** What an adapter brings: calls, and how its messages are read. */
+export interface InstanceAdapter {
+  readonly store: Store;
+  readonly orders: KeyOrders;
+  readonly sender: RequestSender;
+  readonly places: StorePlaces;
+  readonly readFields: (headers: readonly HeaderField[]) => CallerFields;
+  readonly decodeConfiguration: (text: string) => Result<RoutingTable, string>;
+  readonly decodeTarget: (
+    id: string,
+    text: string,
+  ) => Result<RoutingTarget, string>;
+  readonly close: () => void;
+}
+
+export interface InstanceOptions {
+  readonly settings: ResolvedGatewaySettings;
+  readonly clock: Clock;
+  readonly stream: NodeJS.WritableStream;
+  readonly createAdapter: (tools: {
+    readonly observeStoreCall: (call: string, outcome: string) => void;
+  }) => InstanceAdapter;
+}
+
+/** Targets that were missing are let go, and changes taken over, this often. */
+const CATALOGUE_TICK_MS = 50;
+/** Keys that were asked for go to their keeper this often. */
+const KEY_REPORT_MS = 200;
+/** Before an append of the own record is tried again. */
+const MEMBER_RETRY_MS = 500;
+/** Room between the last sends to a leaving target and the bound on them. */
+const LEAVING_MARGIN_MS = 900;
+
+export class Instance {
+  readonly #options: InstanceOptions;
+  readonly #incarnation = randomUUID().slice(0, 8);
+  readonly #running = new AbortController();
+  readonly #lines: LineLog;
+  readonly #metrics: GatewayMetrics;
+  readonly #report: EventReport;
+  readonly #adapter: InstanceAdapter;
+  readonly #catalogue: Catalogue;
+  readonly #directory = new KeyDirectory();
+  readonly #members: Members;
+  readonly #services: ServiceRegistry;
+  readonly #views: StoreViews;
+  readonly #router: RequestRouter;
+  readonly #server: RequestServer;
+  readonly #keepers: KeeperService;
+  readonly #peers: PeerExchange;
+  readonly #ready: SideServer;
+  readonly #metricsServer: SideServer;
+  readonly #keyReport = new KeyReport();
+  readonly #keyLoads = new Map<string, KeyLoad>();
+  readonly #serviceMs = new Map<string, number>();
+  #isStopping = false;
+  #wasReady = false;
+
+  constructor(options: InstanceOptions) {
+    this.#options = options;
+    const { settings, clock, stream } = options;
+    const { instance, dataCentre } = settings;
+    this.#lines = new LineLog({
+      clock,
+      instance,
+      incarnation: this.#incarnation,
+      stream,
+    });
+    this.#metrics = new GatewayMetrics(() => this.#readGauges());
+    this.#report = new EventReport(this.#lines, this.#metrics);
+    this.#adapter = options.createAdapter({
+      observeStoreCall: (call, outcome) =>
+        this.#metrics.storeCalls.inc({ call, outcome }),
+    });
+    this.#catalogue = this.#createCatalogue();
+    this.#members = new Members(instance);
+    this.#services = new ServiceRegistry({
+      clock,
+      catalogue: this.#catalogue,
+      dataCentre,
+      retryLimits: settings.retryLimits,
+      countInstances: () => this.#members.count,
+    });
+    this.#views = this.#createViews();
+    this.#router = this.#createRouter();
+    this.#server = this.#createServer();
+    this.#keepers = this.#createKeepers();
+    this.#peers = this.#createPeers();
+    this.#ready = new SideServer(() => this.#answerReady());
+    this.#metricsServer = new SideServer(async () => ({
+      status: 200,
+      contentType: "text/plain; version=0.0.4",
+      body: await this.#metrics.render(),
+    }));
+  }
+
+  get lines(): LineLog {
+    return this.#lines;
+  }
+
+  /** Limits on second sends from now on; the windows begin anew. */
+  setRetryLimits(limits: RetryLimits): void {
+    this.#services.setRetryLimits(limits);
+  }
+
+  /** Listens and begins to follow the store. Rejects if it cannot listen. */
+  async start(): Promise<void> {
+    const { settings } = this.#options;
+    const { signal } = this.#running;
+    this.#lines.log("start", "notable", { ...settings });
+    await this.#ready.open(settings.host, settings.readyPort);
+    await this.#server.open();
+    await this.#peers.open();
+    await this.#metricsServer.open(settings.host, settings.metricsPort);
+    this.#views.start();
+    void this.#announce();
+    void this.#peers.run(signal);
+    void this.#services.run(signal);
+    void this.#keepers.run(signal);
+    void this.#runCatalogue(signal);
+    void this.#runKeyReports(signal);
+  }
+
+  /**
+   * A graceful shutdown: not ready at once, duties handed over, every open
+   * connection served until its clients have left or the time is nearly over.
+   */
+  async stop(timing: {
+    readonly quietMs: number;
+    readonly latestMs: number;
+  }): Promise<void> {
+    const { clock } = this.#options;
+    const startedAtMs = clock.readMs();
+    this.#isStopping = true;
+    this.#lines.log("stop", "notable", {
+      phase: "begun",
+      openRequests: this.#server.openRequests,
+    });
+    this.#server.drain();
+    await this.#keepers.leave();
+    for (;;) {
+      const nowMs = clock.readMs();
+      const quietSinceMs = Math.max(startedAtMs, this.#server.lastRequestAtMs);
+      const isQuiet = nowMs - quietSinceMs >= timing.quietMs &&
+        this.#server.openRequests === 0;
+      if (isQuiet || nowMs - startedAtMs >= timing.latestMs) {
+        break;
+      }
+      await clock.sleep(CATALOGUE_TICK_MS);
+    }
+    this.#close();
+  }
+
+  #close(): void {
+    this.#running.abort();
+    this.#lines.log("stop", "notable", {
+      phase: "ended",
+      openRequests: this.#server.openRequests,
+    });
+    this.#server.close();
+    this.#ready.close();
+    this.#metricsServer.close();
+    this.#peers.close();
+    this.#adapter.close();
+    this.#lines.flush();
+  }
+
+  #createCatalogue(): Catalogue {
+    const { decodeConfiguration, decodeTarget } = this.#adapter;
+    return new Catalogue({
+      decodeConfiguration,
+      decodeTarget,
+      observe: (event) => this.#report.observeCatalogue(event),
+    });
+  }
+
+  #createViews(): StoreViews {
+    return new StoreViews({
+      clock: this.#options.clock,
+      store: this.#adapter.store,
+      places: this.#adapter.places,
+      catalogue: this.#catalogue,
+      directory: this.#directory,
+      members: this.#members,
+      onConfiguration: () => this.#applyConfiguration(),
+      observe: (event) => this.#report.observeTail(event),
+      reportFault: (message) => this.#report.reportFault(message),
+    }, this.#running.signal);
+  }
+
+  #createRouter(): RequestRouter {
+    return new RequestRouter({
+      clock: this.#options.clock,
+      catalogue: this.#catalogue,
+      directory: this.#directory,
+      services: this.#services,
+      sender: this.#adapter.sender,
+      leavingUseMs: this.#options.settings.drainMs - LEAVING_MARGIN_MS,
+      observe: (event) => this.#report.observeRequest(event),
+    });
+  }
+
+  #createServer(): RequestServer {
+    const { settings, clock } = this.#options;
+    return new RequestServer({
+      clock,
+      host: settings.host,
+      port: settings.requestPort,
+      readFields: this.#adapter.readFields,
+      handle: (request) => this.#handle(request),
+      reportFailure: (failure) => this.#report.reportEarlyFailure(failure),
+    });
+  }
+
+  #createKeepers(): KeeperService {
+    const { settings, clock } = this.#options;
+    const guard = new SuspensionGuard(clock, {
+      readWallMs: Date.now,
+      observe: (jumpMs) => this.#lines.log("clock-jump", "notable", { jumpMs }),
+    });
+    return new KeeperService({
+      clock,
+      store: this.#adapter.store,
+      orders: this.#adapter.orders,
+      timing: resolveKeeperTiming(settings.maxHoldMs),
+      claim: { instance: settings.instance, incarnation: this.#incarnation },
+      topic: this.#adapter.places.owners.topic,
+      minMemberTtlMs: settings.minMemberTtlMs,
+      listFacts: (part) => this.#listFacts(part),
+      getTail: (part) => this.#views.getOwnersTail(part),
+      getTrustedSinceMs: () => guard.checkTrustedSinceMs(),
+      hasEnded: (holder) => this.#hasEnded(holder),
+      hasInstanceEnded: (claim) =>
+        this.#members.hasEnded(claim.instance, claim.incarnation),
+      observe: (event) => this.#report.observeKeeper(event),
+    });
+  }
+
+  #createPeers(): PeerExchange {
+    const { settings, clock } = this.#options;
+    return new PeerExchange({
+      clock,
+      host: settings.host,
+      port: settings.peerPort,
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      listOthers: () => this.#members.listOthers(),
+      readCounts: () => this.#services.listOwnCounts(),
+      handle: (message) => this.#applyMessage(message),
+      reportFault: (message) => this.#report.reportFault(message),
+    });
+  }
+
+  #handle(request: CallerRequest): Promise<FinalAnswer> {
+    const { key } = request;
+    const route = this.#catalogue.match(request.host, request.path);
+    for (const { service } of key === undefined ? [] : route?.parts ?? []) {
+      if (this.#catalogue.table?.services.get(service)?.keyed === true) {
+        this.#keyReport.observe(service, key!);
+      }
+    }
+    return this.#router.handle(request);
+  }
+
+  #applyConfiguration(): void {
+    const table = this.#catalogue.table!;
+    this.#server.setLimits(table.limits);
+    this.#services.resetShares();
+    this.#services.update();
+    for (const service of table.services.values()) {
+      if (service.keyed) {
+        this.#views.openOwners(this.#choosePart(service.name));
+      }
+    }
+  }
+
+  #choosePart(service: string): number {
+    return choosePart(service, this.#adapter.places.owners.parts);
+  }
+
+  /** Only the process at an address can hold keys; another one there ends it. */
+  #hasEnded(holder: Holder): boolean {
+    const present = this.#catalogue.findByAddress(holder.address);
+    return present !== undefined && present.id !== holder.id;
+  }
+
+  #listFacts(part: number): readonly ServiceFacts[] {
+    const nowMs = this.#options.clock.readMs();
+    const facts: ServiceFacts[] = [];
+    for (const service of this.#catalogue.table?.services.values() ?? []) {
+      if (!service.keyed || this.#choosePart(service.name) !== part) {
+        continue;
+      }
+      const usualMs = this.#services.getUsualServiceMs(service.name) ?? 100;
+      const candidates = this.#catalogue.listTargets(service.name)
+        .filter((target) => !target.leaving)
+        .map((target) => ({
+          id: target.id,
+          address: target.address,
+          places: target.places,
+          serviceMs: this.#serviceMs.get(target.id) ?? usualMs,
+        }));
+      const rates = this.#getKeyLoad(service.name).listRates(nowMs);
+      facts.push({ service: service.name, candidates, rates });
+    }
+    return facts;
+  }
+
+  #getKeyLoad(service: string): KeyLoad {
+    const load = this.#keyLoads.get(service) ?? new KeyLoad();
+    this.#keyLoads.set(service, load);
+    return load;
+  }
+
+  #applyMessage(message: PeerMessage): void {
+    switch (message.kind) {
+      case "load":
+        this.#services.applyPeerCounts(message.from, message.counts);
+        return;
+      case "keys": {
+        const nowMs = this.#options.clock.readMs();
+        this.#getKeyLoad(message.service).observe(message.keys, nowMs);
+        for (const [id, ms] of Object.entries(message.serviceMs)) {
+          const before = this.#serviceMs.get(id) ?? ms;
+          this.#serviceMs.set(id, before + PEER_MEASURE_WEIGHT * (ms - before));
+        }
+        return;
+      }
+    }
+  }
+
+  async #runKeyReports(signal: AbortSignal): Promise<void> {
+    const { clock, settings } = this.#options;
+    while (!signal.aborted) {
+      for (const [service, keys] of this.#keyReport.take()) {
+        const message: PeerMessage = {
+          kind: "keys",
+          from: settings.instance,
+          service,
+          keys,
+          serviceMs: this.#services.listServiceMs(service),
+        };
+        this.#sendToKeeper(message);
+      }
+      await clock.sleep(KEY_REPORT_MS, signal);
+    }
+  }
+
+  #sendToKeeper(message: PeerMessage & { readonly kind: "keys" }): void {
+    const part = this.#choosePart(message.service);
+    if (this.#keepers.isKeeper(part)) {
+      this.#applyMessage(message);
+      return;
+    }
+    const keeper = this.#keepers.findKeeper(part);
+    const member = keeper === undefined
+      ? undefined
+      : this.#members.get(keeper.instance);
+    if (member !== undefined) {
+      this.#peers.send(member, message);
+    }
+  }
+
+  /** Writes this instance's record, so that others find it. */
+  async #announce(): Promise<void> {
+    const { clock, settings } = this.#options;
+    const { signal } = this.#running;
+    const member = {
+      instance: settings.instance,
+      incarnation: this.#incarnation,
+      dataCentre: settings.dataCentre,
+      host: settings.host,
+      port: settings.peerPort,
+    };
+    while (!signal.aborted) {
+      const appended = await this.#adapter.store.append({
+        partition: this.#adapter.places.members,
+        key: settings.instance,
+        value: serializeMember(member),
+      });
+      if (appended.ok) {
+        return;
+      }
+      this.#report.reportFault(
+        `The own record was not written: ${appended.val.kind}`,
+      );
+      await clock.sleep(MEMBER_RETRY_MS, signal);
+    }
+  }
+
+  async #runCatalogue(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      if (this.#catalogue.advance(clock.readMs())) {
+        this.#services.update();
+        this.#keepers.schedulePlans();
+      }
+      this.#checkReady();
+      await clock.sleep(CATALOGUE_TICK_MS, signal);
+    }
+  }
+
+  #isReady(): boolean {
+    return !this.#isStopping && this.#views.isLoaded;
+  }
+
+  #checkReady(): void {
+    const isReady = this.#isReady();
+    if (isReady !== this.#wasReady) {
+      this.#wasReady = isReady;
+      this.#lines.log("ready", "notable", {
+        isReady,
+        configurationVersion: this.#catalogue.table?.version ?? null,
+        targets: this.#catalogue.targetCount,
+      });
+    }
+  }
+
+  #answerReady(): { status: number; contentType: string; body: string } {
+    const isReady = this.#isReady();
+    return {
+      status: isReady ? 200 : 503,
+      contentType: "text/plain",
+      body: isReady ? "ready\n" : "not ready\n",
+    };
+  }
+
+  #readGauges() {
+    return {
+      waiting: this.#services.waiting,
+      openRequests: this.#server.openRequests,
+      targets: this.#catalogue.targetCount,
+      configurationVersion: this.#catalogue.table?.version ?? 0,
+      droppedLines: this.#lines.droppedCount,
+    };
+  }
+}
+
+/** A dozen instances report five times a second; some reports even out a sample. */
+const PEER_MEASURE_WEIGHT = 0.1;
--- /dev/null
+++ b/packages/gateway/src/keeper_service.ts
@@ -0,0 +1,322 @@
+/**
+ * Decides when this instance is the keeper of a partition of the table of
+ * owners.
+ *
+ * The store's group divides the partitions among the instances that are alive.
+ * That is only a hint to claim; what makes a keeper is its claim in the
+ * partition. A keeper to whom the partition does not fall any more hands over:
+ * it stops, says so in the partition, and the next need not wait for it.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { KeyOrders } from "@lentilspur/ports/key_orders";
+import type { Partition, Store } from "@lentilspur/ports/store";
+import {
+  type KeeperEvent,
+  KeyKeeper,
+  type Predecessor,
+  type ServiceFacts,
+} from "@lentilspur/ownership/key_keeper";
+import {
+  KEEPER_KEY,
+  type KeeperClaim,
+} from "@lentilspur/ownership/keeper_records";
+import {
+  parseClaim,
+  parseStanding,
+} from "@lentilspur/ownership/keeper_standing";
+import type { KeeperTiming } from "@lentilspur/ownership/keeper_timing";
+import type { Holder } from "@lentilspur/ownership/key_table";
+import type { PartitionTail } from "./partition_tail.ts";
+
+export type KeeperServiceEvent =
+  | {
+    readonly kind: "claimed";
+    readonly partition: Partition;
+    readonly term: number;
+    readonly predecessor: Predecessor;
+  }
+  | {
+    readonly kind: "claim-failed";
+    readonly partition: Partition;
+    readonly cause: string;
+  }
+  | {
+    readonly kind: "share";
+    readonly generation: number;
+    readonly parts: readonly number[];
+  }
+  | { readonly kind: "share-failed"; readonly cause: string }
+  | { readonly kind: "record-fault"; readonly message: string }
+  | {
+    readonly kind: "keeper";
+    readonly partition: Partition;
+    readonly event: KeeperEvent;
+  };
+
+export interface KeeperServiceOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly orders: KeyOrders;
+  readonly timing: KeeperTiming;
+  readonly claim: KeeperClaim;
+  readonly topic: string;
+  /** The shortest time after which the store takes a silent member for gone. */
+  readonly minMemberTtlMs: number;
+  /** Services whose tables are in a partition, with what is known of them. */
+  readonly listFacts: (part: number) => readonly ServiceFacts[];
+  /** The tail of a partition, once there is reason to follow it. */
+  readonly getTail: (part: number) => PartitionTail | undefined;
+  /** What was confirmed before this time does not count; own clock. */
+  readonly getTrustedSinceMs: () => number;
+  readonly hasEnded: (holder: Holder) => boolean;
+  readonly hasInstanceEnded: (claim: KeeperClaim) => boolean;
+  readonly observe: (event: KeeperServiceEvent) => void;
+}
+
+const GROUP = "keepers";
+/** Fast enough for keys of a lost target to be served within 5 s by a new keeper. */
+const MEMBER_TTL_MS = 2_000;
+const JOINS_PER_TTL = 3;
+/** Between two looks at whether to claim. */
+const TICK_MS = 100;
+/** So long a live predecessor has to hand over before it is replaced. */
+const HAND_OVER_MS = 1_500;
+
+export class KeeperService {
+  readonly #options: KeeperServiceOptions;
+  readonly #keepers = new Map<number, KeyKeeper>();
+  readonly #assignedAt = new Map<number, number>();
+  readonly #claiming = new Set<number>();
+  #generation = 0;
+  #isLeaving = false;
+
+  constructor(options: KeeperServiceOptions) {
+    this.#options = options;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.#runShare(signal), this.#runClaims(signal)]);
+  }
+
+  /** Targets have changed: keepers look at once. */
+  schedulePlans(): void {
+    for (const keeper of this.#keepers.values()) {
+      keeper.schedulePlan();
+    }
+  }
+
+  isKeeper(part: number): boolean {
+    return this.#keepers.get(part)?.hasStopped === false;
+  }
+
+  /** Whom the partition names as its keeper. */
+  findKeeper(part: number): KeeperClaim | undefined {
+    const record = this.#options.getTail(part)?.getRecord(KEEPER_KEY);
+    return record === undefined ? undefined : parseClaim(record.value);
+  }
+
+  /** Hands everything over, for a stop. */
+  async leave(): Promise<void> {
+    this.#isLeaving = true;
+    this.#assignedAt.clear();
+    const { store, claim, observe } = this.#options;
+    const left = await store.leave(GROUP, formatMember(claim));
+    if (!left.ok) {
+      observe({ kind: "share-failed", cause: left.val.kind });
+    }
+    await this.#handOver();
+  }
+
+  async #runShare(signal: AbortSignal): Promise<void> {
+    const { clock, minMemberTtlMs } = this.#options;
+    const ttlMs = Math.max(MEMBER_TTL_MS, minMemberTtlMs);
+    while (!signal.aborted && !this.#isLeaving) {
+      await this.#join(ttlMs);
+      await clock.sleep(ttlMs / JOINS_PER_TTL, signal);
+    }
+  }
+
+  async #join(ttlMs: number): Promise<void> {
+    const { clock, store, topic, claim, observe } = this.#options;
+    const joined = await store.join({
+      group: GROUP,
+      member: formatMember(claim),
+      topic,
+      ttlMs,
+      generation: this.#generation,
+    });
+    if (this.#isLeaving) {
+      return;
+    }
+    if (!joined.ok) {
+      observe({ kind: "share-failed", cause: joined.val.kind });
+      return;
+    }
+    const { generation, parts } = joined.val;
+    if (generation !== this.#generation) {
+      observe({ kind: "share", generation, parts });
+    }
+    this.#generation = generation;
+    this.#setParts(parts, clock.readMs());
+  }
+
+  #setParts(parts: readonly number[], nowMs: number): void {
+    for (const part of [...this.#assignedAt.keys()]) {
+      if (!parts.includes(part)) {
+        this.#assignedAt.delete(part);
+      }
+    }
+    for (const part of parts) {
+      if (!this.#assignedAt.has(part)) {
+        this.#assignedAt.set(part, nowMs);
+      }
+    }
+  }
+
+  async #runClaims(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.#isLeaving) {
+      this.#stopReplaced();
+      for (const [part, sinceMs] of this.#assignedAt) {
+        void this.#claimIfDue(part, sinceMs);
+      }
+      void this.#handOver();
+      await this.#options.clock.sleep(TICK_MS, signal);
+    }
+    for (const keeper of this.#keepers.values()) {
+      keeper.stop("asked");
+    }
+  }
+
+  /** The partition names another keeper: not one order more. */
+  #stopReplaced(): void {
+    const { getTail } = this.#options;
+    for (const [part, keeper] of this.#keepers) {
+      const record = getTail(part)?.getRecord(KEEPER_KEY);
+      if (record !== undefined && record.offset > keeper.term) {
+        keeper.stop("replaced");
+      }
+      if (keeper.hasStopped) {
+        this.#keepers.delete(part);
+      }
+    }
+  }
+
+  /** Keepers of partitions that fall to others now leave them. */
+  async #handOver(): Promise<void> {
+    const leaving: Promise<void>[] = [];
+    for (const [part, keeper] of this.#keepers) {
+      if (!this.#assignedAt.has(part)) {
+        this.#keepers.delete(part);
+        leaving.push(keeper.leave());
+      }
+    }
+    await Promise.all(leaving);
+  }
+
+  async #claimIfDue(part: number, sinceMs: number): Promise<void> {
+    const { clock, getTail, listFacts } = this.#options;
+    const tail = getTail(part);
+    if (
+      tail === undefined || !tail.isLoaded || this.#keepers.has(part) ||
+      this.#claiming.has(part) || listFacts(part).length === 0
+    ) {
+      return;
+    }
+    const predecessor = this.#judgePredecessor(tail);
+    const waitMs = predecessor === "unknown" ? HAND_OVER_MS : 0;
+    if (clock.readMs() - sinceMs < waitMs) {
+      return;
+    }
+    this.#claiming.add(part);
+    await this.#claim(part, tail);
+    this.#claiming.delete(part);
+  }
+
+  async #claim(part: number, tail: PartitionTail): Promise<void> {
+    const { store, topic, claim, observe } = this.#options;
+    const partition = { topic, part };
+    const at = tail.end;
+    const standing = parseStanding(tail.listRecords(), at);
+    for (const message of standing.faults) {
+      observe({ kind: "record-fault", message });
+    }
+    const appended = await store.append({
+      partition,
+      key: KEEPER_KEY,
+      value: JSON.stringify(claim),
+      at,
+    });
+    if (!appended.ok) {
+      observe({ kind: "claim-failed", partition, cause: appended.val.kind });
+      return;
+    }
+    const term = appended.val;
+    const getPredecessor = () =>
+      this.#judgeClaim(standing.claim, standing.tables.size > 0);
+    observe({
+      kind: "claimed",
+      partition,
+      term,
+      predecessor: getPredecessor(),
+    });
+    this.#startKeeper({ part, term, tail, standing, getPredecessor });
+  }
+
+  #startKeeper(options: {
+    readonly part: number;
+    readonly term: number;
+    readonly tail: PartitionTail;
+    readonly standing: ReturnType<typeof parseStanding>;
+    readonly getPredecessor: () => Predecessor;
+  }): void {
+    const { part, term, tail, standing, getPredecessor } = options;
+    const { clock, store, orders, topic, timing, claim, listFacts, hasEnded } =
+      this.#options;
+    const partition = { topic, part };
+    const keeper = new KeyKeeper({
+      clock,
+      store,
+      orders,
+      partition,
+      timing,
+      term,
+      claim,
+      tables: standing.tables,
+      getPredecessor,
+      listFacts: () => listFacts(part),
+      hasEnded,
+      getConfirmedAtMs: () => tail.confirmedAtMs,
+      getTrustedSinceMs: this.#options.getTrustedSinceMs,
+      observe: (event) =>
+        this.#options.observe({ kind: "keeper", partition, event }),
+    });
+    this.#keepers.set(part, keeper);
+    void keeper.run();
+  }
+
+  #judgePredecessor(tail: PartitionTail): Predecessor {
+    const record = tail.getRecord(KEEPER_KEY);
+    const claim = record && parseClaim(record.value);
+    return this.#judgeClaim(claim, record !== undefined);
+  }
+
+  #judgeClaim(
+    claim: KeeperClaim | undefined,
+    hadKeeper: boolean,
+  ): Predecessor {
+    if (claim === undefined) {
+      return hadKeeper ? "unknown" : "none";
+    }
+    if (claim.resigned === true) {
+      return "resigned";
+    }
+    // An own earlier claim, whose keeper has been stopped since.
+    const isOwn = claim.incarnation === this.#options.claim.incarnation;
+    return isOwn || this.#options.hasInstanceEnded(claim) ? "ended" : "unknown";
+  }
+}
+
+/** A restart is another member: it must not be taken for the one before. */
+function formatMember(claim: KeeperClaim): string {
+  return `${claim.instance}/${claim.incarnation}`;
+}
--- /dev/null
+++ b/packages/gateway/src/members.ts
@@ -0,0 +1,77 @@
+/**
+ * The other instances: where each can be reached, and which start of it is the
+ * present one. Each writes one record at its start; records of instances that
+ * are gone for good stay, and cost a datagram now and then.
+ */
+
+export interface Member {
+  readonly instance: string;
+  /** Drawn anew at each start of the process. */
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+export class Members {
+  readonly #self: string;
+  readonly #members = new Map<string, Member>();
+
+  constructor(self: string) {
+    this.#self = self;
+  }
+
+  /** False where the text is no member's record; it is left out. */
+  apply(instance: string, text: string): boolean {
+    if (text === "") {
+      this.#members.delete(instance);
+      return true;
+    }
+    const member = parseMember(instance, text);
+    if (member === undefined) {
+      return false;
+    }
+    this.#members.set(instance, member);
+    return true;
+  }
+
+  /** All but this instance itself. */
+  listOthers(): readonly Member[] {
+    return [...this.#members.values()]
+      .filter((member) => member.instance !== this.#self);
+  }
+
+  get(instance: string): Member | undefined {
+    return this.#members.get(instance);
+  }
+
+  /** A later start of the same instance proves that this one has ended. */
+  hasEnded(instance: string, incarnation: string): boolean {
+    const member = this.#members.get(instance);
+    return member !== undefined && member.incarnation !== incarnation;
+  }
+
+  /** Instances that there may be, this one included. */
+  get count(): number {
+    return Math.max(1, this.#members.size);
+  }
+}
+
+export function serializeMember(member: Member): string {
+  const { incarnation, dataCentre, host, port } = member;
+  return JSON.stringify({ incarnation, dataCentre, host, port });
+}
+
+function parseMember(instance: string, text: string): Member | undefined {
+  try {
+    const value = JSON.parse(text) as Partial<Member> | null;
+    const { incarnation, dataCentre, host, port } = value ?? {};
+    return typeof incarnation === "string" && typeof host === "string" &&
+        typeof dataCentre === "string" && typeof port === "number"
+      ? { instance, incarnation, dataCentre, host, port }
+      : undefined;
+  } catch {
+    // Not JSON; the caller logs that the record was left out.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/partition_tail.ts
@@ -0,0 +1,186 @@
+/**
+ * Follows one partition of the store and keeps the newest record of each key.
+ *
+ * Guards against the ways in which a store fails its readers: it may be down,
+ * slow, or turn this instance away; its history may be gone, so that changes
+ * were missed and must be found by comparing; and an answer may come from a
+ * call that was sent long ago, so what is confirmed counts from the sending.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import type {
+  Partition,
+  Store,
+  StoreFailure,
+  StoreRecord,
+} from "@lentilspur/ports/store";
+
+export type TailEvent =
+  | {
+    readonly kind: "lost";
+    readonly partition: Partition;
+    readonly cause: StoreFailure["kind"];
+    readonly message: string;
+  }
+  | {
+    readonly kind: "regained";
+    readonly partition: Partition;
+    readonly afterMs: number;
+  }
+  | { readonly kind: "history-lost"; readonly partition: Partition };
+
+export interface PartitionTailOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly partition: Partition;
+  /** Pause after each read; each call has a price, and many records come at once. */
+  readonly gapMs: number;
+  /** How long a read may wait at the store for a record. */
+  readonly waitMs: number;
+  /** Called for each record in order; an empty value means that the key is gone. */
+  readonly apply: (record: StoreRecord) => void;
+  readonly observe: (event: TailEvent) => void;
+}
+
+/** First and longest pause after a failed read: a returning store is seen in time. */
+const MIN_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 600;
+
+export class PartitionTail {
+  readonly #options: PartitionTailOptions;
+  readonly #newest = new Map<string, StoreRecord>();
+  #end = -1;
+  #confirmedAtMs = -Infinity;
+  #lostAtMs: number | null = null;
+  #regainedAtMs = -Infinity;
+  #pauseMs = MIN_PAUSE_MS;
+
+  constructor(options: PartitionTailOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the partition has been read at least once. */
+  get isLoaded(): boolean {
+    return this.#end >= 0;
+  }
+
+  /** The offset up to which everything has been applied. */
+  get end(): number {
+    return this.#end;
+  }
+
+  /** The partition's state was as known here at this time; own clock. */
+  get confirmedAtMs(): number {
+    return this.#confirmedAtMs;
+  }
+
+  /** When the store last answered again after it had not; own clock. */
+  get regainedAtMs(): number {
+    return this.#regainedAtMs;
+  }
+
+  get isLost(): boolean {
+    return this.#lostAtMs !== null;
+  }
+
+  getRecord(key: string): StoreRecord | undefined {
+    return this.#newest.get(key);
+  }
+
+  listRecords(): readonly StoreRecord[] {
+    return [...this.#newest.values()];
+  }
+
+  /** What was confirmed before does not count any more: this process stood still. */
+  expireConfirmation(): void {
+    this.#confirmedAtMs = -Infinity;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const pauseMs = await this.#advance();
+      await this.#options.clock.sleep(pauseMs, signal);
+    }
+  }
+
+  /** One read; gives the pause before the next. */
+  async #advance(): Promise<number> {
+    const { clock, store, partition, waitMs, gapMs } = this.#options;
+    const sentAtMs = clock.readMs();
+    const isWhole = this.#end < 0;
+    const read = isWhole
+      ? await store.readNewest(partition)
+      : await store.read({ partition, from: this.#end, waitMs });
+    if (!read.ok) {
+      return this.#handleFailure(read.val);
+    }
+    this.#recordContact(sentAtMs);
+    if (isWhole) {
+      this.#replaceAll(read.val.records);
+    } else {
+      for (const record of read.val.records) {
+        this.#applyRecord(record);
+      }
+    }
+    const last = read.val.records.at(-1);
+    this.#end = isWhole
+      ? read.val.end
+      : last === undefined
+      ? this.#end
+      : last.offset + 1;
+    return gapMs;
+  }
+
+  #handleFailure(failure: StoreFailure): number {
+    const { clock, partition, observe } = this.#options;
+    if (failure.kind === "expired") {
+      observe({ kind: "history-lost", partition });
+      this.#end = -1;
+      return 0;
+    }
+    if (this.#lostAtMs === null) {
+      this.#lostAtMs = clock.readMs();
+      const message = "message" in failure ? failure.message : failure.kind;
+      observe({ kind: "lost", partition, cause: failure.kind, message });
+    }
+    this.#pauseMs = Math.min(MAX_PAUSE_MS, 2 * this.#pauseMs);
+    return this.#pauseMs;
+  }
+
+  #recordContact(sentAtMs: number): void {
+    const { clock, partition, observe } = this.#options;
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs);
+    this.#pauseMs = MIN_PAUSE_MS;
+    if (this.#lostAtMs !== null) {
+      const nowMs = clock.readMs();
+      const afterMs = nowMs - this.#lostAtMs;
+      this.#lostAtMs = null;
+      this.#regainedAtMs = nowMs;
+      observe({ kind: "regained", partition, afterMs });
+    }
+  }
+
+  /** What is not among the newest records has gone while nobody looked. */
+  #replaceAll(records: readonly StoreRecord[]): void {
+    const present = new Set(records.map((record) => record.key));
+    for (const known of [...this.#newest.values()]) {
+      if (!present.has(known.key)) {
+        this.#applyRecord({ ...known, value: "" });
+      }
+    }
+    for (const record of records) {
+      const known = this.#newest.get(record.key);
+      if (known === undefined || known.offset < record.offset) {
+        this.#applyRecord(record);
+      }
+    }
+  }
+
+  #applyRecord(record: StoreRecord): void {
+    if (record.value === "") {
+      this.#newest.delete(record.key);
+    } else {
+      this.#newest.set(record.key, record);
+    }
+    this.#options.apply(record);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peer_exchange.ts
@@ -0,0 +1,161 @@
+/**
+ * What instances tell each other in datagrams: how many of their requests each
+ * target has, and which keys they were asked for.
+ *
+ * Both are hints. A lost datagram makes a choice worse for some milliseconds;
+ * the counts of an instance that has fallen silent fade. Within a data centre
+ * changes go out at once, since its targets are shared by the instances there;
+ * across, a few times a second, since bytes there have a price.
+ */
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import type { Clock } from "@lentilspur/ports/clock";
+import type { Member } from "./members.ts";
+
+/** Own requests at each target; absent means none. */
+export type LoadCounts = Readonly<Record<string, number>>;
+
+export type PeerMessage =
+  | {
+    readonly kind: "load";
+    readonly from: string;
+    readonly counts: LoadCounts;
+  }
+  | {
+    readonly kind: "keys";
+    readonly from: string;
+    readonly service: string;
+    readonly keys: readonly number[];
+    /** Work of one request at each target, in milliseconds, as measured. */
+    readonly serviceMs: Readonly<Record<string, number>>;
+  };
+
+export interface PeerExchangeOptions {
+  readonly clock: Clock;
+  readonly host: string;
+  readonly port: number;
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly listOthers: () => readonly Member[];
+  readonly readCounts: () => LoadCounts;
+  readonly handle: (message: PeerMessage) => void;
+  /** A message that is none of the above, or a socket's failure. */
+  readonly reportFault: (message: string) => void;
+}
+
+/** Changes of this long go out together; requests take 40 ms and more. */
+const NEAR_GAP_MS = 25;
+const FAR_GAP_MS = 250;
+/** Without a change, often enough for a receiver to take counts for current. */
+const REPEAT_MS = 400;
+/** A datagram above this may be cut into parts and lost as a whole. */
+const MAX_BYTES = 1_400;
+
+export class PeerExchange {
+  readonly #options: PeerExchangeOptions;
+  readonly #socket: Socket;
+  #near = { text: "", atMs: -Infinity };
+  #far = { text: "", atMs: -Infinity };
+
+  constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+    this.#socket = createSocket("udp4");
+    this.#socket.on("message", (data, sender) => this.#receive(data, sender));
+    this.#socket.on("error", (error) => options.reportFault(error.message));
+  }
+
+  open(): Promise<void> {
+    const { host, port } = this.#options;
+    return new Promise((resolve) => this.#socket.bind(port, host, resolve));
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#sendLoads();
+      await this.#options.clock.sleep(NEAR_GAP_MS, signal);
+    }
+  }
+
+  /** Sends to one instance; nothing tells whether it arrives. */
+  send(to: Member, message: PeerMessage): void {
+    this.#sendText(to, JSON.stringify(message));
+  }
+
+  #sendLoads(): void {
+    const { clock, instance: from, dataCentre, listOthers, readCounts } =
+      this.#options;
+    const nowMs = clock.readMs();
+    const counts = readCounts();
+    const text = JSON.stringify({ kind: "load", from, counts });
+    const toNear = isDue(this.#near, text, NEAR_GAP_MS, nowMs);
+    const toFar = isDue(this.#far, text, FAR_GAP_MS, nowMs);
+    if (!toNear && !toFar) {
+      return;
+    }
+    for (const member of listOthers()) {
+      const isNear = member.dataCentre === dataCentre;
+      if (isNear ? toNear : toFar) {
+        this.#sendText(member, text);
+      }
+    }
+    this.#near = toNear ? { text, atMs: nowMs } : this.#near;
+    this.#far = toFar ? { text, atMs: nowMs } : this.#far;
+  }
+
+  #sendText(to: Member, text: string): void {
+    const data = Buffer.from(text);
+    if (data.byteLength > MAX_BYTES) {
+      this.#options.reportFault(
+        `A message of ${data.byteLength} bytes is too long for a datagram`,
+      );
+      return;
+    }
+    this.#socket.send(data, to.port, to.host, (error) => {
+      if (error !== null) {
+        this.#options.reportFault(error.message);
+      }
+    });
+  }
+
+  #receive(data: Buffer, sender: RemoteInfo): void {
+    try {
+      const message = JSON.parse(data.toString("utf8")) as PeerMessage;
+      if (isPeerMessage(message)) {
+        this.#options.handle(message);
+        return;
+      }
+    } catch {
+      // Falls through to the report: neither JSON nor one of the messages.
+    }
+    this.#options.reportFault(`Unreadable datagram from ${sender.address}`);
+  }
+}
+
+function isDue(
+  last: { readonly text: string; readonly atMs: number },
+  text: string,
+  gapMs: number,
+  nowMs: number,
+): boolean {
+  const ageMs = nowMs - last.atMs;
+  return ageMs >= REPEAT_MS || (ageMs >= gapMs && text !== last.text);
+}
+
+function isPeerMessage(message: PeerMessage | null): message is PeerMessage {
+  if (message === null || typeof message.from !== "string") {
+    return false;
+  }
+  switch (message.kind) {
+    case "load":
+      return typeof message.counts === "object" && message.counts !== null;
+    case "keys":
+      return Array.isArray(message.keys) &&
+        typeof message.service === "string" &&
+        typeof message.serviceMs === "object" && message.serviceMs !== null;
+    default:
+      return false;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request_router.ts
@@ -0,0 +1,518 @@
+/**
+ * The whole path of a request: find its route and service, wait for a place at
+ * a target that may run it, send, and decide from what comes back whether to
+ * answer, to send elsewhere, or to give up.
+ *
+ * A request that is not idempotent is sent a second time only on proof that the
+ * first send did not run. The route is looked up anew before each send, so a
+ * request that waited is never sent by a configuration that is no longer in
+ * force.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import type {
+  RequestSender,
+  SendOutcome,
+} from "@lentilspur/ports/request_sender";
+import type { Route, RoutingTarget } from "@lentilspur/ports/routing_table";
+import type { PlaceDecision } from "@lentilspur/routing/service_places";
+import type {
+  CallerRequest,
+  FailureKind,
+  FinalAnswer,
+} from "./caller_request.ts";
+import type { Catalogue } from "./catalogue.ts";
+import type { KeyDirectory } from "./key_directory.ts";
+import type { ServiceRegistry } from "./service_registry.ts";
+
+export interface RequestRouterOptions {
+  readonly clock: Clock;
+  readonly catalogue: Catalogue;
+  readonly directory: KeyDirectory;
+  readonly services: ServiceRegistry;
+  readonly sender: RequestSender;
+  /** A leaving target is sent nothing later than this after it was seen to leave. */
+  readonly leavingUseMs: number;
+  readonly observe: (event: RequestEvent) => void;
+}
+
+export type RequestEvent =
+  | {
+    readonly kind: "send";
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly route: string;
+    readonly service: string;
+    readonly targetId: string;
+    readonly configurationVersion: number;
+    readonly key?: number;
+    readonly token?: number;
+    readonly ownersOffset?: number;
+    readonly occupancy: number;
+    readonly waitedMs: number;
+    readonly remainingMs: number;
+    readonly outcome: string;
+    readonly cause?: string;
+    readonly status?: number;
+    readonly tookMs: number;
+  }
+  | {
+    readonly kind: "final";
+    readonly requestId: string;
+    readonly route: string;
+    readonly service: string;
+    readonly outcome: string;
+    readonly status?: number;
+    readonly message?: string;
+    readonly retryAfterMs?: number;
+    readonly sends: number;
+    readonly tookMs: number;
+  };
+
+/** The caller's clock runs from its sending: some 3 ms before the arrival here. */
+const ARRIVAL_MS = 5;
+/** Without a deadline from the caller, the route's own time is the limit. */
+const NO_DEADLINE_MS = 60_000;
+/** A key that is passing to another target is looked up again after this. */
+const OWNER_POLL_MS = 20;
+/** A key's move takes a release, a grant and two records: some 200 ms. */
+const OWNER_RETRY_MS = 250;
+/** A refused request is asked to come back at the earliest after this. */
+const REFUSED_RETRY_MS = 100;
+/** Of what a caller has left, it waits at most a third before it comes back. */
+const RETURN_SHARE = 0.3;
+/** A target that refused is followed by another; a target that holds no such key is asked again after this. */
+const NOT_OWNER_PAUSE_MS = 60;
+
+/** One request on its way through. */
+interface Passage {
+  readonly request: CallerRequest;
+  readonly endsAtMs: number;
+  readonly excluded: Set<string>;
+  /** Targets it was put on the way to. */
+  sends: number;
+  /** A send of it may have run. */
+  mayHaveRun: boolean;
+  route: Route;
+  service: string;
+  /** Version by which the service was chosen. */
+  version: number;
+  lastRefusal: { failure: FailureKind; message: string; retryAfterMs: number };
+}
+
+type Step =
+  | { readonly kind: "done"; readonly answer: FinalAnswer }
+  | { readonly kind: "again"; readonly pauseMs: number };
+
+export class RequestRouter {
+  readonly #options: RequestRouterOptions;
+
+  constructor(options: RequestRouterOptions) {
+    this.#options = options;
+  }
+
+  async handle(request: CallerRequest): Promise<FinalAnswer> {
+    const passage = this.#start(request);
+    if ("kind" in passage) {
+      this.#reportFinal(request, undefined, passage);
+      return passage;
+    }
+    const answer = await this.#run(passage);
+    this.#reportFinal(request, passage, answer);
+    return answer;
+  }
+
+  #start(request: CallerRequest): Passage | FinalAnswer {
+    const { catalogue, services } = this.#options;
+    const { table } = catalogue;
+    if (table === undefined) {
+      return fail("not-ready", "No configuration has been read yet", 200);
+    }
+    const route = catalogue.match(request.host, request.path);
+    if (route === undefined) {
+      return fail("no-such-route", `No route for "${request.path}"`);
+    }
+    const deadlineMs = request.deadlineMs ?? NO_DEADLINE_MS;
+    const allowedMs = Math.min(deadlineMs - ARRIVAL_MS, route.timeoutMs);
+    return {
+      request,
+      endsAtMs: request.arrivedAtMs + allowedMs,
+      excluded: new Set(),
+      sends: 0,
+      mayHaveRun: false,
+      route,
+      service: services.chooseService(route),
+      version: table.version,
+      lastRefusal: {
+        failure: "overloaded",
+        message: "No target had room in time",
+        retryAfterMs: REFUSED_RETRY_MS,
+      },
+    };
+  }
+
+  async #run(passage: Passage): Promise<FinalAnswer> {
+    const { clock } = this.#options;
+    for (;;) {
+      const stop = this.#refreshRoute(passage) ?? this.#findEnd(passage);
+      if (stop !== undefined) {
+        return stop;
+      }
+      const step = await this.#tryOnce(passage);
+      if (step.kind === "done") {
+        return step.answer;
+      }
+      await clock.sleep(step.pauseMs, passage.request.signal);
+    }
+  }
+
+  /** A change of the configuration may have sent the route elsewhere. */
+  #refreshRoute(passage: Passage): FinalAnswer | undefined {
+    const { catalogue, services } = this.#options;
+    const version = catalogue.table?.version ?? passage.version;
+    if (version === passage.version) {
+      return undefined;
+    }
+    const route = catalogue.match(passage.request.host, passage.request.path);
+    if (route === undefined) {
+      return passage.mayHaveRun
+        ? fail("answer-lost", "The route was removed after a send")
+        : fail("no-such-route", `No route for "${passage.request.path}"`);
+    }
+    const keeps = route.parts.some((part) => part.service === passage.service);
+    passage.service = keeps ? passage.service : services.chooseService(route);
+    passage.route = route;
+    passage.version = version;
+    return undefined;
+  }
+
+  #findEnd(passage: Passage): FinalAnswer | undefined {
+    if (passage.request.signal.aborted) {
+      return fail("caller-left", "The caller closed the connection");
+    }
+    const nowMs = this.#options.clock.readMs();
+    return nowMs >= passage.endsAtMs ? this.#giveUp(passage) : undefined;
+  }
+
+  #giveUp(passage: Passage): FinalAnswer {
+    if (passage.mayHaveRun) {
+      return fail("answer-late", "No answer came in time");
+    }
+    const { failure, message, retryAfterMs } = passage.lastRefusal;
+    return fail(failure, message, this.#boundReturn(passage, retryAfterMs));
+  }
+
+  async #tryOnce(passage: Passage): Promise<Step> {
+    const owner = this.#findOwner(passage);
+    if (owner.kind === "wait") {
+      return { kind: "again", pauseMs: OWNER_POLL_MS };
+    }
+    const decision = await this.#waitForPlace(passage, owner.targetId);
+    if (decision === undefined) {
+      return { kind: "again", pauseMs: 0 };
+    }
+    if (decision.kind === "refused") {
+      return { kind: "done", answer: this.#refuse(passage, decision) };
+    }
+    const moved = this.#isOutdated(passage, owner.targetId);
+    if (moved) {
+      this.#options.services.recordEnded(
+        passage.service,
+        decision.target.id,
+        passage.request.requestId,
+      );
+      return { kind: "again", pauseMs: 0 };
+    }
+    return await this.#send(passage, decision, owner);
+  }
+
+  /** While it waited for a place, the key or the route may have moved on. */
+  #isOutdated(passage: Passage, owner: string | undefined): boolean {
+    const { catalogue } = this.#options;
+    const now = this.#findOwner(passage);
+    return passage.request.signal.aborted ||
+      catalogue.table?.version !== passage.version ||
+      now.kind === "wait" || now.targetId !== owner;
+  }
+
+  #findOwner(passage: Passage): OwnerLookup {
+    const { catalogue, directory } = this.#options;
+    const { key } = passage.request;
+    const service = catalogue.table?.services.get(passage.service);
+    if (service?.keyed !== true || key === undefined) {
+      return { kind: "found", targetId: undefined };
+    }
+    const owner = directory.findOwner(passage.service, key);
+    if (owner.kind !== "owned") {
+      this.#setRefusal(
+        passage,
+        "owner-changing",
+        `Key ${key} is ${owner.kind}`,
+        OWNER_RETRY_MS,
+      );
+      return { kind: "wait" };
+    }
+    if (!this.#mayUseOwner(owner.owner.id)) {
+      this.#setRefusal(
+        passage,
+        "owner-changing",
+        `The owner of key ${key} is leaving`,
+        OWNER_RETRY_MS,
+      );
+      return { kind: "wait" };
+    }
+    const { id: targetId, token } = owner.owner;
+    return { kind: "found", targetId, token, ownersOffset: owner.offset };
+  }
+
+  /**
+   * A leaving owner serves its keys until they have moved, but not for long:
+   * a move that does not come must not send work to a target that ends.
+   */
+  #mayUseOwner(id: string): boolean {
+    const { catalogue, clock, leavingUseMs } = this.#options;
+    if (catalogue.getTarget(id) === undefined) {
+      return false;
+    }
+    const sinceMs = catalogue.getLeavingSinceMs(id);
+    return sinceMs === null || clock.readMs() - sinceMs < leavingUseMs;
+  }
+
+  #setRefusal(
+    passage: Passage,
+    failure: FailureKind,
+    message: string,
+    retryAfterMs: number,
+  ): void {
+    passage.lastRefusal = { failure, message, retryAfterMs };
+  }
+
+  #waitForPlace(
+    passage: Passage,
+    owner: string | undefined,
+  ): Promise<PlaceDecision | undefined> {
+    const { request, route } = passage;
+    return this.#options.services.waitForPlace(passage.service, {
+      requestId: request.requestId,
+      rank: route.rank,
+      arrivedAtMs: request.arrivedAtMs,
+      latestStartMs: this.#computeLatestStart(passage),
+      ...(owner === undefined ? {} : { owner }),
+      excluded: passage.excluded,
+    }, request.signal);
+  }
+
+  /** Started later, the work would end after the caller has gone. */
+  #computeLatestStart(passage: Passage): number {
+    const { services, clock } = this.#options;
+    const workMs = services.getUsualServiceMs(passage.service) ?? 0;
+    return Math.max(clock.readMs(), passage.endsAtMs - workMs);
+  }
+
+  #refuse(
+    passage: Passage,
+    decision: PlaceDecision & { readonly kind: "refused" },
+  ): FinalAnswer {
+    if (passage.mayHaveRun) {
+      return fail(
+        "answer-lost",
+        "Its answer was lost, and no other target has room",
+      );
+    }
+    const isMissing = decision.reason === "no-target";
+    return fail(
+      isMissing ? "no-target" : "overloaded",
+      isMissing
+        ? `Service "${passage.service}" has no target to send to`
+        : `No place was free in time: ${decision.reason}`,
+      this.#boundReturn(passage, decision.retryAfterMs),
+    );
+  }
+
+  /** Told a later time, a caller would give up instead of coming back. */
+  #boundReturn(passage: Passage, wantedMs: number): number {
+    const leftMs = passage.endsAtMs - this.#options.clock.readMs();
+    return Math.max(0, Math.min(wantedMs, RETURN_SHARE * leftMs));
+  }
+
+  async #send(
+    passage: Passage,
+    placed: PlaceDecision & { readonly kind: "placed" },
+    owner: OwnerLookup & { readonly kind: "found" },
+  ): Promise<Step> {
+    const { clock, sender, services, catalogue } = this.#options;
+    const { request, route, service } = passage;
+    const sentAtMs = clock.readMs();
+    const remainingMs = passage.endsAtMs - sentAtMs;
+    passage.sends++;
+    services.recordSend(service, passage.sends > 1);
+    const outcome = await sender.send({
+      targetId: placed.target.id,
+      address: placed.target.address,
+      maxConnections: catalogue.table?.services.get(service)?.maxConnections ??
+        1,
+      requestId: request.requestId,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      remainingMs,
+      timeoutMs: remainingMs,
+      idempotent: route.idempotent,
+      signal: request.signal,
+    });
+    services.recordOutcome(
+      service,
+      placed,
+      request.requestId,
+      outcome,
+      sentAtMs,
+    );
+    this.#reportSend(passage, {
+      placed,
+      owner,
+      outcome,
+      sentAtMs,
+      remainingMs,
+    });
+    return this.#judge(passage, placed.target, outcome);
+  }
+
+  #judge(passage: Passage, target: RoutingTarget, outcome: SendOutcome): Step {
+    switch (outcome.kind) {
+      case "answered":
+        return { kind: "done", answer: outcome };
+      case "not-run":
+        return this.#judgeNotRun(passage, target, outcome);
+      case "unknown":
+        return this.#judgeUnknown(passage, target, outcome);
+    }
+  }
+
+  #judgeNotRun(
+    passage: Passage,
+    target: RoutingTarget,
+    outcome: SendOutcome & { readonly kind: "not-run" },
+  ): Step {
+    const isUnreachable = outcome.cause === "unreachable";
+    this.#setRefusal(
+      passage,
+      isUnreachable ? "target-unreachable" : "target-refused",
+      outcome.message,
+      REFUSED_RETRY_MS,
+    );
+    if (outcome.cause !== "not-owner") {
+      passage.excluded.add(target.id);
+    }
+    // What was never sent is no second arrival at the service.
+    if (!isUnreachable && !this.#claimRetry(passage)) {
+      return { kind: "done", answer: this.#giveUp(passage) };
+    }
+    const pauseMs = outcome.cause === "not-owner" ? NOT_OWNER_PAUSE_MS : 0;
+    return { kind: "again", pauseMs };
+  }
+
+  #judgeUnknown(
+    passage: Passage,
+    target: RoutingTarget,
+    outcome: SendOutcome & { readonly kind: "unknown" },
+  ): Step {
+    passage.mayHaveRun = true;
+    passage.excluded.add(target.id);
+    const mayRetry = passage.route.idempotent &&
+      outcome.cause !== "cancelled" && this.#claimRetry(passage);
+    if (mayRetry) {
+      return { kind: "again", pauseMs: 0 };
+    }
+    const failure = outcome.cause === "cancelled"
+      ? "caller-left"
+      : outcome.cause === "silent"
+      ? "answer-late"
+      : "answer-lost";
+    return { kind: "done", answer: fail(failure, outcome.message) };
+  }
+
+  #claimRetry(passage: Passage): boolean {
+    return passage.sends < passage.route.maxAttempts &&
+      this.#options.services.claimRetry(passage.service);
+  }
+
+  #reportSend(passage: Passage, sent: {
+    readonly placed: PlaceDecision & { readonly kind: "placed" };
+    readonly owner: OwnerLookup & { readonly kind: "found" };
+    readonly outcome: SendOutcome;
+    readonly sentAtMs: number;
+    readonly remainingMs: number;
+  }): void {
+    const { placed, owner, outcome, sentAtMs, remainingMs } = sent;
+    const { request } = passage;
+    this.#options.observe({
+      kind: "send",
+      requestId: request.requestId,
+      attempt: passage.sends,
+      route: passage.route.name,
+      service: passage.service,
+      targetId: placed.target.id,
+      configurationVersion: passage.version,
+      ...(request.key === undefined ? {} : { key: request.key }),
+      ...(owner.token === undefined ? {} : { token: owner.token }),
+      ...(owner.ownersOffset === undefined
+        ? {}
+        : { ownersOffset: owner.ownersOffset }),
+      occupancy: placed.occupancy,
+      waitedMs: Math.round(placed.waitedMs),
+      remainingMs: Math.round(remainingMs),
+      outcome: outcome.kind,
+      ...(outcome.kind === "answered"
+        ? { status: outcome.status }
+        : { cause: outcome.cause }),
+      tookMs: Math.round(this.#options.clock.readMs() - sentAtMs),
+    });
+  }
+
+  #reportFinal(
+    request: CallerRequest,
+    passage: Passage | undefined,
+    answer: FinalAnswer,
+  ): void {
+    this.#options.observe({
+      kind: "final",
+      requestId: request.requestId,
+      route: passage?.route.name ?? "",
+      service: passage?.service ?? "",
+      sends: passage?.sends ?? 0,
+      tookMs: Math.round(this.#options.clock.readMs() - request.arrivedAtMs),
+      ...(answer.kind === "answered"
+        ? { outcome: "answered", status: answer.status }
+        : {
+          outcome: answer.failure,
+          message: answer.message,
+          ...(answer.retryAfterMs === undefined
+            ? {}
+            : { retryAfterMs: Math.round(answer.retryAfterMs) }),
+        }),
+    });
+  }
+}
+
+type OwnerLookup =
+  | {
+    readonly kind: "found";
+    /** Undefined where any target of the service may run it. */
+    readonly targetId: string | undefined;
+    readonly token?: number;
+    readonly ownersOffset?: number;
+  }
+  | { readonly kind: "wait" };
+
+function fail(
+  failure: FailureKind,
+  message: string,
+  retryAfterMs?: number,
+): FinalAnswer {
+  return {
+    kind: "failed",
+    failure,
+    message,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/request_server.ts
@@ -0,0 +1,305 @@
+/**
+ * The HTTP server that callers reach. Node's own server carries it:
+ * moleculer-web would add 0.29 s of processor time to each start and decides
+ * nothing here (docs/design/platform-run.md).
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { HeaderField } from "@lentilspur/ports/target";
+import type { Clock } from "@lentilspur/ports/clock";
+import {
+  type CallerFields,
+  type CallerRequest,
+  FAILURE_ANSWERS,
+  type FailureKind,
+  type FinalAnswer,
+} from "./caller_request.ts";
+
+export interface RequestServerOptions {
+  readonly clock: Clock;
+  readonly host: string;
+  readonly port: number;
+  readonly readFields: (headers: readonly HeaderField[]) => CallerFields;
+  readonly handle: (request: CallerRequest) => Promise<FinalAnswer>;
+  readonly reportFailure: (failure: {
+    readonly requestId: string | undefined;
+    readonly kind: FailureKind;
+    readonly message: string;
+  }) => void;
+}
+
+export interface ServerLimits {
+  readonly maxBodyBytes: number;
+  readonly headTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** Until a configuration says otherwise; ordinary values of HTTP servers. */
+const FIRST_LIMITS: ServerLimits = {
+  maxBodyBytes: 64 * 1024 * 1024,
+  headTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+/** Above what any configuration allows for heads; Node's limit is fixed at the start. */
+const MAX_HEAD_BYTES = 64 * 1024;
+/** A whole body within the limits; a slow phone network needs some seconds. */
+const BODY_TIMEOUT_MS = 10_000;
+const CHECK_EVERY_MS = 1_000;
+/** Statuses whose answers have no body (RFC 9110). */
+const BODILESS: ReadonlySet<number> = new Set([204, 304]);
+/** Fields of one connection, which Node's server writes itself. */
+const OWN_FIELDS: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "transfer-encoding",
+  "content-length",
+  "proxy-connection",
+  "upgrade",
+  "trailer",
+  "te",
+]);
+
+export class RequestServer {
+  readonly #options: RequestServerOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #limits = FIRST_LIMITS;
+  #isStopping = false;
+  #open = 0;
+  #lastRequestAtMs = -Infinity;
+
+  constructor(options: RequestServerOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      headersTimeout: FIRST_LIMITS.headTimeoutMs,
+      requestTimeout: FIRST_LIMITS.headTimeoutMs + BODY_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_EVERY_MS,
+      keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs,
+      maxHeaderSize: MAX_HEAD_BYTES,
+      noDelay: true,
+    }, (message, response) => void this.#handle(message, response));
+    this.#server.on("clientError", answerUnreadable);
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+  }
+
+  /** Requests without an answer yet. */
+  get openRequests(): number {
+    return this.#open;
+  }
+
+  get openConnections(): number {
+    return this.#sockets.size;
+  }
+
+  /** When the last request came in; own clock. */
+  get lastRequestAtMs(): number {
+    return this.#lastRequestAtMs;
+  }
+
+  open(): Promise<void> {
+    const { host, port } = this.#options;
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  setLimits(limits: ServerLimits): void {
+    this.#limits = limits;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headTimeoutMs;
+    this.#server.requestTimeout = limits.headTimeoutMs + BODY_TIMEOUT_MS;
+  }
+
+  /** From now on each connection ends with its present or next request. */
+  drain(): void {
+    this.#isStopping = true;
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { clock, handle } = this.#options;
+    const arrivedAtMs = clock.readMs();
+    this.#lastRequestAtMs = arrivedAtMs;
+    this.#open++;
+    const controller = new AbortController();
+    response.on("close", () => {
+      this.#open--;
+      if (!response.writableFinished) {
+        controller.abort();
+      }
+    });
+    const read = await this.#read(message, arrivedAtMs, controller.signal);
+    const answer = "failure" in read ? read : await handle(read);
+    this.#write(answer, message, response);
+  }
+
+  async #read(
+    message: IncomingMessage,
+    arrivedAtMs: number,
+    signal: AbortSignal,
+  ): Promise<CallerRequest | (FinalAnswer & { readonly kind: "failed" })> {
+    const headers = listFields(message.rawHeaders);
+    const fields = this.#options.readFields(headers);
+    const { requestId } = fields;
+    const body = await this.#readBody(message);
+    const failure = !body.ok
+      ? body.failure
+      : requestId === undefined || message.headers.host === undefined
+      ? "malformed"
+      : undefined;
+    if (failure !== undefined || !body.ok || requestId === undefined) {
+      return this.#fail(requestId, failure ?? "malformed");
+    }
+    return {
+      ...fields,
+      requestId,
+      method: message.method ?? "GET",
+      host: message.headers.host ?? "",
+      path: message.url ?? "/",
+      headers,
+      body: body.bytes,
+      arrivedAtMs,
+      signal,
+    };
+  }
+
+  #fail(
+    requestId: string | undefined,
+    failure: FailureKind,
+  ): FinalAnswer & { readonly kind: "failed" } {
+    const message = FAILURE_ANSWERS[failure].advice;
+    this.#options.reportFailure({ requestId, kind: failure, message });
+    return { kind: "failed", failure, message };
+  }
+
+  #readBody(
+    message: IncomingMessage,
+  ): Promise<
+    | { readonly ok: true; readonly bytes: Uint8Array }
+    | { readonly ok: false; readonly failure: FailureKind }
+  > {
+    const declared = message.headers["content-length"];
+    const isChunked = message.headers["transfer-encoding"] !== undefined;
+    const { maxBodyBytes } = this.#limits;
+    if (!isChunked && (declared === undefined || declared === "0")) {
+      return Promise.resolve({ ok: true, bytes: new Uint8Array(0) });
+    }
+    if (Number(declared ?? 0) > maxBodyBytes) {
+      return Promise.resolve({ ok: false, failure: "body-too-large" });
+    }
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      message.on("data", (chunk: Buffer) => {
+        size += chunk.byteLength;
+        chunks.push(chunk);
+        if (size > maxBodyBytes) {
+          message.pause();
+          resolve({ ok: false, failure: "body-too-large" });
+        }
+      });
+      message.on(
+        "end",
+        () => resolve({ ok: true, bytes: Buffer.concat(chunks, size) }),
+      );
+      message.on("close", () => resolve({ ok: false, failure: "too-slow" }));
+    });
+  }
+
+  #write(
+    answer: FinalAnswer,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    if (response.destroyed) {
+      return;
+    }
+    // A connection whose body was left unread cannot carry a next request.
+    if (this.#isStopping || !message.complete) {
+      response.setHeader("Connection", "close");
+    }
+    switch (answer.kind) {
+      case "answered":
+        writeTargetAnswer(answer, response);
+        return;
+      case "failed":
+        writeFailure(answer, response);
+        return;
+    }
+  }
+}
+
+function writeTargetAnswer(
+  answer: FinalAnswer & { readonly kind: "answered" },
+  response: ServerResponse,
+): void {
+  for (const { name, value } of answer.headers) {
+    if (!OWN_FIELDS.has(name)) {
+      response.appendHeader(name, value);
+    }
+  }
+  response.statusCode = answer.status;
+  if (BODILESS.has(answer.status)) {
+    response.end();
+    return;
+  }
+  response.setHeader("Content-Length", answer.body.byteLength);
+  response.end(answer.body);
+}
+
+function writeFailure(
+  answer: FinalAnswer & { readonly kind: "failed" },
+  response: ServerResponse,
+): void {
+  const { status, advice } = FAILURE_ANSWERS[answer.failure];
+  const { failure: error, message, retryAfterMs } = answer;
+  const body = Buffer.from(JSON.stringify({ error, message, advice }));
+  response.statusCode = status;
+  response.setHeader("Content-Type", "application/json");
+  response.setHeader("Content-Length", body.byteLength);
+  if (retryAfterMs !== undefined) {
+    response.setHeader("Retry-After", (retryAfterMs / 1_000).toFixed(3));
+  }
+  response.end(body);
+}
+
+/** What cannot be read as HTTP is told so where the connection still allows it. */
+function answerUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  const status = error.code === "HPE_HEADER_OVERFLOW"
+    ? "431 Request Header Fields Too Large"
+    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? "408 Request Timeout"
+    : "400 Bad Request";
+  socket.end(
+    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+  );
+}
+
+function listFields(rawHeaders: readonly string[]): readonly HeaderField[] {
+  const fields: HeaderField[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase();
+    fields.push({ name, value: rawHeaders[index + 1]! });
+  }
+  return fields;
+}
--- /dev/null
+++ b/packages/gateway/src/service_registry.ts
@@ -0,0 +1,215 @@
+/** What one instance keeps for each service: places, retries and shares. */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { Route } from "@lentilspur/ports/routing_table";
+import {
+  RetryAllowance,
+  type RetryLimits,
+} from "@lentilspur/routing/retry_allowance";
+import {
+  type PlaceDecision,
+  type PlaceRequest,
+  ServicePlaces,
+} from "@lentilspur/routing/service_places";
+import { SplitBalance } from "@lentilspur/routing/split_balance";
+import type { Catalogue } from "./catalogue.ts";
+import type { LoadCounts } from "./peer_exchange.ts";
+
+export interface ServiceRegistryOptions {
+  readonly clock: Clock;
+  readonly catalogue: Catalogue;
+  readonly dataCentre: string;
+  readonly retryLimits: RetryLimits;
+  /** Instances that share the limit on second sends. */
+  readonly countInstances: () => number;
+}
+
+/** Waiting requests are looked through this often for what has become due. */
+const TICK_MS = 10;
+
+export class ServiceRegistry {
+  readonly #options: ServiceRegistryOptions;
+  readonly #places = new Map<string, ServicePlaces>();
+  readonly #retries = new Map<string, RetryAllowance>();
+  readonly #split = new SplitBalance();
+  #retryLimits: RetryLimits;
+
+  constructor(options: ServiceRegistryOptions) {
+    this.#options = options;
+    this.#retryLimits = options.retryLimits;
+  }
+
+  setRetryLimits(limits: RetryLimits): void {
+    this.#retryLimits = limits;
+    this.#retries.clear();
+  }
+
+  get waiting(): number {
+    let waiting = 0;
+    for (const places of this.#places.values()) {
+      waiting += places.waiting;
+    }
+    return waiting;
+  }
+
+  chooseService(route: Route): string {
+    return this.#split.choose(route);
+  }
+
+  /** The configuration or the targets have changed. */
+  update(): void {
+    const { catalogue, clock } = this.#options;
+    const nowMs = clock.readMs();
+    for (const name of catalogue.table?.services.keys() ?? []) {
+      const places = this.#getPlaces(name);
+      places.setTargets(catalogue.listTargets(name), nowMs);
+      places.advance(nowMs);
+    }
+  }
+
+  /** New weights: shares are counted from here on. */
+  resetShares(): void {
+    this.#split.reset();
+  }
+
+  /** Places requests as time goes by, whatever else happens. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      for (const places of this.#places.values()) {
+        places.advance(clock.readMs());
+      }
+      await clock.sleep(TICK_MS, signal);
+    }
+  }
+
+  /** Undefined where the caller has left meanwhile. */
+  waitForPlace(
+    service: string,
+    request: PlaceRequest,
+    signal: AbortSignal,
+  ): Promise<PlaceDecision | undefined> {
+    const places = this.#getPlaces(service);
+    return new Promise((resolve) => {
+      const leave = () => {
+        places.remove(request.requestId);
+        resolve(undefined);
+      };
+      signal.addEventListener("abort", leave, { once: true });
+      places.offer(request, this.#options.clock.readMs(), (decision) => {
+        signal.removeEventListener("abort", leave);
+        resolve(decision);
+      });
+    });
+  }
+
+  recordSend(service: string, isRetry: boolean): void {
+    if (!isRetry) {
+      this.#getRetries(service).recordFirstSend(this.#options.clock.readMs());
+    }
+  }
+
+  claimRetry(service: string): boolean {
+    const { clock, countInstances } = this.#options;
+    return this.#getRetries(service).claim(countInstances(), clock.readMs());
+  }
+
+  /** The place that was given is not used after all. */
+  recordEnded(service: string, targetId: string, requestId: string): void {
+    const places = this.#getPlaces(service);
+    places.getLoad(targetId)?.recordEnded(requestId);
+    places.advance(this.#options.clock.readMs());
+  }
+
+  recordOutcome(
+    service: string,
+    placed: PlaceDecision & { readonly kind: "placed" },
+    requestId: string,
+    outcome: SendOutcome,
+    sentAtMs: number,
+  ): void {
+    const nowMs = this.#options.clock.readMs();
+    const places = this.#getPlaces(service);
+    const load = places.getLoad(placed.target.id);
+    load?.recordEnded(requestId);
+    switch (outcome.kind) {
+      case "answered":
+        load?.recordAnswer(nowMs - sentAtMs, placed.occupancy);
+        break;
+      case "not-run":
+        if (outcome.cause === "unreachable" || outcome.cause === "replaced") {
+          load?.recordSilence(nowMs);
+        } else if (outcome.cause === "full") {
+          load?.recordFailure(nowMs);
+        }
+        break;
+      case "unknown":
+        if (outcome.cause !== "cancelled") {
+          load?.recordFailure(nowMs);
+        }
+        break;
+    }
+    if (outcome.kind !== "unknown" && outcome.load !== undefined) {
+      load?.recordReport(outcome.load, nowMs);
+    }
+    places.advance(nowMs);
+  }
+
+  /** A peer's requests at each target; those it does not name it has not. */
+  applyPeerCounts(peer: string, counts: LoadCounts): void {
+    const nowMs = this.#options.clock.readMs();
+    for (const places of this.#places.values()) {
+      for (const load of places.listLoads()) {
+        load.setPeerCount(peer, counts[load.target.id] ?? 0, nowMs);
+      }
+      places.advance(nowMs);
+    }
+  }
+
+  listOwnCounts(): LoadCounts {
+    const counts: Record<string, number> = {};
+    for (const places of this.#places.values()) {
+      for (const load of places.listLoads()) {
+        if (load.ownCount > 0) {
+          counts[load.target.id] = load.ownCount;
+        }
+      }
+    }
+    return counts;
+  }
+
+  getUsualServiceMs(service: string): number | null {
+    return this.#getPlaces(service).getUsualServiceMs();
+  }
+
+  /** Work of one request at each target of a service, where measured. */
+  listServiceMs(service: string): Readonly<Record<string, number>> {
+    const measured: Record<string, number> = {};
+    for (const load of this.#getPlaces(service).listLoads()) {
+      if (load.measuredServiceMs !== null) {
+        measured[load.target.id] = Math.round(load.measuredServiceMs);
+      }
+    }
+    return measured;
+  }
+
+  #getPlaces(service: string): ServicePlaces {
+    let places = this.#places.get(service);
+    if (places === undefined) {
+      places = new ServicePlaces({ dataCentre: this.#options.dataCentre });
+      this.#places.set(service, places);
+      const { catalogue, clock } = this.#options;
+      places.setTargets(catalogue.listTargets(service), clock.readMs());
+    }
+    return places;
+  }
+
+  #getRetries(service: string): RetryAllowance {
+    let retries = this.#retries.get(service);
+    if (retries === undefined) {
+      retries = new RetryAllowance(this.#retryLimits);
+      this.#retries.set(service, retries);
+    }
+    return retries;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/store_views.ts
@@ -0,0 +1,159 @@
+/** Follows everything in the store that an instance routes by. */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { Partition, Store } from "@lentilspur/ports/store";
+import { KEEPER_KEY, TABLE_PREFIX } from "@lentilspur/ownership/keeper_records";
+import { type Catalogue, RETURN_GRACE_MS } from "./catalogue.ts";
+import type { StorePlaces } from "./gateway_settings.ts";
+import type { KeyDirectory } from "./key_directory.ts";
+import type { Members } from "./members.ts";
+import { PartitionTail, type TailEvent } from "./partition_tail.ts";
+
+export interface StoreViewsOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly places: StorePlaces;
+  readonly catalogue: Catalogue;
+  readonly directory: KeyDirectory;
+  readonly members: Members;
+  readonly onConfiguration: () => void;
+  readonly observe: (event: TailEvent) => void;
+  readonly reportFault: (message: string) => void;
+}
+
+/** Changes come seldom and must be in force within 2 s: the store holds the read open. */
+const WAIT_MS = 5_000;
+/** A storm of changes every 60 ms is read in a few calls. */
+const CONFIGURATION_GAP_MS = 120;
+/**
+ * Every target writes its entry about once a second, so a read never waits
+ * long; a leaving target must be seen well within 2 s.
+ */
+const TARGETS_GAP_MS = 500;
+/** Members matter for hints only. */
+const MEMBERS_GAP_MS = 500;
+/** A moved key's requests wait for its new owner. */
+const OWNERS_GAP_MS = 10;
+/** An entry that goes this soon after an outage may only have lapsed in it. */
+const OUTAGE_MEMORY_MS = 3_000;
+
+export class StoreViews {
+  readonly #options: StoreViewsOptions;
+  readonly #configuration: PartitionTail;
+  readonly #targets: PartitionTail;
+  readonly #members: PartitionTail;
+  readonly #owners = new Map<number, PartitionTail>();
+  readonly #signal: AbortSignal;
+
+  constructor(options: StoreViewsOptions, signal: AbortSignal) {
+    this.#options = options;
+    this.#signal = signal;
+    const { configuration, targets, members } = options.places;
+    this.#configuration = this.#createTail(
+      configuration,
+      CONFIGURATION_GAP_MS,
+      (key, value) => this.#applyConfiguration(key, value),
+    );
+    this.#targets = this.#createTail(
+      targets,
+      TARGETS_GAP_MS,
+      (key, value) => this.#applyTarget(key, value),
+    );
+    this.#members = this.#createTail(
+      members,
+      MEMBERS_GAP_MS,
+      (key, value) => this.#applyMember(key, value),
+    );
+  }
+
+  start(): void {
+    void this.#configuration.run(this.#signal);
+    void this.#targets.run(this.#signal);
+    void this.#members.run(this.#signal);
+  }
+
+  /** Whether both configuration and targets have been read. */
+  get isLoaded(): boolean {
+    return this.#options.catalogue.table !== undefined &&
+      this.#targets.isLoaded;
+  }
+
+  getOwnersTail(part: number): PartitionTail | undefined {
+    return this.#owners.get(part);
+  }
+
+  /** Follows a partition of the table of owners from now on. */
+  openOwners(part: number): void {
+    if (this.#owners.has(part)) {
+      return;
+    }
+    const { topic } = this.#options.places.owners;
+    const tail = this.#createTail(
+      { topic, part },
+      OWNERS_GAP_MS,
+      (key, value, offset) => this.#applyOwners(key, value, offset),
+    );
+    this.#owners.set(part, tail);
+    void tail.run(this.#signal);
+  }
+
+  #createTail(
+    partition: Partition,
+    gapMs: number,
+    apply: (key: string, value: string, offset: number) => void,
+  ): PartitionTail {
+    const { clock, store, observe } = this.#options;
+    const { topic, part } = partition;
+    return new PartitionTail({
+      clock,
+      store,
+      partition: { topic, part },
+      gapMs,
+      waitMs: WAIT_MS,
+      apply: ({ key, value, offset }) => apply(key, value, offset),
+      observe,
+    });
+  }
+
+  #applyConfiguration(key: string, value: string): void {
+    const { places, catalogue, onConfiguration } = this.#options;
+    if (
+      key === places.configuration.key && value !== "" &&
+      catalogue.applyConfiguration(value)
+    ) {
+      onConfiguration();
+    }
+  }
+
+  #applyTarget(id: string, value: string): void {
+    const { clock, catalogue } = this.#options;
+    const nowMs = clock.readMs();
+    const sinceOutageMs = nowMs - this.#targets.regainedAtMs;
+    const graceMs = Math.max(
+      0,
+      sinceOutageMs < OUTAGE_MEMORY_MS ? RETURN_GRACE_MS - sinceOutageMs : 0,
+    );
+    catalogue.applyTarget(id, value, { nowMs, graceMs });
+  }
+
+  #applyMember(key: string, value: string): void {
+    if (!this.#options.members.apply(key, value)) {
+      this.#options.reportFault(`Unreadable record of member "${key}"`);
+    }
+  }
+
+  #applyOwners(key: string, value: string, offset: number): void {
+    if (key === KEEPER_KEY || value === "") {
+      return;
+    }
+    const { directory, reportFault } = this.#options;
+    if (!key.startsWith(TABLE_PREFIX)) {
+      reportFault(`Unknown record "${key}" among the owners`);
+      return;
+    }
+    const service = key.slice(TABLE_PREFIX.length);
+    const fault = directory.applyTable(service, value, offset);
+    if (fault !== undefined) {
+      reportFault(`Owners of service "${service}": ${fault}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/hold_book.ts
@@ -0,0 +1,87 @@
+/**
+ * Until when each target may hold which keys, by the grants that one keeper
+ * has sent.
+ *
+ * Guards against a second owner: a target that cannot be reached goes on
+ * serving its keys until its hold runs out, and a grant that was given up on
+ * may be carried out seconds later, even after a release was answered.
+ */
+import type { KeyRange } from "@lentilspur/ports/key_orders";
+
+/** A target's clock may run 2 % slow, so a hold lasts this much longer there. */
+const CLOCK_DRIFT = 1.02;
+/** A grant is on its way for at most this long before its connection is reset. */
+const TRAVEL_MS = 400;
+
+interface SentGrant extends KeyRange {
+  readonly targetId: string;
+  readonly endsAtMs: number;
+  answered: boolean;
+}
+
+export class HoldBook {
+  #grants: SentGrant[] = [];
+
+  /** Records a grant before it is sent; call the result once it is answered. */
+  recordSent(
+    targetId: string,
+    range: KeyRange,
+    options: { readonly givenUpAtMs: number; readonly holdMs: number },
+  ): () => void {
+    const endsAtMs = computeHoldEndMs(options.givenUpAtMs, options.holdMs);
+    const grant: SentGrant = {
+      targetId,
+      from: range.from,
+      to: range.to,
+      endsAtMs,
+      answered: false,
+    };
+    this.#grants.push(grant);
+    return () => {
+      grant.answered = true;
+    };
+  }
+
+  /** When the target can hold none of these keys any more without a renewal. */
+  computeEndMs(targetId: string, range: KeyRange): number {
+    return this.#computeLatest(targetId, range, () => true);
+  }
+
+  /** When no grant that was given up on can have any effect any more. */
+  computeUnansweredEndMs(targetId: string, range: KeyRange): number {
+    return this.#computeLatest(targetId, range, (grant) => !grant.answered);
+  }
+
+  /** Whether any grant that was given up on could still take effect. */
+  hasUnanswered(nowMs: number): boolean {
+    return this.#grants
+      .some((grant) => !grant.answered && grant.endsAtMs > nowMs);
+  }
+
+  /** Forgets grants whose holds have run out. */
+  expire(nowMs: number): void {
+    this.#grants = this.#grants.filter((grant) => grant.endsAtMs > nowMs);
+  }
+
+  #computeLatest(
+    targetId: string,
+    range: KeyRange,
+    isCounted: (grant: SentGrant) => boolean,
+  ): number {
+    let latest = -Infinity;
+    for (const grant of this.#grants) {
+      if (
+        grant.targetId === targetId && grant.from <= range.to &&
+        grant.to >= range.from && isCounted(grant)
+      ) {
+        latest = Math.max(latest, grant.endsAtMs);
+      }
+    }
+    return latest;
+  }
+}
+
+/** The end of a hold whose grant left, or was given up, at `sentAtMs`. */
+export function computeHoldEndMs(sentAtMs: number, holdMs: number): number {
+  return sentAtMs + TRAVEL_MS + holdMs * CLOCK_DRIFT;
+}
--- /dev/null
+++ b/packages/ownership/src/keeper_standing.ts
@@ -0,0 +1,56 @@
+/** What a partition of the table of owners says, read as a whole. */
+import type { StoreRecord } from "@lentilspur/ports/store";
+import {
+  KEEPER_KEY,
+  type KeeperClaim,
+  TABLE_PREFIX,
+} from "./keeper_records.ts";
+import { type KeyTable, parseTable } from "./key_table.ts";
+
+export interface Standing {
+  /** Offset of the newest claim; undefined where nobody has claimed yet. */
+  readonly term: number | undefined;
+  readonly claim: KeeperClaim | undefined;
+  readonly tables: ReadonlyMap<string, KeyTable>;
+  readonly end: number;
+  /** Records that cannot be read, with the reason; they are left alone. */
+  readonly faults: readonly string[];
+}
+
+export function parseStanding(
+  records: readonly StoreRecord[],
+  end: number,
+): Standing {
+  const tables = new Map<string, KeyTable>();
+  const faults: string[] = [];
+  let term: number | undefined;
+  let claim: KeeperClaim | undefined;
+  for (const { key, value, offset } of records) {
+    if (key === KEEPER_KEY) {
+      claim = parseClaim(value);
+      // A resignation is a record of the keeper's own; its term ends with it.
+      term = offset;
+    } else if (key.startsWith(TABLE_PREFIX)) {
+      const table = parseTable(value);
+      if (table.ok) {
+        tables.set(key.slice(TABLE_PREFIX.length), table.val);
+      } else {
+        faults.push(`${key}: ${table.val}`);
+      }
+    }
+  }
+  return { term, claim, tables, end, faults };
+}
+
+export function parseClaim(text: string): KeeperClaim | undefined {
+  try {
+    const claim = JSON.parse(text) as KeeperClaim | null;
+    return typeof claim?.instance === "string" &&
+        typeof claim.incarnation === "string"
+      ? claim
+      : undefined;
+  } catch {
+    // No claim can be read in it, which is what the result says.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/keeper_timing.ts
@@ -0,0 +1,50 @@
+/** The times by which keepers of keys act, in one place and with their grounds. */
+
+export interface KeeperTiming {
+  /**
+   * A target holds its keys for this long after a renewal. Short, so that a
+   * lost target's keys are served again within 5 s; long enough to outlive the
+   * change of a keeper (about 2 s).
+   */
+  readonly holdMs: number;
+  /** Three renewals may fail before a hold runs out. */
+  readonly renewEveryMs: number;
+  /** An order that has no answer after this is given up and sent anew. */
+  readonly orderTimeoutMs: number;
+  /** A release waits for running work, of which the longest takes about 1 s. */
+  readonly releaseTimeoutMs: number;
+  /** Between two orders for one range that did not succeed. */
+  readonly retryEveryMs: number;
+  /**
+   * For so long without the store a keeper goes on renewing what stands. A
+   * successor that can neither reach a holder nor knows its predecessor to
+   * have ended waits this out, besides the hold. It covers an outage of the
+   * store of this length.
+   */
+  readonly authorityMs: number;
+  /** A target whose orders have failed for this long is relieved of its keys. */
+  readonly silentAfterMs: number;
+  /** Between two looks at who should own what. */
+  readonly planEveryMs: number;
+}
+
+export const DEFAULT_KEEPER_TIMING: KeeperTiming = {
+  holdMs: 4_000,
+  renewEveryMs: 1_000,
+  orderTimeoutMs: 400,
+  releaseTimeoutMs: 1_500,
+  retryEveryMs: 250,
+  authorityMs: 20_000,
+  silentAfterMs: 1_500,
+  planEveryMs: 400,
+};
+
+/** The hold that a target accepts may be shorter than the one wished for. */
+export function resolveKeeperTiming(maxHoldMs: number): KeeperTiming {
+  const holdMs = Math.min(DEFAULT_KEEPER_TIMING.holdMs, maxHoldMs);
+  const renewEveryMs = Math.min(
+    DEFAULT_KEEPER_TIMING.renewEveryMs,
+    holdMs / 4,
+  );
+  return Object.freeze({ ...DEFAULT_KEEPER_TIMING, holdMs, renewEveryMs });
+}
--- /dev/null
+++ b/packages/ownership/src/key_planner.ts
@@ -0,0 +1,344 @@
+/**
+ * Which keys should change owners, from where the owners are and how busy each
+ * key is.
+ *
+ * Load pattern: a target of 2 places does 15 to 35 lookups a second; a hot
+ * spell asks for a hundred a second within one target's range. Keys that move
+ * cost their share of all keys, and a hot spell is narrow: so the narrowest
+ * stretch that carries the excess is moved, and what earns little stays.
+ */
+import type { KeyRate } from "./key_load.ts";
+import type { KeyTable, OwnedRange, Reassignment } from "./key_table.ts";
+
+/** A target that may own keys. */
+export interface OwnerCandidate {
+  readonly id: string;
+  readonly address: string;
+  readonly places: number;
+  /** Work of one request, in milliseconds. */
+  readonly serviceMs: number;
+}
+
+/** A target busier than this share of its places is relieved. */
+const MAX_BUSY = 0.65;
+/** And only if it is this much busier than the average of all. */
+const MIN_EXCESS = 1.25;
+/** A receiver is filled to the average, or up to this. */
+const RECEIVER_BUSY = 0.6;
+/** Moves in one plan; each is a release, a grant and a record's part. */
+const MAX_MOVES = 12;
+/** A stretch that carries less than this share of what is wanted is no help. */
+const MIN_PART = 0.25;
+
+interface Standing {
+  readonly candidate: OwnerCandidate;
+  /** Places kept busy, as a share of all of its places. */
+  busy: number;
+  ranges: OwnedRange[];
+}
+
+/** Keys whose owner is gone or leaving, and keys of owners that have too much. */
+export function planReassignments(
+  table: KeyTable,
+  candidates: readonly OwnerCandidate[],
+  rates: readonly KeyRate[],
+): readonly Reassignment[] {
+  if (candidates.length === 0) {
+    return [];
+  }
+  const standings = createStandings(table, candidates, rates);
+  const orphans = planOrphans(table, standings, rates);
+  // Balancing waits until everything has an owner: one change at a time.
+  return orphans.length > 0 ? orphans : planBalance(standings, rates);
+}
+
+function createStandings(
+  table: KeyTable,
+  candidates: readonly OwnerCandidate[],
+  rates: readonly KeyRate[],
+): Map<string, Standing> {
+  const standings = new Map<string, Standing>();
+  for (const candidate of candidates) {
+    standings.set(candidate.id, { candidate, busy: 0, ranges: [] });
+  }
+  for (const range of table.ranges) {
+    const standing = standings.get(range.owner.id);
+    if (standing !== undefined) {
+      standing.ranges.push(range);
+      standing.busy += computeBusy(
+        standing.candidate,
+        sumRates(rates, range.from, range.to),
+      );
+    }
+  }
+  return standings;
+}
+
+/** Ranges without a usable owner go where there is most room, piece by piece. */
+function planOrphans(
+  table: KeyTable,
+  standings: ReadonlyMap<string, Standing>,
+  rates: readonly KeyRate[],
+): readonly Reassignment[] {
+  const changes: Reassignment[] = [];
+  for (const range of table.ranges) {
+    if (standings.has(range.owner.id)) {
+      continue;
+    }
+    for (const piece of splitOrphan(range, rates)) {
+      const receiver = chooseIdlest(standings);
+      receiver.busy += computeBusy(receiver.candidate, piece.perSecond) +
+        piece.width / 1e7;
+      changes.push({
+        from: piece.from,
+        to: piece.to,
+        owner: receiver.candidate,
+      });
+    }
+  }
+  return changes;
+}
+
+interface Piece {
+  readonly from: number;
+  readonly to: number;
+  readonly width: number;
+  readonly perSecond: number;
+}
+
+/** Pieces of an orphaned range; several receivers share a lost target's load. */
+const ORPHAN_PIECES = 3;
+
+function splitOrphan(
+  range: OwnedRange,
+  rates: readonly KeyRate[],
+): readonly Piece[] {
+  const total = sumRates(rates, range.from, range.to);
+  const width = range.to - range.from + 1;
+  const count = Math.min(ORPHAN_PIECES, width);
+  if (total < 1) {
+    return splitEvenly(range, width > 1_000 ? count : 1);
+  }
+  const pieces: Piece[] = [];
+  let from = range.from;
+  let sum = 0;
+  for (const { key, perSecond } of rates) {
+    if (key < range.from || key > range.to) {
+      continue;
+    }
+    sum += perSecond;
+    if (
+      sum >= total / count && pieces.length < count - 1 && key < range.to
+    ) {
+      pieces.push({ from, to: key, width: key - from + 1, perSecond: sum });
+      from = key + 1;
+      sum = 0;
+    }
+  }
+  const rest = range.to - from + 1;
+  pieces.push({ from, to: range.to, width: rest, perSecond: sum });
+  return pieces;
+}
+
+function splitEvenly(range: OwnedRange, count: number): readonly Piece[] {
+  const width = range.to - range.from + 1;
+  return Array.from({ length: count }, (_, index) => {
+    const from = range.from + Math.floor(index * width / count);
+    const to = range.from + Math.floor((index + 1) * width / count) - 1;
+    return { from, to, width: to - from + 1, perSecond: 0 };
+  });
+}
+
+function planBalance(
+  standings: ReadonlyMap<string, Standing>,
+  rates: readonly KeyRate[],
+): readonly Reassignment[] {
+  const changes: Reassignment[] = [];
+  while (changes.length < MAX_MOVES) {
+    const change = planOneMove(standings, rates, changes);
+    if (change === undefined) {
+      break;
+    }
+    changes.push(change);
+  }
+  return changes;
+}
+
+function planOneMove(
+  standings: ReadonlyMap<string, Standing>,
+  rates: readonly KeyRate[],
+  before: readonly Reassignment[],
+): Reassignment | undefined {
+  const average = computeAverageBusy(standings);
+  const giver = [...standings.values()]
+    .sort((left, right) => right.busy - left.busy)
+    .find((one) => hasTooMuch(one, average));
+  const receiver = chooseIdlest(standings);
+  if (giver === undefined || giver === receiver) {
+    return planForNewcomer(standings, rates, average);
+  }
+  const excess = giver.busy - Math.max(average, MAX_BUSY / MIN_EXCESS);
+  const room = Math.max(average, RECEIVER_BUSY) - receiver.busy;
+  const wanted = Math.min(
+    excess * computeRate(giver.candidate),
+    room * computeRate(receiver.candidate),
+  );
+  return moveStretch({ giver, receiver, wanted, rates, before });
+}
+
+/** A target that has joined and owns nothing gets the average's half at once. */
+function planForNewcomer(
+  standings: ReadonlyMap<string, Standing>,
+  rates: readonly KeyRate[],
+  average: number,
+): Reassignment | undefined {
+  const receiver = [...standings.values()]
+    .find((one) => one.ranges.length === 0);
+  const giver = [...standings.values()]
+    .filter((one) => one.ranges.length > 0)
+    .sort((left, right) => right.busy - left.busy)[0];
+  if (receiver === undefined || giver === undefined) {
+    return undefined;
+  }
+  const wanted = Math.min(giver.busy / 2, average / 2) *
+    computeRate(giver.candidate);
+  return moveStretch({ giver, receiver, wanted, rates, before: [] });
+}
+
+interface Stretch {
+  readonly from: number;
+  readonly to: number;
+  readonly perSecond: number;
+}
+
+function moveStretch(options: {
+  readonly giver: Standing;
+  readonly receiver: Standing;
+  readonly wanted: number;
+  readonly rates: readonly KeyRate[];
+  readonly before: readonly Reassignment[];
+}): Reassignment | undefined {
+  const { giver, receiver, wanted, rates, before } = options;
+  let best: Stretch | undefined;
+  for (const range of giver.ranges) {
+    const isTaken = range.former.length > 0;
+    const stretch = isTaken
+      ? undefined
+      : findNarrowest(rates, range, wanted, before);
+    if (stretch !== undefined && isNarrower(stretch, best)) {
+      best = stretch;
+    }
+  }
+  if (best === undefined) {
+    return undefined;
+  }
+  giver.busy -= computeBusy(giver.candidate, best.perSecond);
+  receiver.busy += computeBusy(receiver.candidate, best.perSecond);
+  receiver.ranges.push({
+    from: best.from,
+    to: best.to,
+    owner: { ...receiver.candidate, token: 0 },
+    // Marks it as on its way: a plan does not move a key twice.
+    former: [{ ...giver.candidate, token: 0 }],
+  });
+  return { from: best.from, to: best.to, owner: receiver.candidate };
+}
+
+function isNarrower(left: Stretch, right: Stretch | undefined): boolean {
+  return right === undefined || left.to - left.from < right.to - right.from;
+}
+
+/** The narrowest stretch of a range that carries about `wanted`. */
+function findNarrowest(
+  rates: readonly KeyRate[],
+  range: OwnedRange,
+  wanted: number,
+  before: readonly Reassignment[],
+): Stretch | undefined {
+  let best: Stretch | undefined;
+  let sum = 0;
+  let first = 0;
+  const within = rates.filter(({ key }) =>
+    key >= range.from && key <= range.to && !isMoved(before, key)
+  );
+  for (const [last, rate] of within.entries()) {
+    sum += rate.perSecond;
+    while (sum > wanted && first < last) {
+      sum -= within[first]!.perSecond;
+      first++;
+    }
+    const stretch = {
+      from: within[first]!.key,
+      to: rate.key,
+      perSecond: sum,
+    };
+    const isUseful = sum >= MIN_PART * wanted && sum <= wanted;
+    if (isUseful && isBetter(stretch, best) && !crosses(before, stretch)) {
+      best = stretch;
+    }
+  }
+  return best;
+}
+
+/** More load a key first: the hottest part of the range. */
+function isBetter(left: Stretch, right: Stretch | undefined): boolean {
+  return right === undefined ||
+    left.perSecond / (left.to - left.from + 1) >
+      right.perSecond / (right.to - right.from + 1);
+}
+
+function isMoved(before: readonly Reassignment[], key: number): boolean {
+  return before.some((change) => key >= change.from && key <= change.to);
+}
+
+function crosses(before: readonly Reassignment[], stretch: Stretch): boolean {
+  return before
+    .some((change) => change.from <= stretch.to && change.to >= stretch.from);
+}
+
+function hasTooMuch(standing: Standing, average: number): boolean {
+  return standing.busy > MAX_BUSY && standing.busy > MIN_EXCESS * average;
+}
+
+function chooseIdlest(standings: ReadonlyMap<string, Standing>): Standing {
+  let best: Standing | undefined;
+  for (const standing of standings.values()) {
+    if (best === undefined || standing.busy < best.busy) {
+      best = standing;
+    }
+  }
+  return best!;
+}
+
+function computeAverageBusy(standings: ReadonlyMap<string, Standing>): number {
+  let load = 0;
+  let rate = 0;
+  for (const standing of standings.values()) {
+    load += standing.busy * computeRate(standing.candidate);
+    rate += computeRate(standing.candidate);
+  }
+  return rate === 0 ? 0 : load / rate;
+}
+
+/** Requests a second that keep all of its places busy. */
+function computeRate(candidate: OwnerCandidate): number {
+  return candidate.places * 1_000 / Math.max(1, candidate.serviceMs);
+}
+
+function computeBusy(candidate: OwnerCandidate, perSecond: number): number {
+  return perSecond / computeRate(candidate);
+}
+
+function sumRates(
+  rates: readonly KeyRate[],
+  from: number,
+  to: number,
+): number {
+  let sum = 0;
+  for (const { key, perSecond } of rates) {
+    if (key >= from && key <= to) {
+      sum += perSecond;
+    }
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/ownership/src/key_table.ts
@@ -0,0 +1,202 @@
+/**
+ * Which target owns which keys of one service: ranges that cover all keys, in
+ * order, each with its owner and the fencing token of its grant.
+ *
+ * A range whose former holders may still hold it names them. Nobody may be
+ * granted the range before each of them has released it, has provably ended,
+ * or has run out of its hold; whoever takes the table up after a crash can go
+ * on from it.
+ */
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import { LAST_KEY } from "@lentilspur/ports/key_orders";
+
+/** A target that has been granted a range, or was about to be. */
+export interface Holder {
+  readonly id: string;
+  /** `host:port`, by IP number. */
+  readonly address: string;
+  readonly token: number;
+}
+
+export interface OwnedRange {
+  readonly from: number;
+  readonly to: number;
+  readonly owner: Holder;
+  /** Holders before it that may hold it yet; empty once the owner has it. */
+  readonly former: readonly Holder[];
+}
+
+export interface KeyTable {
+  readonly ranges: readonly OwnedRange[];
+}
+
+/** The range that holds a key. */
+export function findRange(
+  table: KeyTable,
+  key: number,
+): OwnedRange | undefined {
+  let low = 0;
+  let high = table.ranges.length - 1;
+  while (low <= high) {
+    const middle = (low + high) >> 1;
+    const range = table.ranges[middle]!;
+    if (key < range.from) {
+      high = middle - 1;
+    } else if (key > range.to) {
+      low = middle + 1;
+    } else {
+      return range;
+    }
+  }
+  return undefined;
+}
+
+/** A part of the keys that is to pass to another owner. */
+export interface Reassignment {
+  readonly from: number;
+  readonly to: number;
+  readonly owner: { readonly id: string; readonly address: string };
+}
+
+/**
+ * The table with some keys reassigned under `token`, which is above all tokens
+ * in it. Former holders stay named until they are known to hold nothing.
+ */
+export function applyReassignments(
+  table: KeyTable,
+  changes: readonly Reassignment[],
+  token: number,
+): KeyTable {
+  let ranges = table.ranges;
+  for (const change of changes) {
+    ranges = ranges.flatMap((range) => reassignWithin(range, change, token));
+  }
+  return { ranges: mergeNeighbours(ranges, token) };
+}
+
+/** All keys divided evenly, as the first table of a service. */
+export function createTable(
+  owners: readonly { readonly id: string; readonly address: string }[],
+  token: number,
+): KeyTable {
+  const count = LAST_KEY + 1;
+  const ranges = owners.map((owner, index) => ({
+    from: Math.floor(index * count / owners.length),
+    to: Math.floor((index + 1) * count / owners.length) - 1,
+    owner: { id: owner.id, address: owner.address, token },
+    former: [],
+  }));
+  return { ranges };
+}
+
+/** The table with some ranges settled: their owners have been granted them. */
+export function settleRanges(
+  table: KeyTable,
+  isSettled: (range: OwnedRange) => boolean,
+): KeyTable {
+  const ranges = table.ranges.map((range) =>
+    isSettled(range) ? { ...range, former: [] } : range
+  );
+  return { ranges };
+}
+
+export function serializeTable(table: KeyTable): string {
+  return JSON.stringify(table);
+}
+
+/** Fails where the text is no table, or the ranges do not cover all keys in order. */
+export function parseTable(text: string): Result<KeyTable, string> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    return Err(`The table of owners is no JSON: ${String(error)}`);
+  }
+  if (!isTable(value)) {
+    return Err("The table of owners lacks ranges, owners or tokens");
+  }
+  let next = 0;
+  for (const range of value.ranges) {
+    if (range.from !== next || range.to < range.from) {
+      return Err(`The table of owners has a gap or overlap at key ${next}`);
+    }
+    next = range.to + 1;
+  }
+  return next === LAST_KEY + 1
+    ? Ok(value)
+    : Err(`The table of owners ends at key ${next - 1}`);
+}
+
+function reassignWithin(
+  range: OwnedRange,
+  change: Reassignment,
+  token: number,
+): readonly OwnedRange[] {
+  const from = Math.max(range.from, change.from);
+  const to = Math.min(range.to, change.to);
+  if (from > to) {
+    return [range];
+  }
+  const pieces: OwnedRange[] = [];
+  if (range.from < from) {
+    pieces.push({ ...range, to: from - 1 });
+  }
+  pieces.push({
+    from,
+    to,
+    owner: { id: change.owner.id, address: change.owner.address, token },
+    former: listFormer(range, change.owner.id),
+  });
+  if (to < range.to) {
+    pieces.push({ ...range, from: to + 1 });
+  }
+  return pieces;
+}
+
+/** A holder that becomes the owner again need not give the range up first. */
+function listFormer(range: OwnedRange, newOwner: string): readonly Holder[] {
+  return [...range.former, range.owner]
+    .filter((holder) => holder.id !== newOwner);
+}
+
+/**
+ * Neighbours of one owner become one range under the new token; without this a
+ * hot spell would leave its pieces, and a renewal for each of them, for good.
+ */
+function mergeNeighbours(
+  ranges: readonly OwnedRange[],
+  token: number,
+): readonly OwnedRange[] {
+  const merged: OwnedRange[] = [];
+  for (const range of ranges) {
+    const last = merged.at(-1);
+    if (
+      last !== undefined && last.owner.id === range.owner.id &&
+      last.former.length === 0 && range.former.length === 0
+    ) {
+      const owner = { ...last.owner, token };
+      merged[merged.length - 1] = { ...last, to: range.to, owner };
+    } else {
+      merged.push(range);
+    }
+  }
+  return merged;
+}
+
+function isTable(value: unknown): value is KeyTable {
+  const ranges = (value as KeyTable | null)?.ranges;
+  return Array.isArray(ranges) && ranges.every(isOwnedRange);
+}
+
+function isOwnedRange(value: unknown): value is OwnedRange {
+  const range = value as OwnedRange | null;
+  return Number.isInteger(range?.from) && Number.isInteger(range?.to) &&
+    isHolder(range?.owner) && Array.isArray(range?.former) &&
+    range.former.every(isHolder);
+}
+
+function isHolder(value: unknown): value is Holder {
+  const holder = value as Holder | null;
+  return typeof holder?.id === "string" &&
+    typeof holder.address === "string" && Number.isInteger(holder.token);
+}
--- /dev/null
+++ b/packages/ownership/src/range_keeper.ts
@@ -0,0 +1,305 @@
+/**
+ * Carries out one service's table of owners: renews what stands, and leads each
+ * range that changes owners from its former holders to the new one.
+ *
+ * The order of steps is what keeps a key with one owner. The table with the new
+ * owner and its token is in the store before this class hears of it. Each
+ * former holder is released under the new token, so that it refuses every older
+ * grant from then on, or its hold is waited out; only then is the owner
+ * granted the range.
+ */
+import type {
+  KeyOrders,
+  OrderOutcome,
+  OrderReceiver,
+} from "@lentilspur/ports/key_orders";
+import type { Clock } from "@lentilspur/ports/clock";
+import { computeHoldEndMs, HoldBook } from "./hold_book.ts";
+import type { Holder, KeyTable, OwnedRange } from "./key_table.ts";
+import type { KeeperTiming } from "./keeper_timing.ts";
+
+export type OrderReport = {
+  readonly order: "grant" | "renew" | "release";
+  readonly targetId: string;
+  readonly from: number;
+  readonly to: number;
+  readonly token: number;
+  readonly outcome: OrderOutcome["kind"];
+  readonly elapsedMs: number;
+};
+
+/** What may still be in force of the grants of earlier keepers. */
+export interface InheritedGrants {
+  /** Before this, a holder that was not released may hold what it did. */
+  readonly untilMs: number;
+  /** None of them is left that may be carried out late. */
+  readonly isClean: boolean;
+}
+
+export interface RangeKeeperOptions {
+  readonly clock: Clock;
+  readonly orders: KeyOrders;
+  readonly timing: KeeperTiming;
+  /** Asked right before each order: whether this keeper may still act. */
+  readonly mayAct: () => boolean;
+  /** Whether the process with this id is known to have ended. */
+  readonly hasEnded: (holder: Holder) => boolean;
+  /** Tokens up to this one were drawn by earlier keepers. */
+  readonly inheritedToken: number;
+  readonly getInherited: () => InheritedGrants;
+  readonly report: (report: OrderReport) => void;
+  /** A target has seen a higher token than this keeper's. */
+  readonly onSuperseded: () => void;
+}
+
+/** What has been done for a range since the table named its owner. */
+interface RangeState {
+  range: OwnedRange;
+  granted: boolean;
+  busy: boolean;
+  nextAtMs: number;
+  /** Former holders that have answered a release, and when. */
+  readonly released: Map<string, number>;
+  handover: string | undefined;
+}
+
+export class RangeKeeper {
+  readonly #options: RangeKeeperOptions;
+  readonly #holds = new HoldBook();
+  readonly #ended = new Set<string>();
+  readonly #silentSince = new Map<string, number>();
+  #states: RangeState[] = [];
+
+  constructor(options: RangeKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** The table as the store has it now. Progress of unchanged ranges is kept. */
+  setTable(table: KeyTable): void {
+    const known = new Map(
+      this.#states.map((state) => [formatRange(state.range), state]),
+    );
+    this.#states = table.ranges.map((range) =>
+      keepState(known.get(formatRange(range)), range)
+    );
+  }
+
+  /** Ranges whose owner has been granted them and whose former holders hold nothing. */
+  isSettled(range: OwnedRange): boolean {
+    const name = formatRange(range);
+    return this.#states
+      .some((state) => state.granted && formatRange(state.range) === name);
+  }
+
+  /** Whether a grant of this keeper may still be carried out unseen. */
+  hasUnanswered(): boolean {
+    return this.#holds.hasUnanswered(this.#options.clock.readMs());
+  }
+
+  /** Targets that have not answered orders for a while, or have ended. */
+  listUnusable(): ReadonlySet<string> {
+    const nowMs = this.#options.clock.readMs();
+    const unusable = new Set(this.#ended);
+    for (const [id, sinceMs] of this.#silentSince) {
+      if (nowMs - sinceMs >= this.#options.timing.silentAfterMs) {
+        unusable.add(id);
+      }
+    }
+    return unusable;
+  }
+
+  /** Sends every order that is due. Call it often. */
+  advance(): void {
+    const nowMs = this.#options.clock.readMs();
+    this.#holds.expire(nowMs);
+    for (const state of this.#states) {
+      if (!state.busy && nowMs >= state.nextAtMs) {
+        this.#advanceRange(state, nowMs);
+      }
+    }
+  }
+
+  #advanceRange(state: RangeState, nowMs: number): void {
+    if (state.granted) {
+      void this.#run(state, () => this.#grant(state, "renew"));
+      return;
+    }
+    const pending = state.range.former
+      .find((holder) => !this.#isClear(state, holder, nowMs));
+    if (pending === undefined) {
+      void this.#run(state, () => this.#grant(state, "grant"));
+    } else if (!state.released.has(pending.id)) {
+      void this.#run(state, () => this.#release(state, pending));
+    }
+  }
+
+  /** One order at a time for a range; none unless this keeper may act. */
+  async #run(state: RangeState, act: () => Promise<void>): Promise<void> {
+    if (!this.#options.mayAct()) {
+      return;
+    }
+    state.busy = true;
+    try {
+      await act();
+    } finally {
+      state.busy = false;
+    }
+  }
+
+  #isClear(state: RangeState, holder: Holder, nowMs: number): boolean {
+    const { range } = state;
+    if (this.#ended.has(holder.id) || this.#options.hasEnded(holder)) {
+      return true;
+    }
+    if (nowMs >= this.#computeHoldEndMs(holder, range)) {
+      return true;
+    }
+    const releasedAtMs = state.released.get(holder.id);
+    return releasedAtMs !== undefined &&
+      nowMs >= this.#computeLateEndMs(holder, range, releasedAtMs);
+  }
+
+  #computeHoldEndMs(holder: Holder, range: OwnedRange): number {
+    const own = this.#holds.computeEndMs(holder.id, range);
+    return this.#isInherited(holder)
+      ? Math.max(own, this.#options.getInherited().untilMs)
+      : own;
+  }
+
+  /**
+   * When no grant can be carried out late on a holder that was released. What
+   * reaches it after the release is refused for its token; what reached it
+   * before counts from then.
+   */
+  #computeLateEndMs(
+    holder: Holder,
+    range: OwnedRange,
+    releasedAtMs: number,
+  ): number {
+    const { getInherited, timing } = this.#options;
+    const own = this.#holds.computeUnansweredEndMs(holder.id, range);
+    return this.#isInherited(holder) && !getInherited().isClean
+      ? Math.max(own, computeHoldEndMs(releasedAtMs, timing.holdMs))
+      : own;
+  }
+
+  #isInherited(holder: Holder): boolean {
+    return holder.token <= this.#options.inheritedToken;
+  }
+
+  async #grant(state: RangeState, order: "grant" | "renew"): Promise<void> {
+    const { clock, orders, timing } = this.#options;
+    const { range } = state;
+    const sentAtMs = clock.readMs();
+    state.nextAtMs = sentAtMs + timing.renewEveryMs;
+    const recordAnswered = this.#holds.recordSent(range.owner.id, range, {
+      givenUpAtMs: sentAtMs + timing.orderTimeoutMs,
+      holdMs: timing.holdMs,
+    });
+    const outcome = await orders.grant(toReceiver(range.owner), {
+      from: range.from,
+      to: range.to,
+      token: range.owner.token,
+      holdMs: timing.holdMs,
+      ...(state.handover === undefined || order === "renew"
+        ? {}
+        : { handover: state.handover }),
+    });
+    this.#recordOutcome(range.owner, outcome);
+    if (outcome.kind !== "unanswered") {
+      recordAnswered();
+    }
+    if (outcome.kind === "done") {
+      state.granted = true;
+    } else {
+      state.nextAtMs = clock.readMs() + timing.retryEveryMs;
+    }
+    this.#reportOrder(order, state, { holder: range.owner, outcome, sentAtMs });
+  }
+
+  async #release(state: RangeState, holder: Holder): Promise<void> {
+    const { clock, orders, timing } = this.#options;
+    const { range } = state;
+    const sentAtMs = clock.readMs();
+    const outcome = await orders.release(toReceiver(holder), {
+      from: range.from,
+      to: range.to,
+      token: range.owner.token,
+    });
+    this.#recordOutcome(holder, outcome);
+    if (outcome.kind === "done") {
+      state.released.set(holder.id, clock.readMs());
+      state.handover = outcome.handover ?? state.handover;
+    } else {
+      state.nextAtMs = clock.readMs() + timing.retryEveryMs;
+    }
+    this.#reportOrder("release", state, { holder, outcome, sentAtMs });
+  }
+
+  #recordOutcome(holder: Holder, outcome: OrderOutcome): void {
+    switch (outcome.kind) {
+      case "done":
+        this.#silentSince.delete(holder.id);
+        return;
+      case "superseded":
+        this.#options.onSuperseded();
+        return;
+      case "replaced":
+        this.#ended.add(holder.id);
+        return;
+      case "unsent":
+      case "unanswered":
+        if (!this.#silentSince.has(holder.id)) {
+          this.#silentSince.set(holder.id, this.#options.clock.readMs());
+        }
+        return;
+    }
+  }
+
+  #reportOrder(
+    order: OrderReport["order"],
+    state: RangeState,
+    result: {
+      readonly holder: Holder;
+      readonly outcome: OrderOutcome;
+      readonly sentAtMs: number;
+    },
+  ): void {
+    this.#options.report({
+      order,
+      targetId: result.holder.id,
+      from: state.range.from,
+      to: state.range.to,
+      token: state.range.owner.token,
+      outcome: result.outcome.kind,
+      elapsedMs: this.#options.clock.readMs() - result.sentAtMs,
+    });
+  }
+}
+
+function keepState(
+  known: RangeState | undefined,
+  range: OwnedRange,
+): RangeState {
+  if (known !== undefined) {
+    known.range = range;
+    return known;
+  }
+  return {
+    range,
+    granted: false,
+    busy: false,
+    nextAtMs: -Infinity,
+    released: new Map(),
+    handover: undefined,
+  };
+}
+
+/** A range under one token; who held it before does not change what it is. */
+function formatRange(range: OwnedRange): string {
+  return `${range.from}-${range.to}:${range.owner.id}:${range.owner.token}`;
+}
+
+function toReceiver(holder: Holder): OrderReceiver {
+  return { id: holder.id, address: holder.address };
+}
--- /dev/null
+++ b/packages/ports/src/request_sender.ts
@@ -0,0 +1,54 @@
+/** How an instance puts a request on a connection to a target, and what comes of it. */
+import type { HeaderField } from "./target.ts";
+
+export interface OutgoingRequest {
+  readonly targetId: string;
+  readonly address: string;
+  readonly maxConnections: number;
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  /** End-to-end fields as the caller sent them. */
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  /** How long the caller still waits; the target stops work after it. */
+  readonly remainingMs: number;
+  /** For this long an answer is waited for. */
+  readonly timeoutMs: number;
+  /** Whether the request may run more than once. */
+  readonly idempotent: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** What a target said of its load along with an answer. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+export type SendOutcome =
+  /** The target's whole answer, to be passed on unchanged. */
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly headers: readonly HeaderField[];
+    readonly body: Uint8Array;
+    readonly load?: ReportedLoad;
+  }
+  /** Proved not to have run, and never to run. */
+  | {
+    readonly kind: "not-run";
+    readonly cause: "unreachable" | "full" | "not-owner" | "replaced";
+    readonly message: string;
+    readonly load?: ReportedLoad;
+  }
+  /** It may have run. */
+  | {
+    readonly kind: "unknown";
+    readonly cause: "silent" | "reset" | "cut" | "garbled" | "cancelled";
+    readonly message: string;
+  };
+
+export interface RequestSender {
+  send(request: OutgoingRequest): Promise<SendOutcome>;
+}
--- a/packages/router/src/configuration_watch.ts
+++ b/packages/router/src/configuration_watch.ts
@@ -1,6 +1,6 @@
 /** Notes when a configuration comes into force here, and for how long it is. */
 import { parseEnvelope } from "@lentilspur/state/entry_schema";
-import type { ReplicaEvent } from "@lentilspur/platform/folded_log";
+import type { ReplicaEvent } from "@lentilspur/transport/folded_log";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -2,9 +2,9 @@
  * One instance as a process: its settings, clients and servers put together.
  * Decisions are made elsewhere.
  */
-import { InstanceListClient } from "@lentilspur/platform/instance_list_client";
-import { LogClient } from "@lentilspur/platform/log_client";
-import { TargetClient } from "@lentilspur/platform/target_client";
+import { InstanceListClient } from "@lentilspur/transport/instance_list_client";
+import { LogClient } from "@lentilspur/transport/log_client";
+import { TargetClient } from "@lentilspur/transport/target_client";
 import { SystemClock, SystemRandom } from "@lentilspur/ports/system_clock";
 import { PeerClient } from "@lentilspur/protocol/peer_client";
 import { PeerServer } from "@lentilspur/protocol/peer_server";
--- a/packages/router/src/instance.ts
+++ b/packages/router/src/instance.ts
@@ -14,8 +14,8 @@
   PeerService,
 } from "@lentilspur/ports/peer";
 import type { TargetPort } from "@lentilspur/ports/target";
-import type { ReplicaListener } from "@lentilspur/platform/folded_log";
-import { Replica } from "@lentilspur/platform/replica";
+import type { ReplicaListener } from "@lentilspur/transport/folded_log";
+import { Replica } from "@lentilspur/transport/replica";
 import type { DecisionSink } from "@lentilspur/proof/decision_line";
 import type { InstanceDescription } from "@lentilspur/state/entries";
 import type { StateView } from "@lentilspur/state/view";
--- a/packages/router/src/replica_access.ts
+++ b/packages/router/src/replica_access.ts
@@ -1,6 +1,6 @@
 /** The replica as this instance's control and data path use it. */
 import type { Result } from "@lentilspur/outcomes/result";
-import type { Replica } from "@lentilspur/platform/replica";
+import type { Replica } from "@lentilspur/transport/replica";
 import type { Entry, Verdict } from "@lentilspur/state/entries";
 import type { StateView } from "@lentilspur/state/view";
 import type { LogAccess, SubmitFailed } from "./control/log_access.ts";
--- a/packages/router/src/replica_report.ts
+++ b/packages/router/src/replica_report.ts
@@ -1,5 +1,5 @@
 /** Says in the instance's log what its replica met that people must know. */
-import type { ReplicaEvent } from "@lentilspur/platform/folded_log";
+import type { ReplicaEvent } from "@lentilspur/transport/folded_log";
 import type { Clock } from "@lentilspur/ports/clock";
 
 export interface ReplicaReportOptions {
--- /dev/null
+++ b/packages/routing/src/service_places.ts
@@ -0,0 +1,284 @@
+/**
+ * Gives the places of one service's targets to requests.
+ *
+ * Load pattern: more requests than places for seconds at a time, from callers
+ * of several ranks; targets of one service that differ in speed by a factor of
+ * two to three; a target that is sent more than it can queue may never answer.
+ * So a request waits here, where a more urgent one can pass it and where it
+ * can be refused truthfully, and goes to a target only when one has room. A
+ * request that could not be answered in time is refused when it comes, not
+ * when its deadline has passed.
+ */
+import type { RoutingTarget } from "@lentilspur/ports/routing_table";
+import { TargetLoad } from "./target_load.ts";
+
+export interface PlaceRequest {
+  readonly requestId: string;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  readonly arrivedAtMs: number;
+  /** Started later, it would be of no use to its caller. */
+  readonly latestStartMs: number;
+  /** The only target that may run it; undefined where any may. */
+  readonly owner?: string;
+  /** Targets that have failed this request already. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+export type RefusalReason = "no-target" | "overloaded" | "waited-too-long";
+
+export type PlaceDecision =
+  | {
+    readonly kind: "placed";
+    readonly target: RoutingTarget;
+    /** Requests that the target was believed to have. */
+    readonly occupancy: number;
+    readonly waitedMs: number;
+  }
+  | {
+    readonly kind: "refused";
+    readonly reason: RefusalReason;
+    /** After this time there may be room. */
+    readonly retryAfterMs: number;
+  };
+
+interface Waiter {
+  readonly request: PlaceRequest;
+  readonly settle: (decision: PlaceDecision) => void;
+}
+
+/**
+ * Requests sent to a target beyond its places. One keeps a place from standing
+ * empty for the time of an answer and a next request on the way (3 to 6 ms of
+ * a work of 40 to 160 ms).
+ */
+const SENT_AHEAD = 1;
+/** Where nobody else could run it, the target's own queue may hold one more. */
+const SENT_AHEAD_TO_OWNER = 2;
+/** A target elsewhere must be better by this share of the work to be preferred. */
+const REMOTE_SHARE = 0.3;
+/** Where all targets are suspended or unknown, one is expected back after this. */
+const NO_TARGET_RETRY_MS = 300;
+/** Shortest time after which a refused request is asked to come back. */
+const MIN_RETRY_MS = 20;
+
+export interface ServicePlacesOptions {
+  /** Where this instance stands. */
+  readonly dataCentre: string;
+}
+
+export class ServicePlaces {
+  readonly #dataCentre: string;
+  readonly #loads = new Map<string, TargetLoad>();
+  #waiters: Waiter[] = [];
+
+  constructor(options: ServicePlacesOptions) {
+    this.#dataCentre = options.dataCentre;
+  }
+
+  get waiting(): number {
+    return this.#waiters.length;
+  }
+
+  /** Takes over the targets that there are now. */
+  setTargets(targets: readonly RoutingTarget[], nowMs: number): void {
+    const ids = new Set(targets.map((target) => target.id));
+    for (const id of [...this.#loads.keys()]) {
+      if (!ids.has(id)) {
+        this.#loads.delete(id);
+      }
+    }
+    for (const target of targets) {
+      const known = this.#loads.get(target.id);
+      if (known?.target !== target) {
+        this.#loads.set(target.id, new TargetLoad(target, nowMs, known));
+      }
+    }
+  }
+
+  getLoad(targetId: string): TargetLoad | undefined {
+    return this.#loads.get(targetId);
+  }
+
+  listLoads(): readonly TargetLoad[] {
+    return [...this.#loads.values()];
+  }
+
+  /** Decides at once, or later through `settle`. */
+  offer(
+    request: PlaceRequest,
+    nowMs: number,
+    settle: (decision: PlaceDecision) => void,
+  ): void {
+    const refusal = this.#findRefusal(request, nowMs);
+    if (refusal !== undefined) {
+      settle(refusal);
+      return;
+    }
+    this.#addWaiter({ request, settle });
+    this.advance(nowMs);
+  }
+
+  /** The caller has left, or its request is given up. */
+  remove(requestId: string): void {
+    this.#waiters = this.#waiters
+      .filter((waiter) => waiter.request.requestId !== requestId);
+  }
+
+  /** Places what can be placed and refuses what has waited too long. */
+  advance(nowMs: number): void {
+    if (this.#waiters.length === 0) {
+      return;
+    }
+    const stay: Waiter[] = [];
+    const settled: (() => void)[] = [];
+    for (const waiter of this.#waiters) {
+      const decision = this.#decide(waiter.request, nowMs);
+      if (decision === undefined) {
+        stay.push(waiter);
+      } else {
+        settled.push(() => waiter.settle(decision));
+      }
+    }
+    this.#waiters = stay;
+    for (const settle of settled) {
+      settle();
+    }
+  }
+
+  /** Work of one request at the service's targets, on average; null if unknown. */
+  getUsualServiceMs(): number | null {
+    let sum = 0;
+    let count = 0;
+    for (const load of this.#loads.values()) {
+      if (load.measuredServiceMs !== null) {
+        sum += load.measuredServiceMs;
+        count++;
+      }
+    }
+    return count === 0 ? null : sum / count;
+  }
+
+  #decide(request: PlaceRequest, nowMs: number): PlaceDecision | undefined {
+    const waitedMs = nowMs - request.arrivedAtMs;
+    const load = this.#choose(request, nowMs);
+    if (load !== undefined) {
+      const occupancy = load.computeOccupancy(nowMs);
+      // Counted at once, so that the next decision of this turn sees it.
+      load.recordSent(request.requestId, nowMs);
+      return { kind: "placed", target: load.target, occupancy, waitedMs };
+    }
+    if (nowMs > request.latestStartMs) {
+      const retryAfterMs = this.#estimateWaitMs(request, nowMs);
+      return { kind: "refused", reason: "waited-too-long", retryAfterMs };
+    }
+    return undefined;
+  }
+
+  #choose(request: PlaceRequest, nowMs: number): TargetLoad | undefined {
+    if (request.owner !== undefined) {
+      const load = this.#loads.get(request.owner);
+      return load !== undefined && !load.isSuspended(nowMs) &&
+          hasRoom(load, SENT_AHEAD_TO_OWNER, nowMs)
+        ? load
+        : undefined;
+    }
+    const usualMs = this.getUsualServiceMs();
+    let best: TargetLoad | undefined;
+    let bestMs = Infinity;
+    for (const load of this.#listUsable(request, nowMs)) {
+      if (!hasRoom(load, SENT_AHEAD, nowMs)) {
+        continue;
+      }
+      const answerMs = load.estimateAnswerMs(nowMs, usualMs) +
+        this.#computeRemoteMs(load, usualMs);
+      if (answerMs < bestMs) {
+        bestMs = answerMs;
+        best = load;
+      }
+    }
+    return best;
+  }
+
+  #listUsable(request: PlaceRequest, nowMs: number): readonly TargetLoad[] {
+    const usable: TargetLoad[] = [];
+    for (const load of this.#loads.values()) {
+      if (
+        !load.target.leaving && !load.isSuspended(nowMs) &&
+        !request.excluded.has(load.target.id)
+      ) {
+        usable.push(load);
+      }
+    }
+    return usable;
+  }
+
+  #computeRemoteMs(load: TargetLoad, usualMs: number | null): number {
+    return load.target.dataCentre === this.#dataCentre
+      ? 0
+      : REMOTE_SHARE * (usualMs ?? 0);
+  }
+
+  #findRefusal(
+    request: PlaceRequest,
+    nowMs: number,
+  ): PlaceDecision | undefined {
+    if (this.#countPlaces(request) === 0) {
+      const retryAfterMs = NO_TARGET_RETRY_MS;
+      return { kind: "refused", reason: "no-target", retryAfterMs };
+    }
+    const waitMs = this.#estimateWaitMs(request, nowMs);
+    return nowMs + waitMs > request.latestStartMs
+      ? { kind: "refused", reason: "overloaded", retryAfterMs: waitMs }
+      : undefined;
+  }
+
+  #countPlaces(request: PlaceRequest): number {
+    if (request.owner !== undefined) {
+      return this.#loads.get(request.owner)?.target.places ?? 0;
+    }
+    let places = 0;
+    for (const load of this.#loads.values()) {
+      if (!load.target.leaving && !request.excluded.has(load.target.id)) {
+        places += load.target.places;
+      }
+    }
+    return places;
+  }
+
+  /** Until what waits ahead of this request here has been worked off. */
+  #estimateWaitMs(request: PlaceRequest, nowMs: number): number {
+    const ahead =
+      this.#waiters.filter((waiter) =>
+        waiter.request.owner === request.owner &&
+        isBefore(waiter.request, request)
+      ).length;
+    const owner = request.owner === undefined
+      ? undefined
+      : this.#loads.get(request.owner);
+    const usualMs = this.getUsualServiceMs();
+    const serviceMs = owner?.estimateServiceMs(nowMs, usualMs) ?? usualMs ?? 0;
+    const places = Math.max(1, this.#countPlaces(request));
+    return Math.max(MIN_RETRY_MS, ahead * serviceMs / places);
+  }
+
+  #addWaiter(waiter: Waiter): void {
+    const index = this.#waiters
+      .findIndex((other) => isBefore(waiter.request, other.request));
+    if (index < 0) {
+      this.#waiters.push(waiter);
+    } else {
+      this.#waiters.splice(index, 0, waiter);
+    }
+  }
+}
+
+function hasRoom(load: TargetLoad, ahead: number, nowMs: number): boolean {
+  return load.computeOccupancy(nowMs) < load.target.places + ahead;
+}
+
+/** More urgent ranks first, then whoever came first. */
+function isBefore(left: PlaceRequest, right: PlaceRequest): boolean {
+  return left.rank < right.rank ||
+    (left.rank === right.rank && left.arrivedAtMs < right.arrivedAtMs);
+}
--- a/packages/standins/src/servers_test.ts
+++ b/packages/standins/src/servers_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { InstanceListClient } from "@lentilspur/platform/instance_list_client";
-import { LogClient } from "@lentilspur/platform/log_client";
-import { TargetClient } from "@lentilspur/platform/target_client";
+import { InstanceListClient } from "@lentilspur/transport/instance_list_client";
+import { LogClient } from "@lentilspur/transport/log_client";
+import { TargetClient } from "@lentilspur/transport/target_client";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { DispatchRequest } from "@lentilspur/ports/target";
 import { request } from "undici";
--- a/packages/platform/src/answer_collector.ts
+++ b/packages/transport/src/answer_collector.ts
@@ -87,11 +87,13 @@
 
   /**
    * Failure: the target dies in the middle of an answer that ends with its
-   * connection, and half of it looks whole. Only an answer that gives its
-   * length or ends with its last chunk is taken; `undici` checks both.
+   * connection, and half of it looks whole. Unless the sender allows it, only
+   * an answer that gives its length or ends with its last chunk is taken;
+   * `undici` checks both.
    */
   #isEndMarked(): boolean {
     return this.#request.method === "HEAD" ||
+      this.#request.acceptsUnframed === true ||
       BODILESS_STATUSES.has(this.#status) ||
       this.#headers.some((field) =>
         field.name === "content-length" || field.name === "transfer-encoding"
--- a/packages/platform/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -21,6 +21,11 @@
   /** From the start of the write to the last byte of the answer. */
   readonly timeoutMs: number;
   readonly maxAnswerBytes: number;
+  /**
+   * Whether an answer may end with its connection. It is whole only if the peer
+   * closed in order; one that was reset is cut.
+   */
+  readonly acceptsUnframed?: boolean;
   readonly signal?: AbortSignal;
   /** Asked right before the first byte is written; false keeps it all back. */
   readonly mayStart?: () => boolean;
--- a/packages/trials/src/path/path_cluster.ts
+++ b/packages/trials/src/path/path_cluster.ts
@@ -6,7 +6,7 @@
   ClientAccount,
   Template,
 } from "@lentilspur/declarations/template";
-import { LogClient } from "@lentilspur/platform/log_client";
+import { LogClient } from "@lentilspur/transport/log_client";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { hashCredential } from "@lentilspur/router/entry/credential_index";
 import { serializeEnvelope } from "@lentilspur/state/entry_schema";
--- a/packages/trials/src/start/trial_report.ts
+++ b/packages/trials/src/start/trial_report.ts
@@ -1,6 +1,6 @@
 /** What a trial came to, from the targets' histories and callers' records. */
 import { existsSync, readFileSync } from "node:fs";
-import { LogClient } from "@lentilspur/platform/log_client";
+import { LogClient } from "@lentilspur/transport/log_client";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { TargetRun } from "@lentilspur/ports/target_history";
 import type { CallerRecord } from "@lentilspur/standins/caller_record";
