--- a/packages/gateway/src/caller_request.ts
+++ b/packages/gateway/src/caller_request.ts
@@ -35,6 +35,7 @@
   | "body-too-large"
   | "too-slow"
   | "not-ready"
+  | "stopping"
   | "no-target"
   | "owner-changing"
   | "overloaded"
@@ -56,6 +57,7 @@
   "body-too-large": { status: 413, advice: "Send a smaller body" },
   "too-slow": { status: 408, advice: "Send the whole request at once" },
   "not-ready": { status: 503, advice: "Send again to another instance" },
+  "stopping": { status: 503, advice: "Send again to another instance" },
   "no-target": { status: 503, advice: "Send again after Retry-After" },
   "owner-changing": { status: 503, advice: "Send again after Retry-After" },
   "overloaded": { status: 503, advice: "Send again after Retry-After" },
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -60,6 +60,16 @@
   readonly close: () => void;
 }
 
+/** Times of a graceful shutdown, counted from the signal. */
+export interface StopTiming {
+  /** Without a request for this long, nobody is expected any more. */
+  readonly quietMs: number;
+  /** After this, new requests are refused. */
+  readonly refuseAfterMs: number;
+  /** After this it ends, whatever is still open. */
+  readonly latestMs: number;
+}
+
 export interface InstanceOptions {
   readonly settings: ResolvedGatewaySettings;
   readonly clock: Clock;
@@ -172,10 +182,7 @@
    * A graceful shutdown: not ready at once, duties handed over, every open
    * connection served until its clients have left or the time is nearly over.
    */
-  async stop(timing: {
-    readonly quietMs: number;
-    readonly latestMs: number;
-  }): Promise<void> {
+  async stop(timing: StopTiming): Promise<void> {
     const { clock } = this.#options;
     const startedAtMs = clock.readMs();
     this.#isStopping = true;
@@ -187,6 +194,9 @@
     await this.#keepers.leave();
     for (;;) {
       const nowMs = clock.readMs();
+      if (nowMs - startedAtMs >= timing.refuseAfterMs) {
+        this.#server.refuse();
+      }
       const quietSinceMs = Math.max(startedAtMs, this.#server.lastRequestAtMs);
       const isQuiet = nowMs - quietSinceMs >= timing.quietMs &&
         this.#server.openRequests === 0;
--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -43,7 +43,7 @@
 
 /** First and longest pause after a failed read: a returning store is seen in time. */
 const MIN_PAUSE_MS = 100;
-const MAX_PAUSE_MS = 600;
+const MAX_PAUSE_MS = 400;
 
 export class PartitionTail {
   readonly #options: PartitionTailOptions;
@@ -109,7 +109,12 @@
     const isWhole = this.#end < 0;
     const read = isWhole
       ? await store.readNewest(partition)
-      : await store.read({ partition, from: this.#end, waitMs });
+      : await store.read({
+        partition,
+        from: this.#end,
+        // A store that is away shows its return in a short call, not a long one.
+        waitMs: this.isLost ? 0 : waitMs,
+      });
     if (!read.ok) {
       return this.#handleFailure(read.val);
     }
--- a/packages/gateway/src/request_server.ts
+++ b/packages/gateway/src/request_server.ts
@@ -70,6 +70,7 @@
   readonly #sockets = new Set<Socket>();
   #limits = FIRST_LIMITS;
   #isStopping = false;
+  #isRefusing = false;
   #open = 0;
   #lastRequestAtMs = -Infinity;
 
@@ -124,6 +125,16 @@
     this.#isStopping = true;
   }
 
+  /**
+   * From now on no request is begun, since it might not be finished before the
+   * process has to end: a caller that still comes is told at once that its
+   * request has not run, and finds another instance.
+   */
+  refuse(): void {
+    this.#isRefusing = true;
+    this.#server.close();
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -160,6 +171,8 @@
     const body = await this.#readBody(message);
     const failure = !body.ok
       ? body.failure
+      : this.#isRefusing
+      ? "stopping"
       : requestId === undefined || message.headers.host === undefined
       ? "malformed"
       : undefined;
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -20,8 +20,16 @@
   readonly reportFault: (message: string) => void;
 }
 
-/** Changes come seldom and must be in force within 2 s: the store holds the read open. */
-const WAIT_MS = 5_000;
+/**
+ * Changes come seldom, so the store holds the read open. A connection that has
+ * gone silent meanwhile shows only when the read's time is over, and a change
+ * must be in force within 2 s to 3 s of that.
+ */
+const CONFIGURATION_WAIT_MS = 2_000;
+const OWNERS_WAIT_MS = 3_000;
+const MEMBERS_WAIT_MS = 10_000;
+/** The targets' entries change all the time; in an outage a wait only delays. */
+const TARGETS_WAIT_MS = 1_000;
 /** A storm of changes every 60 ms is read in a few calls. */
 const CONFIGURATION_GAP_MS = 120;
 /**
@@ -50,17 +58,17 @@
     const { configuration, targets, members } = options.places;
     this.#configuration = this.#createTail(
       configuration,
-      CONFIGURATION_GAP_MS,
+      { gapMs: CONFIGURATION_GAP_MS, waitMs: CONFIGURATION_WAIT_MS },
       (key, value) => this.#applyConfiguration(key, value),
     );
     this.#targets = this.#createTail(
       targets,
-      TARGETS_GAP_MS,
+      { gapMs: TARGETS_GAP_MS, waitMs: TARGETS_WAIT_MS },
       (key, value) => this.#applyTarget(key, value),
     );
     this.#members = this.#createTail(
       members,
-      MEMBERS_GAP_MS,
+      { gapMs: MEMBERS_GAP_MS, waitMs: MEMBERS_WAIT_MS },
       (key, value) => this.#applyMember(key, value),
     );
   }
@@ -89,7 +97,7 @@
     const { topic } = this.#options.places.owners;
     const tail = this.#createTail(
       { topic, part },
-      OWNERS_GAP_MS,
+      { gapMs: OWNERS_GAP_MS, waitMs: OWNERS_WAIT_MS },
       (key, value, offset) => this.#applyOwners(key, value, offset),
     );
     this.#owners.set(part, tail);
@@ -98,7 +106,7 @@
 
   #createTail(
     partition: Partition,
-    gapMs: number,
+    pace: { readonly gapMs: number; readonly waitMs: number },
     apply: (key: string, value: string, offset: number) => void,
   ): PartitionTail {
     const { clock, store, observe } = this.#options;
@@ -107,8 +115,7 @@
       clock,
       store,
       partition: { topic, part },
-      gapMs,
-      waitMs: WAIT_MS,
+      ...pace,
       apply: ({ key, value, offset }) => apply(key, value, offset),
       observe,
     });
--- /dev/null
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -0,0 +1,263 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeKeyHolders } from "@lentilspur/ports/fake_key_holders";
+import { FakeStore } from "@lentilspur/ports/fake_store";
+import { VirtualClock } from "@lentilspur/ports/virtual_clock";
+import {
+  type KeeperEvent,
+  KeyKeeper,
+  type KeyKeeperOptions,
+} from "./key_keeper.ts";
+import { formatTableKey, KEEPER_KEY } from "./keeper_records.ts";
+import { parseStanding } from "./keeper_standing.ts";
+import { DEFAULT_KEEPER_TIMING } from "./keeper_timing.ts";
+import type { OwnerCandidate } from "./key_planner.ts";
+
+const PARTITION = { topic: "owners", part: 0 };
+const SERVICE = "files";
+
+/** One world of a store and targets, in which keepers come and go. */
+class World {
+  readonly clock = new VirtualClock();
+  readonly store = new FakeStore(this.clock);
+  readonly holders = new FakeKeyHolders(this.clock);
+  readonly events: KeeperEvent[] = [];
+  candidates: OwnerCandidate[] = ["a", "b"].map(createCandidate);
+  readonly ended = new Set<string>();
+  /** Instances that cannot reach the store. */
+  readonly cut = new Set<string>();
+
+  /** Claims as an instance does, and starts its keeper. */
+  startKeeper(
+    instance: string,
+    options: {
+      readonly predecessor?: "none" | "ended" | "resigned" | "unknown";
+      readonly canReach?: (targetId: string) => boolean;
+      readonly getTrustedSinceMs?: () => number;
+    } = {},
+  ): KeyKeeper {
+    const claim = { instance, incarnation: `${instance}-1` };
+    const records = this.store.listRecords(PARTITION);
+    const standing = parseStanding(records, records.length);
+    const term = this.store
+      .write(PARTITION, KEEPER_KEY, JSON.stringify(claim));
+    const keeperOptions: KeyKeeperOptions = {
+      clock: this.clock,
+      store: this.store.createClient(instance),
+      orders: this.holders.createClient(options.canReach),
+      partition: PARTITION,
+      timing: DEFAULT_KEEPER_TIMING,
+      term,
+      claim,
+      tables: standing.tables,
+      getPredecessor: () => options.predecessor ?? "none",
+      listFacts: () => [{
+        service: SERVICE,
+        candidates: this.candidates,
+        rates: [],
+      }],
+      hasEnded: (holder) => this.ended.has(holder.id),
+      getConfirmedAtMs: () =>
+        this.cut.has(instance) ? -Infinity : this.clock.readMs(),
+      getTrustedSinceMs: options.getTrustedSinceMs ?? (() => -Infinity),
+      observe: (event) => this.events.push(event),
+    };
+    const keeper = new KeyKeeper(keeperOptions);
+    void keeper.run();
+    return keeper;
+  }
+
+  cutFromStore(instance: string): void {
+    this.cut.add(instance);
+    this.store.setMood(instance, "silent");
+  }
+
+  readOwners(): readonly string[] {
+    const records = this.store.listRecords(PARTITION);
+    const table = parseStanding(records, records.length).tables.get(SERVICE);
+    return table?.ranges.map((range) => range.owner.id) ?? [];
+  }
+}
+
+function createCandidate(id: string): OwnerCandidate {
+  return { id, address: `${id}:80`, places: 2, serviceMs: 50 };
+}
+
+test("a first keeper divides the keys and grants them", async () => {
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  assert.deepEqual(world.readOwners(), ["a", "b"]);
+  assert.equal(world.holders.findHolder(0), "a");
+  assert.equal(world.holders.findHolder(65_535), "b");
+});
+
+test("a leaving target's keys move only after it has released them", async () => {
+  // A user sees two answers of two case files that should be one. A target is
+  // told to leave; its keys are granted to another while it still works on
+  // one of them. The grant must wait for the answer to the release.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(1_000);
+  assert.equal(world.holders.findHolder(0), "b");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+  const release = world.holders.orders.find(({ kind }) => kind === "release")!;
+  const grant = world.holders.orders.find((order) =>
+    order.kind === "grant" && order.targetId === "b" && order.from === 0
+  )!;
+  assert.ok(release.token === grant.token, "released under the new token");
+  assert.ok(grant.atMs >= release.atMs + 60, "granted after its work ended");
+});
+
+test("keys of a target that cannot be reached wait for its hold to end", async () => {
+  // A target is cut off and goes on serving its keys, since it holds them for
+  // 4 s more. Granted to another at once, they would have two owners.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.holders.setMood("a", "unreachable");
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(3_000);
+  assert.notEqual(world.holders.findHolder(0), "b");
+  await world.clock.advance(2_500);
+  assert.equal(world.holders.findHolder(0), "b", "served again within 5 s");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("a target that has ended is not waited for", async () => {
+  // Another process was seen at its address: nobody holds its keys.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.holders.setMood("a", "unreachable");
+  world.ended.add("a");
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(1_000);
+  assert.ok(
+    world.holders.orders
+      .some((order) => order.targetId === "b" && order.from === 0),
+  );
+});
+
+test("a grant that was left unanswered is waited out after a release", async () => {
+  // A renewal gets no answer. The target then answers a release, and 2 s after
+  // it carries the renewal out all the same: it holds the keys again, while
+  // they have been granted to another.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.holders.setLateMs(2_500);
+  world.holders.setMood("a", "late");
+  await world.clock.advance(1_500);
+  world.holders.setMood("a", "answering");
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(8_000);
+  assert.equal(world.holders.findHolder(0), "b");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("a keeper that was replaced writes and orders nothing more", async () => {
+  // Two instances believe that they keep the keys: the first one's append
+  // fails, since the partition ends with the second one's claim.
+  const world = new World();
+  const first = world.startKeeper("one");
+  await world.clock.advance(500);
+  world.startKeeper("two", { predecessor: "unknown" });
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(1_000);
+  assert.ok(first.hasStopped);
+  const before = world.store.listRecords(PARTITION)
+    .filter(({ key }) => key === formatTableKey(SERVICE)).length;
+  await world.clock.advance(7_000);
+  assert.ok(before >= 2);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+  assert.equal(world.holders.findHolder(0), "b");
+});
+
+test("a successor that cannot reach a holder waits for its predecessor's authority to end", async () => {
+  // The keeper is cut from the store but not from target a, and goes on
+  // renewing. Its successor reaches the store but not target a. Were only the
+  // hold waited out, a would still be renewed when its keys go to b.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.cutFromStore("one");
+  world.startKeeper("two", {
+    predecessor: "unknown",
+    canReach: (id) => id !== "a",
+  });
+  await world.clock.advance(12_000);
+  assert.equal(world.holders.findHolder(0), "a", "the first goes on");
+  await world.clock.advance(20_000);
+  assert.equal(world.holders.findHolder(0), "b");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("keys are served on while the store is away", async () => {
+  // The store is down for 15 s. Without renewals every key would stop being
+  // served within 4 s.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.cutFromStore("one");
+  await world.clock.advance(15_000);
+  assert.equal(world.holders.findHolder(0), "a");
+  assert.equal(world.holders.findHolder(65_535), "b");
+});
+
+test("a keeper stops renewing when its authority has ended", async () => {
+  // Away from the store for longer, another may have been claimed meanwhile.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.cutFromStore("one");
+  await world.clock.advance(DEFAULT_KEEPER_TIMING.authorityMs + 5_000);
+  assert.equal(world.holders.findHolder(0), undefined);
+});
+
+test("a suspended keeper asks the store before its next order", async () => {
+  // The machine was suspended; the steady clock stood still, so the keeper
+  // would take its authority for fresh. What was confirmed before is void.
+  const world = new World();
+  let trustedSinceMs = -Infinity;
+  world.startKeeper("one", { getTrustedSinceMs: () => trustedSinceMs });
+  await world.clock.advance(500);
+  trustedSinceMs = world.clock.readMs();
+  world.cutFromStore("one");
+  const before = world.holders.orders.length;
+  await world.clock.advance(3_000);
+  assert.equal(world.holders.orders.length, before);
+});
+
+test("an append whose answer was lost is found in the store", async () => {
+  // The table with the new owner is in the store, but its answer is not back.
+  // Written anew it would conflict for ever; read back, the move goes on.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.store.setMood("one", "losing-answers");
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(2_000);
+  world.store.setMood("one", "serving");
+  await world.clock.advance(2_000);
+  assert.equal(world.holders.findHolder(0), "b");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("a successor renews what stands under the same tokens", async () => {
+  // All instances lose power at once. No key should change its owner, nor get
+  // a new token, when the first keeper is back.
+  const world = new World();
+  const first = world.startKeeper("one");
+  await world.clock.advance(500);
+  first.stop("asked");
+  const spans = world.holders.spans.length;
+  world.startKeeper("two", { predecessor: "ended" });
+  await world.clock.advance(3_000);
+  const tokens = new Set(world.holders.spans.map(({ token }) => token));
+  assert.ok(world.holders.spans.length > spans);
+  assert.equal(tokens.size, 1);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -7,7 +7,8 @@
  * cost their share of all keys, and a hot spell is narrow: so the narrowest
  * stretch that carries the excess is moved, and what earns little stays.
  */
-import type { KeyRate } from "./key_load.ts";
+import { type KeyRate, RECENT_MS } from "./key_load.ts";
+import { RateLine } from "./rate_line.ts";
 import type { KeyTable, OwnedRange, Reassignment } from "./key_table.ts";
 
 /** A target that may own keys. */
@@ -19,8 +20,8 @@
   readonly serviceMs: number;
 }
 
-/** A target busier than this share of its places is relieved. */
-const MAX_BUSY = 0.65;
+/** A target busier than this share of its places is relieved: waits double at 0.7. */
+const MAX_BUSY = 0.7;
 /** And only if it is this much busier than the average of all. */
 const MIN_EXCESS = 1.25;
 /** A receiver is filled to the average, or up to this. */
@@ -28,12 +29,21 @@
 /** Moves in one plan; each is a release, a grant and a record's part. */
 const MAX_MOVES = 12;
 /** A stretch that carries less than this share of what is wanted is no help. */
-const MIN_PART = 0.25;
+const MIN_PART = 0.4;
+/**
+ * What is counted of late is taken for less by this many of its own standard
+ * deviations: a target's share of a quiet second is 20 requests, give or take 4.
+ */
+const CAUTION = 1.5;
+/** Each range costs a renewal a second; beyond this many a target, spells only. */
+const MAX_RANGES_PER_TARGET = 5;
 
 interface Standing {
   readonly candidate: OwnerCandidate;
   /** Places kept busy, as a share of all of its places. */
   busy: number;
+  /** Whether it is of late that it is busy. */
+  isSpell: boolean;
   ranges: OwnedRange[];
 }
 
@@ -46,39 +56,75 @@
   if (candidates.length === 0) {
     return [];
   }
-  const standings = createStandings(table, candidates, rates);
-  const orphans = planOrphans(table, standings, rates);
-  // Balancing waits until everything has an owner: one change at a time.
-  return orphans.length > 0 ? orphans : planBalance(standings, rates);
+  const lines = createLines(rates);
+  const standings = createStandings(table, candidates, lines);
+  const orphans = planOrphans(table, standings, lines.usual);
+  if (orphans.length > 0) {
+    // Balancing waits until everything has an owner: one change at a time.
+    return orphans;
+  }
+  const isCrowded =
+    table.ranges.length > MAX_RANGES_PER_TARGET * candidates.length;
+  return planBalance(standings, lines, isCrowded);
 }
 
 function createStandings(
   table: KeyTable,
   candidates: readonly OwnerCandidate[],
-  rates: readonly KeyRate[],
+  lines: RateLines,
 ): Map<string, Standing> {
   const standings = new Map<string, Standing>();
   for (const candidate of candidates) {
-    standings.set(candidate.id, { candidate, busy: 0, ranges: [] });
-  }
-  for (const range of table.ranges) {
-    const standing = standings.get(range.owner.id);
-    if (standing !== undefined) {
-      standing.ranges.push(range);
-      standing.busy += computeBusy(
-        standing.candidate,
-        sumRates(rates, range.from, range.to),
-      );
-    }
+    const ranges = table.ranges
+      .filter((range) => range.owner.id === candidate.id);
+    standings.set(candidate.id, createStanding(candidate, ranges, lines));
   }
   return standings;
 }
 
+function createStanding(
+  candidate: OwnerCandidate,
+  ranges: OwnedRange[],
+  lines: RateLines,
+): Standing {
+  let usual = 0;
+  let recent = 0;
+  for (const range of ranges) {
+    usual += lines.usual.sum(range.from, range.to);
+    recent += lines.recent.sum(range.from, range.to);
+  }
+  const counted = Math.max(1, recent * RECENT_MS / 1_000);
+  const certain = recent * Math.max(0, 1 - CAUTION / Math.sqrt(counted));
+  return {
+    candidate,
+    busy: computeBusy(candidate, Math.max(usual, certain)),
+    isSpell: certain > usual,
+    ranges,
+  };
+}
+
+/** The same keys by both counts. */
+interface RateLines {
+  readonly usual: RateLine;
+  readonly recent: RateLine;
+}
+
+function createLines(rates: readonly KeyRate[]): RateLines {
+  return {
+    usual: new RateLine(
+      rates.map(({ key, usual }) => ({ key, perSecond: usual })),
+    ),
+    recent: new RateLine(
+      rates.map(({ key, recent }) => ({ key, perSecond: recent })),
+    ),
+  };
+}
+
 /** Ranges without a usable owner go where there is most room, piece by piece. */
 function planOrphans(
   table: KeyTable,
   standings: ReadonlyMap<string, Standing>,
-  rates: readonly KeyRate[],
+  rates: RateLine,
 ): readonly Reassignment[] {
   const changes: Reassignment[] = [];
   for (const range of table.ranges) {
@@ -111,9 +157,9 @@
 
 function splitOrphan(
   range: OwnedRange,
-  rates: readonly KeyRate[],
+  rates: RateLine,
 ): readonly Piece[] {
-  const total = sumRates(rates, range.from, range.to);
+  const total = rates.sum(range.from, range.to);
   const width = range.to - range.from + 1;
   const count = Math.min(ORPHAN_PIECES, width);
   if (total < 1) {
@@ -122,10 +168,7 @@
   const pieces: Piece[] = [];
   let from = range.from;
   let sum = 0;
-  for (const { key, perSecond } of rates) {
-    if (key < range.from || key > range.to) {
-      continue;
-    }
+  for (const { key, perSecond } of rates.list(range.from, range.to)) {
     sum += perSecond;
     if (
       sum >= total / count && pieces.length < count - 1 && key < range.to
@@ -151,11 +194,12 @@
 
 function planBalance(
   standings: ReadonlyMap<string, Standing>,
-  rates: readonly KeyRate[],
+  lines: RateLines,
+  isCrowded: boolean,
 ): readonly Reassignment[] {
   const changes: Reassignment[] = [];
   while (changes.length < MAX_MOVES) {
-    const change = planOneMove(standings, rates, changes);
+    const change = planOneMove(standings, lines, changes, isCrowded);
     if (change === undefined) {
       break;
     }
@@ -166,30 +210,32 @@
 
 function planOneMove(
   standings: ReadonlyMap<string, Standing>,
-  rates: readonly KeyRate[],
+  lines: RateLines,
   before: readonly Reassignment[],
+  isCrowded: boolean,
 ): Reassignment | undefined {
   const average = computeAverageBusy(standings);
   const giver = [...standings.values()]
     .sort((left, right) => right.busy - left.busy)
-    .find((one) => hasTooMuch(one, average));
+    .find((one) => hasTooMuch(one, average) && (one.isSpell || !isCrowded));
   const receiver = chooseIdlest(standings);
   if (giver === undefined || giver === receiver) {
-    return planForNewcomer(standings, rates, average);
+    return planForNewcomer(standings, lines.usual, average);
   }
-  const excess = giver.busy - Math.max(average, MAX_BUSY / MIN_EXCESS);
+  const excess = giver.busy - Math.max(average, RECEIVER_BUSY);
   const room = Math.max(average, RECEIVER_BUSY) - receiver.busy;
   const wanted = Math.min(
     excess * computeRate(giver.candidate),
     room * computeRate(receiver.candidate),
   );
+  const rates = giver.isSpell ? lines.recent : lines.usual;
   return moveStretch({ giver, receiver, wanted, rates, before });
 }
 
-/** A target that has joined and owns nothing gets the average's half at once. */
+/** A target that has joined and owns nothing gets half of the average at once. */
 function planForNewcomer(
   standings: ReadonlyMap<string, Standing>,
-  rates: readonly KeyRate[],
+  rates: RateLine,
   average: number,
 ): Reassignment | undefined {
   const receiver = [...standings.values()]
@@ -215,7 +261,7 @@
   readonly giver: Standing;
   readonly receiver: Standing;
   readonly wanted: number;
-  readonly rates: readonly KeyRate[];
+  readonly rates: RateLine;
   readonly before: readonly Reassignment[];
 }): Reassignment | undefined {
   const { giver, receiver, wanted, rates, before } = options;
@@ -250,7 +296,7 @@
 
 /** The narrowest stretch of a range that carries about `wanted`. */
 function findNarrowest(
-  rates: readonly KeyRate[],
+  rates: RateLine,
   range: OwnedRange,
   wanted: number,
   before: readonly Reassignment[],
@@ -258,9 +304,8 @@
   let best: Stretch | undefined;
   let sum = 0;
   let first = 0;
-  const within = rates.filter(({ key }) =>
-    key >= range.from && key <= range.to && !isMoved(before, key)
-  );
+  const within = rates.list(range.from, range.to)
+    .filter(({ key }) => !isMoved(before, key));
   for (const [last, rate] of within.entries()) {
     sum += rate.perSecond;
     while (sum > wanted && first < last) {
@@ -328,17 +373,3 @@
 function computeBusy(candidate: OwnerCandidate, perSecond: number): number {
   return perSecond / computeRate(candidate);
 }
-
-function sumRates(
-  rates: readonly KeyRate[],
-  from: number,
-  to: number,
-): number {
-  let sum = 0;
-  for (const { key, perSecond } of rates) {
-    if (key >= from && key <= to) {
-      sum += perSecond;
-    }
-  }
-  return sum;
-}
--- a/packages/ownership/src/range_keeper.ts
+++ b/packages/ownership/src/range_keeper.ts
@@ -79,8 +79,9 @@
     const known = new Map(
       this.#states.map((state) => [formatRange(state.range), state]),
     );
+    const before = this.#states;
     this.#states = table.ranges.map((range) =>
-      keepState(known.get(formatRange(range)), range)
+      keepState(known.get(formatRange(range)), range, before)
     );
   }
 
@@ -280,21 +281,32 @@
 function keepState(
   known: RangeState | undefined,
   range: OwnedRange,
+  before: readonly RangeState[],
 ): RangeState {
   if (known !== undefined) {
     known.range = range;
     return known;
   }
+  // What is left of a granted range is granted; its renewals go on in time.
+  const whole = before.find((state) =>
+    state.granted && isPart(range, state.range)
+  );
   return {
     range,
-    granted: false,
+    granted: whole !== undefined,
     busy: false,
-    nextAtMs: -Infinity,
+    nextAtMs: whole?.nextAtMs ?? -Infinity,
     released: new Map(),
     handover: undefined,
   };
 }
 
+function isPart(range: OwnedRange, whole: OwnedRange): boolean {
+  return range.from >= whole.from && range.to <= whole.to &&
+    range.owner.id === whole.owner.id &&
+    range.owner.token === whole.owner.token;
+}
+
 /** A range under one token; who held it before does not change what it is. */
 function formatRange(range: OwnedRange): string {
   return `${range.from}-${range.to}:${range.owner.id}:${range.owner.token}`;
--- /dev/null
+++ b/packages/ports/src/fake_key_holders.ts
@@ -0,0 +1,217 @@
+/**
+ * Targets that hold keys, in virtual time: they check tokens, let holds run
+ * out, answer late or never, and carry out late what they left unanswered. They
+ * keep a history by which a test judges whether a key ever had two holders.
+ */
+import type { Clock } from "./clock.ts";
+import type {
+  GrantOrder,
+  KeyOrders,
+  KeyRange,
+  OrderOutcome,
+  OrderReceiver,
+  ReleaseOrder,
+} from "./key_orders.ts";
+
+export type HolderMood =
+  | "answering"
+  /** Orders neither arrive nor fail at once. */
+  | "unreachable"
+  /** Grants take effect some seconds after they came, unanswered. */
+  | "late";
+
+/** A span in which a target held keys. */
+export interface HeldSpan extends KeyRange {
+  readonly targetId: string;
+  readonly token: number;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+export interface SeenOrder extends KeyRange {
+  readonly kind: "grant" | "release";
+  readonly targetId: string;
+  readonly token: number;
+  readonly atMs: number;
+}
+
+const TRAVEL_MS = 1;
+const TIMEOUT_MS = 400;
+/** Work that runs on released keys ends after this. */
+const WORK_MS = 60;
+
+export class FakeKeyHolders {
+  readonly spans: HeldSpan[] = [];
+  readonly orders: SeenOrder[] = [];
+  readonly #clock: Clock;
+  readonly #moods = new Map<string, HolderMood>();
+  readonly #highest = new Map<string, (KeyRange & { token: number })[]>();
+  #lateMs = 6_000;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  setMood(targetId: string, mood: HolderMood): void {
+    this.#moods.set(targetId, mood);
+  }
+
+  /** How long after its arrival an unanswered grant is carried out. */
+  setLateMs(lateMs: number): void {
+    this.#lateMs = lateMs;
+  }
+
+  /** `canReach` says whether this sender's orders reach a target. */
+  createClient(
+    canReach: (targetId: string) => boolean = () => true,
+  ): KeyOrders {
+    return {
+      grant: (to, order) => this.#grant(to, order, canReach),
+      release: (from, order) => this.#release(from, order, canReach),
+    };
+  }
+
+  /** Pairs of targets that held a key at one time. */
+  listOverlaps(): readonly string[] {
+    const overlaps: string[] = [];
+    for (const [index, left] of this.spans.entries()) {
+      for (const right of this.spans.slice(index + 1)) {
+        if (
+          left.targetId !== right.targetId && left.from <= right.to &&
+          right.from <= left.to && left.fromMs < right.untilMs &&
+          right.fromMs < left.untilMs
+        ) {
+          overlaps.push(
+            `${left.targetId} and ${right.targetId} at ${right.fromMs}`,
+          );
+        }
+      }
+    }
+    return overlaps;
+  }
+
+  /** Who holds a key now. */
+  findHolder(key: number): string | undefined {
+    const nowMs = this.#clock.readMs();
+    return this.spans.find((span) =>
+      span.from <= key && key <= span.to && span.untilMs > nowMs
+    )?.targetId;
+  }
+
+  async #grant(
+    to: OrderReceiver,
+    order: GrantOrder,
+    canReach: (targetId: string) => boolean,
+  ): Promise<OrderOutcome> {
+    const mood = this.#moods.get(to.id) ?? "answering";
+    if (mood === "unreachable" || !canReach(to.id)) {
+      return await this.#loseOrder();
+    }
+    await this.#clock.sleep(TRAVEL_MS);
+    const arrivedAtMs = this.#clock.readMs();
+    this.#recordOrder("grant", to.id, order);
+    if (mood === "late") {
+      void this.#grantLate(to, order, arrivedAtMs);
+      return await this.#loseOrder();
+    }
+    if (this.#hasSeenHigher(to.id, order)) {
+      return { kind: "superseded" };
+    }
+    this.#hold(to.id, order, arrivedAtMs);
+    return { kind: "done" };
+  }
+
+  async #grantLate(
+    to: OrderReceiver,
+    order: GrantOrder,
+    arrivedAtMs: number,
+  ): Promise<void> {
+    await this.#clock.sleep(this.#lateMs);
+    // Carried out whatever came in between; its time counts from its arrival.
+    if (this.#clock.readMs() < arrivedAtMs + order.holdMs) {
+      this.#hold(to.id, order, arrivedAtMs);
+    }
+  }
+
+  async #release(
+    from: OrderReceiver,
+    order: ReleaseOrder,
+    canReach: (targetId: string) => boolean,
+  ): Promise<OrderOutcome> {
+    const mood = this.#moods.get(from.id) ?? "answering";
+    if (mood === "unreachable" || !canReach(from.id)) {
+      return await this.#loseOrder();
+    }
+    await this.#clock.sleep(TRAVEL_MS);
+    this.#recordOrder("release", from.id, order);
+    this.#addSeen(from.id, order);
+    this.#endHolds(from.id, order);
+    await this.#clock.sleep(WORK_MS);
+    return { kind: "done", handover: `handover-${from.id}` };
+  }
+
+  async #loseOrder(): Promise<OrderOutcome> {
+    await this.#clock.sleep(TIMEOUT_MS);
+    return { kind: "unanswered", message: "No answer" };
+  }
+
+  #recordOrder(
+    kind: SeenOrder["kind"],
+    targetId: string,
+    order: KeyRange & { readonly token: number },
+  ): void {
+    const { from, to, token } = order;
+    const atMs = this.#clock.readMs();
+    this.orders.push({ kind, targetId, from, to, token, atMs });
+  }
+
+  #hold(targetId: string, order: GrantOrder, arrivedAtMs: number): void {
+    const nowMs = this.#clock.readMs();
+    this.#addSeen(targetId, order);
+    this.#endHolds(targetId, order);
+    this.spans.push({
+      targetId,
+      from: order.from,
+      to: order.to,
+      token: order.token,
+      fromMs: nowMs,
+      untilMs: arrivedAtMs + order.holdMs,
+    });
+  }
+
+  /** A renewal takes the place of the hold before; what is left of it goes on. */
+  #endHolds(targetId: string, range: KeyRange): void {
+    const nowMs = this.#clock.readMs();
+    for (const span of [...this.spans]) {
+      if (
+        span.targetId !== targetId || span.untilMs <= nowMs ||
+        span.from > range.to || span.to < range.from
+      ) {
+        continue;
+      }
+      if (span.from < range.from) {
+        this.spans.push({ ...span, to: range.from - 1, fromMs: nowMs });
+      }
+      if (span.to > range.to) {
+        this.spans.push({ ...span, from: range.to + 1, fromMs: nowMs });
+      }
+      span.untilMs = nowMs;
+    }
+  }
+
+  #addSeen(targetId: string, order: KeyRange & { token: number }): void {
+    const seen = this.#highest.get(targetId) ?? [];
+    const { from, to, token } = order;
+    this.#highest.set(targetId, [...seen, { from, to, token }]);
+  }
+
+  #hasSeenHigher(
+    targetId: string,
+    order: KeyRange & { token: number },
+  ): boolean {
+    return (this.#highest.get(targetId) ?? []).some((seen) =>
+      seen.from <= order.to && seen.to >= order.from &&
+      seen.token > order.token
+    );
+  }
+}
--- /dev/null
+++ b/packages/ports/src/fake_store.ts
@@ -0,0 +1,252 @@
+/**
+ * A store in memory, in virtual time: conditional appends, newest records,
+ * groups, and the ways in which a store fails its callers.
+ */
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
+import type { Clock } from "./clock.ts";
+import type {
+  AppendRequest,
+  GroupShare,
+  JoinRequest,
+  Partition,
+  ReadRequest,
+  Store,
+  StoreFailure,
+  StoreRecord,
+  StoreSlice,
+} from "./store.ts";
+
+/** How the store treats the calls of one caller. */
+export type StoreMood =
+  | "serving"
+  /** Nothing is done, and it says so. */
+  | "refusing"
+  /** No answer, nothing done. */
+  | "silent"
+  /** Appends are done, their answers are lost. */
+  | "losing-answers";
+
+const CALL_MS = 4;
+const SILENCE_MS = 1_000;
+const READ_POLL_MS = 5;
+
+interface Group {
+  generation: number;
+  readonly members: Map<string, { expiresAtMs: number; parts: number[] }>;
+}
+
+export class FakeStore {
+  readonly #clock: Clock;
+  readonly #parts: number;
+  readonly #records = new Map<string, StoreRecord[]>();
+  readonly #firstKept = new Map<string, number>();
+  readonly #groups = new Map<string, Group>();
+  readonly #moods = new Map<string, StoreMood>();
+  readonly #late: { atMs: number; request: AppendRequest }[] = [];
+
+  constructor(clock: Clock, parts = 1) {
+    this.#clock = clock;
+    this.#parts = parts;
+  }
+
+  /** The store as one caller sees it. */
+  createClient(caller: string): Store {
+    return {
+      append: (request) => this.#append(caller, request),
+      read: (request) => this.#read(caller, request),
+      readNewest: (partition) => this.#readNewest(caller, partition),
+      join: (request) => this.#join(caller, request),
+      leave: (group, member) => this.#leave(caller, group, member),
+    };
+  }
+
+  setMood(caller: string, mood: StoreMood): void {
+    this.#moods.set(caller, mood);
+  }
+
+  /** An append that reaches the store only after this time. */
+  scheduleLate(request: AppendRequest, delayMs: number): void {
+    this.#late.push({ atMs: this.#clock.readMs() + delayMs, request });
+  }
+
+  /** Old records go; the newest of each key can be listed still. */
+  removeHistory(partition: Partition): void {
+    const name = formatPartition(partition);
+    this.#firstKept.set(name, this.#list(name).length);
+  }
+
+  /** Writes as somebody who has no part in the test. */
+  write(partition: Partition, key: string, value: string): number {
+    return this.#apply({ partition, key, value }).unwrap();
+  }
+
+  listRecords(partition: Partition): readonly StoreRecord[] {
+    return this.#list(formatPartition(partition));
+  }
+
+  async #append(
+    caller: string,
+    request: AppendRequest,
+  ): Promise<Result<number, StoreFailure>> {
+    const failure = await this.#wait(caller);
+    if (failure !== undefined) {
+      return Err(failure);
+    }
+    const applied = this.#apply(request);
+    if (this.#moods.get(caller) === "losing-answers") {
+      await this.#clock.sleep(SILENCE_MS);
+      return Err({ kind: "unavailable", message: "The answer was lost" });
+    }
+    return applied;
+  }
+
+  #apply(request: AppendRequest): Result<number, StoreFailure> {
+    const list = this.#list(formatPartition(request.partition));
+    if (request.at !== undefined && request.at !== list.length) {
+      return Err({ kind: "conflict", end: list.length });
+    }
+    const { key, value } = request;
+    list.push({ offset: list.length, key, value });
+    return Ok(list.length - 1);
+  }
+
+  async #read(
+    caller: string,
+    request: ReadRequest,
+  ): Promise<Result<StoreSlice, StoreFailure>> {
+    const failure = await this.#wait(caller);
+    if (failure !== undefined) {
+      return Err(failure);
+    }
+    const name = formatPartition(request.partition);
+    const untilMs = this.#clock.readMs() + request.waitMs;
+    while (
+      this.#list(name).length <= request.from &&
+      this.#clock.readMs() < untilMs
+    ) {
+      await this.#clock.sleep(READ_POLL_MS);
+      this.#applyLate();
+    }
+    if (request.from < (this.#firstKept.get(name) ?? 0)) {
+      return Err({ kind: "expired" });
+    }
+    const list = this.#list(name);
+    return Ok({ records: list.slice(request.from), end: list.length });
+  }
+
+  async #readNewest(
+    caller: string,
+    partition: Partition,
+  ): Promise<Result<StoreSlice, StoreFailure>> {
+    const failure = await this.#wait(caller);
+    if (failure !== undefined) {
+      return Err(failure);
+    }
+    const list = this.#list(formatPartition(partition));
+    const newest = new Map(list.map((record) => [record.key, record]));
+    const records = [...newest.values()].filter(({ value }) => value !== "");
+    return Ok({ records, end: list.length });
+  }
+
+  async #join(
+    caller: string,
+    request: JoinRequest,
+  ): Promise<Result<GroupShare, StoreFailure>> {
+    const failure = await this.#wait(caller);
+    if (failure !== undefined) {
+      return Err(failure);
+    }
+    const group = this.#getGroup(request.group);
+    this.#expireMembers(group);
+    const known = group.members.get(request.member);
+    const expiresAtMs = this.#clock.readMs() + request.ttlMs;
+    if (known === undefined) {
+      group.members.set(request.member, { expiresAtMs, parts: [] });
+      this.#deal(group);
+    } else {
+      known.expiresAtMs = expiresAtMs;
+    }
+    const { parts } = group.members.get(request.member)!;
+    return Ok({ generation: group.generation, parts });
+  }
+
+  async #leave(
+    caller: string,
+    name: string,
+    member: string,
+  ): Promise<Result<void, StoreFailure>> {
+    const failure = await this.#wait(caller);
+    if (failure !== undefined) {
+      return Err(failure);
+    }
+    const group = this.#getGroup(name);
+    if (group.members.delete(member)) {
+      this.#deal(group);
+    }
+    return Ok(undefined);
+  }
+
+  #expireMembers(group: Group): void {
+    const nowMs = this.#clock.readMs();
+    for (const [name, { expiresAtMs }] of group.members) {
+      if (expiresAtMs <= nowMs) {
+        group.members.delete(name);
+        this.#deal(group);
+      }
+    }
+  }
+
+  #deal(group: Group): void {
+    group.generation++;
+    const members = [...group.members.values()];
+    for (const [index, member] of members.entries()) {
+      member.parts = Array.from({ length: this.#parts }, (_, part) => part)
+        .filter((part) => part % members.length === index);
+    }
+  }
+
+  async #wait(caller: string): Promise<StoreFailure | undefined> {
+    this.#applyLate();
+    const mood = this.#moods.get(caller) ?? "serving";
+    switch (mood) {
+      case "serving":
+      case "losing-answers":
+        await this.#clock.sleep(CALL_MS);
+        return undefined;
+      case "refusing":
+        await this.#clock.sleep(CALL_MS);
+        return { kind: "refused", message: "The store is busy" };
+      case "silent":
+        await this.#clock.sleep(SILENCE_MS);
+        return { kind: "unavailable", message: "No answer" };
+    }
+  }
+
+  #applyLate(): void {
+    const nowMs = this.#clock.readMs();
+    for (const late of this.#late.splice(0)) {
+      if (late.atMs <= nowMs) {
+        this.#apply(late.request);
+      } else {
+        this.#late.push(late);
+      }
+    }
+  }
+
+  #list(name: string): StoreRecord[] {
+    const list = this.#records.get(name) ?? [];
+    this.#records.set(name, list);
+    return list;
+  }
+
+  #getGroup(name: string): Group {
+    const group = this.#groups.get(name) ??
+      { generation: 0, members: new Map() };
+    this.#groups.set(name, group);
+    return group;
+  }
+}
+
+function formatPartition({ topic, part }: Partition): string {
+  return `${topic}/${part}`;
+}
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -66,9 +66,13 @@
   readonly #clock: Clock;
   #lastHeardAt: number;
   #socketGiven = false;
+  #isReset = false;
 
   constructor(socket: Socket, address: string, clock: Clock) {
     this.#socket = socket;
+    // Before `undici` hears of it, which takes an answer without a length for
+    // whole although its connection was reset.
+    socket.on("error", () => this.#isReset = true);
     this.#clock = clock;
     this.#lastHeardAt = clock.readMs();
     this.#client = new Client(`http://${address}`, {
@@ -108,6 +112,11 @@
     const ending = await collector.ending;
     clearTimeout(timer);
     request.signal?.removeEventListener("abort", cancel);
+    if (ending.kind === "answered" && this.#isReset) {
+      this.reset();
+      const message = "The connection was reset within the answer";
+      return Err({ written: true, cause: "cut", message });
+    }
     if (ending.kind === "answered") {
       this.#lastHeardAt = this.#clock.readMs();
       return Ok(ending.answer);
