fix(transport): let an answer without a length end in order

Cause: the HTTP client destroys a socket that has ended with an error of its own, which was taken for a reset. Only the kernel's reset counts now. Its test failed on the commit before.

--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -72,7 +72,9 @@
     this.#socket = socket;
     // Before `undici` hears of it, which takes an answer without a length for
     // whole although its connection was reset.
-    socket.on("error", () => this.#isReset = true);
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      this.#isReset ||= error.code === "ECONNRESET";
+    });
     this.#clock = clock;
     this.#lastHeardAt = clock.readMs();
     this.#client = new Client(`http://${address}`, {
