--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -191,7 +191,7 @@
       openRequests: this.#server.openRequests,
     });
     this.#server.drain();
-    await this.#keepers.leave();
+    void this.#keepers.leave();
     for (;;) {
       const nowMs = clock.readMs();
       if (nowMs - startedAtMs >= timing.refuseAfterMs) {
@@ -252,6 +252,7 @@
       directory: this.#directory,
       services: this.#services,
       sender: this.#adapter.sender,
+      isStopping: () => this.#isStopping,
       leavingUseMs: this.#options.settings.drainMs - LEAVING_MARGIN_MS,
       observe: (event) => this.#report.observeRequest(event),
     });
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -51,7 +51,7 @@
 }
 
 /** Changes of this long go out together; requests take 40 ms and more. */
-const NEAR_GAP_MS = 25;
+const NEAR_GAP_MS = 40;
 const FAR_GAP_MS = 250;
 /** Without a change, often enough for a receiver to take counts for current. */
 const REPEAT_MS = 400;
--- a/packages/gateway/src/request_router.ts
+++ b/packages/gateway/src/request_router.ts
@@ -32,6 +32,8 @@
   readonly sender: RequestSender;
   /** A leaving target is sent nothing later than this after it was seen to leave. */
   readonly leavingUseMs: number;
+  /** Whether this instance is about to end: it breaks nothing off any more. */
+  readonly isStopping: () => boolean;
   readonly observe: (event: RequestEvent) => void;
 }
 
@@ -345,7 +347,11 @@
       MIN_WAIT_SHARE * route.goalMs,
       route.goalMs - workMs,
     );
-    return Math.min(passage.endsAtMs - workMs, request.arrivedAtMs + goalMs);
+    const lastMs = passage.endsAtMs - workMs;
+    // What was sent once is worth finishing, also when it will be late.
+    return passage.sends > 0
+      ? lastMs
+      : Math.min(lastMs, request.arrivedAtMs + goalMs);
   }
 
   #refuse(
@@ -457,7 +463,10 @@
     const expectedMs = services.estimateAnswerMs(service, placed.target.id);
     const overdueMs = Math.max(MIN_ANSWER_MS, LOST_FACTOR * expectedMs);
     void clock.sleep(overdueMs, watch.signal).then(() => {
-      if (!watch.signal.aborted && this.#claimRetry(passage)) {
+      if (
+        !watch.signal.aborted && !this.#options.isStopping() &&
+        this.#claimRetry(passage)
+      ) {
         watch.cancel();
       }
     });
--- a/packages/gateway/src/request_router_test.ts
+++ b/packages/gateway/src/request_router_test.ts
@@ -26,6 +26,12 @@
   cause: "reset",
   message: "reset",
 };
+/** No answer ever comes; it ends when it is given up. */
+const SILENT: SendOutcome = {
+  kind: "unknown",
+  cause: "cancelled",
+  message: "silent",
+};
 const FULL: SendOutcome = { kind: "not-run", cause: "full", message: "full" };
 const NO_CONNECTION: SendOutcome = {
   kind: "not-run",
@@ -40,6 +46,7 @@
   readonly directory = new KeyDirectory();
   readonly catalogue: Catalogue;
   readonly #router: RequestRouter;
+  isStopping = false;
   #version = 0;
 
   constructor(play: (request: OutgoingRequest, nth: number) => SendOutcome) {
@@ -63,11 +70,14 @@
       sender: {
         send: async (request) => {
           this.sent.push(request);
-          await this.clock.sleep(20);
-          return play(request, this.sent.length);
+          const outcome = play(request, this.sent.length);
+          await this.clock
+            .sleep(outcome === SILENT ? 4_000 : 20, request.signal);
+          return outcome;
         },
       },
       leavingUseMs: 1_000,
+      isStopping: () => this.isStopping,
       observe: () => undefined,
     });
     for (const id of ["a", "b"]) {
@@ -192,6 +202,20 @@
   assert.equal((await path.send())?.kind, "answered");
 });
 
+test("a lookup whose answer is overdue is sent once more, but not in a stop", async () => {
+  // Targets lose a part of their answers, and a caller would wait until its
+  // deadline. But an instance that stops must not break off what a target is
+  // working on: it may have no time left for a second try.
+  const path = new Path((_request, nth) => nth === 1 ? SILENT : ANSWER);
+  path.setRoute({ idempotent: true, timeoutMs: 5_000 });
+  assert.equal((await path.send({ deadlineMs: 5_000 }))?.kind, "answered");
+  assert.equal(path.sent.length, 2);
+  path.isStopping = true;
+  path.sent.length = 0;
+  await path.send({ deadlineMs: 5_000 });
+  assert.equal(path.sent.length, 1);
+});
+
 test("targets are told the least of deadline and route's time", async () => {
   const path = new Path(() => ANSWER);
   path.setRoute({ timeoutMs: 400 });
--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/service_registry.ts
@@ -25,7 +25,7 @@
 }
 
 /** Waiting requests are looked through this often for what has become due. */
-const TICK_MS = 10;
+const TICK_MS = 20;
 /** Below this a late tick is an ordinary turn of the event loop. */
 const MIN_STALL_MS = 40;
 
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -167,8 +167,10 @@
     }
     const stay: Waiter[] = [];
     const settled: (() => void)[] = [];
+    // Where there was no room for one, there is none for those behind it.
+    const fullLanes = new Set<string>();
     for (const waiter of this.#waiters) {
-      const decision = this.#decide(waiter.request, nowMs);
+      const decision = this.#decide(waiter.request, nowMs, fullLanes);
       if (decision === undefined) {
         stay.push(waiter);
       } else {
@@ -194,9 +196,17 @@
     return count === 0 ? null : sum / count;
   }
 
-  #decide(request: PlaceRequest, nowMs: number): PlaceDecision | undefined {
+  #decide(
+    request: PlaceRequest,
+    nowMs: number,
+    fullLanes: Set<string>,
+  ): PlaceDecision | undefined {
     const waitedMs = nowMs - request.arrivedAtMs;
-    const load = this.#choose(request, nowMs);
+    const lane = request.owner ?? ANY_TARGET;
+    const load = fullLanes.has(lane) ? undefined : this.#choose(request, nowMs);
+    if (load === undefined && request.excluded.size === 0) {
+      fullLanes.add(lane);
+    }
     if (load !== undefined) {
       const occupancy = load.computeOccupancy(nowMs);
       // Counted at once, so that the next decision of this turn sees it.
