--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -9,7 +9,7 @@
 import type { KeeperServiceEvent } from "./keeper_service.ts";
 import type { LineLog, LineWeight } from "./line_log.ts";
 import type { TailEvent } from "./partition_tail.ts";
-import type { RequestEvent } from "./request_router.ts";
+import type { RequestEvent } from "./request_report.ts";
 
 export class EventReport {
   readonly #lines: LineLog;
--- /dev/null
+++ b/packages/gateway/src/owner_finder.ts
@@ -0,0 +1,73 @@
+/** Which target may run a request, where its service is keyed. */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { Catalogue } from "./catalogue.ts";
+import type { KeyDirectory } from "./key_directory.ts";
+import { type Passage, setRefusal } from "./passage.ts";
+
+export type OwnerLookup =
+  | {
+    readonly kind: "found";
+    /** Undefined where any target of the service may run it. */
+    readonly targetId: string | undefined;
+    readonly token?: number;
+    readonly ownersOffset?: number;
+  }
+  | { readonly kind: "wait" };
+
+/** A key's move takes a release, a grant and two records: some 200 ms. */
+const OWNER_RETRY_MS = 250;
+
+export interface OwnerFinderOptions {
+  readonly clock: Clock;
+  readonly catalogue: Catalogue;
+  readonly directory: KeyDirectory;
+  /** A leaving target is sent nothing later than this after it was seen to leave. */
+  readonly leavingUseMs: number;
+}
+
+export class OwnerFinder {
+  readonly #options: OwnerFinderOptions;
+
+  constructor(options: OwnerFinderOptions) {
+    this.#options = options;
+  }
+
+  find(passage: Passage): OwnerLookup {
+    const { catalogue, directory } = this.#options;
+    const { key } = passage.request;
+    const service = catalogue.table?.services.get(passage.service);
+    if (service?.keyed !== true || key === undefined) {
+      return { kind: "found", targetId: undefined };
+    }
+    const owner = directory.findOwner(passage.service, key);
+    if (owner.kind !== "owned") {
+      setRefusal(passage, "owner-changing", {
+        message: `Key ${key} is ${owner.kind}`,
+        retryAfterMs: OWNER_RETRY_MS,
+      });
+      return { kind: "wait" };
+    }
+    if (!this.#mayUseOwner(owner.owner.id)) {
+      setRefusal(passage, "owner-changing", {
+        message: `The owner of key ${key} is leaving`,
+        retryAfterMs: OWNER_RETRY_MS,
+      });
+      return { kind: "wait" };
+    }
+    const { id: targetId, token } = owner.owner;
+    return { kind: "found", targetId, token, ownersOffset: owner.offset };
+  }
+
+  /**
+   * A leaving owner serves its keys until they have moved, but not for long:
+   * a move that does not come must not send work to a target that ends.
+   */
+  #mayUseOwner(id: string): boolean {
+    const { catalogue, clock, leavingUseMs } = this.#options;
+    if (catalogue.getTarget(id) === undefined) {
+      return false;
+    }
+    const sinceMs = catalogue.getLeavingSinceMs(id);
+    return sinceMs === null || clock.readMs() - sinceMs < leavingUseMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/passage.ts
@@ -0,0 +1,63 @@
+/** One request on its way through an instance, and how its way can end. */
+import type { Route } from "@lentilspur/ports/routing_table";
+import type {
+  CallerRequest,
+  FailureKind,
+  FinalAnswer,
+} from "./caller_request.ts";
+
+/** Of what a caller has left, it waits at most a third before it comes back. */
+const RETURN_SHARE = 0.3;
+/** One request on its way through. */
+export interface Passage {
+  readonly request: CallerRequest;
+  readonly endsAtMs: number;
+  readonly excluded: Set<string>;
+  /** Targets it was put on the way to. */
+  sends: number;
+  /** Since when no usable owner of its key has been found. */
+  ownerMissingSinceMs: number | null;
+  /** A send of it may have run. */
+  mayHaveRun: boolean;
+  route: Route;
+  service: string;
+  /** Version by which the service was chosen. */
+  version: number;
+  lastRefusal: { failure: FailureKind; message: string; retryAfterMs: number };
+}
+
+export type Step =
+  | { readonly kind: "done"; readonly answer: FinalAnswer }
+  | { readonly kind: "again"; readonly pauseMs: number };
+
+export function createFailure(
+  failure: FailureKind,
+  message: string,
+  retryAfterMs?: number,
+): FinalAnswer {
+  return {
+    kind: "failed",
+    failure,
+    message,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
+
+/** What the caller is told if nothing better comes of it. */
+export function setRefusal(
+  passage: Passage,
+  failure: FailureKind,
+  options: { readonly message: string; readonly retryAfterMs: number },
+): void {
+  passage.lastRefusal = { failure, ...options };
+}
+
+/** Told a later time, a caller would give up instead of coming back. */
+export function computeReturnMs(
+  passage: Passage,
+  wantedMs: number,
+  nowMs: number,
+): number {
+  const leftMs = passage.endsAtMs - nowMs;
+  return Math.max(0, Math.min(wantedMs, RETURN_SHARE * leftMs));
+}
--- /dev/null
+++ b/packages/gateway/src/request_report.ts
@@ -0,0 +1,107 @@
+/** What is told of each send of a request and of its end. */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { PlaceDecision } from "@lentilspur/routing/service_places";
+import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
+import type { OwnerLookup } from "./owner_finder.ts";
+import type { Passage } from "./passage.ts";
+
+export type RequestEvent =
+  | {
+    readonly kind: "send";
+    readonly requestId: string;
+    readonly attempt: number;
+    readonly route: string;
+    readonly service: string;
+    readonly targetId: string;
+    readonly configurationVersion: number;
+    readonly key?: number;
+    readonly token?: number;
+    readonly ownersOffset?: number;
+    readonly occupancy: number;
+    readonly waitedMs: number;
+    readonly remainingMs: number;
+    readonly outcome: string;
+    readonly cause?: string;
+    readonly status?: number;
+    readonly tookMs: number;
+  }
+  | {
+    readonly kind: "final";
+    readonly requestId: string;
+    readonly route: string;
+    readonly service: string;
+    readonly outcome: string;
+    readonly status?: number;
+    readonly message?: string;
+    readonly retryAfterMs?: number;
+    readonly sends: number;
+    readonly tookMs: number;
+  };
+
+export class RequestReport {
+  readonly #clock: Clock;
+  readonly #observe: (event: RequestEvent) => void;
+
+  constructor(clock: Clock, observe: (event: RequestEvent) => void) {
+    this.#clock = clock;
+    this.#observe = observe;
+  }
+
+  reportSend(passage: Passage, sent: {
+    readonly placed: PlaceDecision & { readonly kind: "placed" };
+    readonly owner: OwnerLookup & { readonly kind: "found" };
+    readonly outcome: SendOutcome;
+    readonly sentAtMs: number;
+    readonly remainingMs: number;
+  }): void {
+    const { placed, owner, outcome, sentAtMs, remainingMs } = sent;
+    const { request } = passage;
+    this.#observe({
+      kind: "send",
+      requestId: request.requestId,
+      attempt: passage.sends,
+      route: passage.route.name,
+      service: passage.service,
+      targetId: placed.target.id,
+      configurationVersion: passage.version,
+      ...(request.key === undefined ? {} : { key: request.key }),
+      ...(owner.token === undefined ? {} : { token: owner.token }),
+      ...(owner.ownersOffset === undefined
+        ? {}
+        : { ownersOffset: owner.ownersOffset }),
+      occupancy: placed.occupancy,
+      waitedMs: Math.round(placed.waitedMs),
+      remainingMs: Math.round(remainingMs),
+      outcome: outcome.kind,
+      ...(outcome.kind === "answered"
+        ? { status: outcome.status }
+        : { cause: outcome.cause }),
+      tookMs: Math.round(this.#clock.readMs() - sentAtMs),
+    });
+  }
+
+  reportFinal(
+    request: CallerRequest,
+    passage: Passage | undefined,
+    answer: FinalAnswer,
+  ): void {
+    this.#observe({
+      kind: "final",
+      requestId: request.requestId,
+      route: passage?.route.name ?? "",
+      service: passage?.service ?? "",
+      sends: passage?.sends ?? 0,
+      tookMs: Math.round(this.#clock.readMs() - request.arrivedAtMs),
+      ...(answer.kind === "answered"
+        ? { outcome: "answered", status: answer.status }
+        : {
+          outcome: answer.failure,
+          message: answer.message,
+          ...(answer.retryAfterMs === undefined
+            ? {}
+            : { retryAfterMs: Math.round(answer.retryAfterMs) }),
+        }),
+    });
+  }
+}
