fix(gateway): take no stale entry at an address for a later process

Cause: a target's keys went on without a wait when another id was found at its address. Entries outlive processes by three heartbeats, so the other one may be the older: a crash and a start at the same address within that time would have given a living target's keys to a third.

Change: of two entries at an address the one that was first seen later, by more than one read, shows that the other has ended. Also: key traffic and the own record are modules of their own.

--- a/packages/gateway/src/catalogue.ts
+++ b/packages/gateway/src/catalogue.ts
@@ -47,6 +47,11 @@
  */
 export const RETURN_GRACE_MS = 2_500;
 
+/** Entries of one read are taken over within this; reads are 750 ms apart. */
+const SAME_READ_MS = 300;
+/** Ids that are remembered: some days of a fleet with 4,600 restarts a day. */
+const MAX_REMEMBERED = 20_000;
+
 interface KnownTarget {
   target: RoutingTarget;
   /** When its entry was found missing; it counts as gone a grace later. */
@@ -58,6 +63,7 @@
 export class Catalogue {
   readonly #options: CatalogueOptions;
   readonly #targets = new Map<string, KnownTarget>();
+  readonly #firstSeenAtMs = new Map<string, number>();
   #table: RoutingTable | undefined;
   #index = new RouteIndex([]);
   #targetsChanged = false;
@@ -149,14 +155,28 @@
     return targets;
   }
 
-  /** The process that is known to be at an address. */
-  findByAddress(address: string): RoutingTarget | undefined {
+  /**
+   * Whether a process is known to have ended, because another one has appeared
+   * at its address since it was seen there first. Entries outlive processes,
+   * so which of two entries at an address is older must be known: two that were
+   * first read together prove nothing, nor does one for a process that was
+   * never seen here.
+   */
+  hasEnded(id: string, address: string): boolean {
+    const seenAtMs = this.#firstSeenAtMs.get(id);
+    if (seenAtMs === undefined) {
+      return false;
+    }
     for (const { target } of this.#targets.values()) {
-      if (target.address === address) {
-        return target;
+      const otherAtMs = this.#firstSeenAtMs.get(target.id) ?? -Infinity;
+      if (
+        target.id !== id && target.address === address &&
+        otherAtMs > seenAtMs + SAME_READ_MS
+      ) {
+        return true;
       }
     }
-    return undefined;
+    return false;
   }
 
   get targetCount(): number {
@@ -177,6 +197,7 @@
       known.goneAtMs = null;
       return;
     }
+    this.#recordFirstSeen(target.id, nowMs);
     // One that has said that it leaves does not come back under this id.
     const leaving = target.leaving || (known?.target.leaving ?? false);
     const leavingSinceMs = leaving ? known?.leavingSinceMs ?? nowMs : null;
@@ -188,6 +209,15 @@
     this.#report(target, leaving ? "leaving" : "present");
   }
 
+  #recordFirstSeen(id: string, nowMs: number): void {
+    if (!this.#firstSeenAtMs.has(id)) {
+      this.#firstSeenAtMs.set(id, nowMs);
+    }
+    if (this.#firstSeenAtMs.size > MAX_REMEMBERED) {
+      this.#firstSeenAtMs.delete(this.#firstSeenAtMs.keys().next().value!);
+    }
+  }
+
   #report(
     target: RoutingTarget,
     state: "present" | "leaving" | "missing" | "gone",
--- a/packages/gateway/src/catalogue_test.ts
+++ b/packages/gateway/src/catalogue_test.ts
@@ -96,6 +96,30 @@
   assert.ok(catalogue.getTarget("b") === undefined);
 });
 
+test("a stale entry at a target's address does not make the target ended", () => {
+  // Two targets hold a case file at once. One has crashed and another started
+  // at its address; the old entry is still there. Taken for the newer one, it
+  // "proves" that the living target has ended, and its keys go to a third
+  // while it serves them.
+  const { catalogue } = createCatalogue();
+  catalogue.applyTarget("old", formatTarget({ id: "old" }), NOW);
+  catalogue.applyTarget("new", formatTarget({ id: "new" }), {
+    nowMs: 1_000,
+    graceMs: 0,
+  });
+  assert.ok(!catalogue.hasEnded("new", "10.0.0.1:80"));
+  assert.ok(catalogue.hasEnded("old", "10.0.0.1:80"));
+});
+
+test("which of two entries that were read together is older is not known", () => {
+  const { catalogue } = createCatalogue();
+  catalogue.applyTarget("a", formatTarget(), NOW);
+  catalogue.applyTarget("b", formatTarget({ id: "b" }), NOW);
+  assert.ok(!catalogue.hasEnded("a", "10.0.0.1:80"));
+  assert.ok(!catalogue.hasEnded("b", "10.0.0.1:80"));
+  assert.ok(!catalogue.hasEnded("never-seen", "10.0.0.1:80"));
+});
+
 test("an unreadable entry is left out and told", () => {
   const { catalogue, events } = createCatalogue();
   catalogue.applyTarget("a", "garbage", NOW);
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -14,9 +14,6 @@
 } from "@lentilspur/ports/routing_table";
 import type { Store } from "@lentilspur/ports/store";
 import type { HeaderField } from "@lentilspur/ports/target";
-import type { ServiceFacts } from "@lentilspur/ownership/key_keeper";
-import { KeyLoad } from "@lentilspur/ownership/key_load";
-import type { Holder } from "@lentilspur/ownership/key_table";
 import { resolveKeeperTiming } from "@lentilspur/ownership/keeper_timing";
 import type {
   CallerFields,
@@ -33,9 +30,10 @@
 } from "./gateway_settings.ts";
 import { KeeperService } from "./keeper_service.ts";
 import { KeyDirectory } from "./key_directory.ts";
-import { KeyReport } from "./key_report.ts";
+import { KeyTraffic } from "./key_traffic.ts";
 import { LineLog } from "./line_log.ts";
-import { Members, serializeMember } from "./members.ts";
+import { Members } from "./members.ts";
+import { publishMember } from "./member_record.ts";
 import { PeerExchange, type PeerMessage } from "./peer_exchange.ts";
 import { RequestRouter } from "./request_router.ts";
 import { RequestServer } from "./request_server.ts";
@@ -81,10 +79,6 @@
 
 /** Targets that were missing are let go, and changes taken over, this often. */
 const CATALOGUE_TICK_MS = 50;
-/** Keys that were asked for go to their keeper this often. */
-const KEY_REPORT_MS = 200;
-/** Before an append of the own record is tried again. */
-const MEMBER_RETRY_MS = 500;
 /** Room between the last sends to a leaving target and the bound on them. */
 const LEAVING_MARGIN_MS = 1_100;
 
@@ -107,9 +101,7 @@
   readonly #peers: PeerExchange;
   readonly #ready: SideServer;
   readonly #metricsServer: SideServer;
-  readonly #keyReport = new KeyReport();
-  readonly #keyLoads = new Map<string, KeyLoad>();
-  readonly #serviceMs = new Map<string, number>();
+  readonly #keyTraffic: KeyTraffic;
   #isStopping = false;
   #wasReady = false;
 
@@ -143,6 +135,7 @@
     this.#server = this.#createServer();
     this.#keepers = this.#createKeepers();
     this.#peers = this.#createPeers();
+    this.#keyTraffic = this.#createKeyTraffic();
     this.#ready = new SideServer(() => this.#answerReady());
     this.#metricsServer = new SideServer(async () => ({
       status: 200,
@@ -175,7 +168,7 @@
     void this.#services.run(signal);
     void this.#keepers.run(signal);
     void this.#runCatalogue(signal);
-    void this.#runKeyReports(signal);
+    void this.#keyTraffic.run(signal);
   }
 
   /**
@@ -285,16 +278,30 @@
       claim: { instance: settings.instance, incarnation: this.#incarnation },
       topic: this.#adapter.places.owners.topic,
       minMemberTtlMs: settings.minMemberTtlMs,
-      listFacts: (part) => this.#listFacts(part),
+      listFacts: (part) => this.#keyTraffic.listFacts(part),
       getTail: (part) => this.#views.getOwnersTail(part),
       getTrustedSinceMs: () => guard.checkTrustedSinceMs(),
-      hasEnded: (holder) => this.#hasEnded(holder),
+      hasEnded: ({ id, address }) => this.#catalogue.hasEnded(id, address),
       hasInstanceEnded: (claim) =>
         this.#members.hasEnded(claim.instance, claim.incarnation),
       observe: (event) => this.#report.observeKeeper(event),
     });
   }
 
+  #createKeyTraffic(): KeyTraffic {
+    const { settings, clock } = this.#options;
+    return new KeyTraffic({
+      clock,
+      instance: settings.instance,
+      catalogue: this.#catalogue,
+      services: this.#services,
+      keepers: this.#keepers,
+      members: this.#members,
+      choosePart: (service) => this.#choosePart(service),
+      send: (member, message) => this.#peers.send(member, message),
+    });
+  }
+
   #createPeers(): PeerExchange {
     const { settings, clock } = this.#options;
     return new PeerExchange({
@@ -311,16 +318,21 @@
   }
 
   #handle(request: CallerRequest): Promise<FinalAnswer> {
-    const { key } = request;
-    const route = this.#catalogue.match(request.host, request.path);
-    for (const { service } of key === undefined ? [] : route?.parts ?? []) {
-      if (this.#catalogue.table?.services.get(service)?.keyed === true) {
-        this.#keyReport.observe(service, key!);
-      }
-    }
+    this.#keyTraffic.observe(request);
     return this.#router.handle(request);
   }
 
+  #applyMessage(message: PeerMessage): void {
+    switch (message.kind) {
+      case "load":
+        this.#services.applyPeerCounts(message.from, message.counts);
+        return;
+      case "keys":
+        this.#keyTraffic.apply(message);
+        return;
+    }
+  }
+
   #applyConfiguration(): void {
     const table = this.#catalogue.table!;
     this.#server.setLimits(table.limits);
@@ -337,114 +349,22 @@
     return choosePart(service, this.#adapter.places.owners.parts);
   }
 
-  /** Only the process at an address can hold keys; another one there ends it. */
-  #hasEnded(holder: Holder): boolean {
-    const present = this.#catalogue.findByAddress(holder.address);
-    return present !== undefined && present.id !== holder.id;
-  }
-
-  #listFacts(part: number): readonly ServiceFacts[] {
-    const nowMs = this.#options.clock.readMs();
-    const facts: ServiceFacts[] = [];
-    for (const service of this.#catalogue.table?.services.values() ?? []) {
-      if (!service.keyed || this.#choosePart(service.name) !== part) {
-        continue;
-      }
-      const usualMs = this.#services.getUsualServiceMs(service.name) ?? 100;
-      const candidates = this.#catalogue.listTargets(service.name)
-        .filter((target) => !target.leaving)
-        .map((target) => ({
-          id: target.id,
-          address: target.address,
-          places: target.places,
-          serviceMs: this.#serviceMs.get(target.id) ?? usualMs,
-        }));
-      const rates = this.#getKeyLoad(service.name).listRates(nowMs);
-      facts.push({ service: service.name, candidates, rates });
-    }
-    return facts;
-  }
-
-  #getKeyLoad(service: string): KeyLoad {
-    const load = this.#keyLoads.get(service) ?? new KeyLoad();
-    this.#keyLoads.set(service, load);
-    return load;
-  }
-
-  #applyMessage(message: PeerMessage): void {
-    switch (message.kind) {
-      case "load":
-        this.#services.applyPeerCounts(message.from, message.counts);
-        return;
-      case "keys": {
-        const nowMs = this.#options.clock.readMs();
-        this.#getKeyLoad(message.service).observe(message.keys, nowMs);
-        for (const [id, ms] of Object.entries(message.serviceMs)) {
-          const before = this.#serviceMs.get(id) ?? ms;
-          this.#serviceMs.set(id, before + PEER_MEASURE_WEIGHT * (ms - before));
-        }
-        return;
-      }
-    }
-  }
-
-  async #runKeyReports(signal: AbortSignal): Promise<void> {
-    const { clock, settings } = this.#options;
-    while (!signal.aborted) {
-      for (const [service, keys] of this.#keyReport.take()) {
-        const message: PeerMessage = {
-          kind: "keys",
-          from: settings.instance,
-          service,
-          keys,
-          serviceMs: this.#services.listServiceMs(service),
-        };
-        this.#sendToKeeper(message);
-      }
-      await clock.sleep(KEY_REPORT_MS, signal);
-    }
-  }
-
-  #sendToKeeper(message: PeerMessage & { readonly kind: "keys" }): void {
-    const part = this.#choosePart(message.service);
-    if (this.#keepers.isKeeper(part)) {
-      this.#applyMessage(message);
-      return;
-    }
-    const keeper = this.#keepers.findKeeper(part);
-    const member = keeper === undefined
-      ? undefined
-      : this.#members.get(keeper.instance);
-    if (member !== undefined) {
-      this.#peers.send(member, message);
-    }
-  }
-
-  /** Writes this instance's record, so that others find it. */
-  async #publishMember(): Promise<void> {
+  #publishMember(): Promise<void> {
     const { clock, settings } = this.#options;
-    const { signal } = this.#running;
-    const member = {
-      instance: settings.instance,
-      incarnation: this.#incarnation,
-      dataCentre: settings.dataCentre,
-      host: settings.host,
-      port: settings.peerPort,
-    };
-    while (!signal.aborted) {
-      const appended = await this.#adapter.store.append({
-        partition: this.#adapter.places.members,
-        key: settings.instance,
-        value: serializeMember(member),
-      });
-      if (appended.ok) {
-        return;
-      }
-      this.#report.reportFault(
-        `The own record was not written: ${appended.val.kind}`,
-      );
-      await clock.sleep(MEMBER_RETRY_MS, signal);
-    }
+    return publishMember({
+      clock,
+      store: this.#adapter.store,
+      partition: this.#adapter.places.members,
+      member: {
+        instance: settings.instance,
+        incarnation: this.#incarnation,
+        dataCentre: settings.dataCentre,
+        host: settings.host,
+        port: settings.peerPort,
+      },
+      reportFault: (message) => this.#report.reportFault(message),
+      signal: this.#running.signal,
+    });
   }
 
   async #runCatalogue(signal: AbortSignal): Promise<void> {
@@ -494,6 +414,3 @@
     };
   }
 }
-
-/** A dozen instances report five times a second; some reports even out a sample. */
-const PEER_MEASURE_WEIGHT = 0.1;
--- /dev/null
+++ b/packages/gateway/src/key_traffic.ts
@@ -0,0 +1,135 @@
+/**
+ * How often keys are asked for: what this instance sees of it goes to the
+ * keeper of their service, and what it hears as a keeper becomes what moves of
+ * keys are planned by.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { ServiceFacts } from "@lentilspur/ownership/key_keeper";
+import { KeyLoad } from "@lentilspur/ownership/key_load";
+import type { CallerRequest } from "./caller_request.ts";
+import type { Catalogue } from "./catalogue.ts";
+import type { KeeperService } from "./keeper_service.ts";
+import { KeyReport } from "./key_report.ts";
+import type { Member, Members } from "./members.ts";
+import type { PeerMessage } from "./peer_exchange.ts";
+import type { ServiceRegistry } from "./service_registry.ts";
+
+type KeysMessage = PeerMessage & { readonly kind: "keys" };
+
+export interface KeyTrafficOptions {
+  readonly clock: Clock;
+  readonly instance: string;
+  readonly catalogue: Catalogue;
+  readonly services: ServiceRegistry;
+  readonly keepers: KeeperService;
+  readonly members: Members;
+  readonly choosePart: (service: string) => number;
+  readonly send: (member: Member, message: PeerMessage) => void;
+}
+
+/** Keys that were asked for go to their keeper this often. */
+const KEY_REPORT_MS = 200;
+/** A dozen instances report five times a second; some reports even out a sample. */
+const PEER_MEASURE_WEIGHT = 0.1;
+/** Until anything is measured; about the work of a lookup. */
+const UNKNOWN_SERVICE_MS = 100;
+
+export class KeyTraffic {
+  readonly #options: KeyTrafficOptions;
+  readonly #keyReport = new KeyReport();
+  readonly #keyLoads = new Map<string, KeyLoad>();
+  readonly #serviceMs = new Map<string, number>();
+
+  constructor(options: KeyTrafficOptions) {
+    this.#options = options;
+  }
+
+  /** Counts the key of a request, where a service that it may go to is keyed. */
+  observe(request: CallerRequest): void {
+    const { key, host, path } = request;
+    const { catalogue } = this.#options;
+    if (key === undefined) {
+      return;
+    }
+    for (const { service } of catalogue.match(host, path)?.parts ?? []) {
+      if (catalogue.table?.services.get(service)?.keyed === true) {
+        this.#keyReport.observe(service, key);
+      }
+    }
+  }
+
+  /** Takes in what an instance has told of keys. */
+  apply(message: KeysMessage): void {
+    const nowMs = this.#options.clock.readMs();
+    this.#getKeyLoad(message.service).observe(message.keys, nowMs);
+    for (const [id, ms] of Object.entries(message.serviceMs)) {
+      const before = this.#serviceMs.get(id) ?? ms;
+      this.#serviceMs.set(id, before + PEER_MEASURE_WEIGHT * (ms - before));
+    }
+  }
+
+  /** What a keeper of this partition needs to know. */
+  listFacts(part: number): readonly ServiceFacts[] {
+    const nowMs = this.#options.clock.readMs();
+    const facts: ServiceFacts[] = [];
+    for (
+      const service of this.#options.catalogue.table?.services.values() ?? []
+    ) {
+      if (!service.keyed || this.#options.choosePart(service.name) !== part) {
+        continue;
+      }
+      const usualMs = this.#options.services.getUsualServiceMs(service.name) ??
+        UNKNOWN_SERVICE_MS;
+      const candidates = this.#options.catalogue.listTargets(service.name)
+        .filter((target) => !target.leaving)
+        .map((target) => ({
+          id: target.id,
+          address: target.address,
+          places: target.places,
+          serviceMs: this.#serviceMs.get(target.id) ?? usualMs,
+        }));
+      const rates = this.#getKeyLoad(service.name).listRates(nowMs);
+      facts.push({ service: service.name, candidates, rates });
+    }
+    return facts;
+  }
+
+  #getKeyLoad(service: string): KeyLoad {
+    const load = this.#keyLoads.get(service) ?? new KeyLoad();
+    this.#keyLoads.set(service, load);
+    return load;
+  }
+
+  /** Reports until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, services, instance: from } = this.#options;
+    while (!signal.aborted) {
+      for (const [service, keys] of this.#keyReport.take()) {
+        const message: KeysMessage = {
+          kind: "keys",
+          from,
+          service,
+          keys,
+          serviceMs: services.listServiceMs(service),
+        };
+        this.#sendToKeeper(message);
+      }
+      await clock.sleep(KEY_REPORT_MS, signal);
+    }
+  }
+
+  #sendToKeeper(message: KeysMessage): void {
+    const part = this.#options.choosePart(message.service);
+    if (this.#options.keepers.isKeeper(part)) {
+      this.apply(message);
+      return;
+    }
+    const keeper = this.#options.keepers.findKeeper(part);
+    const member = keeper === undefined
+      ? undefined
+      : this.#options.members.get(keeper.instance);
+    if (member !== undefined) {
+      this.#options.send(member, message);
+    }
+  }
+}
