fix(gateway): replace a lost keeper before the holds that it granted run out

Cause: a successor waited 1.5 s for a hand-over that a killed keeper cannot make, after 2 s to 2.7 s until the store took it for gone: every key went unheld 2.65 s after the kill (the test, in virtual time, failed there). Now it waits only for a keeper that is heard of; the store's time for a silent member is 1.5 s. So holds can be 3 s instead of 4, and a lost target's keys are free about a second sooner.

Ruled out: a shorter time until a target counts as silent (1 s); when half of the orders get no answer, one target in four would lose its keys.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -282,6 +282,7 @@
       getTail: (part) => this.#views.getOwnersTail(part),
       getTrustedSinceMs: () => guard.checkTrustedSinceMs(),
       hasEnded: ({ id, address }) => this.#catalogue.hasEnded(id, address),
+      isHeard: (name) => this.#members.isHeard(name, clock.readMs()),
       hasInstanceEnded: (claim) =>
         this.#members.hasEnded(claim.instance, claim.incarnation),
       observe: (event) => this.#report.observeKeeper(event),
@@ -323,6 +324,7 @@
   }
 
   #applyMessage(message: PeerMessage): void {
+    this.#members.recordHeard(message.from, this.#options.clock.readMs());
     switch (message.kind) {
       case "load":
         this.#services.applyPeerCounts(message.from, message.counts);
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -70,12 +70,14 @@
   readonly getTrustedSinceMs: () => number;
   readonly hasEnded: (holder: Holder) => boolean;
   readonly hasInstanceEnded: (claim: KeeperClaim) => boolean;
+  /** Whether an instance has been heard of just now. */
+  readonly isHeard: (instance: string) => boolean;
   readonly observe: (event: KeeperServiceEvent) => void;
 }
 
 const GROUP = "keepers";
-/** Fast enough for keys of a lost target to be served within 5 s by a new keeper. */
-const MEMBER_TTL_MS = 2_000;
+/** A lost keeper is replaced before the holds that it granted run out (3 s). */
+const MEMBER_TTL_MS = 1_500;
 const JOINS_PER_TTL = 3;
 /** Between two looks at whether to claim. */
 const TICK_MS = 100;
@@ -222,9 +224,9 @@
     ) {
       return;
     }
-    const predecessor = this.#decidePredecessor(tail);
-    const waitMs = predecessor === "unknown" ? HAND_OVER_MS : 0;
-    if (clock.readMs() - sinceMs < waitMs) {
+    const isHandingOver = this.#decidePredecessor(tail) === "unknown" &&
+      this.#isKeeperHeard(part);
+    if (isHandingOver && clock.readMs() - sinceMs < HAND_OVER_MS) {
       return;
     }
     this.#claiming.add(part);
@@ -232,6 +234,12 @@
     this.#claiming.delete(part);
   }
 
+  /** A keeper that lives will hand over; one that was lost never does. */
+  #isKeeperHeard(part: number): boolean {
+    const keeper = this.findKeeper(part);
+    return keeper !== undefined && this.#options.isHeard(keeper.instance);
+  }
+
   async #claim(part: number, tail: PartitionTail): Promise<void> {
     const { store, topic, claim, observe } = this.#options;
     const partition = { topic, part };
--- a/packages/gateway/src/keeper_world.ts
+++ b/packages/gateway/src/keeper_world.ts
@@ -71,6 +71,7 @@
       hasEnded: (holder) => this.#gone.has(holder.id),
       hasInstanceEnded: (claim) =>
         this.#incarnations.get(claim.instance) !== claim.incarnation,
+      isHeard: (name) => this.#instances.has(name),
       observe: (event) => this.events.push(event),
     });
     this.#incarnations.set(instance, incarnation);
@@ -114,8 +115,14 @@
     this.setCandidates(this.#candidates);
   }
 
-  hasInstance(instance: string): boolean {
-    return this.#instances.has(instance);
+  /** The instance that keeps the keys now, if one does. */
+  findKeeper(): string | undefined {
+    for (const [name, { service }] of this.#instances) {
+      if (service.isKeeper(OWNERS_PARTITION.part)) {
+        return name;
+      }
+    }
+    return undefined;
   }
 }
 
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -13,9 +13,13 @@
   readonly port: number;
 }
 
+/** Two of an instance's datagrams may be lost. */
+const HEARD_MS = 1_200;
+
 export class Members {
   readonly #self: string;
   readonly #members = new Map<string, Member>();
+  readonly #heardAtMs = new Map<string, number>();
 
   constructor(self: string) {
     this.#self = self;
@@ -35,6 +39,15 @@
     return true;
   }
 
+  recordHeard(instance: string, nowMs: number): void {
+    this.#heardAtMs.set(instance, nowMs);
+  }
+
+  /** Whether one of its last datagrams, sent every 400 ms, has arrived. */
+  isHeard(instance: string, nowMs: number): boolean {
+    return nowMs - (this.#heardAtMs.get(instance) ?? -Infinity) < HEARD_MS;
+  }
+
   /** All but this instance itself. */
   listOthers(): readonly Member[] {
     return [...this.#members.values()]
--- a/packages/ownership/src/keeper_timing.ts
+++ b/packages/ownership/src/keeper_timing.ts
@@ -3,8 +3,9 @@
 export interface KeeperTiming {
   /**
    * A target holds its keys for this long after a renewal. Short, so that a
-   * lost target's keys are served again within 5 s; long enough to outlive the
-   * change of a keeper (about 2 s).
+   * lost target's keys are served again within about 5 s (1.2 s until it counts
+   * as silent, 0.8 s for the last order, the hold); long enough to outlive the
+   * loss of a keeper, which takes 2.1 s to be replaced.
    */
   readonly holdMs: number;
   /** Three renewals may fail before a hold runs out. */
@@ -29,13 +30,13 @@
 }
 
 export const DEFAULT_KEEPER_TIMING: KeeperTiming = {
-  holdMs: 4_000,
-  renewEveryMs: 1_000,
+  holdMs: 3_000,
+  renewEveryMs: 750,
   orderTimeoutMs: 400,
   releaseTimeoutMs: 1_500,
   retryEveryMs: 250,
   authorityMs: 20_000,
-  silentAfterMs: 1_500,
+  silentAfterMs: 1_200,
   planEveryMs: 400,
 };
 
