--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -78,7 +78,7 @@
 }
 
 /** Targets that were missing are let go, and changes taken over, this often. */
-const CATALOGUE_TICK_MS = 50;
+const CATALOGUE_TICK_MS = 100;
 /** Room between the last sends to a leaving target and the bound on them. */
 const LEAVING_MARGIN_MS = 1_100;
 
--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/service_registry.ts
@@ -26,6 +26,8 @@
 
 /** Waiting requests are looked through this often for what has become due. */
 const TICK_MS = 20;
+/** While nothing waits; each wake-up costs about 0.1 ms of processor time. */
+const IDLE_TICK_MS = 50;
 /** Below this a late tick is an ordinary turn of the event loop. */
 const MIN_STALL_MS = 40;
 
@@ -36,6 +38,7 @@
   readonly #split = new SplitBalance();
   #retryLimits: RetryLimits;
   #tickedAtMs = Infinity;
+  #tickMs = IDLE_TICK_MS;
 
   constructor(options: ServiceRegistryOptions) {
     this.#options = options;
@@ -83,14 +86,15 @@
       for (const places of this.#places.values()) {
         places.advance(clock.readMs());
       }
-      await clock.sleep(TICK_MS, signal);
+      this.#tickMs = this.waiting > 0 ? TICK_MS : IDLE_TICK_MS;
+      await clock.sleep(this.#tickMs, signal);
     }
   }
 
   /** How late the next tick is: the process was busy, frozen or not scheduled. */
   readStallMs(): number {
     const sinceMs = this.#options.clock.readMs() - this.#tickedAtMs;
-    return sinceMs > MIN_STALL_MS ? sinceMs - TICK_MS : 0;
+    return sinceMs > this.#tickMs + MIN_STALL_MS ? sinceMs - this.#tickMs : 0;
   }
 
   /** Undefined where the caller has left meanwhile. */
