fix(ownership): let no order that never left prolong a hold

Ruled out: the store's outage, which ended at 26 s; a predecessor's authority, the keeper was the same throughout.

Change: what never left is struck out; what was answered counts from its answer.

--- a/packages/ownership/src/hold_book.ts
+++ b/packages/ownership/src/hold_book.ts
@@ -15,19 +15,27 @@
 
 interface SentGrant extends KeyRange {
   readonly targetId: string;
-  readonly endsAtMs: number;
+  endsAtMs: number;
   answered: boolean;
 }
 
+/** What is told of a grant once its order has ended. */
+export interface GrantRecord {
+  /** The target has answered; it arrived before that. */
+  recordAnswered(atMs: number): void;
+  /** Not a byte of it left: it is as if it had never been. */
+  recordUnsent(): void;
+}
+
 export class HoldBook {
   #grants: SentGrant[] = [];
 
-  /** Records a grant before it is sent; call the result once it is answered. */
+  /** Records a grant before it is sent. Untold, it counts as unanswered. */
   recordSent(
     targetId: string,
     range: KeyRange,
     options: { readonly givenUpAtMs: number; readonly holdMs: number },
-  ): () => void {
+  ): GrantRecord {
     const endsAtMs = computeHoldEndMs(options.givenUpAtMs, options.holdMs);
     const grant: SentGrant = {
       targetId,
@@ -37,8 +45,15 @@
       answered: false,
     };
     this.#grants.push(grant);
-    return () => {
-      grant.answered = true;
+    return {
+      recordAnswered: (atMs) => {
+        grant.answered = true;
+        const latestMs = atMs + options.holdMs * CLOCK_DRIFT;
+        grant.endsAtMs = Math.min(grant.endsAtMs, latestMs);
+      },
+      recordUnsent: () => {
+        this.#grants = this.#grants.filter((other) => other !== grant);
+      },
     };
   }
 
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -126,6 +126,25 @@
   assert.deepEqual(world.holders.listOverlaps(), []);
 });
 
+test("orders that never left do not prolong a hold", async () => {
+  // A target is lost in an outage of the store. Its keeper tries to renew its
+  // keys on connections that never open, for seconds, and can move nothing. When
+  // the store is back, its hold has long run out; counted from the last try,
+  // its keys went unserved for 4 s more.
+  const world = new World();
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  world.closeStoreTo("one");
+  world.holders.setMood("a", "unconnectable");
+  await world.clock.advance(6_000);
+  world.cut.delete("one");
+  world.store.setMood("one", "serving");
+  world.candidates = [createCandidate("b")];
+  await world.clock.advance(2_000);
+  assert.equal(world.holders.findHolder(0), "b");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
 test("a target that has ended is not waited for", async () => {
   // Another process was seen at its address: nobody holds its keys.
   const world = new World();
--- a/packages/ownership/src/range_keeper.ts
+++ b/packages/ownership/src/range_keeper.ts
@@ -14,7 +14,7 @@
   OrderReceiver,
 } from "@lentilspur/ports/key_orders";
 import type { Clock } from "@lentilspur/ports/clock";
-import { computeHoldEndMs, HoldBook } from "./hold_book.ts";
+import { computeHoldEndMs, type GrantRecord, HoldBook } from "./hold_book.ts";
 import type { Holder, KeyTable, OwnedRange } from "./key_table.ts";
 import type { KeeperTiming } from "./keeper_timing.ts";
 
@@ -193,7 +193,7 @@
     const { range } = state;
     const sentAtMs = clock.readMs();
     state.nextAtMs = sentAtMs + timing.renewEveryMs;
-    const recordAnswered = this.#holds.recordSent(range.owner.id, range, {
+    const record = this.#holds.recordSent(range.owner.id, range, {
       givenUpAtMs: sentAtMs + timing.orderTimeoutMs,
       holdMs: timing.holdMs,
     });
@@ -207,9 +207,7 @@
         : { handover: state.handover }),
     });
     this.#recordOutcome(range.owner, outcome);
-    if (outcome.kind !== "unanswered") {
-      recordAnswered();
-    }
+    settleRecord(record, outcome, clock.readMs());
     if (outcome.kind === "done") {
       state.granted = true;
     } else {
@@ -301,6 +299,25 @@
   };
 }
 
+function settleRecord(
+  record: GrantRecord,
+  outcome: OrderOutcome,
+  nowMs: number,
+): void {
+  switch (outcome.kind) {
+    case "done":
+    case "superseded":
+    case "replaced":
+      record.recordAnswered(nowMs);
+      return;
+    case "unsent":
+      record.recordUnsent();
+      return;
+    case "unanswered":
+      return;
+  }
+}
+
 function isPart(range: OwnedRange, whole: OwnedRange): boolean {
   return range.from >= whole.from && range.to <= whole.to &&
     range.owner.id === whole.owner.id &&
--- a/packages/ports/src/fake_key_holders.ts
+++ b/packages/ports/src/fake_key_holders.ts
@@ -17,6 +17,8 @@
   | "answering"
   /** Orders neither arrive nor fail at once. */
   | "unreachable"
+  /** No connection opens: not a byte of an order leaves its sender. */
+  | "unconnectable"
   /** Grants take effect some seconds after they came, unanswered. */
   | "late";
 
@@ -37,6 +39,7 @@
 
 const TRAVEL_MS = 1;
 const TIMEOUT_MS = 400;
+const CONNECT_MS = 250;
 /** Work that runs on released keys ends after this. */
 const WORK_MS = 60;
 
@@ -130,6 +133,9 @@
     canReach: (targetId: string) => boolean,
   ): Promise<OrderOutcome> {
     const mood = this.#getMood(to.id);
+    if (mood === "unconnectable") {
+      return await this.#failConnection();
+    }
     if (mood === "unreachable" || !canReach(to.id)) {
       return await this.#failOrder();
     }
@@ -175,6 +181,9 @@
     canReach: (targetId: string) => boolean,
   ): Promise<OrderOutcome> {
     const mood = this.#getMood(from.id);
+    if (mood === "unconnectable") {
+      return await this.#failConnection();
+    }
     if (mood === "unreachable" || !canReach(from.id)) {
       return await this.#failOrder();
     }
@@ -186,6 +195,11 @@
     return { kind: "done", handover: `handover-${from.id}` };
   }
 
+  async #failConnection(): Promise<OrderOutcome> {
+    await this.#clock.sleep(CONNECT_MS);
+    return { kind: "unsent", message: "No connection" };
+  }
+
   async #failOrder(): Promise<OrderOutcome> {
     await this.#clock.sleep(TIMEOUT_MS);
     return { kind: "unanswered", message: "No answer" };
