--- a/packages/gateway/src/key_directory.ts
+++ b/packages/gateway/src/key_directory.ts
@@ -8,8 +8,12 @@
 
 export type KeyOwner =
   | { readonly kind: "owned"; readonly owner: Holder; readonly offset: number }
-  /** It is passing from one target to another. */
-  | { readonly kind: "moving"; readonly offset: number }
+  /** It is passing from one target to another, since this time; own clock. */
+  | {
+    readonly kind: "moving";
+    readonly offset: number;
+    readonly sinceMs: number;
+  }
   /** Nobody has assigned the service's keys yet. */
   | { readonly kind: "unassigned" };
 
@@ -21,18 +25,21 @@
 
 export class KeyDirectory {
   readonly #tables = new Map<string, KnownTable>();
+  /** When the moves under a token were first seen here, by service. */
+  readonly #movingSince = new Map<string, Map<number, number>>();
 
   /** Gives a reason where the text is no table; the one before stays. */
   applyTable(
     service: string,
     text: string,
-    offset: number,
+    options: { readonly offset: number; readonly nowMs: number },
   ): string | undefined {
     const parsed = parseTable(text);
     if (!parsed.ok) {
       return parsed.val;
     }
-    this.#tables.set(service, { table: parsed.val, offset });
+    this.#tables.set(service, { table: parsed.val, offset: options.offset });
+    this.#recordMoves(service, parsed.val, options.nowMs);
     return undefined;
   }
 
@@ -42,12 +49,28 @@
       return { kind: "unassigned" };
     }
     const range = findRange(known.table, key);
-    if (range === undefined || range.former.length > 0) {
-      return { kind: "moving", offset: known.offset };
+    if (range === undefined) {
+      return { kind: "unassigned" };
+    }
+    if (range.former.length > 0) {
+      const sinceMs = this.#movingSince.get(service)?.get(range.owner.token);
+      return { kind: "moving", offset: known.offset, sinceMs: sinceMs ?? 0 };
     }
     return { kind: "owned", owner: range.owner, offset: known.offset };
   }
 
+  /** Moves that are over are forgotten. */
+  #recordMoves(service: string, table: KeyTable, nowMs: number): void {
+    const before = this.#movingSince.get(service);
+    const since = new Map<number, number>();
+    for (const { former, owner } of table.ranges) {
+      if (former.length > 0) {
+        since.set(owner.token, before?.get(owner.token) ?? nowMs);
+      }
+    }
+    this.#movingSince.set(service, since);
+  }
+
   hasTable(service: string): boolean {
     return this.#tables.has(service);
   }
--- a/packages/gateway/src/owner_finder.ts
+++ b/packages/gateway/src/owner_finder.ts
@@ -12,11 +12,25 @@
     readonly token?: number;
     readonly ownersOffset?: number;
   }
-  | { readonly kind: "wait" };
+  | {
+    readonly kind: "wait";
+    /** It will not have an owner soon: waiting for it is of no use. */
+    readonly isLong: boolean;
+  };
 
 /** A key's move takes a release, a grant and two records: some 200 ms. */
 const OWNER_RETRY_MS = 250;
 
+/**
+ * A move that has taken this long waits for a holder that cannot be reached,
+ * which takes seconds. Load pattern: a third of the targets are lost at once;
+ * every lookup of their keys would wait 0.3 s, be refused, come back and wait
+ * again.
+ */
+const LONG_MOVE_MS = 400;
+/** About as long as callers may stay away and still be answered in time. */
+const LONG_MOVE_RETRY_MS = 1_000;
+
 export interface OwnerFinderOptions {
   readonly clock: Clock;
   readonly catalogue: Catalogue;
@@ -41,18 +55,20 @@
     }
     const owner = directory.findOwner(passage.service, key);
     if (owner.kind !== "owned") {
+      const isLong = owner.kind === "moving" &&
+        this.#options.clock.readMs() - owner.sinceMs > LONG_MOVE_MS;
       setRefusal(passage, "owner-changing", {
         message: `Key ${key} is ${owner.kind}`,
-        retryAfterMs: OWNER_RETRY_MS,
+        retryAfterMs: isLong ? LONG_MOVE_RETRY_MS : OWNER_RETRY_MS,
       });
-      return { kind: "wait" };
+      return { kind: "wait", isLong };
     }
     if (!this.#mayUseOwner(owner.owner.id)) {
       setRefusal(passage, "owner-changing", {
         message: `The owner of key ${key} is leaving`,
         retryAfterMs: OWNER_RETRY_MS,
       });
-      return { kind: "wait" };
+      return { kind: "wait", isLong: false };
     }
     const { id: targetId, token } = owner.owner;
     return { kind: "found", targetId, token, ownersOffset: owner.offset };
--- a/packages/gateway/src/request_router.ts
+++ b/packages/gateway/src/request_router.ts
@@ -171,7 +171,7 @@
   async #runAttempt(passage: Passage): Promise<Step> {
     const owner = this.#owners.find(passage);
     if (owner.kind === "wait") {
-      return this.#waitForOwner(passage);
+      return this.#waitForOwner(passage, owner.isLong);
     }
     passage.ownerMissingSinceMs = null;
     const decision = await this.#waitForPlace(passage, owner.targetId);
@@ -193,10 +193,10 @@
     return await this.#send(passage, decision, owner);
   }
 
-  #waitForOwner(passage: Passage): Step {
+  #waitForOwner(passage: Passage, isLong: boolean): Step {
     const nowMs = this.#options.clock.readMs();
     passage.ownerMissingSinceMs ??= nowMs;
-    return nowMs - passage.ownerMissingSinceMs < OWNER_WAIT_MS
+    return !isLong && nowMs - passage.ownerMissingSinceMs < OWNER_WAIT_MS
       ? { kind: "again", pauseMs: OWNER_POLL_MS }
       : { kind: "done", answer: this.#settler.settleUnserved(passage) };
   }
--- a/packages/gateway/src/request_router_test.ts
+++ b/packages/gateway/src/request_router_test.ts
@@ -7,7 +7,12 @@
 } from "@lentilspur/ports/request_sender";
 import type { Route, RoutingTable } from "@lentilspur/ports/routing_table";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { createTable, serializeTable } from "@lentilspur/ownership/key_table";
+import { LAST_KEY } from "@lentilspur/ports/key_orders";
+import {
+  applyReassignments,
+  createTable,
+  serializeTable,
+} from "@lentilspur/ownership/key_table";
 import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
 import { Catalogue } from "./catalogue.ts";
 import { KeyDirectory } from "./key_directory.ts";
@@ -235,6 +240,27 @@
   assert.equal(path.sent.length, 0);
 });
 
+test("a key whose move takes long is refused at once", async () => {
+  // A third of the targets are lost at one moment. Their keys have no owner
+  // until the holds have run out, for seconds; every caller would wait 0.3 s in
+  // vain although that is known.
+  const path = new Path(() => ANSWER);
+  path.setRoute({ idempotent: true }, true);
+  const [from, to] = ["a", "b"].map((id) => ({ id, address: `${id}:80` }));
+  const moving = applyReassignments(
+    createTable([from!], 1),
+    [{ from: 0, to: LAST_KEY, owner: to! }],
+    2,
+  );
+  path.directory.applyTable("files", serializeTable(moving), {
+    offset: 2,
+    nowMs: path.clock.readMs(),
+  });
+  assert.equal(getFailure(await path.send({ key: 5 }, 250)), "undefined");
+  await path.clock.advance(500);
+  assert.equal(getFailure(await path.send({ key: 5 }, 5)), "owner-changing");
+});
+
 test("a key is sent to its owner, and to the new one after it has moved", async () => {
   const path = new Path(() => ANSWER);
   path.setRoute({ idempotent: true }, true);
@@ -242,13 +268,13 @@
   path.directory.applyTable(
     "files",
     serializeTable(createTable([owners[0]!], 1)),
-    1,
+    { offset: 1, nowMs: 0 },
   );
   await path.send({ key: 5 });
   path.directory.applyTable(
     "files",
     serializeTable(createTable([owners[1]!], 2)),
-    2,
+    { offset: 2, nowMs: 0 },
   );
   await path.send({ key: 5 });
   assert.deepEqual(path.sent.map(({ targetId }) => targetId), ["a", "b"]);
@@ -261,7 +287,7 @@
   path.directory.applyTable(
     "files",
     serializeTable(createTable([{ id: "a", address: "a:80" }], 1)),
-    1,
+    { offset: 1, nowMs: 0 },
   );
   path.setTarget("a", true);
   await path.clock.advance(500);
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -159,7 +159,10 @@
       return;
     }
     const service = key.slice(TABLE_PREFIX.length);
-    const fault = directory.applyTable(service, value, offset);
+    const fault = directory.applyTable(service, value, {
+      offset,
+      nowMs: this.#options.clock.readMs(),
+    });
     if (fault !== undefined) {
       reportFault(`Owners of service "${service}": ${fault}`);
     }
