fix(ownership): confirm a keeper's authority at once after a jump of the clock

Cause: a step of the time of day may hide a suspension, so earlier confirmations are void; the next one came with the tail's next read, up to 3 s later, while holds have 2.25 s left: every key could go unheld. A keeper that may not act asks the store itself, twice a second at most.

--- a/packages/gateway/src/line_log.ts
+++ b/packages/gateway/src/line_log.ts
@@ -37,6 +37,8 @@
   readonly #written = { routine: 0, notable: 0 };
   readonly #dropped = { routine: 0, notable: 0 };
   #secondStartedAtMs = -Infinity;
+  /** Dropped lines that have been told of. */
+  #reported = 0;
   #sequence = 0;
   #lines: string[] = [];
 
@@ -116,8 +118,6 @@
     }
   }
 
-  #reported = 0;
-
   #getUnwrittenBytes(): number {
     return (this.#options.stream as NodeJS.WriteStream).writableLength ?? 0;
   }
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -95,6 +95,8 @@
   readonly observe: (event: KeeperEvent) => void;
 }
 
+/** A call has a price; a hold outlives several of these. */
+const REGAIN_EVERY_MS = 500;
 /** Between two looks at what is due. */
 const TICK_MS = 50;
 
@@ -107,6 +109,7 @@
   #end: number;
   #contactAtMs: number;
   #nextPlanAtMs = 0;
+  #nextRegainAtMs = 0;
 
   constructor(options: KeyKeeperOptions) {
     this.#options = options;
@@ -140,6 +143,9 @@
         await this.#plan();
       }
       await this.#writeSettled();
+      if (!this.hasStopped && !this.#mayAct()) {
+        await this.#regainAuthority();
+      }
       await clock.sleep(TICK_MS, this.#stop.signal);
     }
   }
@@ -184,6 +190,15 @@
       clock.readMs() - heardAtMs < timing.authorityMs;
   }
 
+  /** Asks the store whether this keeper still stands, as often as is useful. */
+  async #regainAuthority(): Promise<void> {
+    const { clock } = this.#options;
+    if (clock.readMs() >= this.#nextRegainAtMs) {
+      this.#nextRegainAtMs = clock.readMs() + REGAIN_EVERY_MS;
+      await this.#resolve();
+    }
+  }
+
   #setTable(service: string, table: KeyTable): void {
     this.#tables.set(service, table);
     let keeper = this.#keepers.get(service);
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -250,6 +250,22 @@
   assert.equal(world.holders.orders.length, before);
 });
 
+test("a keeper whose time of day has jumped confirms its authority at once", async () => {
+  // The time of day steps by 2 s on the keeper's machine. That may have been a
+  // suspension, so what was confirmed before is void; but the next read of its
+  // tail ends up to 3 s later, and every key would go unheld meanwhile.
+  const world = new World();
+  let trustedSinceMs = -Infinity;
+  world.startKeeper("one", { getTrustedSinceMs: () => trustedSinceMs });
+  await world.clock.advance(3_000);
+  world.cut.add("one");
+  trustedSinceMs = world.clock.readMs();
+  for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += 100) {
+    await world.clock.advance(100);
+    assert.equal(world.holders.findHolder(0), "a");
+  }
+});
+
 test("an append whose answer was lost is found in the store", async () => {
   // The table with the new owner is in the store, but its answer is not back.
   // Written anew it would conflict for ever; read back, the move goes on.
