refactor(gateway): remove what nothing uses

A set of open sockets that was kept for each connection and never read, a lookup of the key directory, and late appends of the fake store. No behaviour changes.

--- a/packages/gateway/src/key_directory.ts
+++ b/packages/gateway/src/key_directory.ts
@@ -70,8 +70,4 @@
     }
     this.#movingSince.set(service, since);
   }
-
-  hasTable(service: string): boolean {
-    return this.#tables.has(service);
-  }
 }
--- a/packages/gateway/src/request_server.ts
+++ b/packages/gateway/src/request_server.ts
@@ -71,7 +71,6 @@
 export class RequestServer {
   readonly #options: RequestServerOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
   #limits = FIRST_LIMITS;
   #isStopping = false;
   #isRefusing = false;
@@ -89,10 +88,6 @@
       noDelay: true,
     }, (message, response) => void this.#handle(message, response));
     this.#server.on("clientError", answerUnreadable);
-    this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
-    });
   }
 
   /** The port it listens on, which was picked if none was named. */
@@ -105,10 +100,6 @@
     return this.#open;
   }
 
-  get openConnections(): number {
-    return this.#sockets.size;
-  }
-
   /** When the last request came in; own clock. */
   get lastRequestAtMs(): number {
     return this.#lastRequestAtMs;
--- a/packages/ports/src/fake_store.ts
+++ b/packages/ports/src/fake_store.ts
@@ -42,7 +42,6 @@
   readonly #firstKept = new Map<string, number>();
   readonly #groups = new Map<string, Group>();
   readonly #moods = new Map<string, StoreMood>();
-  readonly #late: { atMs: number; request: AppendRequest }[] = [];
 
   constructor(clock: Clock, parts = 1) {
     this.#clock = clock;
@@ -64,11 +63,6 @@
     this.#moods.set(caller, mood);
   }
 
-  /** An append that reaches the store only after this time. */
-  scheduleLate(request: AppendRequest, delayMs: number): void {
-    this.#late.push({ atMs: this.#clock.readMs() + delayMs, request });
-  }
-
   /** Old records go; the newest of each key can be listed still. */
   removeHistory(partition: Partition): void {
     const name = formatPartition(partition);
@@ -125,7 +119,6 @@
       this.#clock.readMs() < untilMs
     ) {
       await this.#clock.sleep(READ_POLL_MS);
-      this.#applyLate();
     }
     if (request.from < (this.#firstKept.get(name) ?? 0)) {
       return Err({ kind: "expired" });
@@ -206,7 +199,6 @@
   }
 
   async #wait(caller: string): Promise<StoreFailure | undefined> {
-    this.#applyLate();
     const mood = this.#moods.get(caller) ?? "serving";
     switch (mood) {
       case "serving":
@@ -222,17 +214,6 @@
     }
   }
 
-  #applyLate(): void {
-    const nowMs = this.#clock.readMs();
-    for (const late of this.#late.splice(0)) {
-      if (late.atMs <= nowMs) {
-        this.#apply(late.request);
-      } else {
-        this.#late.push(late);
-      }
-    }
-  }
-
   #list(name: string): StoreRecord[] {
     const list = this.#records.get(name) ?? [];
     this.#records.set(name, list);
