perf(ownership): deal keys out narrowly before they are asked for

Keys are dealt out once no target has joined for 1 s, in six narrow stretches a target, and anew for targets that join before anything is asked for. The planner moves whole ranges where they fit, so many ranges do not grow further; beyond ten a target it merges idle ones. A move is counted by cutting the giver's ranges, so one plan can cut a range several times; moves in a plan grow with the targets. Orphans no longer keep everything else from being evened out.

--- a/packages/ownership/src/keeper_timing.ts
+++ b/packages/ownership/src/keeper_timing.ts
@@ -25,6 +25,12 @@
   readonly authorityMs: number;
   /** A target whose orders have failed for this long is relieved of its keys. */
   readonly silentAfterMs: number;
+  /**
+   * The keys of a service are dealt out once no target has joined for this long,
+   * or when they are asked for. Targets that start together write their first
+   * entries within a heartbeat interval of each other, about 1 s.
+   */
+  readonly dealAfterMs: number;
   /** Between two looks at who should own what. */
   readonly planEveryMs: number;
 }
@@ -37,6 +43,7 @@
   retryEveryMs: 250,
   authorityMs: 20_000,
   silentAfterMs: 1_200,
+  dealAfterMs: 1_000,
   planEveryMs: 400,
 };
 
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -118,6 +118,11 @@
   readonly #startedAtMs: number;
   #end: number;
   #contactAtMs: number;
+  /** Targets of services without a table, and since when there are so many. */
+  readonly #arrivals = new Map<
+    string,
+    { readonly count: number; readonly sinceMs: number }
+  >();
   #nextPlanAtMs = 0;
   #nextRegainAtMs = 0;
 
@@ -265,7 +270,7 @@
     const candidates = facts.candidates
       .filter((candidate) => keeper?.isUnusable(candidate) !== true);
     if (table === undefined) {
-      return candidates.length === 0 ? undefined : {
+      return candidates.length === 0 || !this.#mayDeal(facts) ? undefined : {
         next: createTable(candidates, this.#end),
         changes: candidates.length,
       };
@@ -278,6 +283,20 @@
     };
   }
 
+  /**
+   * Whether all targets seem to be there, or keys are asked for already. Dealt
+   * to the first target that registers, all keys would have to move again.
+   */
+  #mayDeal({ service, candidates, rates }: ServiceFacts): boolean {
+    const nowMs = this.#options.clock.readMs();
+    const count = candidates.length;
+    const known = this.#arrivals.get(service);
+    const arrival = known?.count === count ? known : { count, sinceMs: nowMs };
+    this.#arrivals.set(service, arrival);
+    return rates.length > 0 ||
+      nowMs - arrival.sinceMs >= this.#options.timing.dealAfterMs;
+  }
+
   /**
    * The table with new tokens for what its owners must not be granted under the
    * old ones. Failure: a target is killed and starts again under its id, and a
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -8,15 +8,22 @@
  * stretch that carries the excess is moved, and what earns little stays.
  */
 import type { KeyRate } from "./key_load.ts";
-import type { KeyTable, Reassignment } from "./key_table.ts";
+import {
+  createTable,
+  isSamePlace,
+  type KeyTable,
+  type OwnedRange,
+  type Reassignment,
+} from "./key_table.ts";
+import { planMerges } from "./merge_plan.ts";
 import { planOrphans } from "./orphan_plan.ts";
 import {
   chooseIdlest,
   computeAverageBusy,
-  computeBusy,
   computeRate,
   createLines,
   createStandings,
+  moveKeys,
   type OwnerCandidate,
   type RateLines,
   type Standing,
@@ -26,7 +33,9 @@
   findEdge,
   findNarrowest,
   isNarrower,
+  isUseful,
   type Stretch,
+  toWholeStretch,
 } from "./stretch_choice.ts";
 
 /**
@@ -42,10 +51,15 @@
 const HOT_SHARE = 0.8;
 /** Below this many times the owner's speed a move gains less than it breaks off. */
 const MIN_GAIN = 1.3;
-/** Moves in one plan; each is a release, a grant and a record's part. */
-const MAX_MOVES = 12;
-/** Each range costs a renewal a second; beyond this many a target, spells only. */
-const MAX_RANGES_PER_TARGET = 8;
+/** A range that carries less than this share of its owner's rate is no relief. */
+const MIN_RELIEF = 0.03;
+/** Moves in one plan, where there are few targets; one for each of many. */
+const MIN_MOVES = 12;
+/**
+ * Each range costs a renewal a second. Beyond this many a target, what lasts is
+ * evened out by whole ranges, and idle ranges are merged with their neighbours.
+ */
+const MAX_RANGES_PER_TARGET = 10;
 
 /** Keys whose owner is gone or leaving, and keys of owners that have too much. */
 export function planReassignments(
@@ -56,16 +70,47 @@
   if (candidates.length === 0) {
     return [];
   }
+  if (rates.length === 0 && hasNewcomer(table, candidates)) {
+    return planDeal(table, candidates);
+  }
   const lines = createLines(rates);
   const standings = createStandings(table, candidates, lines);
-  const orphans = planOrphans(table, standings, lines.usual);
-  if (orphans.length > 0) {
-    // Balancing waits until everything has an owner: one change at a time.
-    return orphans;
-  }
   const isCrowded =
     table.ranges.length > MAX_RANGES_PER_TARGET * candidates.length;
-  return planBalance(standings, lines, isCrowded);
+  const orphans = planOrphans(table, standings, lines.usual);
+  const moves = planBalance(standings, lines, isCrowded);
+  const merges = isCrowded ? planMerges(table, standings, lines) : [];
+  return [...orphans, ...moves, ...merges];
+}
+
+function hasNewcomer(
+  table: KeyTable,
+  candidates: readonly OwnerCandidate[],
+): boolean {
+  return candidates.some((candidate) =>
+    !table.ranges.some(({ owner }) => isSamePlace(owner, candidate))
+  );
+}
+
+/**
+ * Before anything is asked for, a move breaks nothing off, and which keys will
+ * be busy is not known: all are dealt out anew. Load pattern: targets register
+ * over a second or two, and callers come some seconds later. A target that has
+ * registered first would own all keys when they come, and for 4 to 18 s more
+ * than half of the requests for keys would be refused.
+ */
+function planDeal(
+  table: KeyTable,
+  candidates: readonly OwnerCandidate[],
+): readonly Reassignment[] {
+  return createTable(candidates, 0).ranges
+    .filter((dealt) =>
+      table.ranges.some((range) =>
+        range.from <= dealt.to && range.to >= dealt.from &&
+        !isSamePlace(range.owner, dealt.owner)
+      )
+    )
+    .map(({ from, to, owner }) => ({ from, to, owner }));
 }
 
 function planBalance(
@@ -74,8 +119,9 @@
   isCrowded: boolean,
 ): readonly Reassignment[] {
   const changes: Reassignment[] = [];
-  while (changes.length < MAX_MOVES) {
-    const change = planOneMove(standings, lines, changes, isCrowded);
+  const maxMoves = Math.max(MIN_MOVES, standings.size);
+  while (changes.length < maxMoves) {
+    const change = planOneMove(standings, lines, isCrowded);
     if (change === undefined) {
       break;
     }
@@ -87,17 +133,16 @@
 function planOneMove(
   standings: ReadonlyMap<string, Standing>,
   lines: RateLines,
-  before: readonly Reassignment[],
   isCrowded: boolean,
 ): Reassignment | undefined {
   const average = computeAverageBusy(standings);
   const givers = [...standings.values()]
-    .sort((left, right) => right.busy - left.busy)
-    .filter((one) => hasTooMuch(one, average) && (one.isSpell || !isCrowded));
+    .filter((one) => hasTooMuch(one, average))
+    .sort((left, right) => right.busy - left.busy);
   // One that nothing can be taken from must not keep the others from relief.
   for (const giver of givers) {
-    const change = planHotKey({ giver, standings, lines, before }) ??
-      planRelief({ giver, standings, lines, before });
+    const options = { giver, standings, lines, average, isCrowded };
+    const change = planHotKey(options) ?? planRelief(options);
     if (change !== undefined) {
       return change;
     }
@@ -109,7 +154,9 @@
   readonly giver: Standing;
   readonly standings: ReadonlyMap<string, Standing>;
   readonly lines: RateLines;
-  readonly before: readonly Reassignment[];
+  /** Share of all places that is busy. */
+  readonly average: number;
+  readonly isCrowded: boolean;
 }
 
 /**
@@ -120,14 +167,13 @@
  * owns leaves it by the moves that follow, since it then has too much.
  */
 function planHotKey(
-  { giver, standings, lines, before }: ReliefOptions,
+  { giver, standings, lines }: ReliefOptions,
 ): Reassignment | undefined {
   const rates = giver.isSpell ? lines.recent : lines.usual;
   const hot = findHottest(giver, rates);
   if (
     hot === undefined ||
-    hot.perSecond < HOT_SHARE * computeRate(giver.candidate) ||
-    before.some(({ from, to }) => from <= hot.key && hot.key <= to)
+    hot.perSecond < HOT_SHARE * computeRate(giver.candidate)
   ) {
     return undefined;
   }
@@ -174,9 +220,8 @@
 }
 
 function planRelief(
-  { giver, standings, lines, before }: ReliefOptions,
+  { giver, standings, lines, average, isCrowded }: ReliefOptions,
 ): Reassignment | undefined {
-  const average = computeAverageBusy(standings);
   const receiver = chooseIdlest(standings);
   if (giver === receiver) {
     return undefined;
@@ -188,7 +233,7 @@
     room * computeRate(receiver.candidate),
   );
   const rates = giver.isSpell ? lines.recent : lines.usual;
-  return moveStretch({ giver, receiver, wanted, rates, before });
+  return moveStretch({ giver, receiver, wanted, rates, isCrowded });
 }
 
 /** A target that has joined and owns nothing gets half of the average at once. */
@@ -207,52 +252,62 @@
   }
   const wanted = Math.min(giver.busy / 2, average / 2) *
     computeRate(giver.candidate);
-  return moveStretch({ giver, receiver, wanted, rates, before: [] });
+  return moveStretch({ giver, receiver, wanted, rates, isCrowded: false });
 }
 
-function moveStretch(options: {
+interface StretchOptions {
   readonly giver: Standing;
   readonly receiver: Standing;
+  /** Requests a second. */
   readonly wanted: number;
   readonly rates: RateLine;
-  readonly before: readonly Reassignment[];
-}): Reassignment | undefined {
-  const { giver, receiver, wanted, rates, before } = options;
+  readonly isCrowded: boolean;
+}
+
+function moveStretch(options: StretchOptions): Reassignment | undefined {
+  const { giver, receiver } = options;
+  const keys = findNarrow(options) ?? findLargest(options);
+  return keys === undefined ? undefined : moveKeys({ giver, receiver, keys });
+}
+
+/** The narrowest stretch or whole range that carries most of what is wanted. */
+function findNarrow(
+  { giver, wanted, rates, isCrowded }: StretchOptions,
+): Stretch | undefined {
   let best: Stretch | undefined;
-  for (const range of giver.ranges) {
-    const isTaken = range.former.length > 0;
-    const stretch = isTaken
-      ? undefined
+  for (const range of listStill(giver)) {
+    const whole = toWholeStretch(rates, range);
+    const stretch = isUseful(whole, wanted)
+      ? whole
       : giver.isSpell
-      ? findNarrowest(rates, range, wanted, before)
-      : findEdge(rates, range, wanted, before);
+      ? findNarrowest(rates, range, wanted)
+      : isCrowded
+      ? undefined
+      : findEdge(rates, range, wanted);
     if (stretch !== undefined && isNarrower(stretch, best)) {
       best = stretch;
     }
   }
-  if (best === undefined) {
-    return undefined;
-  }
-  return moveKeys({ giver, receiver, keys: best });
+  return best;
 }
 
-/** Counts the move at once, so that the next one of this plan sees it. */
-function moveKeys({ giver, receiver, keys }: {
-  readonly giver: Standing;
-  readonly receiver: Standing;
-  readonly keys: Stretch;
-}): Reassignment {
-  giver.busy -= computeBusy(giver.candidate, keys.perSecond);
-  receiver.busy += computeBusy(receiver.candidate, keys.perSecond);
-  receiver.isSpell ||= giver.isSpell;
-  receiver.ranges.push({
-    from: keys.from,
-    to: keys.to,
-    owner: { ...receiver.candidate, token: 0 },
-    // Marks it as on its way: a plan does not move a key twice.
-    former: [{ ...giver.candidate, token: 0 }],
-  });
-  return { from: keys.from, to: keys.to, owner: receiver.candidate };
+/**
+ * Where no single stretch carries that much: the whole range that carries most.
+ * An owner of many narrow ranges is relieved of several of them.
+ */
+function findLargest(
+  { giver, wanted, rates }: StretchOptions,
+): Stretch | undefined {
+  const least = MIN_RELIEF * computeRate(giver.candidate);
+  return listStill(giver)
+    .map((range) => toWholeStretch(rates, range))
+    .filter(({ perSecond }) => perSecond >= least && perSecond <= wanted)
+    .sort((left, right) => right.perSecond - left.perSecond)[0];
+}
+
+/** Ranges that are not on their way. */
+function listStill({ ranges }: Standing): readonly OwnedRange[] {
+  return ranges.filter(({ former }) => former.length === 0);
 }
 
 function hasTooMuch(standing: Standing, average: number): boolean {
--- a/packages/ownership/src/key_table.ts
+++ b/packages/ownership/src/key_table.ts
@@ -110,19 +110,32 @@
   return { ranges };
 }
 
-/** All keys divided evenly, as the first table of a service. */
+/**
+ * Stretches that each owner is dealt at first. Busy keys lie side by side, so
+ * one stretch for each owner would leave half of all requests to a few of them.
+ */
+const DEALT_PER_OWNER = 6;
+/** Each range costs its keeper a renewal a second, whoever owns it. */
+const MAX_DEALT = 400;
+
+/** All keys dealt out evenly, as the first table of a service. */
 export function createTable(
   owners: readonly Assignee[],
   token: number,
 ): KeyTable {
-  const count = LAST_KEY + 1;
-  const ranges = owners.map((owner, index) => ({
-    from: Math.floor(index * count / owners.length),
-    to: Math.floor((index + 1) * count / owners.length) - 1,
-    owner: createHolder(owner, token),
+  const keys = LAST_KEY + 1;
+  const perOwner = Math.min(
+    DEALT_PER_OWNER,
+    Math.max(1, Math.floor(MAX_DEALT / owners.length)),
+  );
+  const count = Math.min(keys, perOwner * owners.length);
+  const ranges = Array.from({ length: count }, (_, index) => ({
+    from: Math.floor(index * keys / count),
+    to: Math.floor((index + 1) * keys / count) - 1,
+    owner: createHolder(owners[index % owners.length]!, token),
     former: [],
   }));
-  return { ranges };
+  return { ranges: mergeNeighbours(ranges, token) };
 }
 
 /** The table with some ranges settled: their owners have been granted them. */
--- a/packages/ownership/src/orphan_plan.ts
+++ b/packages/ownership/src/orphan_plan.ts
@@ -5,7 +5,12 @@
   type OwnedRange,
   type Reassignment,
 } from "./key_table.ts";
-import { chooseIdlest, computeBusy, type Standing } from "./owner_standing.ts";
+import {
+  chooseIdlest,
+  computeBusy,
+  computeRate,
+  type Standing,
+} from "./owner_standing.ts";
 import type { RateLine } from "./rate_line.ts";
 
 /** Ranges without a usable owner go where there is most room, piece by piece. */
@@ -21,7 +26,8 @@
     if (owner !== undefined && isSamePlace(owner, range.owner)) {
       continue;
     }
-    for (const piece of splitOrphan(range, rates)) {
+    const pieceRate = PIECE_SHARE * computeMeanRate(standings);
+    for (const piece of splitOrphan(range, rates, pieceRate)) {
       const receiver = chooseIdlest(standings);
       receiver.busy += computeBusy(receiver.candidate, piece.perSecond) +
         piece.width / 1e7;
@@ -42,19 +48,33 @@
   readonly perSecond: number;
 }
 
-/** Pieces of an orphaned range; several receivers share a lost target's load. */
+/** Pieces of an orphaned range at most; several receivers share its load. */
 const ORPHAN_PIECES = 3;
+/** A receiver is given this share of its rate at once; less makes ranges only. */
+const PIECE_SHARE = 0.15;
+/** A range of more keys is shared out though nobody asks for them yet. */
+const WIDE = 1_000;
+
+function computeMeanRate(standings: ReadonlyMap<string, Standing>): number {
+  let sum = 0;
+  for (const { candidate } of standings.values()) {
+    sum += computeRate(candidate);
+  }
+  return sum / Math.max(1, standings.size);
+}
 
 function splitOrphan(
   range: OwnedRange,
   rates: RateLine,
+  pieceRate: number,
 ): readonly Piece[] {
   const total = rates.computeSum(range.from, range.to);
   const width = range.to - range.from + 1;
-  const count = Math.min(ORPHAN_PIECES, width);
+  const most = Math.min(ORPHAN_PIECES, width);
   if (total < 1) {
-    return splitEvenly(range, width > 1_000 ? count : 1);
+    return splitEvenly(range, width > WIDE ? most : 1);
   }
+  const count = Math.min(most, Math.max(1, Math.ceil(total / pieceRate)));
   const pieces: Piece[] = [];
   let from = range.from;
   let sum = 0;
--- a/packages/ownership/src/owner_standing.ts
+++ b/packages/ownership/src/owner_standing.ts
@@ -8,8 +8,10 @@
   isSamePlace,
   type KeyTable,
   type OwnedRange,
+  type Reassignment,
 } from "./key_table.ts";
 import { RateLine } from "./rate_line.ts";
+import type { Stretch } from "./stretch_choice.ts";
 
 /** A target that may own keys. */
 export interface OwnerCandidate extends Assignee {
@@ -37,9 +39,15 @@
   candidates: readonly OwnerCandidate[],
   lines: RateLines,
 ): Map<string, Standing> {
+  const owned = new Map<string, OwnedRange[]>();
+  for (const range of table.ranges) {
+    const ranges = owned.get(range.owner.id) ?? [];
+    ranges.push(range);
+    owned.set(range.owner.id, ranges);
+  }
   const standings = new Map<string, Standing>();
   for (const candidate of candidates) {
-    const ranges = table.ranges
+    const ranges = (owned.get(candidate.id) ?? [])
       .filter((range) => isSamePlace(range.owner, candidate));
     standings.set(candidate.id, createStanding(candidate, ranges, lines));
   }
@@ -119,3 +127,39 @@
 ): number {
   return perSecond / computeRate(candidate);
 }
+
+/** Counts a move at once, so that the next one of the same plan sees it. */
+export function moveKeys({ giver, receiver, keys }: {
+  readonly giver: Standing;
+  readonly receiver: Standing;
+  readonly keys: Stretch;
+}): Reassignment {
+  const { from, to } = keys;
+  giver.busy -= computeBusy(giver.candidate, keys.perSecond);
+  giver.ranges = giver.ranges.flatMap((range) => cutKeys(range, from, to));
+  receiver.busy += computeBusy(receiver.candidate, keys.perSecond);
+  receiver.isSpell ||= giver.isSpell;
+  receiver.ranges.push({
+    from,
+    to,
+    owner: { ...receiver.candidate, token: 0 },
+    // Marks it as on its way: a plan does not move a key twice.
+    former: [{ ...giver.candidate, token: 0 }],
+  });
+  return { from, to, owner: receiver.candidate };
+}
+
+/** What is left of a range without some keys. */
+function cutKeys(
+  range: OwnedRange,
+  from: number,
+  to: number,
+): readonly OwnedRange[] {
+  if (range.to < from || range.from > to) {
+    return [range];
+  }
+  return [
+    { ...range, to: Math.min(range.to, from - 1) },
+    { ...range, from: Math.max(range.from, to + 1) },
+  ].filter((rest) => rest.from <= rest.to);
+}
--- a/packages/ownership/src/stretch_choice.ts
+++ b/packages/ownership/src/stretch_choice.ts
@@ -1,5 +1,5 @@
 /** Which stretch of an owner's keys carries about a wanted part of its load. */
-import type { OwnedRange, Reassignment } from "./key_table.ts";
+import type { OwnedRange } from "./key_table.ts";
 import type { CountedRate, RateLine } from "./rate_line.ts";
 
 /** A stretch that carries less than this share of what is wanted is no help. */
@@ -14,18 +14,29 @@
   return right === undefined || left.to - left.from < right.to - right.from;
 }
 
+/** A whole range, moved as it is: that makes no new ranges. */
+export function toWholeStretch(
+  rates: RateLine,
+  { from, to }: OwnedRange,
+): Stretch {
+  return { from, to, perSecond: rates.computeSum(from, to) };
+}
+
+/** Whether a stretch carries most of what is wanted, and not more. */
+export function isUseful(stretch: Stretch, wanted: number): boolean {
+  return stretch.perSecond >= MIN_PART * wanted && stretch.perSecond <= wanted;
+}
+
 /** The narrowest stretch of a range that carries about `wanted`. */
 export function findNarrowest(
   rates: RateLine,
   range: OwnedRange,
   wanted: number,
-  before: readonly Reassignment[],
 ): Stretch | undefined {
   let best: Stretch | undefined;
   let sum = 0;
   let first = 0;
-  const within = rates.list(range.from, range.to)
-    .filter(({ key }) => !isMoved(before, key));
+  const within = rates.list(range.from, range.to);
   for (const [last, rate] of within.entries()) {
     sum += rate.perSecond;
     while (sum > wanted && first < last) {
@@ -37,8 +48,7 @@
       to: rate.key,
       perSecond: sum,
     };
-    const isUseful = sum >= MIN_PART * wanted && sum <= wanted;
-    if (isUseful && isBetter(stretch, best) && !hasOverlap(before, stretch)) {
+    if (isUseful(stretch, wanted) && isBetter(stretch, best)) {
       best = stretch;
     }
   }
@@ -56,7 +66,6 @@
   rates: RateLine,
   range: OwnedRange,
   wanted: number,
-  before: readonly Reassignment[],
 ): Stretch | undefined {
   const within = rates.list(range.from, range.to);
   const first = takeUpTo(within, wanted);
@@ -67,7 +76,7 @@
   ];
   return edges
     .filter(({ perSecond }) => perSecond >= MIN_PART * wanted)
-    .filter((edge) => edge.from <= edge.to && !hasOverlap(before, edge))
+    .filter((edge) => edge.from <= edge.to)
     .sort((left, right) => right.perSecond - left.perSecond)[0];
 }
 
@@ -94,15 +103,3 @@
     left.perSecond / (left.to - left.from + 1) >
       right.perSecond / (right.to - right.from + 1);
 }
-
-function isMoved(before: readonly Reassignment[], key: number): boolean {
-  return before.some((change) => key >= change.from && key <= change.to);
-}
-
-export function hasOverlap(
-  before: readonly Reassignment[],
-  stretch: Stretch,
-): boolean {
-  return before
-    .some((change) => change.from <= stretch.to && change.to >= stretch.from);
-}
