--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -253,10 +253,13 @@
       getTrustedSinceMs: () => guard.checkTrustedSinceMs(),
       hasEnded: (holder) => this.#catalogue.hasEnded(holder),
       isHeard: (name) => this.#members.isHeard(name, clock.readMs()),
+      listHeard: () => this.#members.listHeard(clock.readMs()),
+      sendPeer: (name, message) => this.#sendTo(name, message),
       hasInstanceEnded: (claim) =>
         this.#members.hasEnded(claim.instance, claim.incarnation),
       observe: (event) => this.#report.observeKeeper(event),
       onTable: (written) => this.#relay.sendTable(written),
+      onGranted: (_part, granted) => this.#relay.sendGranted(granted),
       onClaim: (part, term) => this.#relay.sendClaim(part, term),
     });
   }
@@ -306,12 +309,28 @@
       case "owners":
         this.#relay.applyTable(message);
         return;
+      case "granted":
+        this.#relay.applyGranted(message);
+        return;
       case "keys":
         this.#keyTraffic.apply(message);
         return;
       case "demand":
         this.#demands.apply(message);
         return;
+      case "pledge-request":
+      case "pledge":
+      case "keeper-replaced":
+      case "keeper-stopped":
+        this.#keepers.applyMessage(message);
+        return;
+    }
+  }
+
+  #sendTo(instance: string, message: PeerMessage): void {
+    const member = this.#members.get(instance);
+    if (member !== undefined) {
+      this.#peers.send(member, message);
     }
   }
 
--- a/packages/gateway/src/keeper_fuzz_test.ts
+++ b/packages/gateway/src/keeper_fuzz_test.ts
@@ -44,6 +44,14 @@
       ),
     }),
   },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("peers" as const),
+      instance,
+      reaches: fc.boolean(),
+    }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -11,21 +11,27 @@
 import type { KeyOrders } from "@lentilspur/ports/key_orders";
 import type { Partition, Store } from "@lentilspur/ports/store";
 import {
+  type GrantedRange,
   type KeeperEvent,
   KeyKeeper,
   type Predecessor,
   type ServiceFacts,
 } from "@lentilspur/ownership/key_keeper";
 import {
+  formatIncarnation,
   KEEPER_KEY,
   type KeeperClaim,
+  type UnresolvedKeeper,
 } from "@lentilspur/ownership/keeper_records";
 import {
   parseClaim,
   parseStanding,
+  type Standing,
 } from "@lentilspur/ownership/keeper_standing";
+import { computeHoldEndMs } from "@lentilspur/ownership/hold_book";
 import type { KeeperTiming } from "@lentilspur/ownership/keeper_timing";
 import type { Holder } from "@lentilspur/ownership/key_table";
+import { type KeeperMessage, KeeperPeers } from "./keeper_peers.ts";
 import type { PartitionTail } from "./partition_tail.ts";
 import type { WrittenTable } from "./view_relay.ts";
 
@@ -34,7 +40,7 @@
     readonly kind: "claimed";
     readonly partition: Partition;
     readonly term: number;
-    readonly predecessor: Predecessor;
+    readonly predecessor: Predecessor["kind"];
   }
   | {
     readonly kind: "claim-failed";
@@ -73,19 +79,39 @@
   readonly hasInstanceEnded: (claim: KeeperClaim) => boolean;
   /** Whether an instance has been heard of just now. */
   readonly isHeard: (instance: string) => boolean;
+  /** The other instances that are heard of, each with its present start. */
+  readonly listHeard: () => readonly KeeperClaim[];
+  readonly sendPeer: (instance: string, message: KeeperMessage) => void;
   readonly observe: (event: KeeperServiceEvent) => void;
   /** Told of each table that a keeper here has written. */
   readonly onTable?: (written: WrittenTable) => void;
+  /** Told of each range that a keeper here has led to its new owner. */
+  readonly onGranted?: (part: number, granted: GrantedRange) => void;
   /** Told of each claim that was accepted here. */
   readonly onClaim?: (part: number, term: number) => void;
 }
 
+/** An earlier keeper, and what was known of it at this instance's claim. */
+interface EarlierKeeper extends UnresolvedKeeper {
+  readonly resigned: boolean;
+  /** Own clock. */
+  readonly claimedAtMs: number;
+  /** When its process was first known to have ended; own clock. */
+  endedSeenAtMs: number | undefined;
+}
+
 const GROUP = "keepers";
 /** A lost keeper is replaced before the holds that it granted run out (3 s). */
 const MEMBER_TTL_MS = 1_500;
 const JOINS_PER_TTL = 3;
 /** Between two looks at whether to claim. */
 const TICK_MS = 100;
+/** A keeper asks for pledges once the store has not answered for this long. */
+const ASK_AFTER_MS = 1_600;
+/** Datagrams that are to be answered go out again after this. */
+const RESEND_MS = 300;
+/** The store has answered this instance within this: a read takes up to 1 s. */
+const STORE_CONTACT_MS = 2_000;
 /** So long a live predecessor has to hand over before it is replaced. */
 const HAND_OVER_MS = 1_500;
 
@@ -94,11 +120,31 @@
   readonly #keepers = new Map<number, KeyKeeper>();
   readonly #assignedAt = new Map<number, number>();
   readonly #claiming = new Set<number>();
+  /** The last keeper of each partition here, also once it has stopped. */
+  readonly #latest = new Map<number, KeyKeeper>();
+  readonly #earlier = new Map<number, readonly EarlierKeeper[]>();
+  #joinedAtMs = -Infinity;
+  readonly #peers: KeeperPeers;
+  #sentAtMs = -Infinity;
   #generation = 0;
   #isLeaving = false;
 
   constructor(options: KeeperServiceOptions) {
     this.#options = options;
+    this.#peers = new KeeperPeers({
+      clock: options.clock,
+      claim: options.claim,
+      pledgeMs: options.timing.pledgeMs,
+      hasStore: () => this.#hasStore(),
+      getNewestTerm: (part) => this.#getNewestTerm(part),
+      getKeeper: (part) => this.#latest.get(part),
+      send: options.sendPeer,
+    });
+  }
+
+  /** What another instance tells of keepers. */
+  applyMessage(message: KeeperMessage): void {
+    this.#peers.handle(message);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -132,7 +178,7 @@
     this.#isLeaving = true;
     this.#assignedAt.clear();
     const { store, claim, observe } = this.#options;
-    const left = await store.leave(GROUP, formatMember(claim));
+    const left = await store.leave(GROUP, formatIncarnation(claim));
     if (!left.ok) {
       observe({ kind: "share-failed", cause: left.val.kind });
     }
@@ -150,9 +196,10 @@
 
   async #join(ttlMs: number): Promise<void> {
     const { clock, store, topic, claim, observe } = this.#options;
+    const sentAtMs = clock.readMs();
     const joined = await store.join({
       group: GROUP,
-      member: formatMember(claim),
+      member: formatIncarnation(claim),
       topic,
       ttlMs,
       generation: this.#generation,
@@ -164,6 +211,7 @@
       observe({ kind: "share-failed", cause: joined.val.kind });
       return;
     }
+    this.#joinedAtMs = sentAtMs;
     const { generation, parts } = joined.val;
     if (generation !== this.#generation) {
       observe({ kind: "share", generation, parts });
@@ -188,6 +236,7 @@
   async #runClaims(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.#isLeaving) {
       this.#stopReplaced();
+      this.#sendWhatIsDue();
       for (const [part, sinceMs] of this.#assignedAt) {
         void this.#claimIfDue(part, sinceMs);
       }
@@ -199,6 +248,47 @@
     }
   }
 
+  #hasStore(): boolean {
+    const { clock, getTail } = this.#options;
+    const contacts = [...this.#assignedAt.keys(), ...this.#keepers.keys()]
+      .map((part) => getTail(part)?.confirmedAtMs ?? -Infinity);
+    const latestMs = Math.max(this.#joinedAtMs, ...contacts);
+    return clock.readMs() - latestMs < STORE_CONTACT_MS;
+  }
+
+  #getNewestTerm(part: number): number {
+    const known = this.#options.getTail(part)?.getRecord(KEEPER_KEY)?.offset;
+    return Math.max(known ?? -1, this.#latest.get(part)?.term ?? -1);
+  }
+
+  /** Requests of keepers without the store, and news to replaced ones. */
+  #sendWhatIsDue(): void {
+    const nowMs = this.#options.clock.readMs();
+    if (nowMs - this.#sentAtMs < RESEND_MS) {
+      return;
+    }
+    this.#sentAtMs = nowMs;
+    for (const [part, keeper] of this.#keepers) {
+      if (nowMs - keeper.confirmedAtMs > ASK_AFTER_MS) {
+        this.#peers.sendRequests(
+          part,
+          keeper.term,
+          this.#listWitnesses(part),
+        );
+      }
+      for (const earlier of this.#listUnresolved(part)) {
+        this.#peers.sendReplaced(earlier.instance, part, keeper.term);
+      }
+    }
+  }
+
+  /** Everybody heard of now, and everybody that a record may name. */
+  #listWitnesses(part: number): readonly string[] {
+    const heard = this.#options.listHeard().map(({ instance }) => instance);
+    const named = this.#keepers.get(part)?.listNamed() ?? [];
+    return [...new Set([...heard, ...named.map(parseInstance)])];
+  }
+
   /** The partition names another keeper: not one order more. */
   #stopReplaced(): void {
     const { getTail } = this.#options;
@@ -234,8 +324,8 @@
     ) {
       return;
     }
-    const isHandingOver = this.#decidePredecessor(tail) === "unknown" &&
-      this.#isKeeperHeard(part);
+    const isHandingOver = this.#isKeeperAlive(tail) &&
+      this.#isKeeperHeard(part) && !this.#isKeeperCut(part);
     if (isHandingOver && clock.readMs() - sinceMs < HAND_OVER_MS) {
       return;
     }
@@ -244,6 +334,12 @@
     this.#claiming.delete(part);
   }
 
+  /** A keeper that has lost the store can not hand over in it. */
+  #isKeeperCut(part: number): boolean {
+    const askedAtMs = this.#peers.getAskedAtMs(part);
+    return this.#options.clock.readMs() - askedAtMs < HAND_OVER_MS;
+  }
+
   /** A keeper that lives will hand over; one that was lost never does. */
   #isKeeperHeard(part: number): boolean {
     const keeper = this.findKeeper(part);
@@ -251,7 +347,7 @@
   }
 
   async #claim(part: number, tail: PartitionTail): Promise<void> {
-    const { store, topic, claim, observe } = this.#options;
+    const { clock, store, topic, claim, observe } = this.#options;
     const partition = { topic, part };
     // Read anew: what other instances passed on is good for routing only.
     const read = await store.readNewest(partition);
@@ -264,10 +360,15 @@
     for (const message of standing.faults) {
       observe({ kind: "record-fault", message });
     }
+    const earlier = this.#createEarlier(standing);
+    const sentAtMs = clock.readMs();
     const appended = await store.append({
       partition,
       key: KEEPER_KEY,
-      value: JSON.stringify(claim),
+      value: JSON.stringify({
+        ...claim,
+        unresolved: earlier.map(toUnresolved),
+      }),
       at,
     });
     if (!appended.ok) {
@@ -275,26 +376,47 @@
       return;
     }
     const term = appended.val;
-    const getPredecessor = () =>
-      this.#weighClaim(standing.claim, standing.tables.size > 0);
-    observe({
-      kind: "claimed",
-      partition,
-      term,
-      predecessor: getPredecessor(),
-    });
+    if (this.#peers.hasYielded(part, term)) {
+      return;
+    }
+    // Its time counts from when the claim is known to have been accepted.
+    const claimedAtMs = clock.readMs();
+    this.#earlier.set(part, earlier.map((one) => ({ ...one, claimedAtMs })));
+    const predecessor = this.#weighPredecessor(part).kind;
+    observe({ kind: "claimed", partition, term, predecessor });
     this.#options.onClaim?.(part, term);
-    this.#startKeeper({ part, term, tail, standing, getPredecessor });
+    this.#startKeeper({ part, term, tail, standing, sentAtMs });
+  }
+
+  /** The keeper before, and those that it has not known to have stopped. */
+  #createEarlier(standing: Standing): readonly EarlierKeeper[] {
+    const { claim, witnesses, unresolved, term, tables } = standing;
+    const nowMs = this.#options.clock.readMs();
+    if (term === undefined && tables.size === 0) {
+      return [];
+    }
+    // One whose record cannot be read may be any; nothing will be heard of it.
+    const last = claim ?? { instance: "", incarnation: "" };
+    const all = [{ ...last, witnesses, term: term ?? -1 }, ...unresolved];
+    return all.map((one) => ({
+      instance: one.instance,
+      incarnation: one.incarnation,
+      term: one.term,
+      witnesses: one.witnesses,
+      resigned: "resigned" in one && one.resigned === true,
+      claimedAtMs: nowMs,
+      endedSeenAtMs: this.#hasKeeperEnded(one) ? nowMs : undefined,
+    }));
   }
 
   #startKeeper(options: {
     readonly part: number;
     readonly term: number;
     readonly tail: PartitionTail;
-    readonly standing: ReturnType<typeof parseStanding>;
-    readonly getPredecessor: () => Predecessor;
+    readonly standing: Standing;
+    readonly sentAtMs: number;
   }): void {
-    const { part, term, tail, standing, getPredecessor } = options;
+    const { part, term, tail, standing, sentAtMs } = options;
     const { clock, store, orders, topic, timing, claim, listFacts, hasEnded } =
       this.#options;
     const partition = { topic, part };
@@ -305,44 +427,115 @@
       partition,
       timing,
       term,
+      claimSentAtMs: sentAtMs,
       claim,
       tables: standing.tables,
-      getPredecessor,
+      getPredecessor: () => this.#weighPredecessor(part),
       listFacts: () => listFacts(part),
       hasEnded,
+      listWitnesses: () =>
+        this.#options.listHeard().map(formatIncarnation).toSorted(),
+      listUnresolved: () => this.#listUnresolved(part).map(toUnresolved),
+      hasPledges: () => this.#peers.hasPledges(part, this.#listWitnesses(part)),
       getConfirmedAtMs: () => tail.confirmedAtMs,
       getTrustedSinceMs: this.#options.getTrustedSinceMs,
       observe: (event) =>
         this.#options.observe({ kind: "keeper", partition, event }),
       onTable: (written) => this.#options.onTable?.({ ...written, part }),
+      onGranted: (granted) => this.#options.onGranted?.(part, granted),
     });
     this.#keepers.set(part, keeper);
+    this.#latest.set(part, keeper);
     void keeper.run();
   }
 
-  #decidePredecessor(tail: PartitionTail): Predecessor {
+  #isKeeperAlive(tail: PartitionTail): boolean {
     const record = tail.getRecord(KEEPER_KEY);
     const claim = record && parseClaim(record.value);
-    return this.#weighClaim(claim, record !== undefined);
+    return record !== undefined && claim?.resigned !== true &&
+      !this.#hasKeeperEnded(claim);
+  }
+
+  /** A later start of its instance is known, or it is an own earlier claim. */
+  #hasKeeperEnded(
+    claim: Pick<KeeperClaim, "instance" | "incarnation"> | undefined,
+  ): boolean {
+    return claim !== undefined &&
+      (claim.incarnation === this.#options.claim.incarnation ||
+        this.#options.hasInstanceEnded(claim));
+  }
+
+  /** Earlier keepers of which some grant may still be in force. */
+  #listUnresolved(part: number): readonly EarlierKeeper[] {
+    const { clock, timing } = this.#options;
+    return (this.#earlier.get(part) ?? []).filter((earlier) => {
+      const { kind, lastOrderAtMs } = this.#weighEarlier(part, earlier);
+      return kind !== "resigned" &&
+        clock.readMs() < computeHoldEndMs(lastOrderAtMs, timing.holdMs);
+    });
+  }
+
+  /** All earlier keepers taken together: the one that may act longest decides. */
+  #weighPredecessor(part: number): Predecessor {
+    const weighed = (this.#earlier.get(part) ?? [])
+      .map((earlier) => this.#weighEarlier(part, earlier));
+    if (weighed.length === 0) {
+      return { kind: "none", lastOrderAtMs: -Infinity };
+    }
+    const lastOrderAtMs = Math.max(
+      ...weighed.map((one) => one.lastOrderAtMs),
+    );
+    const kinds = weighed.map(({ kind }) => kind);
+    const kind = WORST_FIRST.find((one) => kinds.includes(one))!;
+    return { kind, lastOrderAtMs };
   }
 
-  #weighClaim(
-    claim: KeeperClaim | undefined,
-    hadKeeper: boolean,
-  ): Predecessor {
-    if (claim === undefined) {
-      return hadKeeper ? "unknown" : "none";
+  #weighEarlier(part: number, earlier: EarlierKeeper): Predecessor {
+    const { claimedAtMs } = earlier;
+    if (earlier.resigned) {
+      return { kind: "resigned", lastOrderAtMs: claimedAtMs };
+    }
+    const latestMs = this.#computeLatestOrderMs(part, earlier);
+    const stopped = this.#peers.findStatement(part, earlier);
+    if (stopped !== undefined) {
+      const kind = stopped.isClean ? "resigned" : "ended";
+      return { kind, lastOrderAtMs: Math.min(latestMs, stopped.atMs) };
     }
-    if (claim.resigned === true) {
-      return "resigned";
+    if (earlier.endedSeenAtMs === undefined && this.#hasKeeperEnded(earlier)) {
+      earlier.endedSeenAtMs = this.#options.clock.readMs();
     }
-    // An own earlier claim, whose keeper has been stopped since.
-    const isOwn = claim.incarnation === this.#options.claim.incarnation;
-    return isOwn || this.#options.hasInstanceEnded(claim) ? "ended" : "unknown";
+    return earlier.endedSeenAtMs === undefined
+      ? { kind: "unknown", lastOrderAtMs: latestMs }
+      : {
+        kind: "ended",
+        lastOrderAtMs: Math.min(latestMs, earlier.endedSeenAtMs),
+      };
   }
+
+  /** For how long a keeper of which nothing is heard may have acted. */
+  #computeLatestOrderMs(
+    part: number,
+    { claimedAtMs, witnesses }: EarlierKeeper,
+  ): number {
+    const { authorityMs, maxAuthorityMs } = this.#options.timing;
+    return witnesses.includes(formatIncarnation(this.#options.claim))
+      ? Math.max(
+        claimedAtMs + authorityMs,
+        this.#peers.getPledgedUntilMs(part),
+      )
+      : claimedAtMs + maxAuthorityMs;
+  }
+}
+
+const WORST_FIRST = ["unknown", "ended", "resigned", "none"] as const;
+
+function toUnresolved(
+  { instance, incarnation, term, witnesses }: EarlierKeeper,
+): UnresolvedKeeper {
+  return { instance, incarnation, term, witnesses };
 }
 
-/** A restart is another member: it must not be taken for the one before. */
-function formatMember(claim: KeeperClaim): string {
-  return `${claim.instance}/${claim.incarnation}`;
+/** The instance of a text that `formatIncarnation` gave. */
+function parseInstance(text: string): string {
+  return text.slice(0, text.lastIndexOf("/"));
 }
--- a/packages/gateway/src/keeper_service_test.ts
+++ b/packages/gateway/src/keeper_service_test.ts
@@ -39,3 +39,134 @@
   const last = claims.at(-1);
   assert.ok(last?.kind === "claimed" && last.predecessor === "resigned");
 });
+
+const STEP_MS = 50;
+
+/** How long it takes until a target holds none of some keys any more. */
+async function waitForMove(
+  world: KeeperWorld,
+  { target, mostMs }: { readonly target: string; readonly mostMs: number },
+): Promise<number> {
+  const keys = Array.from({ length: 64 }, (_, index) => index * 1_024 + 5);
+  for (let elapsedMs = 0; elapsedMs < mostMs; elapsedMs += STEP_MS) {
+    await world.clock.advance(STEP_MS);
+    const holders = keys.map((key) => world.holders.findHolder(key));
+    if (!holders.includes(target) && !holders.includes(undefined)) {
+      return elapsedMs;
+    }
+  }
+  return Infinity;
+}
+
+async function startThree(): Promise<{
+  readonly world: KeeperWorld;
+  readonly keeper: string;
+}> {
+  const world = new KeeperWorld(["a", "b", "c"]);
+  ["one", "two", "three"].forEach((name) => world.start(name));
+  await world.clock.advance(6_000);
+  return { world, keeper: world.findKeeper()! };
+}
+
+test("a keeper that the store turns away is replaced, and keys move at once", async () => {
+  // The store serves all but the keeper for 9 s. The successor does not know
+  // whether the keeper still acts, and had to wait 20 s for that besides a hold;
+  // a quarter of all requests were refused meanwhile. The keeper can be asked.
+  const { world, keeper } = await startThree();
+  world.store.setMood(keeper, "silent");
+  await world.clock.advance(3_500);
+  const successor = world.findKeeper();
+  assert.ok(successor !== undefined && successor !== keeper);
+  world.setCandidates(["a", "b"]);
+  const movedMs = await waitForMove(world, { target: "c", mostMs: 10_000 });
+  assert.ok(movedMs <= 1_000, `moved after ${movedMs} ms`);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+  assert.deepEqual(world.holders.listStaleTokens(), []);
+});
+
+test("a keeper that is lost for good holds its successor up for seconds only", async () => {
+  // Its machine is taken away: no later start of it will ever prove its end.
+  const { world, keeper } = await startThree();
+  world.kill(keeper);
+  await world.clock.advance(3_000);
+  world.setCandidates(["a", "b"]);
+  const movedMs = await waitForMove(world, { target: "c", mostMs: 30_000 });
+  assert.ok(movedMs <= 7_000, `moved after ${movedMs} ms`);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("keys are held through a store that is away for 40 s", async () => {
+  // Nobody can reach the store, so nobody can claim: all let the keeper go on.
+  const { world } = await startThree();
+  for (const name of ["one", "two", "three"]) {
+    world.store.setMood(name, "silent");
+  }
+  for (let elapsedMs = 0; elapsedMs < 40_000; elapsedMs += STEP_MS) {
+    await world.clock.advance(STEP_MS);
+    assert.ok(
+      world.holders.findHolder(5) !== undefined,
+      `unheld after ${elapsedMs} ms`,
+    );
+  }
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("a keeper without store or witnesses stops before its successor acts", async () => {
+  // The keeper is cut from the store and from all instances, but not from the
+  // targets, and goes on renewing. Its successor cannot reach target "a".
+  const { world, keeper } = await startThree();
+  world.store.setMood(keeper, "silent");
+  world.setPeers(keeper, false);
+  for (const name of ["one", "two", "three"]) {
+    if (name !== keeper) {
+      world.setReach(name, "a", false);
+    }
+  }
+  await world.clock.advance(20_000);
+  assert.notEqual(world.holders.findHolder(5), "a");
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
+test("a successor's successor waits for the first keeper too", async () => {
+  // The first keeper is cut off and renews on. Its successor claims and is
+  // killed. The third knows that the second has ended, and must not take the
+  // first one's grants to have run out with it.
+  const { world, keeper } = await startThree();
+  world.store.setMood(keeper, "silent");
+  world.setPeers(keeper, false);
+  ["one", "two", "three"].filter((name) => name !== keeper)
+    .forEach((name) => world.setReach(name, "a", false));
+  await world.clock.advance(2_500);
+  const second = world.findKeeper();
+  if (second !== undefined && second !== keeper) {
+    world.start(second);
+  }
+  await world.clock.advance(12_000);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+  assert.deepEqual(world.holders.listStaleTokens(), []);
+});
+
+test("what a keeper said of an earlier claim of its own says nothing of its next", async () => {
+  // The keeper is turned away by the store, replaced, and says that it has
+  // stopped. It claims again later, and is cut off from everybody but target
+  // "a". Its old word must not be taken for news: two targets would hold the
+  // keys of "a" (seen on a played day, for 1.2 s).
+  const world = new KeeperWorld(["a", "b"]);
+  world.start("one");
+  await world.clock.advance(6_000);
+  world.start("two");
+  await world.clock.advance(3_000);
+  world.store.setMood("one", "silent");
+  await world.clock.advance(6_000);
+  world.store.setMood("one", "serving");
+  await world.clock.advance(2_000);
+  world.store.setMood("two", "silent");
+  await world.clock.advance(6_000);
+  world.setPeers("one", false);
+  world.store.setMood("one", "silent");
+  world.store.setMood("two", "serving");
+  world.setReach("two", "a", false);
+  world.setCandidates(["b"]);
+  await world.clock.advance(15_000);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
--- a/packages/gateway/src/keeper_steps.ts
+++ b/packages/gateway/src/keeper_steps.ts
@@ -14,6 +14,12 @@
     readonly instance: string;
     readonly mood: StoreMood;
   }
+  | {
+    /** Whether its datagrams reach the others, and theirs it. */
+    readonly kind: "peers";
+    readonly instance: string;
+    readonly reaches: boolean;
+  }
   | {
     readonly kind: "target";
     readonly target: string;
@@ -52,6 +58,9 @@
     case "store":
       world.store.setMood(one.instance, one.mood);
       return;
+    case "peers":
+      world.setPeers(one.instance, one.reaches);
+      return;
     case "target":
       world.holders.setMood(one.target, one.mood);
       return;
--- a/packages/gateway/src/keeper_world.ts
+++ b/packages/gateway/src/keeper_world.ts
@@ -7,6 +7,8 @@
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { DEFAULT_KEEPER_TIMING } from "@lentilspur/ownership/keeper_timing";
 import type { OwnerCandidate } from "@lentilspur/ownership/owner_standing";
+import type { KeeperClaim } from "@lentilspur/ownership/keeper_records";
+import type { KeeperMessage } from "./keeper_peers.ts";
 import { KeeperService, type KeeperServiceEvent } from "./keeper_service.ts";
 import { PartitionTail } from "./partition_tail.ts";
 
@@ -14,6 +16,7 @@
 const SERVICE = "files";
 /** Targets write about once a second, and reads are a little later. */
 const ENTRY_LAG_MS = 1_200;
+const DATAGRAM_MS = 1;
 
 interface RunningInstance {
   readonly incarnation: string;
@@ -31,6 +34,8 @@
   readonly #incarnations = new Map<string, string>();
   readonly #unreachable = new Set<string>();
   readonly #gone = new Set<string>();
+  /** Instances that no datagram leaves or reaches. */
+  readonly #silent = new Set<string>();
   readonly #bornMs = new Map<string, number>();
   #candidates: readonly string[];
   #starts = 0;
@@ -49,7 +54,7 @@
       clock: this.clock,
       store,
       partition: OWNERS_PARTITION,
-      getPace: () => ({ gapMs: 10, waitMs: 3_000, validMs: 0 }),
+      getPace: () => ({ gapMs: 10, waitMs: 1_000, validMs: 0 }),
       apply: () => undefined,
       observe: () => undefined,
     });
@@ -59,7 +64,7 @@
       orders: this.holders.createClient((target) =>
         !stop.signal.aborted && !this.#unreachable.has(`${instance}>${target}`)
       ),
-      timing: DEFAULT_KEEPER_TIMING,
+      timing: { ...DEFAULT_KEEPER_TIMING, dealAfterMs: 0 },
       claim: { instance, incarnation },
       topic: OWNERS_PARTITION.topic,
       minMemberTtlMs: 1_000,
@@ -73,7 +78,9 @@
       hasEnded: (holder) => this.#gone.has(holder.id),
       hasInstanceEnded: (claim) =>
         this.#incarnations.get(claim.instance) !== claim.incarnation,
-      isHeard: (name) => this.#instances.has(name),
+      isHeard: (name) => this.#hasPath(name, instance),
+      listHeard: () => this.#listHeard(instance),
+      sendPeer: (name, message) => this.#sendPeer(instance, name, message),
       observe: (event) => this.events.push(event),
     });
     this.#incarnations.set(instance, incarnation);
@@ -133,6 +140,37 @@
     });
   }
 
+  /** Whether an instance's datagrams reach others, and theirs it. */
+  setPeers(instance: string, reaches: boolean): void {
+    if (reaches) {
+      this.#silent.delete(instance);
+    } else {
+      this.#silent.add(instance);
+    }
+  }
+
+  #hasPath(from: string, to: string): boolean {
+    return this.#instances.has(from) && this.#instances.has(to) &&
+      !this.#silent.has(from) && !this.#silent.has(to);
+  }
+
+  #listHeard(self: string): readonly KeeperClaim[] {
+    return [...this.#instances]
+      .filter(([name]) => name !== self && this.#hasPath(name, self))
+      .map(([instance, { incarnation }]) => ({ instance, incarnation }));
+  }
+
+  #sendPeer(from: string, to: string, message: KeeperMessage): void {
+    if (!this.#hasPath(from, to)) {
+      return;
+    }
+    void this.clock.sleep(DATAGRAM_MS).then(() => {
+      if (this.#hasPath(from, to)) {
+        this.#instances.get(to)?.service.applyMessage(message);
+      }
+    });
+  }
+
   /** The instance that keeps the keys now, if one does. */
   findKeeper(): string | undefined {
     for (const [name, { service }] of this.#instances) {
--- a/packages/gateway/src/key_directory.ts
+++ b/packages/gateway/src/key_directory.ts
@@ -5,6 +5,7 @@
   type KeyTable,
   parseTable,
 } from "@lentilspur/ownership/key_table";
+import type { GrantedKeys } from "./peer_exchange.ts";
 
 export type KeyOwner =
   | { readonly kind: "owned"; readonly owner: Holder; readonly offset: number }
@@ -17,6 +18,13 @@
   /** Nobody has assigned the service's keys yet. */
   | { readonly kind: "unassigned" };
 
+/** Far more ranges than are on their way between two records. */
+const MAX_GRANTED = 2_000;
+
+function formatKeys(from: number, to: number, token: number): string {
+  return `${from}-${to}:${token}`;
+}
+
 interface KnownTable {
   readonly table: KeyTable;
   /** Of the record that holds it: its version. */
@@ -27,6 +35,8 @@
   readonly #tables = new Map<string, KnownTable>();
   /** When the moves under a token were first seen here, by service. */
   readonly #movingSince = new Map<string, Map<number, number>>();
+  /** Ranges on their way that are known to have arrived, by service. */
+  readonly #granted = new Map<string, Set<string>>();
 
   /** Gives a reason where the text is no table; the one before stays. */
   applyTable(
@@ -43,6 +53,18 @@
     return undefined;
   }
 
+  /** What a keeper tells of before its record does; a hint. */
+  applyGranted(service: string, ranges: readonly GrantedKeys[]): void {
+    const granted = this.#granted.get(service) ?? new Set<string>();
+    this.#granted.set(service, granted);
+    for (const [from, to, token] of ranges) {
+      granted.add(formatKeys(from, to, token));
+    }
+    while (granted.size > MAX_GRANTED) {
+      granted.delete(granted.values().next().value!);
+    }
+  }
+
   getTable(service: string): KeyTable | undefined {
     return this.#tables.get(service)?.table;
   }
@@ -56,7 +78,10 @@
     if (range === undefined) {
       return { kind: "unassigned" };
     }
-    if (range.former.length > 0) {
+    const { from, to, owner: { token } } = range;
+    const hasArrived = range.former.length === 0 ||
+      this.#granted.get(service)?.has(formatKeys(from, to, token)) === true;
+    if (!hasArrived) {
       const sinceMs = this.#movingSince.get(service)?.get(range.owner.token);
       return { kind: "moving", offset: known.offset, sinceMs: sinceMs ?? 0 };
     }
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -56,6 +56,12 @@
       .filter((member) => member.instance !== this.#self);
   }
 
+  /** The others that are heard of just now. */
+  listHeard(nowMs: number): readonly Member[] {
+    return this.listOthers()
+      .filter(({ instance }) => this.isHeard(instance, nowMs));
+  }
+
   get(instance: string): Member | undefined {
     return this.#members.get(instance);
   }
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -10,6 +10,7 @@
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { OwnDemand } from "@lentilspur/routing/account_limiter";
+import type { KeeperMessage } from "./keeper_peers.ts";
 import type { Member } from "./members.ts";
 import type { TailSlice } from "./partition_tail.ts";
 
@@ -26,7 +27,11 @@
   >;
 }
 
+/** First and last key, and the token under which they were granted. */
+export type GrantedKeys = readonly [from: number, to: number, token: number];
+
 export type PeerMessage =
+  | KeeperMessage
   | {
     readonly kind: "load";
     readonly from: string;
@@ -57,6 +62,13 @@
     /** What differs from the table before, packed; `null`: it has to be read. */
     readonly ranges: string | null;
   }
+  | {
+    /** Ranges that have reached their new owners; a record says so later. */
+    readonly kind: "granted";
+    readonly from: string;
+    readonly service: string;
+    readonly ranges: readonly GrantedKeys[];
+  }
   | {
     readonly kind: "demand";
     readonly from: string;
@@ -211,8 +223,24 @@
         Number.isInteger(message.offset) &&
         typeof message.service === "string" &&
         (message.ranges === null || typeof message.ranges === "string");
+    case "granted":
+      return typeof message.service === "string" &&
+        Array.isArray(message.ranges);
     case "demand":
       return Array.isArray(message.demands);
+    case "pledge-request":
+      return Number.isInteger(message.part) && Number.isInteger(message.term) &&
+        Number.isInteger(message.number);
+    case "pledge":
+      return Number.isInteger(message.part) &&
+        Number.isInteger(message.number) &&
+        typeof message.isGiven === "boolean";
+    case "keeper-replaced":
+      return Number.isInteger(message.part) && Number.isInteger(message.term);
+    case "keeper-stopped":
+      return Number.isInteger(message.part) &&
+        typeof message.incarnation === "string" &&
+        typeof message.isClean === "boolean";
     default:
       return false;
   }
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -1,7 +1,11 @@
 /** Follows everything in the store that an instance routes by. */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Partition, Store } from "@lentilspur/ports/store";
-import { KEEPER_KEY, TABLE_PREFIX } from "@lentilspur/ownership/keeper_records";
+import {
+  KEEPER_KEY,
+  TABLE_PREFIX,
+  WITNESSES_KEY,
+} from "@lentilspur/ownership/keeper_records";
 import { type Catalogue, RETURN_GRACE_MS } from "./catalogue.ts";
 import type { StorePlaces } from "./gateway_settings.ts";
 import type { KeyDirectory } from "./key_directory.ts";
@@ -37,8 +41,11 @@
  * instances whose connections fail have 3 s of grace.
  */
 const CONFIGURATION_WAIT_MS = 3_500;
-/** The keeper itself must see at once that another has claimed. */
-const KEEPER_WAIT_MS = 3_000;
+/**
+ * The keeper itself must see at once that another has claimed, and each read
+ * confirms that none has: without that for 3 s it may not act.
+ */
+const KEEPER_WAIT_MS = 1_000;
 const MEMBERS_WAIT_MS = 20_000;
 /** The targets' entries change all the time; in an outage a wait only delays. */
 const TARGETS_WAIT_MS = 1_000;
@@ -197,7 +204,7 @@
   }
 
   #applyOwners(key: string, value: string, offset: number): void {
-    if (key === KEEPER_KEY || value === "") {
+    if (key === KEEPER_KEY || key === WITNESSES_KEY || value === "") {
       return;
     }
     const { directory, reportFault } = this.#options;
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -11,6 +11,7 @@
  */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { StoreRecord } from "@lentilspur/ports/store";
+import type { GrantedRange } from "@lentilspur/ownership/key_keeper";
 import { formatTableKey } from "@lentilspur/ownership/keeper_records";
 import {
   applyTablePatch,
@@ -123,6 +124,25 @@
     }
   }
 
+  /**
+   * Tells every instance that a range has reached its new owner. A record says
+   * so 0.3 s later; until then callers of its keys would wait. Only a hint: a
+   * target that does not hold a key refuses it.
+   */
+  sendGranted({ service, range }: GrantedRange): void {
+    const { directory, instance: from, listOthers, send } = this.#options;
+    const { from: first, to, owner } = range;
+    const ranges = [[first, to, owner.token]] as const;
+    directory.applyGranted(service, ranges);
+    for (const member of listOthers()) {
+      send(member, { kind: "granted", from, service, ranges });
+    }
+  }
+
+  applyGranted(message: PeerMessage & { readonly kind: "granted" }): void {
+    this.#options.directory.applyGranted(message.service, message.ranges);
+  }
+
   /** Tells every instance that this one keeps a partition from now on. */
   sendClaim(part: number, offset: number): void {
     const { instance: from, listOthers, send } = this.#options;
--- a/packages/ownership/src/keeper_standing.ts
+++ b/packages/ownership/src/keeper_standing.ts
@@ -3,7 +3,10 @@
 import {
   KEEPER_KEY,
   type KeeperClaim,
+  type KeeperWitnesses,
   TABLE_PREFIX,
+  type UnresolvedKeeper,
+  WITNESSES_KEY,
 } from "./keeper_records.ts";
 import { type KeyTable, parseTable } from "./key_table.ts";
 
@@ -11,6 +14,10 @@
   /** Offset of the newest claim; undefined where nobody has claimed yet. */
   readonly term: number | undefined;
   readonly claim: KeeperClaim | undefined;
+  /** Those of the present term; empty where its keeper has named none. */
+  readonly witnesses: readonly string[];
+  /** Keepers before the present one that may act yet. */
+  readonly unresolved: readonly UnresolvedKeeper[];
   readonly tables: ReadonlyMap<string, KeyTable>;
   readonly end: number;
   /** Records that cannot be read, with the reason; they are left alone. */
@@ -25,11 +32,14 @@
   const faults: string[] = [];
   let term: number | undefined;
   let claim: KeeperClaim | undefined;
+  let witnesses: KeeperWitnesses | undefined;
   for (const { key, value, offset } of records) {
     if (key === KEEPER_KEY) {
       claim = parseClaim(value);
       // A resignation is a record of the keeper's own; its term ends with it.
       term = offset;
+    } else if (key === WITNESSES_KEY) {
+      witnesses = parseWitnesses(value);
     } else if (key.startsWith(TABLE_PREFIX)) {
       const table = parseTable(value);
       if (table.ok) {
@@ -39,7 +49,29 @@
       }
     }
   }
-  return { term, claim, tables, end, faults };
+  const present = witnesses?.term === term ? witnesses : undefined;
+  return {
+    term,
+    claim,
+    witnesses: present?.instances ?? [],
+    unresolved: (present ?? claim)?.unresolved ?? [],
+    tables,
+    end,
+    faults,
+  };
+}
+
+function parseWitnesses(text: string): KeeperWitnesses | undefined {
+  try {
+    const value = JSON.parse(text) as KeeperWitnesses | null;
+    return Number.isInteger(value?.term) && Array.isArray(value?.instances) &&
+        Array.isArray(value.unresolved)
+      ? value!
+      : undefined;
+  } catch {
+    // Nobody is named then, which makes a successor wait the longest.
+    return undefined;
+  }
 }
 
 export function parseClaim(text: string): KeeperClaim | undefined {
--- a/packages/ownership/src/keeper_timing.ts
+++ b/packages/ownership/src/keeper_timing.ts
@@ -17,12 +17,23 @@
   /** Between two orders for one range that did not succeed. */
   readonly retryEveryMs: number;
   /**
-   * For so long without the store a keeper goes on renewing what stands. A
-   * successor that can neither reach a holder nor knows its predecessor to
-   * have ended waits this out, besides the hold. It covers an outage of the
-   * store of this length.
+   * For so long without the store a keeper acts on its own. A successor that
+   * knows nothing of it waits this out, besides the hold; a read of the
+   * partition is held open for 1 s, so in calm times the last one is about that
+   * old, and two may be lost.
    */
   readonly authorityMs: number;
+  /**
+   * Beyond that it acts while every witness has pledged within this time to let
+   * it. Longer than an instance takes to start again after it was killed (5 s),
+   * so that one such does not end all keys in an outage.
+   */
+  readonly pledgeMs: number;
+  /**
+   * And no longer than this in any case. A successor that was never asked for
+   * a pledge waits this out. It covers an outage of the store of this length.
+   */
+  readonly maxAuthorityMs: number;
   /** A target whose orders have failed for this long is relieved of its keys. */
   readonly silentAfterMs: number;
   /**
@@ -41,7 +52,9 @@
   orderTimeoutMs: 400,
   releaseTimeoutMs: 1_500,
   retryEveryMs: 250,
-  authorityMs: 20_000,
+  authorityMs: 3_000,
+  pledgeMs: 6_000,
+  maxAuthorityMs: 60_000,
   silentAfterMs: 1_200,
   dealAfterMs: 1_000,
   planEveryMs: 400,
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -20,6 +20,7 @@
   type Holder,
   isSameLife,
   type KeyTable,
+  type OwnedRange,
   renewTokens,
   serializeTable,
   settleRanges,
@@ -29,6 +30,9 @@
   formatTableKey,
   KEEPER_KEY,
   type KeeperClaim,
+  type KeeperWitnesses,
+  type UnresolvedKeeper,
+  WITNESSES_KEY,
 } from "./keeper_records.ts";
 import { parseStanding, type Standing } from "./keeper_standing.ts";
 import type { OwnerCandidate } from "./owner_standing.ts";
@@ -47,10 +51,15 @@
 }
 
 /**
- * `none`: there was none. `resigned`: it has stopped, and none of its orders is
- * on its way. `ended`: its process has ended. `unknown`: it may live and act.
+ * What is known of the keeper before. `none`: there was none. `resigned`: it has
+ * stopped, and none of its orders is on its way. `ended`: it has stopped, and
+ * may have orders on their way. `unknown`: it may live and act.
  */
-export type Predecessor = "none" | "resigned" | "ended" | "unknown";
+export interface Predecessor {
+  readonly kind: "none" | "resigned" | "ended" | "unknown";
+  /** None of its orders leaves after this; own clock. */
+  readonly lastOrderAtMs: number;
+}
 
 export type KeeperEvent =
   | {
@@ -84,6 +93,8 @@
   readonly timing: KeeperTiming;
   /** Offset of the claim. */
   readonly term: number;
+  /** When the claim was sent, which is what it confirms; own clock. */
+  readonly claimSentAtMs: number;
   readonly claim: KeeperClaim;
   /** Tables as they stood when the claim was accepted. */
   readonly tables: ReadonlyMap<string, KeyTable>;
@@ -91,6 +102,12 @@
   readonly getPredecessor: () => Predecessor;
   readonly listFacts: () => readonly ServiceFacts[];
   readonly hasEnded: (holder: Holder) => boolean;
+  /** Incarnations that are to be named as witnesses, in a fixed order. */
+  readonly listWitnesses: () => readonly string[];
+  /** Earlier keepers that may act yet. */
+  readonly listUnresolved: () => readonly UnresolvedKeeper[];
+  /** Whether every witness lets this keeper act without the store. */
+  readonly hasPledges: () => boolean;
   /** When a read last showed that no newer claim stands; own clock. */
   readonly getConfirmedAtMs: () => number;
   /** What was confirmed before this time does not count; own clock. */
@@ -103,19 +120,35 @@
     readonly before: KeyTable | undefined;
     readonly after: KeyTable;
   }) => void;
+  /** Told of each range that has reached its new owner, before a record says so. */
+  readonly onGranted?: (granted: GrantedRange) => void;
+}
+
+/** A range whose new owner has been granted it. */
+export interface GrantedRange {
+  readonly service: string;
+  readonly range: OwnedRange;
 }
 
 /** A call has a price; a hold outlives several of these. */
 const REGAIN_EVERY_MS = 500;
+/** A store that has just refused an append is left alone for this long. */
+const REFUSED_PAUSE_MS = 250;
+/**
+ * Moves that end within this are recorded together; instances have been told of
+ * each already. Appends have a price, and a spell ends a dozen moves a second.
+ */
+const SETTLED_EVERY_MS = 300;
 /** Between two looks at what is due. */
 const TICK_MS = 50;
+/** Instances that start or end one after the other are named together. */
+const WITNESSES_EVERY_MS = 1_000;
 
 export class KeyKeeper {
   readonly #options: KeyKeeperOptions;
   readonly #tables = new Map<string, KeyTable>();
   readonly #keepers = new Map<string, RangeKeeper>();
   readonly #stop = new AbortController();
-  readonly #startedAtMs: number;
   #end: number;
   #contactAtMs: number;
   /** Targets of services without a table, and since when there are so many. */
@@ -123,14 +156,19 @@
     string,
     { readonly count: number; readonly sinceMs: number }
   >();
+  #witnesses = "";
+  /** Incarnations that the newest record may name. */
+  #named: ReadonlySet<string> = new Set();
+  #nextWitnessesAtMs = 0;
+  #nextAppendAtMs = -Infinity;
+  #nextSettledAtMs = -Infinity;
   #nextPlanAtMs = 0;
   #nextRegainAtMs = 0;
 
   constructor(options: KeyKeeperOptions) {
     this.#options = options;
     this.#end = options.term + 1;
-    this.#startedAtMs = options.clock.readMs();
-    this.#contactAtMs = this.#startedAtMs;
+    this.#contactAtMs = options.claimSentAtMs;
     for (const [service, table] of options.tables) {
       this.#setTable(service, table);
     }
@@ -158,6 +196,7 @@
         await this.#plan();
       }
       await this.#writeSettled();
+      await this.#writeWitnesses();
       if (!this.hasStopped && !this.#mayAct()) {
         await this.#regainAuthority();
       }
@@ -183,26 +222,41 @@
     this.stop("asked");
     const { clock, timing, claim } = this.#options;
     await clock.sleep(timing.orderTimeoutMs);
-    const isClean = [...this.#keepers.values()]
-      .every((keeper) => !keeper.hasUnanswered());
-    if (isClean) {
+    if (this.isClean) {
+      const unresolved = this.#options.listUnresolved();
       await this.#append(
         KEEPER_KEY,
-        JSON.stringify({ ...claim, resigned: true }),
+        JSON.stringify({ ...claim, resigned: true, unresolved }),
       );
     }
   }
 
+  /** When the store last confirmed this keeper; own clock. */
+  get confirmedAtMs(): number {
+    return Math.max(this.#contactAtMs, this.#options.getConfirmedAtMs());
+  }
+
+  /** Whether none of its grants may be carried out unseen any more. */
+  get isClean(): boolean {
+    return [...this.#keepers.values()]
+      .every((keeper) => !keeper.hasUnanswered());
+  }
+
   /**
    * Asked before each order. Without the store for long, another keeper may
-   * have been claimed and its waiting time may be over.
+   * have been claimed and its waiting time may be over. Whoever claims and was
+   * asked for pledges has refused or waits until its last one has run out;
+   * whoever was never asked waits `maxAuthorityMs`.
    */
   #mayAct(): boolean {
-    const { clock, timing, getConfirmedAtMs, getTrustedSinceMs } =
-      this.#options;
-    const heardAtMs = Math.max(this.#contactAtMs, getConfirmedAtMs());
-    return !this.hasStopped && heardAtMs >= getTrustedSinceMs() &&
-      clock.readMs() - heardAtMs < timing.authorityMs;
+    const { clock, timing, getTrustedSinceMs, hasPledges } = this.#options;
+    const { confirmedAtMs } = this;
+    if (this.hasStopped || confirmedAtMs < getTrustedSinceMs()) {
+      return false;
+    }
+    const ageMs = clock.readMs() - confirmedAtMs;
+    return ageMs < timing.authorityMs ||
+      (ageMs < timing.maxAuthorityMs && hasPledges());
   }
 
   /** Asks the store whether this keeper still stands, as often as is useful. */
@@ -236,6 +290,7 @@
       inheritedRanges: this.#options.tables.get(service)?.ranges ?? [],
       getInherited: () => this.#describeInherited(),
       report: (report) => observe({ kind: "order", service, ...report }),
+      onGranted: (range) => this.#options.onGranted?.({ service, range }),
       onSuperseded: () => void this.#resolve(),
     });
   }
@@ -243,16 +298,24 @@
   /** What may still be in force of the grants of keepers before. */
   #describeInherited(): InheritedGrants {
     const { timing, getPredecessor } = this.#options;
-    const predecessor = getPredecessor();
-    const lastGrantAtMs = predecessor === "unknown"
-      ? this.#startedAtMs + timing.authorityMs
-      : this.#startedAtMs;
+    const { kind, lastOrderAtMs } = getPredecessor();
     return {
-      untilMs: computeHoldEndMs(lastGrantAtMs, timing.holdMs),
-      isClean: predecessor === "resigned" || predecessor === "none",
+      untilMs: computeHoldEndMs(lastOrderAtMs, timing.holdMs),
+      isClean: kind === "resigned" || kind === "none",
     };
   }
 
+  /**
+   * Whether a key can be moved without a long wait. Until the grants of a keeper
+   * that was lost have run out, each move leaves its keys unserved for a hold:
+   * 3.5 s, in which a fifth of all requests was refused where an overloaded
+   * owner would have refused a twentieth.
+   */
+  #hasFastMoves(): boolean {
+    const { isClean, untilMs } = this.#describeInherited();
+    return isClean || this.#options.clock.readMs() >= untilMs;
+  }
+
   async #plan(): Promise<void> {
     for (const facts of this.#options.listFacts()) {
       const table = this.#planTable(facts);
@@ -276,7 +339,9 @@
       };
     }
     const renewed = this.#renewTokens(facts.service, table, candidates);
-    const changes = planReassignments(table, candidates, facts.rates);
+    const changes = planReassignments(table, candidates, facts.rates, {
+      balances: this.#hasFastMoves(),
+    });
     return changes.length === 0 && renewed === table ? undefined : {
       next: applyReassignments(renewed, changes, this.#end),
       changes: changes.length,
@@ -341,8 +406,40 @@
     }
   }
 
+  /** Names those whom this keeper will ask for pledges. */
+  async #writeWitnesses(): Promise<void> {
+    const { clock, term, listWitnesses, listUnresolved } = this.#options;
+    const nowMs = clock.readMs();
+    if (nowMs < this.#nextWitnessesAtMs || !this.#mayAct()) {
+      return;
+    }
+    this.#nextWitnessesAtMs = nowMs + WITNESSES_EVERY_MS;
+    const instances = listWitnesses();
+    const unresolved = listUnresolved();
+    const record: KeeperWitnesses = { term, instances, unresolved };
+    const text = JSON.stringify(record);
+    if (text === this.#witnesses) {
+      return;
+    }
+    // Until the store has taken it, either record may be the newest.
+    this.#named = new Set([...this.#named, ...instances]);
+    if (await this.#append(WITNESSES_KEY, text)) {
+      this.#witnesses = text;
+      this.#named = new Set(instances);
+    }
+  }
+
+  /** Incarnations that a successor may find named as this keeper's witnesses. */
+  listNamed(): readonly string[] {
+    return [...this.#named];
+  }
+
   /** Tells everybody which ranges have reached their new owners. */
   async #writeSettled(): Promise<void> {
+    const nowMs = this.#options.clock.readMs();
+    if (nowMs < this.#nextSettledAtMs) {
+      return;
+    }
     for (const [service, table] of this.#tables) {
       const keeper = this.#keepers.get(service)!;
       const isNews = table.ranges
@@ -352,6 +449,7 @@
       }
       const next = settleRanges(table, (range) => keeper.isSettled(range));
       const offset = this.#end;
+      this.#nextSettledAtMs = nowMs + SETTLED_EVERY_MS;
       if (await this.#appendTable(service, next)) {
         this.#options.observe({ kind: "settled", service, offset });
       }
@@ -366,6 +464,7 @@
       return false;
     }
     this.#setTable(service, after);
+    this.#keepers.get(service)!.advance();
     this.#options.onTable?.({ service, offset, before, after });
     return true;
   }
@@ -373,6 +472,9 @@
   async #append(key: string, value: string): Promise<boolean> {
     const { store, partition, clock, observe } = this.#options;
     const sentAtMs = clock.readMs();
+    if (sentAtMs < this.#nextAppendAtMs) {
+      return false;
+    }
     const appended = await store.append({
       partition,
       key,
@@ -390,6 +492,7 @@
       cause: failure.kind,
       message: "message" in failure ? failure.message : failure.kind,
     });
+    this.#nextAppendAtMs = clock.readMs() + REFUSED_PAUSE_MS;
     if (failure.kind !== "refused") {
       await this.#resolve();
     }
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -26,6 +26,8 @@
   readonly ended = new Set<string>();
   /** Targets are there from the start, except where they join. */
   dealAfterMs = 0;
+  /** Whether all witnesses let a keeper act without the store. */
+  hasPledges = false;
   /** Instances that cannot reach the store. */
   readonly cut = new Set<string>();
 
@@ -43,6 +45,10 @@
     const standing = parseStanding(records, records.length);
     const term = this.store
       .write(PARTITION, KEEPER_KEY, JSON.stringify(claim));
+    const kind = options.predecessor ?? "none";
+    const waitMs = kind === "unknown" ? DEFAULT_KEEPER_TIMING.authorityMs : 0;
+    const lastOrderAtMs = this.clock.readMs() + waitMs;
+    const predecessor = { kind, lastOrderAtMs };
     const keeperOptions: KeyKeeperOptions = {
       clock: this.clock,
       store: this.store.createClient(instance),
@@ -52,7 +58,11 @@
       term,
       claim,
       tables: standing.tables,
-      getPredecessor: () => options.predecessor ?? "none",
+      claimSentAtMs: this.clock.readMs(),
+      getPredecessor: () => predecessor,
+      listWitnesses: () => [],
+      listUnresolved: () => [],
+      hasPledges: () => this.hasPledges,
       listFacts: () => [{
         service: SERVICE,
         candidates: this.candidates,
@@ -232,23 +242,27 @@
     predecessor: "unknown",
     canReach: (id) => id !== "a",
   });
-  await world.clock.advance(12_000);
+  await world.clock.advance(DEFAULT_KEEPER_TIMING.authorityMs - 100);
   assert.equal(world.holders.findHolder(0), "a", "the first goes on");
-  await world.clock.advance(20_000);
+  await world.clock.advance(2 * DEFAULT_KEEPER_TIMING.holdMs);
   assert.equal(world.holders.findHolder(0), "b");
   assert.deepEqual(world.holders.listOverlaps(), []);
 });
 
 test("keys are served on while the store is away", async () => {
-  // The store is down for 15 s. Without renewals every key would stop being
-  // served within 4 s.
+  // The store is down for 50 s, and every other instance has pledged to wait.
+  // Without renewals every key would stop being served within 4 s.
   const world = new World();
+  world.hasPledges = true;
   world.startKeeper("one");
   await world.clock.advance(500);
   world.closeStoreTo("one");
-  await world.clock.advance(15_000);
+  await world.clock.advance(50_000);
   assert.equal(world.holders.findHolder(0), "a");
   assert.equal(world.holders.findHolder(65_535), "b");
+  // Whoever was never asked for a pledge waits for this long and no longer.
+  await world.clock.advance(DEFAULT_KEEPER_TIMING.maxAuthorityMs - 45_000);
+  assert.equal(world.holders.findHolder(0), undefined);
 });
 
 test("a keeper stops renewing when its authority has ended", async () => {
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -61,16 +61,22 @@
  */
 const MAX_RANGES_PER_TARGET = 10;
 
+export interface PlanOptions {
+  /** Whether owners that have too much are relieved as well. */
+  readonly balances: boolean;
+}
+
 /** Keys whose owner is gone or leaving, and keys of owners that have too much. */
 export function planReassignments(
   table: KeyTable,
   candidates: readonly OwnerCandidate[],
   rates: readonly KeyRate[],
+  { balances }: PlanOptions = { balances: true },
 ): readonly Reassignment[] {
   if (candidates.length === 0) {
     return [];
   }
-  if (rates.length === 0 && hasNewcomer(table, candidates)) {
+  if (balances && rates.length === 0 && hasNewcomer(table, candidates)) {
     return planDeal(table, candidates);
   }
   const lines = createLines(rates);
@@ -78,6 +84,9 @@
   const isCrowded =
     table.ranges.length > MAX_RANGES_PER_TARGET * candidates.length;
   const orphans = planOrphans(table, standings, lines.usual);
+  if (!balances) {
+    return orphans;
+  }
   const moves = planBalance(standings, lines, isCrowded);
   const merges = isCrowded ? planMerges(table, standings, lines) : [];
   return [...orphans, ...moves, ...merges];
--- a/packages/ownership/src/owner_standing.ts
+++ b/packages/ownership/src/owner_standing.ts
@@ -136,7 +136,7 @@
 }): Reassignment {
   const { from, to } = keys;
   giver.busy -= computeBusy(giver.candidate, keys.perSecond);
-  giver.ranges = giver.ranges.flatMap((range) => cutKeys(range, from, to));
+  giver.ranges = giver.ranges.flatMap((range) => splitRange(range, from, to));
   receiver.busy += computeBusy(receiver.candidate, keys.perSecond);
   receiver.isSpell ||= giver.isSpell;
   receiver.ranges.push({
@@ -150,7 +150,7 @@
 }
 
 /** What is left of a range without some keys. */
-function cutKeys(
+function splitRange(
   range: OwnedRange,
   from: number,
   to: number,
--- a/packages/ownership/src/range_keeper.ts
+++ b/packages/ownership/src/range_keeper.ts
@@ -50,6 +50,8 @@
   readonly inheritedRanges: readonly OwnedRange[];
   readonly getInherited: () => InheritedGrants;
   readonly report: (report: OrderReport) => void;
+  /** A range that was on its way has reached its owner. */
+  readonly onGranted: (range: OwnedRange) => void;
   /** A target has seen a higher token than this keeper's. */
   readonly onSuperseded: () => void;
 }
@@ -87,6 +89,7 @@
   readonly #ended = new Set<string>();
   readonly #silences = new Map<string, Silence>();
   #states: RangeState[] = [];
+  #byName: ReadonlyMap<string, RangeState> = new Map();
 
   constructor(options: RangeKeeperOptions) {
     this.#options = options;
@@ -94,20 +97,19 @@
 
   /** The table as the store has it now. Progress of unchanged ranges is kept. */
   setTable(table: KeyTable): void {
-    const known = new Map(
-      this.#states.map((state) => [formatRange(state.range), state]),
-    );
+    const known = this.#byName;
     const before = this.#states;
     this.#states = table.ranges.map((range) =>
       restoreState(known.get(formatRange(range)), range, before)
     );
+    this.#byName = new Map(
+      this.#states.map((state) => [formatRange(state.range), state]),
+    );
   }
 
   /** Ranges whose owner has been granted them and whose former holders hold nothing. */
   isSettled(range: OwnedRange): boolean {
-    const name = formatRange(range);
-    return this.#states
-      .some((state) => state.granted && formatRange(state.range) === name);
+    return this.#byName.get(formatRange(range))?.granted === true;
   }
 
   /**
@@ -183,6 +185,16 @@
     } finally {
       state.busy = false;
     }
+    // The next order of a move follows at once: a key has no owner meanwhile.
+    const nowMs = this.#options.clock.readMs();
+    if (!state.granted && nowMs >= state.nextAtMs && this.#isPresent(state)) {
+      this.#advanceRange(state, nowMs);
+    }
+  }
+
+  /** Whether the table still has the range. */
+  #isPresent(state: RangeState): boolean {
+    return this.#byName.get(formatRange(state.range)) === state;
   }
 
   #isClear(state: RangeState, holder: Holder, nowMs: number): boolean {
@@ -217,8 +229,14 @@
   ): number {
     const { getInherited, timing } = this.#options;
     const own = this.#holds.computeUnansweredEndMs(holder.id, range);
-    return this.#isInherited(holder, range) && !getInherited().isClean
-      ? Math.max(own, computeHoldEndMs(releasedAtMs, timing.holdMs))
+    const { isClean, untilMs } = getInherited();
+    // Once all earlier grants have run out, none can be carried out any more.
+    const inheritedMs = Math.min(
+      untilMs,
+      computeHoldEndMs(releasedAtMs, timing.holdMs),
+    );
+    return this.#isInherited(holder, range) && !isClean
+      ? Math.max(own, inheritedMs)
       : own;
   }
 
@@ -253,13 +271,21 @@
     this.#recordOutcome(range.owner, outcome);
     settleRecord(record, outcome, clock.readMs());
     if (outcome.kind === "done") {
-      state.granted = true;
+      this.#recordGranted(state);
     } else {
       state.nextAtMs = clock.readMs() + timing.retryEveryMs;
     }
     this.#reportOrder(order, state, { holder: range.owner, outcome, sentAtMs });
   }
 
+  #recordGranted(state: RangeState): void {
+    const isNews = !state.granted && state.range.former.length > 0;
+    state.granted = true;
+    if (isNews) {
+      this.#options.onGranted(state.range);
+    }
+  }
+
   async #release(state: RangeState, holder: Holder): Promise<void> {
     const { clock, orders, timing } = this.#options;
     const { range } = state;
--- a/packages/transport/src/session_pool.ts
+++ b/packages/transport/src/session_pool.ts
@@ -21,10 +21,12 @@
   | { readonly stage: "session"; readonly message: string };
 
 export class SessionPool {
+  /** Sessions of all pools are numbered together: none is taken for another. */
+  static #lastSession = 0;
   readonly #address: string;
   readonly #options: PoolOptions;
   #pool: ConnectionPool;
-  #session = 1;
+  #session = ++SessionPool.#lastSession;
 
   constructor(address: string, options: PoolOptions) {
     this.#address = address;
@@ -32,12 +34,12 @@
     this.#pool = new ConnectionPool(address, options);
   }
 
-  /** Of the process that answers now; grows where it may be another one. */
+  /** Of the process that answers now; another number where it may be another. */
   get session(): number {
     if (!this.#pool.isUnbroken) {
       this.#pool.close();
       this.#pool = new ConnectionPool(this.#address, this.#options);
-      this.#session++;
+      this.#session = ++SessionPool.#lastSession;
     }
     return this.#session;
   }
