--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -166,6 +166,8 @@
   }
 
   #close(): void {
+    // While there is still a socket to say it on.
+    this.#keepers.stop();
     this.#running.abort();
     this.#lines.log("stop", "notable", {
       phase: "ended",
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -189,6 +189,16 @@
     await this.#transferKeepers();
   }
 
+  /** The process ends: no order more, and others are told. */
+  stop(): void {
+    this.#hasEnded = true;
+    for (const [part, keeper] of this.#keepers) {
+      keeper.stop("asked");
+      this.#sendStopped(part, keeper);
+    }
+    this.#keepers.clear();
+  }
+
   /**
    * Without the store nothing can be handed over: keepers here act on until it
    * is back, or until the process ends. Failure: an instance is stopped in an
@@ -265,11 +275,7 @@
       void this.#transferKeepers();
       await this.#options.clock.sleep(TICK_MS, signal);
     }
-    this.#hasEnded = true;
-    for (const [part, keeper] of this.#keepers) {
-      keeper.stop("asked");
-      this.#sendStopped(part, keeper);
-    }
+    this.stop();
   }
 
   #hasStore(): boolean {
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -103,6 +103,7 @@
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
   readonly #socket: Socket;
+  #isClosed = false;
   #near = { text: "", atMs: -Infinity };
   #far = { text: "", atMs: -Infinity };
 
@@ -127,6 +128,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     this.#socket.close();
   }
 
@@ -168,7 +170,7 @@
   }
 
   #sendData(to: Member, data: Buffer): boolean {
-    if (data.byteLength > MAX_BYTES) {
+    if (data.byteLength > MAX_BYTES || this.#isClosed) {
       return false;
     }
     this.#socket.send(data, to.port, to.host, (error) => {
