perf(gateway): tell speeds in turn, write tables compactly, read less in an outage

Speeds of more than 50 targets did not fit into a datagram, which was then not sent at all, keys and all; they are told ten at a time. A table's record takes 20 bytes a range in place of 150: with 180 targets the store refused it for its size. In an outage what serves as a hint is read every 1.6 s in place of 0.4 s; calls that fail are paid for, too. All ranges together are bounded at 400.

--- a/packages/gateway/src/keeper_world.ts
+++ b/packages/gateway/src/keeper_world.ts
@@ -54,7 +54,7 @@
       clock: this.clock,
       store,
       partition: OWNERS_PARTITION,
-      getPace: () => ({ gapMs: 10, waitMs: 600, validMs: 0 }),
+      getPace: () => ({ gapMs: 10, waitMs: 600, validMs: 0, maxPauseMs: 400 }),
       apply: () => undefined,
       observe: () => undefined,
     });
--- a/packages/gateway/src/key_report.ts
+++ b/packages/gateway/src/key_report.ts
@@ -4,7 +4,7 @@
  */
 
 /** A datagram's worth; in a burst the rest is a sample that is left out. */
-const MAX_KEYS = 200;
+const MAX_KEYS = 150;
 
 export class KeyReport {
   readonly #keys = new Map<string, number[]>();
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -29,8 +29,12 @@
 
 /** Keys that were asked for go to their keeper this often. */
 const KEY_REPORT_MS = 200;
-/** Speeds of targets change slowly, and there are as many as targets. */
-const REPORTS_PER_SPEEDS = 10;
+/**
+ * Speeds that fit into a datagram beside the keys; each report carries the next
+ * ones. All at once they are too long with 50 targets or with 200 keys, and the
+ * datagram was not sent at all: the keeper knew no speeds there.
+ */
+const SPEEDS_PER_REPORT = 10;
 /** A dozen instances report twice in 4 s; some reports even out a sample. */
 const PEER_MEASURE_WEIGHT = 0.3;
 /** Until anything is measured; about the work of a lookup. */
@@ -41,6 +45,8 @@
   readonly #keyReport = new KeyReport();
   readonly #keyLoads = new Map<string, KeyLoad>();
   readonly #serviceMs = new Map<string, number>();
+  /** Which speed of a service is told next. */
+  readonly #nextSpeed = new Map<string, number>();
 
   constructor(options: KeyTrafficOptions) {
     this.#options = options;
@@ -101,23 +107,28 @@
 
   /** Reports until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, services, instance: from } = this.#options;
-    for (let count = 0; !signal.aborted; count++) {
-      const hasSpeeds = count % REPORTS_PER_SPEEDS === 0;
+    const { clock, instance: from } = this.#options;
+    while (!signal.aborted) {
       for (const [service, keys] of this.#keyReport.take()) {
-        const message: KeysMessage = {
-          kind: "keys",
-          from,
-          service,
-          keys,
-          serviceMs: hasSpeeds ? services.listServiceMs(service) : {},
-        };
-        this.#sendToKeeper(message);
+        const serviceMs = this.#takeSpeeds(service);
+        this.#sendToKeeper({ kind: "keys", from, service, keys, serviceMs });
       }
       await clock.sleep(KEY_REPORT_MS, signal);
     }
   }
 
+  /** The next few speeds of a service's targets, in turn. */
+  #takeSpeeds(service: string): Readonly<Record<string, number>> {
+    const speeds = Object.entries(
+      this.#options.services.listServiceMs(service),
+    );
+    const first = this.#nextSpeed.get(service) ?? 0;
+    const next = speeds.slice(first, first + SPEEDS_PER_REPORT);
+    const end = first + SPEEDS_PER_REPORT;
+    this.#nextSpeed.set(service, end >= speeds.length ? 0 : end);
+    return Object.fromEntries(next);
+  }
+
   #sendToKeeper(message: KeysMessage): void {
     const part = this.#options.choosePart(message.service);
     if (this.#options.keepers.isKeeper(part)) {
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -59,6 +59,7 @@
         gapMs: GAP_MS,
         waitMs: 0,
         validMs: relay.isReader() ? 0 : VALID_MS,
+        maxPauseMs: 400,
       }),
       apply: ({ key, value }) => known.set(key, value),
       observe: () => undefined,
@@ -221,7 +222,12 @@
     clock,
     store: store.createClient("two"),
     partition,
-    getPace: () => ({ gapMs: 100, waitMs: 0, validMs: 60_000 }),
+    getPace: () => ({
+      gapMs: 100,
+      waitMs: 0,
+      validMs: 60_000,
+      maxPauseMs: 400,
+    }),
     apply: (record) => {
       applied.push(record);
       const { offset, value } = record;
--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -50,6 +50,8 @@
   readonly waitMs: number;
   /** What others pass on counts as read for this long; 0 where nobody does. */
   readonly validMs: number;
+  /** Longest pause between two reads that fail. */
+  readonly maxPauseMs: number;
 }
 
 /** What stands in a partition from one offset up to another. */
@@ -64,9 +66,8 @@
   readonly records: readonly StoreRecord[];
 }
 
-/** First and longest pause after a failed read: a returning store is seen in time. */
+/** First pause after a failed read; each further one is twice as long. */
 const MIN_PAUSE_MS = 100;
-const MAX_PAUSE_MS = 400;
 /** A change of pace is noticed within this. */
 const LOOK_MS = 250;
 /**
@@ -263,7 +264,7 @@
   }
 
   #handleFailure(failure: StoreFailure): number {
-    const { clock, partition, observe } = this.#options;
+    const { clock, partition, observe, getPace } = this.#options;
     if (failure.kind === "expired") {
       observe({ kind: "history-lost", partition });
       this.#end = -1;
@@ -274,7 +275,7 @@
       const message = "message" in failure ? failure.message : failure.kind;
       observe({ kind: "lost", partition, cause: failure.kind, message });
     }
-    this.#pauseMs = Math.min(MAX_PAUSE_MS, 2 * this.#pauseMs);
+    this.#pauseMs = Math.min(getPace().maxPauseMs, 2 * this.#pauseMs);
     return this.#pauseMs;
   }
 
--- a/packages/gateway/src/partition_tail_test.ts
+++ b/packages/gateway/src/partition_tail_test.ts
@@ -13,13 +13,18 @@
   const store = new FakeStore(clock);
   const applied: StoreRecord[] = [];
   const events: TailEvent[] = [];
-  const pace = { validMs: 0 };
+  const pace = { validMs: 0, maxPauseMs: 400 };
   store.write(PARTITION, "a", "1");
   const tail = new PartitionTail({
     clock,
     store: changeClient(store.createClient("me")),
     partition: PARTITION,
-    getPace: () => ({ gapMs: 100, waitMs: 2_000, validMs: pace.validMs }),
+    getPace: () => ({
+      gapMs: 100,
+      waitMs: 2_000,
+      validMs: pace.validMs,
+      maxPauseMs: 400,
+    }),
     apply: (record) => applied.push(record),
     observe: (event) => events.push(event),
   });
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -70,6 +70,13 @@
  * one, by a target that refuses, or after this.
  */
 const OWNERS_VALID_MS = 5_000;
+/** In an outage: a change must be in force 2 s after the store is back. */
+const URGENT_PAUSE_MS = 400;
+/**
+ * What others tell as well, or what serves as a hint only, is not asked for more
+ * often than this in an outage: calls that fail have their price, too.
+ */
+const OTHER_PAUSE_MS = 1_600;
 /** An entry that goes this soon after an outage may only have lapsed in it. */
 const OUTAGE_MEMORY_MS = 3_000;
 
@@ -91,6 +98,7 @@
         gapMs: CONFIGURATION_GAP_MS,
         waitMs: CONFIGURATION_WAIT_MS,
         validMs: 0,
+        maxPauseMs: URGENT_PAUSE_MS,
       }),
       (key, value) => this.#applyConfiguration(key, value),
     );
@@ -100,13 +108,19 @@
         gapMs: TARGETS_GAP_MS,
         waitMs: TARGETS_WAIT_MS,
         validMs: this.#options.isReader() ? 0 : TARGETS_VALID_MS,
+        maxPauseMs: this.#options.isReader() ? URGENT_PAUSE_MS : OTHER_PAUSE_MS,
       }),
       (key, value) => this.#applyTarget(key, value),
       (slice) => this.#options.onTargetsRead(slice),
     );
     this.#members = this.#createTail(
       members,
-      () => ({ gapMs: MEMBERS_GAP_MS, waitMs: MEMBERS_WAIT_MS, validMs: 0 }),
+      () => ({
+        gapMs: MEMBERS_GAP_MS,
+        waitMs: MEMBERS_WAIT_MS,
+        validMs: 0,
+        maxPauseMs: OTHER_PAUSE_MS,
+      }),
       (key, value) => this.#applyMember(key, value),
     );
   }
@@ -153,8 +167,18 @@
 
   #getOwnersPace(part: number): TailPace {
     return this.#options.isKeeper(part)
-      ? { gapMs: KEEPER_GAP_MS, waitMs: KEEPER_WAIT_MS, validMs: 0 }
-      : { gapMs: OWNERS_GAP_MS, waitMs: 0, validMs: OWNERS_VALID_MS };
+      ? {
+        gapMs: KEEPER_GAP_MS,
+        waitMs: KEEPER_WAIT_MS,
+        validMs: 0,
+        maxPauseMs: URGENT_PAUSE_MS,
+      }
+      : {
+        gapMs: OWNERS_GAP_MS,
+        waitMs: 0,
+        validMs: OWNERS_VALID_MS,
+        maxPauseMs: OTHER_PAUSE_MS,
+      };
   }
 
   #createTail(
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -60,6 +60,8 @@
  * evened out by whole ranges, and idle ranges are merged with their neighbours.
  */
 const MAX_RANGES_PER_TARGET = 10;
+/** Of all targets together: 530 renewals a second by one keeper. */
+const MAX_RANGES = 400;
 
 export interface PlanOptions {
   /** Whether owners that have too much are relieved as well. */
@@ -81,8 +83,8 @@
   }
   const lines = createLines(rates);
   const standings = createStandings(table, candidates, lines);
-  const isCrowded =
-    table.ranges.length > MAX_RANGES_PER_TARGET * candidates.length;
+  const isCrowded = table.ranges.length >
+    Math.min(MAX_RANGES, MAX_RANGES_PER_TARGET * candidates.length);
   const orphans = planOrphans(table, standings, lines.usual);
   if (!balances) {
     return orphans;
--- a/packages/ownership/src/key_table.ts
+++ b/packages/ownership/src/key_table.ts
@@ -174,8 +174,45 @@
   return { ranges };
 }
 
-export function serializeTable(table: KeyTable): string {
-  return JSON.stringify(table);
+/** As it stands in a record: each target once, each range in a few numbers. */
+interface CompactTable {
+  /** Id, address and, where it tells, when its life began. */
+  readonly targets: readonly (readonly [string, string, number?])[];
+  /**
+   * Last key, then target and token of the owner and of each former holder, the
+   * target as its place among `targets`. The first key follows the range before.
+   */
+  readonly ranges: readonly (readonly number[])[];
+}
+
+/**
+ * A range takes some 20 bytes. Written out in full it took 150, and with 180
+ * targets the record was refused by the store for its size (256 KB): nothing
+ * could be moved any more.
+ */
+export function serializeTable({ ranges }: KeyTable): string {
+  const places = new Map<string, number>();
+  const targets: [string, string, number?][] = [];
+  const locate = ({ id, address, bornMs }: Assignee) => {
+    const name = JSON.stringify([id, address, bornMs]);
+    let place = places.get(name);
+    if (place === undefined) {
+      place = targets.length;
+      places.set(name, place);
+      targets.push(
+        bornMs === undefined ? [id, address] : [id, address, bornMs],
+      );
+    }
+    return place;
+  };
+  const compact: CompactTable = {
+    targets,
+    ranges: ranges.map(({ to, owner, former }) => [
+      to,
+      ...[owner, ...former].flatMap((holder) => [locate(holder), holder.token]),
+    ]),
+  };
+  return JSON.stringify(compact);
 }
 
 /** Fails where the text is no table, or the ranges do not cover all keys in order. */
@@ -186,21 +223,65 @@
   } catch (error) {
     return Err(`The table of owners is no JSON: ${String(error)}`);
   }
-  if (!isTable(value)) {
+  if (!isCompactTable(value)) {
     return Err("The table of owners lacks ranges, owners or tokens");
   }
+  const ranges: OwnedRange[] = [];
   let next = 0;
   for (const range of value.ranges) {
-    if (range.from !== next || range.to < range.from) {
-      return Err(`The table of owners has a gap or overlap at key ${next}`);
+    const holders = listHolders(range, value.targets);
+    const to = range[0]!;
+    if (to < next || holders === undefined) {
+      return Err(`The table of owners has a fault at key ${next}`);
     }
-    next = range.to + 1;
+    const [owner, ...former] = holders;
+    ranges.push({ from: next, to, owner: owner!, former });
+    next = to + 1;
   }
   return next === LAST_KEY + 1
-    ? Ok(value)
+    ? Ok({ ranges })
     : Err(`The table of owners ends at key ${next - 1}`);
 }
 
+/** Undefined where a range names none, or one that there is not. */
+function listHolders(
+  range: readonly number[],
+  targets: CompactTable["targets"],
+): readonly Holder[] | undefined {
+  const holders: Holder[] = [];
+  for (let index = 1; index < range.length; index += 2) {
+    const target = targets[range[index]!];
+    const token = range[index + 1];
+    if (target === undefined || token === undefined) {
+      return undefined;
+    }
+    const [id, address, bornMs] = target;
+    holders.push(createHolder(
+      bornMs === undefined ? { id, address } : { id, address, bornMs },
+      token,
+    ));
+  }
+  return holders.length === 0 ? undefined : holders;
+}
+
+function isCompactTable(value: unknown): value is CompactTable {
+  const { targets, ranges } = (value ?? {}) as Partial<CompactTable>;
+  return Array.isArray(targets) && targets.every(isTarget) &&
+    Array.isArray(ranges) &&
+    ranges.every((range) =>
+      Array.isArray(range) && range.length > 0 && range.every(Number.isInteger)
+    );
+}
+
+function isTarget(value: unknown): boolean {
+  if (!Array.isArray(value)) {
+    return false;
+  }
+  const [id, address, bornMs] = value as unknown[];
+  return typeof id === "string" && typeof address === "string" &&
+    (bornMs === undefined || Number.isInteger(bornMs));
+}
+
 function splitForChange(
   range: OwnedRange,
   change: Reassignment,
@@ -263,22 +344,3 @@
   }
   return merged;
 }
-
-function isTable(value: unknown): value is KeyTable {
-  const ranges = (value as KeyTable | null)?.ranges;
-  return Array.isArray(ranges) && ranges.every(isOwnedRange);
-}
-
-function isOwnedRange(value: unknown): value is OwnedRange {
-  const range = value as OwnedRange | null;
-  return Number.isInteger(range?.from) && Number.isInteger(range?.to) &&
-    isHolder(range?.owner) && Array.isArray(range?.former) &&
-    range.former.every(isHolder);
-}
-
-function isHolder(value: unknown): value is Holder {
-  const holder = value as Holder | null;
-  return typeof holder?.id === "string" &&
-    typeof holder.address === "string" && Number.isInteger(holder.token) &&
-    (holder.bornMs === undefined || Number.isInteger(holder.bornMs));
-}
