feat(gateway): log who lets a keeper go on, and which one has stopped

One line when a keeper without the store begins to ask, one for each answer that differs from the one before, one for each word of a keeper before.

--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -66,6 +66,9 @@
       case "claimed":
       case "claim-failed":
       case "record-fault":
+      case "pledges-asked":
+      case "pledge-answered":
+      case "predecessor-stopped":
         this.#log(`keeper-${event.kind}`, event);
         return;
     }
--- a/packages/gateway/src/keeper_peers.ts
+++ b/packages/gateway/src/keeper_peers.ts
@@ -51,6 +51,32 @@
     readonly isClean: boolean;
   };
 
+/** What changes what this instance believes of keepers. */
+export type KeeperPeersEvent =
+  | {
+    /** A keeper here is without the store and asks to be let act on. */
+    readonly kind: "pledges-asked";
+    readonly part: number;
+    readonly term: number;
+    readonly witnesses: number;
+  }
+  | {
+    /** Another's keeper asked; told when the answer is another than before. */
+    readonly kind: "pledge-answered";
+    readonly part: number;
+    readonly keeper: string;
+    readonly term: number;
+    readonly isGiven: boolean;
+  }
+  | {
+    /** A keeper before has said that it acts no more. */
+    readonly kind: "predecessor-stopped";
+    readonly part: number;
+    readonly keeper: string;
+    readonly term: number;
+    readonly isClean: boolean;
+  };
+
 /** A keeper of this instance, running or stopped. */
 export interface OwnKeeper {
   readonly term: number;
@@ -69,6 +95,7 @@
   readonly getNewestTerm: (part: number) => number;
   readonly getKeeper: (part: number) => OwnKeeper | undefined;
   readonly send: (instance: string, message: KeeperMessage) => void;
+  readonly observe: (event: KeeperPeersEvent) => void;
 }
 
 interface Statement {
@@ -87,6 +114,8 @@
 const PLEDGE_SHARE = 0.9;
 /** Keepers of one partition whose statements are of use. */
 const MAX_STATEMENTS = 8;
+/** After a pause of this length a keeper asks anew, which is told of. */
+const NEW_REQUEST_MS = 2_000;
 /** Requests that may still be answered. */
 const MAX_REQUESTS = 20;
 
@@ -99,6 +128,8 @@
   /** As a witness: until when it lets the keeper of a partition act. */
   readonly #pledgedUntilMs = new Map<number, number>();
   readonly #askedAtMs = new Map<number, number>();
+  /** The last answer, so that only another one is told of. */
+  readonly #answered = new Map<number, string>();
   /** As a successor: what keepers before have said. */
   readonly #statements = new Map<number, Map<string, Statement>>();
   /** Offset of the newest claim that others have told of, by partition. */
@@ -117,7 +148,13 @@
     const { clock, claim, send } = this.#options;
     this.#number++;
     const number = this.#number;
-    this.#requests.push({ number, sentAtMs: clock.readMs() });
+    const sentAtMs = clock.readMs();
+    const lastAtMs = this.#requests.at(-1)?.sentAtMs ?? -Infinity;
+    if (sentAtMs - lastAtMs > NEW_REQUEST_MS) {
+      const kind = "pledges-asked";
+      this.#options.observe({ kind, part, term, witnesses: witnesses.length });
+    }
+    this.#requests.push({ number, sentAtMs });
     this.#requests.splice(0, this.#requests.length - MAX_REQUESTS);
     for (const witness of witnesses) {
       const from = claim.instance;
@@ -200,7 +237,7 @@
 
   /** The first statement of its kind tells when it had stopped at the latest. */
   #recordStatement(message: KeeperMessage & { kind: "keeper-stopped" }): void {
-    const { incarnation, isClean, part, term } = message;
+    const { incarnation, isClean, part, term, from: keeper } = message;
     const statements = this.#statements.get(part) ??
       new Map<string, Statement>();
     this.#statements.set(part, statements);
@@ -210,6 +247,10 @@
     }
     const nowMs = this.#options.clock.readMs();
     const atMs = before?.term === term ? before.atMs : nowMs;
+    if (before?.term !== term || before.isClean !== isClean) {
+      const kind = "predecessor-stopped";
+      this.#options.observe({ kind, part, keeper, term, isClean });
+    }
     statements.set(incarnation, { term, isClean, atMs });
     if (statements.size > MAX_STATEMENTS) {
       statements.delete(statements.keys().next().value!);
@@ -230,6 +271,12 @@
     if (isGiven) {
       this.#pledgedUntilMs.set(part, nowMs + pledgeMs);
     }
+    const answer = `${from} ${term} ${isGiven}`;
+    if (this.#answered.get(part) !== answer) {
+      this.#answered.set(part, answer);
+      const kind = "pledge-answered";
+      this.#options.observe({ kind, part, keeper: from, term, isGiven });
+    }
     const { instance } = claim;
     send(from, { kind: "pledge", from: instance, part, number, isGiven });
   }
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -31,7 +31,11 @@
 import { computeHoldEndMs } from "@lentilspur/ownership/hold_book";
 import type { KeeperTiming } from "@lentilspur/ownership/keeper_timing";
 import type { Holder } from "@lentilspur/ownership/key_table";
-import { type KeeperMessage, KeeperPeers } from "./keeper_peers.ts";
+import {
+  type KeeperMessage,
+  KeeperPeers,
+  type KeeperPeersEvent,
+} from "./keeper_peers.ts";
 import type { PartitionTail } from "./partition_tail.ts";
 import type { WrittenTable } from "./view_relay.ts";
 
@@ -54,6 +58,7 @@
   }
   | { readonly kind: "share-failed"; readonly cause: string }
   | { readonly kind: "record-fault"; readonly message: string }
+  | KeeperPeersEvent
   | {
     readonly kind: "keeper";
     readonly partition: Partition;
@@ -142,6 +147,7 @@
       getNewestTerm: (part) => this.#getNewestTerm(part),
       getKeeper: (part) => this.#latest.get(part),
       send: options.sendPeer,
+      observe: options.observe,
     });
   }
 
