--- /dev/null
+++ b/packages/cli/src/commands/losses.ts
@@ -0,0 +1,92 @@
+/** `lentilspur losses FILE...`: when and why requests were not answered. */
+import {
+  listLosses,
+  type LossWindow,
+  mergeReasons,
+  type Reason,
+} from "@lentilspur/proof/losses";
+import { command, number, option } from "cmd-ts";
+import type { CommandContext } from "../command_context.ts";
+import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
+import {
+  type CollectedLines,
+  lineFilesArgument,
+  runWithLines,
+} from "../line_files.ts";
+
+/** Long enough to hold some hundred requests, short enough to show a spell. */
+const DEFAULT_WINDOW_SECONDS = 2;
+/** Beside each window; the rest stands in the sum. */
+const REASONS_PER_WINDOW = 3;
+
+export function createLossesCommand(context: CommandContext) {
+  return command({
+    name: "losses",
+    description:
+      "Show from collected log lines when and for which reasons requests were not answered by a target, and how far the busiest target was above the mean",
+    examples: [
+      {
+        description: "What went wrong this morning",
+        command: "lentilspur losses logs/*.log",
+      },
+    ],
+    args: {
+      seconds: option({
+        long: "window",
+        type: number,
+        description: "Seconds that are counted together",
+        defaultValue: () => DEFAULT_WINDOW_SECONDS,
+        defaultValueIsSerializable: true,
+      }),
+      files: lineFilesArgument,
+    },
+    handler: ({ seconds, files }): Promise<ExitCode> =>
+      runWithLines(
+        context,
+        files,
+        (collected) => printLosses(context, collected, seconds),
+      ),
+  });
+}
+
+function printLosses(
+  context: CommandContext,
+  { lines }: CollectedLines,
+  seconds: number,
+): ExitCode {
+  if (!(seconds > 0)) {
+    context.printError(`--window must be above 0, found ${seconds}`);
+    return EXIT_CODES.usage;
+  }
+  const windows = listLosses(lines, seconds * 1_000);
+  if (windows.length === 0) {
+    context.printError(
+      `No request ended in these ${lines.length} lines; name the output of instances`,
+    );
+    return EXIT_CODES.refused;
+  }
+  context.print("time          ended  answered  busiest/mean  lost to");
+  windows.forEach((window) => context.print(formatWindow(window)));
+  context.print("");
+  context.print("All together:");
+  mergeReasons(windows).forEach((reason) =>
+    context.print(`${String(reason.count).padStart(7)}  ${reason.text}`)
+  );
+  return EXIT_CODES.done;
+}
+
+function formatWindow(
+  { startsAtMs, ended, answered, busiest, reasons }: LossWindow,
+): string {
+  return [
+    new Date(startsAtMs).toISOString().slice(11, 23),
+    String(ended).padStart(5),
+    `${(100 * answered / ended).toFixed(1)} %`.padStart(8),
+    busiest.toFixed(2).padStart(12),
+    reasons.slice(0, REASONS_PER_WINDOW).map(formatShort).join(", "),
+  ].join("  ");
+}
+
+function formatShort({ text, count }: Reason): string {
+  return `${count} ${text}`;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import { createDiffCommand } from "./commands/diff.ts";
 import { createExplainCommand } from "./commands/explain.ts";
 import { createHistoryCommand } from "./commands/history.ts";
+import { createLossesCommand } from "./commands/losses.ts";
 import { createOwnerCommand } from "./commands/owner.ts";
 import { createPublishCommand } from "./commands/publish.ts";
 import { createServeCommand } from "./commands/serve.ts";
@@ -33,6 +34,7 @@
       credential: createCredentialCommand(context),
       audit: createAuditCommand(context),
       explain: createExplainCommand(context),
+      losses: createLossesCommand(context),
     },
   });
 }
--- a/packages/cli/src/operator_commands_test.ts
+++ b/packages/cli/src/operator_commands_test.ts
@@ -123,6 +123,12 @@
   assert.match(story, /It may have run/);
   assert.equal(await terminal.run("audit", file), EXIT_CODES.done);
   assert.match(terminal.takeOutput(), /no promise was broken/);
+  assert.equal(await terminal.run("losses", file), EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /00:00:00.000 .*0.0 %.*1 answer-lost/);
+  assert.equal(
+    await terminal.run("losses", "--window", "0", file),
+    EXIT_CODES.usage,
+  );
   assert.equal(await terminal.run("explain", "r2", file), EXIT_CODES.refused);
   assert.equal(await terminal.run("explain", "r1"), EXIT_CODES.usage);
 });
