test(cli): let a lost publication arrive long after any real reading of files

Traced: the virtual clock runs on while a command reads its files in real time, 50 ms of it a turn; on a busy machine 60 s of it can go by before the second publication is sent, and the lost one arrives first. With 600 s a read would have to take 12,000 turns. What is asserted is unchanged.

--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -13,8 +13,11 @@
 
 const STORE = "--store=127.0.0.1:1";
 
-/** Longer than any command goes on. */
-const LATE_MS = 60_000;
+/**
+ * Longer than any command goes on. The virtual clock runs while a command reads
+ * its files in real time, which takes many of its steps on a busy machine.
+ */
+const LATE_MS = 600_000;
 
 /**
  * A link on which the first append arrives long after, and every further one is
