refactor: one piece of code for overlaps, remains, and words to all instances

hasOverlap stood in fake_target and, written out, in six more places; what is left of a range without some keys stood in fake_target and in the planner's standings: both are in ports/key_orders now. The relay has one way to tell everybody and one shape of an owners message; words to one instance by name go through the instance's own sendTo, also those of the key traffic. The range keeper derives its list of states from its map of them. The planner chooses its count and its still ranges in one place; a part that nobody read is not passed on. Two tests of the relay share their set-up; their assertions are as they were. Behaviour stays as it is.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -266,7 +266,7 @@
         this.#members.hasEnded(claim.instance, claim.incarnation),
       observe: (event) => this.#report.observeKeeper(event),
       onTable: (written) => this.#relay.sendTable(written),
-      onGranted: (_part, granted) => this.#relay.sendGranted(granted),
+      onGranted: (granted) => this.#relay.sendGranted(granted),
       onClaim: (part, term) => this.#relay.sendClaim(part, term),
     });
   }
@@ -279,9 +279,8 @@
       catalogue: this.#catalogue,
       services: this.#services,
       keepers: this.#keepers,
-      members: this.#members,
       choosePart: (service) => this.#choosePart(service),
-      send: (member, message) => void this.#peers.send(member, message),
+      sendPeer: (name, message) => this.#sendTo(name, message),
     });
   }
 
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -90,7 +90,7 @@
   /** Told of each table that a keeper here has written. */
   readonly onTable?: (written: WrittenTable) => void;
   /** Told of each range that a keeper here has led to its new owner. */
-  readonly onGranted?: (part: number, granted: GrantedRange) => void;
+  readonly onGranted?: (granted: GrantedRange) => void;
   /** Told of each claim that was accepted here. */
   readonly onClaim?: (part: number, term: number) => void;
 }
@@ -310,9 +310,12 @@
 
   /** Everybody heard of now, and everybody that a record may name. */
   #listWitnesses(part: number): readonly string[] {
-    const heard = this.#options.listHeard().map(({ instance }) => instance);
     const named = this.#keepers.get(part)?.listNamed() ?? [];
-    return [...new Set([...heard, ...named.map(parseInstance)])];
+    return [...new Set([...this.#listHeard(), ...named.map(parseInstance)])];
+  }
+
+  #listHeard(): readonly string[] {
+    return this.#options.listHeard().map(({ instance }) => instance);
   }
 
   /** The partition names another keeper: not one order more. */
@@ -348,8 +351,7 @@
 
   /** Whoever claims next may have no other way to learn when this one stopped. */
   #sendStopped(part: number, keeper: KeyKeeper): void {
-    const heard = this.#options.listHeard().map(({ instance }) => instance);
-    this.#peers.sendStopped(part, keeper, heard);
+    this.#peers.sendStopped(part, keeper, this.#listHeard());
   }
 
   async #claimIfDue(part: number, sinceMs: number): Promise<void> {
@@ -466,7 +468,7 @@
       observe: (event) =>
         this.#options.observe({ kind: "keeper", partition, event }),
       onTable: (written) => this.#options.onTable?.({ ...written, part }),
-      onGranted: (granted) => this.#options.onGranted?.(part, granted),
+      onGranted: (granted) => this.#options.onGranted?.(granted),
     });
     this.#keepers.set(part, keeper);
     this.#latest.set(part, keeper);
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -10,7 +10,6 @@
 import type { Catalogue } from "./catalogue.ts";
 import type { KeeperService } from "./keeper_service.ts";
 import { KeyReport } from "./key_report.ts";
-import type { Member, Members } from "./members.ts";
 import type { PeerMessage } from "./peer_exchange.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
 
@@ -22,9 +21,8 @@
   readonly catalogue: Catalogue;
   readonly services: ServiceRegistry;
   readonly keepers: KeeperService;
-  readonly members: Members;
   readonly choosePart: (service: string) => number;
-  readonly send: (member: Member, message: PeerMessage) => void;
+  readonly sendPeer: (instance: string, message: PeerMessage) => void;
 }
 
 /** Keys that were asked for go to their keeper this often. */
@@ -136,11 +134,8 @@
       return;
     }
     const keeper = this.#options.keepers.findKeeper(part);
-    const member = keeper === undefined
-      ? undefined
-      : this.#options.members.get(keeper.instance);
-    if (member !== undefined) {
-      this.#options.send(member, message);
+    if (keeper !== undefined) {
+      this.#options.sendPeer(keeper.instance, message);
     }
   }
 }
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -3,13 +3,14 @@
 import {
   applyReassignments,
   applyTablePatch,
+  type Assignee,
   createTable,
   diffTables,
   type KeyTable,
   serializeTable,
   settleRanges,
 } from "@lentilspur/ownership/key_table";
-import type { StoreRecord } from "@lentilspur/ports/store";
+import type { Partition, StoreRecord } from "@lentilspur/ports/store";
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { KeyDirectory } from "./key_directory.ts";
@@ -175,6 +176,56 @@
   assert.equal(readers.known.get("two")!.get("a"), "leaving");
 });
 
+/** The relay of one of two instances. */
+function createRelay({ clock, directory, getTail, send }: {
+  readonly clock: VirtualClock;
+  readonly directory: KeyDirectory;
+  readonly getTail: () => PartitionTail | undefined;
+  readonly send: (message: PeerMessage) => boolean;
+}): ViewRelay {
+  return new ViewRelay({
+    clock,
+    instance: "one",
+    dataCentre: "bole",
+    directory,
+    listOthers: () => [createMember("two")],
+    isHeard: () => true,
+    getTargetsTail: () => getTail()!,
+    getOwnersTail: getTail,
+    send: (_member, message) => send(message),
+  });
+}
+
+/** A tail that goes by what it is told for a minute. */
+function createOwnersTail({ clock, store, partition, apply }: {
+  readonly clock: VirtualClock;
+  readonly store: FakeStore;
+  readonly partition: Partition;
+  readonly apply: (record: StoreRecord) => void;
+}): PartitionTail {
+  return new PartitionTail({
+    clock,
+    store: store.createClient("two"),
+    partition,
+    getPace: () => ({
+      gapMs: 100,
+      waitMs: 0,
+      validMs: 60_000,
+      maxPauseMs: 400,
+    }),
+    apply,
+    observe: () => undefined,
+  });
+}
+
+/** Ids and addresses as long as real ones. */
+function createOwners(count: number): readonly Assignee[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `i-${(index * 7_919_777).toString(16).padStart(10, "0")}`,
+    address: `10.3.64.${index}:8422`,
+  }));
+}
+
 test("a keeper's table reaches the others by what differs from the last", async () => {
   // Ten ranges move at once. The others route by the new owners without a call
   // to the store; one that missed the table before reads instead of guessing.
@@ -184,16 +235,11 @@
   const sent: PeerMessage[] = [];
   const partition = { topic: "owners", part: 3 };
   const tails: PartitionTail[] = [];
-  const relay = new ViewRelay({
+  const relay = createRelay({
     clock,
-    instance: "one",
-    dataCentre: "bole",
     directory,
-    listOthers: () => [createMember("two")],
-    isHeard: () => true,
-    getTargetsTail: () => tails[0]!,
-    getOwnersTail: () => tails[0],
-    send: (_member, message) => {
+    getTail: () => tails[0],
+    send: (message) => {
       const isShort = JSON.stringify(message).length <= 1_400;
       if (isShort) {
         sent.push(message);
@@ -201,10 +247,7 @@
       return isShort;
     },
   });
-  const owners = Array.from({ length: 25 }, (_, index) => ({
-    id: `i-${(index * 7_919_777).toString(16).padStart(10, "0")}`,
-    address: `10.3.64.${index}:8422`,
-  }));
+  const owners = createOwners(25);
   const before = createTable(owners, 5);
   const changes = Array.from({ length: 10 }, (_, index) => ({
     from: index * 6_000,
@@ -218,22 +261,15 @@
 
   store.write(partition, "table/files", serializeTable(before));
   const applied: StoreRecord[] = [];
-  const tail = new PartitionTail({
+  const tail = createOwnersTail({
     clock,
-    store: store.createClient("two"),
+    store,
     partition,
-    getPace: () => ({
-      gapMs: 100,
-      waitMs: 0,
-      validMs: 60_000,
-      maxPauseMs: 400,
-    }),
     apply: (record) => {
       applied.push(record);
       const { offset, value } = record;
       directory.applyTable("files", value, { offset, nowMs: clock.readMs() });
     },
-    observe: () => undefined,
   });
   tails.push(tail);
   relay.applyTable(message);
@@ -260,10 +296,7 @@
   const directory = new KeyDirectory();
   const sent: PeerMessage[] = [];
   const partition = { topic: "owners", part: 0 };
-  const owners = Array.from({ length: 150 }, (_, index) => ({
-    id: `i-${(index * 7_919_777).toString(16).padStart(10, "0")}`,
-    address: `10.3.64.${index}:8422`,
-  }));
+  const owners = createOwners(150);
   const before = createTable(owners, 1);
   const changes = owners.map((_, index) => ({
     from: index * 400,
@@ -272,31 +305,19 @@
   }));
   const after = applyReassignments(before, changes, 1);
   store.write(partition, "table/files", serializeTable(before));
-  const tail = new PartitionTail({
+  const tail = createOwnersTail({
     clock,
-    store: store.createClient("two"),
+    store,
     partition,
-    getPace: () => ({
-      gapMs: 100,
-      waitMs: 0,
-      validMs: 60_000,
-      maxPauseMs: 400,
-    }),
     apply: ({ offset, value }) => {
       directory.applyTable("files", value, { offset, nowMs: clock.readMs() });
     },
-    observe: () => undefined,
   });
-  const relay = new ViewRelay({
+  const relay = createRelay({
     clock,
-    instance: "one",
-    dataCentre: "bole",
     directory,
-    listOthers: () => [createMember("two")],
-    isHeard: () => true,
-    getTargetsTail: () => tail,
-    getOwnersTail: () => tail,
-    send: (_member, message) => {
+    getTail: () => tail,
+    send: (message) => {
       assert.ok(JSON.stringify(message).length <= 1_400);
       sent.push(message);
       return true;
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -114,24 +114,12 @@
   /** Tells every instance what this keeper has written, or to read it itself. */
   sendTable(written: WrittenTable): void {
     const { part, service, offset, before, after } = written;
-    const { instance: from, listOthers, send } = this.#options;
     const texts = before === undefined
       ? [null]
       : splitText(encodeRanges(diffTables(before, after))) ?? [null];
     for (const [piece, ranges] of texts.entries()) {
-      const message: OwnersMessage = {
-        kind: "owners",
-        from,
-        part,
-        offset,
-        service,
-        ranges,
-        piece,
-        pieces: texts.length,
-      };
-      for (const member of listOthers()) {
-        send(member, message);
-      }
+      const pieces = texts.length;
+      this.#sendOwners({ part, offset, service, ranges, piece, pieces });
     }
   }
 
@@ -141,13 +129,11 @@
    * target that does not hold a key refuses it.
    */
   sendGranted({ service, range }: GrantedRange): void {
-    const { directory, instance: from, listOthers, send } = this.#options;
+    const { directory, instance: from } = this.#options;
     const { from: first, to, owner } = range;
     const ranges = [[first, to, owner.token]] as const;
     directory.applyGranted(service, ranges);
-    for (const member of listOthers()) {
-      send(member, { kind: "granted", from, service, ranges });
-    }
+    this.#sendToAll({ kind: "granted", from, service, ranges });
   }
 
   applyGranted(message: PeerMessage & { readonly kind: "granted" }): void {
@@ -156,17 +142,17 @@
 
   /** Tells every instance that this one keeps a partition from now on. */
   sendClaim(part: number, offset: number): void {
-    const { instance: from, listOthers, send } = this.#options;
-    const message: OwnersMessage = {
-      kind: "owners",
-      from,
-      part,
-      offset,
-      service: "",
-      ranges: null,
-      piece: 0,
-      pieces: 1,
-    };
+    const whole = { piece: 0, pieces: 1 };
+    this.#sendOwners({ part, offset, service: "", ranges: null, ...whole });
+  }
+
+  #sendOwners(fields: Omit<OwnersMessage, "kind" | "from">): void {
+    const { instance: from } = this.#options;
+    this.#sendToAll({ kind: "owners", from, ...fields });
+  }
+
+  #sendToAll(message: PeerMessage): void {
+    const { listOthers, send } = this.#options;
     for (const member of listOthers()) {
       send(member, message);
     }
--- a/packages/ownership/src/hold_book.ts
+++ b/packages/ownership/src/hold_book.ts
@@ -6,7 +6,7 @@
  * serving its keys until its hold runs out, and a grant that was given up on
  * may be carried out seconds later, even after a release was answered.
  */
-import type { KeyRange } from "@lentilspur/ports/key_orders";
+import { hasOverlap, type KeyRange } from "@lentilspur/ports/key_orders";
 
 /** A target's clock may run 2 % slow, so a hold lasts this much longer there. */
 const CLOCK_DRIFT = 1.02;
@@ -86,8 +86,8 @@
     let latest = -Infinity;
     for (const grant of this.#grants) {
       if (
-        grant.targetId === targetId && grant.from <= range.to &&
-        grant.to >= range.from && isCounted(grant)
+        grant.targetId === targetId && hasOverlap(grant, range) &&
+        isCounted(grant)
       ) {
         latest = Math.max(latest, grant.endsAtMs);
       }
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -7,6 +7,7 @@
  * cost their share of all keys, and a hot spell is narrow: so the narrowest
  * stretch that carries the excess is moved, and what earns little stays.
  */
+import { hasOverlap } from "@lentilspur/ports/key_orders";
 import type { KeyRate } from "./key_load.ts";
 import {
   createTable,
@@ -117,8 +118,7 @@
   return createTable(candidates, 0).ranges
     .filter((dealt) =>
       table.ranges.some((range) =>
-        range.from <= dealt.to && range.to >= dealt.from &&
-        !isSamePlace(range.owner, dealt.owner)
+        hasOverlap(range, dealt) && !isSamePlace(range.owner, dealt.owner)
       )
     )
     .map(({ from, to, owner }) => ({ from, to, owner }));
@@ -180,7 +180,7 @@
 function planHotKey(
   { giver, standings, lines }: ReliefOptions,
 ): Reassignment | undefined {
-  const rates = giver.isSpell ? lines.recent : lines.usual;
+  const rates = chooseRates(giver, lines);
   const hot = findHottest(giver, rates);
   if (
     hot === undefined ||
@@ -216,12 +216,12 @@
 
 /** The key that an owner is asked for most; none of a range on its way. */
 function findHottest(
-  { ranges }: Standing,
+  standing: Standing,
   rates: RateLine,
 ): CountedRate | undefined {
   let hottest: CountedRate | undefined;
-  for (const { from, to, former } of ranges) {
-    for (const rate of former.length > 0 ? [] : rates.list(from, to)) {
+  for (const { from, to } of listStill(standing)) {
+    for (const rate of rates.list(from, to)) {
       if (rate.perSecond > (hottest?.perSecond ?? 0)) {
         hottest = rate;
       }
@@ -243,7 +243,7 @@
     excess * computeRate(giver.candidate),
     room * computeRate(receiver.candidate),
   );
-  const rates = giver.isSpell ? lines.recent : lines.usual;
+  const rates = chooseRates(giver, lines);
   return moveStretch({ giver, receiver, wanted, rates, isCrowded });
 }
 
@@ -316,6 +316,11 @@
     .sort((left, right) => right.perSecond - left.perSecond)[0];
 }
 
+/** The count by which an owner is busy. */
+function chooseRates({ isSpell }: Standing, lines: RateLines): RateLine {
+  return isSpell ? lines.recent : lines.usual;
+}
+
 /** Ranges that are not on their way. */
 function listStill({ ranges }: Standing): readonly OwnedRange[] {
   return ranges.filter(({ former }) => former.length === 0);
--- a/packages/ownership/src/key_table.ts
+++ b/packages/ownership/src/key_table.ts
@@ -8,7 +8,7 @@
  * on from it.
  */
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
-import { LAST_KEY } from "@lentilspur/ports/key_orders";
+import { hasOverlap, LAST_KEY } from "@lentilspur/ports/key_orders";
 
 /** A target that keys can be assigned to. */
 export interface Assignee {
@@ -167,7 +167,7 @@
   patch: readonly OwnedRange[],
 ): KeyTable {
   const stay = before.ranges.filter((range) =>
-    !patch.some((one) => one.from <= range.to && one.to >= range.from)
+    !patch.some((one) => hasOverlap(one, range))
   );
   const ranges = [...stay, ...patch]
     .toSorted((left, right) => left.from - right.from);
--- a/packages/ownership/src/owner_standing.ts
+++ b/packages/ownership/src/owner_standing.ts
@@ -2,6 +2,7 @@
  * How busy each target that may own keys is, from the keys that it owns and how
  * often they are asked for.
  */
+import { splitRange } from "@lentilspur/ports/key_orders";
 import { type KeyRate, RECENT_MS } from "./key_load.ts";
 import {
   type Assignee,
@@ -136,7 +137,7 @@
 }): Reassignment {
   const { from, to } = keys;
   giver.busy -= computeBusy(giver.candidate, keys.perSecond);
-  giver.ranges = giver.ranges.flatMap((range) => splitRange(range, from, to));
+  giver.ranges = giver.ranges.flatMap((range) => splitRange(range, keys));
   receiver.busy += computeBusy(receiver.candidate, keys.perSecond);
   receiver.isSpell ||= giver.isSpell;
   receiver.ranges.push({
@@ -148,18 +149,3 @@
   });
   return { from, to, owner: receiver.candidate };
 }
-
-/** What is left of a range without some keys. */
-function splitRange(
-  range: OwnedRange,
-  from: number,
-  to: number,
-): readonly OwnedRange[] {
-  if (range.to < from || range.from > to) {
-    return [range];
-  }
-  return [
-    { ...range, to: Math.min(range.to, from - 1) },
-    { ...range, from: Math.max(range.from, to + 1) },
-  ].filter((rest) => rest.from <= rest.to);
-}
--- a/packages/ownership/src/range_keeper.ts
+++ b/packages/ownership/src/range_keeper.ts
@@ -8,10 +8,11 @@
  * grant from then on, or its hold is waited out; only then is the owner
  * granted the range.
  */
-import type {
-  KeyOrders,
-  OrderOutcome,
-  OrderReceiver,
+import {
+  hasOverlap,
+  type KeyOrders,
+  type OrderOutcome,
+  type OrderReceiver,
 } from "@lentilspur/ports/key_orders";
 import type { Clock } from "@lentilspur/ports/clock";
 import { computeHoldEndMs, type GrantRecord, HoldBook } from "./hold_book.ts";
@@ -88,8 +89,8 @@
   /** Lives of targets that another process has taken the place of. */
   readonly #ended = new Set<string>();
   readonly #silences = new Map<string, Silence>();
-  #states: RangeState[] = [];
-  #byName: ReadonlyMap<string, RangeState> = new Map();
+  /** By the name of the range, in the order of keys. */
+  #states: ReadonlyMap<string, RangeState> = new Map();
 
   constructor(options: RangeKeeperOptions) {
     this.#options = options;
@@ -97,19 +98,19 @@
 
   /** The table as the store has it now. Progress of unchanged ranges is kept. */
   setTable(table: KeyTable): void {
-    const known = this.#byName;
-    const before = this.#states;
-    this.#states = table.ranges.map((range) =>
-      restoreState(known.get(formatRange(range)), range, before)
-    );
-    this.#byName = new Map(
-      this.#states.map((state) => [formatRange(state.range), state]),
+    const known = this.#states;
+    const before = [...known.values()];
+    this.#states = new Map(
+      table.ranges.map((range) => {
+        const name = formatRange(range);
+        return [name, restoreState(known.get(name), range, before)];
+      }),
     );
   }
 
   /** Ranges whose owner has been granted them and whose former holders hold nothing. */
   isSettled(range: OwnedRange): boolean {
-    return this.#byName.get(formatRange(range))?.granted === true;
+    return this.#states.get(formatRange(range))?.granted === true;
   }
 
   /**
@@ -119,7 +120,7 @@
    * drew a token knows in which session it was sent.
    */
   listOutworn(): ReadonlySet<OwnedRange> {
-    const outworn = this.#states
+    const outworn = [...this.#states.values()]
       .filter((state) => this.#isOutworn(state))
       .map(({ range }) => range);
     return new Set(outworn);
@@ -144,7 +145,7 @@
   advance(): void {
     const nowMs = this.#options.clock.readMs();
     this.#holds.expire(nowMs);
-    for (const state of this.#states) {
+    for (const state of this.#states.values()) {
       if (!state.busy && nowMs >= state.nextAtMs) {
         this.#advanceRange(state, nowMs);
       }
@@ -194,7 +195,7 @@
 
   /** Whether the table still has the range. */
   #isPresent(state: RangeState): boolean {
-    return this.#byName.get(formatRange(state.range)) === state;
+    return this.#states.get(formatRange(state.range)) === state;
   }
 
   #isClear(state: RangeState, holder: Holder, nowMs: number): boolean {
@@ -243,7 +244,7 @@
   /** Whether an earlier keeper may have granted it any of these keys. */
   #isInherited(holder: Holder, range: OwnedRange): boolean {
     return this.#options.inheritedRanges.some((one) =>
-      one.from <= range.to && one.to >= range.from &&
+      hasOverlap(one, range) &&
       [one.owner, ...one.former].some(({ id }) => id === holder.id)
     );
   }
--- a/packages/ports/src/fake_key_holders.ts
+++ b/packages/ports/src/fake_key_holders.ts
@@ -4,13 +4,14 @@
  * keep a history by which a test judges whether a key ever had two holders.
  */
 import type { Clock } from "./clock.ts";
-import type {
-  GrantOrder,
-  KeyOrders,
-  KeyRange,
-  OrderOutcome,
-  OrderReceiver,
-  ReleaseOrder,
+import {
+  type GrantOrder,
+  hasOverlap,
+  type KeyOrders,
+  type KeyRange,
+  type OrderOutcome,
+  type OrderReceiver,
+  type ReleaseOrder,
 } from "./key_orders.ts";
 
 export type HolderMood =
@@ -140,8 +141,7 @@
       this.spans.slice(0, index)
         .filter((earlier) =>
           (earlier.targetId !== span.targetId || earlier.life !== span.life) &&
-          earlier.from <= span.to &&
-          earlier.to >= span.from && earlier.token >= span.token
+          hasOverlap(earlier, span) && earlier.token >= span.token
         )
         .map((earlier) =>
           `${span.targetId}:${span.token} after ${earlier.targetId}:${earlier.token}`
@@ -155,8 +155,8 @@
     for (const [index, left] of this.spans.entries()) {
       for (const right of this.spans.slice(index + 1)) {
         if (
-          left.targetId !== right.targetId && left.from <= right.to &&
-          right.from <= left.to && left.fromMs < right.untilMs &&
+          left.targetId !== right.targetId && hasOverlap(left, right) &&
+          left.fromMs < right.untilMs &&
           right.fromMs < left.untilMs
         ) {
           overlaps.push(
@@ -325,7 +325,7 @@
     order: KeyRange & { token: number },
   ): boolean {
     return (this.#highest.get(targetId) ?? []).some((seen) =>
-      seen.from <= order.to && seen.to >= order.from &&
+      hasOverlap(seen, order) &&
       seen.token > order.token
     );
   }
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from "node:crypto";
 import type { Clock } from "./clock.ts";
-import type { KeyRange } from "./key_orders.ts";
+import { hasOverlap, type KeyRange, splitRange } from "./key_orders.ts";
 
 export type RunEnding =
   | "running"
@@ -111,13 +111,8 @@
   }
 
   /** What is left of a hold that a range is taken out of stays held. */
-  #removeHolds({ from, to }: KeyRange): void {
-    this.#holds = this.#holds.flatMap((hold) =>
-      hasOverlap(hold, { from, to })
-        ? [{ ...hold, to: from - 1 }, { ...hold, from: to + 1 }]
-          .filter((rest) => rest.from <= rest.to)
-        : [hold]
-    );
+  #removeHolds(range: KeyRange): void {
+    this.#holds = this.#holds.flatMap((hold) => splitRange(hold, range));
   }
 
   #listWork({ from, to }: KeyRange): readonly Work[] {
@@ -216,7 +211,3 @@
     this.#waiting.shift()?.();
   }
 }
-
-function hasOverlap(left: KeyRange, right: KeyRange): boolean {
-  return left.from <= right.to && left.to >= right.from;
-}
--- a/packages/ports/src/key_orders.ts
+++ b/packages/ports/src/key_orders.ts
@@ -10,6 +10,21 @@
   readonly to: number;
 }
 
+export function hasOverlap(left: KeyRange, right: KeyRange): boolean {
+  return left.from <= right.to && left.to >= right.from;
+}
+
+/** What is left of a range once some keys are taken out of it. */
+export function splitRange<Range extends KeyRange>(
+  range: Range,
+  taken: KeyRange,
+): readonly Range[] {
+  return hasOverlap(range, taken)
+    ? [{ ...range, to: taken.from - 1 }, { ...range, from: taken.to + 1 }]
+      .filter((rest) => rest.from <= rest.to)
+    : [range];
+}
+
 /**
  * The process that an order is meant for; any other refuses it. A later life of
  * it under the same id does not, so orders go out in sessions: behind one there
