--- a/packages/cli/src/setting_table.ts
+++ b/packages/cli/src/setting_table.ts
@@ -44,6 +44,12 @@
     schema: labelSchema,
     description: "The data centre that the instance stands in",
   },
+  cores: {
+    schema: createRatioSchema({ min: 0.01, max: 1_024 }),
+    description:
+      "Processor time that it may use, in cores; work for all instances falls to those with most",
+    fallback: "1",
+  },
   host: {
     schema: hostSchema,
     description: "Address of all listeners, as callers and peers reach it",
--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -114,6 +114,7 @@
     gateway: Object.freeze({
       instance: values.instanceName,
       dataCentre: values.dataCentre,
+      cores: values.cores,
       host: values.host,
       requestPort: values.port,
       readyPort: values.statusPort,
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -37,6 +37,7 @@
       host: instance,
       port: 1,
       statusPort: STATUS_PORT,
+      cores: 1,
     });
     this.store.write(MEMBERS, instance, text);
   }
--- a/packages/gateway/src/account_demands.ts
+++ b/packages/gateway/src/account_demands.ts
@@ -13,7 +13,7 @@
 } from "@lentilspur/routing/account_limiter";
 import type { AccountGate } from "./account_gate.ts";
 import type { Member } from "./members.ts";
-import type { PeerMessage } from "./peer_exchange.ts";
+import type { PeerMessage } from "./peer_message.ts";
 
 type DemandMessage = PeerMessage & { readonly kind: "demand" };
 
--- /dev/null
+++ b/packages/gateway/src/duties.ts
@@ -0,0 +1,204 @@
+/**
+ * Which instances do work for others: keep keys, read the store for everybody,
+ * or pass on what was read.
+ *
+ * Load pattern: 200 instances. Did each of them read the configuration, the
+ * members and the group of keepers for itself, those calls alone would be 100 a
+ * second; and one of the small ones, with a quarter of a core, cannot renew the
+ * keys of 180 targets. So a few do it, the strongest first, and everybody works
+ * out alike who they are from the members' records and from whom it hears.
+ *
+ * All of this is a hint: two that each take themselves for the reader both read,
+ * which costs calls and harms nobody, and whoever hears nothing reads itself.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { Member, Members, RankedInstance } from "./members.ts";
+
+export interface DutiesOptions {
+  readonly clock: Clock;
+  /** As `members` has it. */
+  readonly self: RankedInstance;
+  readonly members: Members;
+  /** Whether the store does not answer this instance. */
+  readonly hasLostStore: () => boolean;
+}
+
+/**
+ * Instances that join the group of keepers and follow the configuration. A
+ * partial outage that turns a third of all instances away leaves one of six in
+ * 699 cases of 700.
+ */
+const CANDIDATES = 6;
+/** As many stand ready however weak they are. */
+const LEAST_CANDIDATES = 3;
+/** Of the strongest: one that can do less would be slower to renew keys. */
+const MIN_STRENGTH = 0.5;
+/** Instances that say often that they are there: twice those that are needed. */
+const SPEAKERS = 2 * CANDIDATES;
+/** The same within a data centre, where one reads. */
+const NEAR_SPEAKERS = 2;
+/**
+ * An instance that has just started knows few others, and would take itself for
+ * one of the first. Were 200 to join the group of keepers when they start
+ * together, partitions would pass to and fro as all but a few leave again.
+ */
+const GATHER_MS = 1_000;
+/** What is worked out holds for this long; it is asked for with each datagram. */
+const VALID_MS = 50;
+
+interface Decision {
+  readonly atMs: number;
+  readonly isCandidate: boolean;
+  readonly isSpeaker: boolean;
+  readonly candidates: ReadonlySet<string>;
+  readonly speakers: ReadonlySet<string>;
+  readonly reader: string;
+  /** By data centre. */
+  readonly localReaders: ReadonlyMap<string, string>;
+}
+
+export class Duties {
+  readonly #options: DutiesOptions;
+  readonly #startedAtMs: number;
+  #decision: Decision | undefined;
+
+  constructor(options: DutiesOptions) {
+    this.#options = options;
+    this.#startedAtMs = options.clock.readMs();
+  }
+
+  /** Whether this instance stands ready to keep keys. */
+  isCandidate(): boolean {
+    return this.#decide().isCandidate;
+  }
+
+  /** Whether another instance is believed to stand ready to keep keys. */
+  hasCandidate(instance: string): boolean {
+    return this.#decide().candidates.has(instance);
+  }
+
+  /** Whether this instance is to say often that it is there. */
+  isSpeaker(): boolean {
+    return this.#decide().isSpeaker;
+  }
+
+  /** The others that are heard of and say often that they are there. */
+  listSpeakers(): readonly Member[] {
+    const { speakers } = this.#decide();
+    return this.#options.members.listOthers()
+      .filter(({ instance }) => speakers.has(instance));
+  }
+
+  /** Whether this instance reads the targets' entries for everybody. */
+  isReader(): boolean {
+    return this.#decide().reader === this.#options.self.instance;
+  }
+
+  /** Whether this instance passes on in its data centre what comes from others. */
+  isLocalReader(): boolean {
+    const { dataCentre, instance } = this.#options.self;
+    return this.#decide().localReaders.get(dataCentre) === instance;
+  }
+
+  /** The other instances of the data centre. */
+  listNear(): readonly Member[] {
+    const { self, members } = this.#options;
+    return members.listOthers()
+      .filter(({ dataCentre }) => dataCentre === self.dataCentre);
+  }
+
+  /**
+   * Whom to tell what everybody is to know: all that are near, and in each other
+   * data centre the one that passes it on there, or all where none is heard of.
+   */
+  listRelays(): readonly Member[] {
+    const { self, members } = this.#options;
+    const { localReaders } = this.#decide();
+    return members.listOthers().filter(({ instance, dataCentre }) => {
+      const relay = localReaders.get(dataCentre);
+      return dataCentre === self.dataCentre || relay === undefined ||
+        relay === instance;
+    });
+  }
+
+  #decide(): Decision {
+    const nowMs = this.#options.clock.readMs();
+    if (
+      this.#decision === undefined || nowMs - this.#decision.atMs >= VALID_MS
+    ) {
+      this.#decision = this.#createDecision(nowMs);
+    }
+    return this.#decision;
+  }
+
+  /** Goes through all that are heard of, the first to be charged with work first. */
+  #createDecision(nowMs: number): Decision {
+    const { self, members } = this.#options;
+    const heard = members.listRanked().filter(({ instance }) =>
+      instance === self.instance || members.isHeard(instance, nowMs)
+    );
+    const able = heard.filter((one) => !this.#hasLostStore(one));
+    const before = heard.slice(0, heard.indexOf(self));
+    const nearBefore = before
+      .filter(({ dataCentre }) => dataCentre === self.dataCentre);
+    const speakers = heard.slice(0, SPEAKERS);
+    const candidates = listNames(chooseCandidates(speakers, new Set(able)));
+    return {
+      atMs: nowMs,
+      isCandidate: candidates.has(self.instance) && this.#hasGathered(nowMs),
+      isSpeaker: before.length < SPEAKERS || nearBefore.length < NEAR_SPEAKERS,
+      candidates,
+      speakers: listNames(speakers),
+      reader: (able[0] ?? heard[0]!).instance,
+      localReaders: chooseLocalReaders([...able, ...heard]),
+    };
+  }
+
+  #hasGathered(nowMs: number): boolean {
+    return this.#options.members.count > CANDIDATES ||
+      nowMs - this.#startedAtMs >= GATHER_MS;
+  }
+
+  #hasLostStore({ instance }: RankedInstance): boolean {
+    const { self, members, hasLostStore } = this.#options;
+    return instance === self.instance
+      ? hasLostStore()
+      : members.hasLostStore(instance);
+  }
+}
+
+/**
+ * Those that the store answers go first; where it answers none, the first stand
+ * ready all the same. An instance that can do much less than the first is left
+ * out where there are others: partitions fall to candidates evenly.
+ */
+function chooseCandidates(
+  instances: readonly RankedInstance[],
+  able: ReadonlySet<RankedInstance>,
+): readonly RankedInstance[] {
+  const ordered = [
+    ...instances.filter((one) => able.has(one)),
+    ...instances.filter((one) => !able.has(one)),
+  ];
+  const most = Math.max(...ordered.map(({ cores }) => cores));
+  return ordered.slice(0, CANDIDATES).filter(({ cores }, place) =>
+    place < LEAST_CANDIDATES || cores >= MIN_STRENGTH * most
+  );
+}
+
+function listNames(instances: readonly RankedInstance[]): ReadonlySet<string> {
+  return new Set(instances.map(({ instance }) => instance));
+}
+
+/** The first in each data centre. */
+function chooseLocalReaders(
+  instances: readonly RankedInstance[],
+): ReadonlyMap<string, string> {
+  const readers = new Map<string, string>();
+  for (const { instance, dataCentre } of instances) {
+    if (!readers.has(dataCentre)) {
+      readers.set(dataCentre, instance);
+    }
+  }
+  return readers;
+}
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -4,6 +4,8 @@
 export interface ResolvedGatewaySettings {
   readonly instance: string;
   readonly dataCentre: string;
+  /** Processor time that the process may use, in cores. */
+  readonly cores: number;
   /** Address of the machine; all listeners are bound to it. */
   readonly host: string;
   readonly requestPort: number;
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -6,9 +6,11 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { resolveKeeperTiming } from "@lentilspur/ownership/keeper_timing";
+import type { StoreRecord } from "@lentilspur/ports/store";
 import { AccountDemands } from "./account_demands.ts";
 import { AccountGate } from "./account_gate.ts";
 import { Catalogue } from "./catalogue.ts";
+import { Duties } from "./duties.ts";
 import { EventReport } from "./event_report.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type {
@@ -24,7 +26,8 @@
 import { LineLog } from "./line_log.ts";
 import { Members } from "./members.ts";
 import { publishMember } from "./member_record.ts";
-import { PeerExchange, type PeerMessage } from "./peer_exchange.ts";
+import { PeerExchange } from "./peer_exchange.ts";
+import type { PeerMessage, PeerStanding } from "./peer_message.ts";
 import { RequestRouter } from "./request_router.ts";
 import { RequestServer } from "./request_server.ts";
 import { ServiceRegistry } from "./service_registry.ts";
@@ -35,6 +38,8 @@
 import { SuspensionGuard } from "./suspension_guard.ts";
 import { ViewRelay } from "./view_relay.ts";
 
+type MemberMessage = PeerMessage & { readonly kind: "member" };
+
 /** Loops that end with the instance: a few, and one for each partition followed. */
 const MAX_LOOPS = 200;
 /** Targets that were missing are let go, and changes taken over, this often. */
@@ -53,6 +58,7 @@
   readonly #catalogue: Catalogue;
   readonly #directory = new KeyDirectory();
   readonly #members: Members;
+  readonly #duties: Duties;
   readonly #services: ServiceRegistry;
   readonly #views: StoreViews;
   readonly #router: RequestRouter;
@@ -88,7 +94,13 @@
     });
     this.#drainMs = settings.drainMs;
     this.#catalogue = this.#createCatalogue();
-    this.#members = new Members(instance);
+    this.#members = new Members(settings);
+    this.#duties = new Duties({
+      clock,
+      self: settings,
+      members: this.#members,
+      hasLostStore: () => this.#views.hasLostStore,
+    });
     this.#services = new ServiceRegistry({
       clock,
       catalogue: this.#catalogue,
@@ -198,8 +210,8 @@
       catalogue: this.#catalogue,
       directory: this.#directory,
       members: this.#members,
+      duties: this.#duties,
       onConfiguration: () => this.#applyConfiguration(),
-      isReader: () => this.#relay.isReader(),
       isKeeper: (part) => this.#keepers.hasPart(part),
       onTargetsRead: (slice) =>
         this.#relay.sendTargets(
@@ -220,7 +232,7 @@
       accounts: this.#accounts,
       observeKey: (route, key) => this.#keyTraffic.observe(route, key),
       refreshOwners: (service) =>
-        this.#views.getOwnersTail(this.#choosePart(service))?.scheduleRead(),
+        this.#views.checkOwners(this.#choosePart(service)),
       sender: this.#adapter.sender,
       isStopping: () => this.#isStopping,
       getLeavingUseMs: () => this.#drainMs - LEAVING_MARGIN_MS,
@@ -260,13 +272,15 @@
       getTrustedSinceMs: () => guard.checkTrustedSinceMs(),
       hasEnded: (holder) => this.#catalogue.hasEnded(holder),
       isHeard: (name) => this.#members.isHeard(name, clock.readMs()),
-      listHeard: () => this.#members.listHeard(clock.readMs()),
+      listHeard: () => this.#duties.listSpeakers(),
+      isCandidate: () => this.#duties.isCandidate(),
       sendPeer: (name, message) => this.#sendTo(name, message),
       hasInstanceEnded: (claim) =>
         this.#members.hasEnded(claim.instance, claim.incarnation),
       observe: (event) => this.#report.observeKeeper(event),
       onTable: (written) => this.#relay.sendTable(written),
       onGranted: (granted) => this.#relay.sendGranted(granted),
+      onAppended: (part, record) => this.#recordAppended(part, record),
       onClaim: (part, term) => this.#relay.sendClaim(part, term),
     });
   }
@@ -294,20 +308,64 @@
       dataCentre: settings.dataCentre,
       listOthers: () => this.#members.listOthers(),
       readCounts: () => this.#services.countOwn(),
-      getVersion: () => this.#catalogue.table?.version ?? 0,
+      describeStanding: () => this.#describeStanding(),
+      isSpeaker: () => this.#duties.isSpeaker(),
       handle: (message) => this.#applyMessage(message),
       reportFault: (message) => this.#report.reportFault(message),
     });
   }
 
+  #describeStanding(): PeerStanding {
+    return {
+      version: this.#catalogue.table?.version ?? 0,
+      hasLostStore: this.#views.hasLostStore,
+      ends: this.#keepers.listKept().map((part) =>
+        [part, this.#views.getOwnersTail(part)?.end ?? 0] as const
+      ),
+    };
+  }
+
+  /** What this instance has written as a keeper need not be read by it. */
+  #recordAppended(part: number, record: StoreRecord): void {
+    const base = record.offset;
+    const records = [record];
+    const slice = { base, end: base + 1, ageMs: 0, sinceOutageMs: null };
+    this.#views.getOwnersTail(part)?.applySlice({ ...slice, records });
+  }
+
+  #applyStanding(from: string, standing: PeerStanding): void {
+    const nowMs = this.#options.clock.readMs();
+    this.#members.recordStore(from, standing.hasLostStore, nowMs);
+    if (this.#members.get(from) === undefined) {
+      this.#views.readMembers();
+    }
+    const known = this.#catalogue.table?.version ?? 0;
+    if (standing.version > known || this.#isFollower(from)) {
+      this.#views.applyVersion(standing.version);
+    }
+    for (const [part, end] of standing.ends) {
+      this.#views.applyOwnersEnd(part, end);
+    }
+  }
+
+  /** Whether another instance reads each change of the configuration at once. */
+  #isFollower(instance: string): boolean {
+    return this.#duties.hasCandidate(instance) &&
+      !this.#members.hasLostStore(instance);
+  }
+
   #applyMessage(message: PeerMessage): void {
     this.#members.recordHeard(message.from, this.#options.clock.readMs());
     switch (message.kind) {
       case "load":
         this.#services.applyPeerCounts(message.from, message.counts);
-        if (message.version > (this.#catalogue.table?.version ?? 0)) {
-          this.#views.readConfiguration();
-        }
+        this.#applyStanding(message.from, message);
+        return;
+      case "alive":
+        this.#applyStanding(message.from, message);
+        return;
+      case "member":
+        this.#applyMember(message);
         return;
       case "targets":
         this.#relay.applyTargets(message);
@@ -333,6 +391,20 @@
     }
   }
 
+  #applyMember({ from, record, offset }: MemberMessage): void {
+    const nowMs = this.#options.clock.readMs();
+    if (!this.#members.apply(from, record, { offset, nowMs })) {
+      this.#report.reportFault(`Unreadable word of member "${from}"`);
+    }
+  }
+
+  #sendOwnRecord(offset: number, record: string): void {
+    const { instance: from } = this.#options.settings;
+    for (const member of this.#members.listOthers()) {
+      this.#peers.send(member, { kind: "member", from, offset, record });
+    }
+  }
+
   #sendTo(instance: string, message: PeerMessage): void {
     const member = this.#members.get(instance);
     if (member !== undefined) {
@@ -371,7 +443,9 @@
         host: settings.host,
         port: this.#peers.port,
         statusPort: this.#ready.port,
+        cores: settings.cores,
       },
+      announce: (offset, record) => this.#sendOwnRecord(offset, record),
       reportFault: (message) => this.#report.reportFault(message),
       signal: this.#running.signal,
     });
@@ -407,14 +481,13 @@
   }
 
   #createRelay(): ViewRelay {
-    const { settings, clock } = this.#options;
+    const { settings } = this.#options;
     return new ViewRelay({
-      clock,
       instance: settings.instance,
       dataCentre: settings.dataCentre,
       directory: this.#directory,
-      listOthers: () => this.#members.listOthers(),
-      isHeard: (name) => this.#members.isHeard(name, clock.readMs()),
+      duties: this.#duties,
+      findMember: (name) => this.#members.get(name),
       getTargetsTail: () => this.#views.targetsTail,
       getOwnersTail: (part) => this.#views.getOwnersTail(part),
       send: (member, message) => this.#peers.send(member, message),
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -9,7 +9,7 @@
  */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { KeyOrders } from "@lentilspur/ports/key_orders";
-import type { Partition, Store } from "@lentilspur/ports/store";
+import type { Partition, Store, StoreRecord } from "@lentilspur/ports/store";
 import {
   type GrantedRange,
   type KeeperEvent,
@@ -83,14 +83,22 @@
   readonly hasInstanceEnded: (claim: KeeperClaim) => boolean;
   /** Whether an instance has been heard of just now. */
   readonly isHeard: (instance: string) => boolean;
-  /** The other instances that are heard of, each with its present start. */
+  /**
+   * The other instances that may come to keep keys and are heard of, each with
+   * its present start. One that is left out and claims all the same waits as
+   * long as a keeper may act without the store at most.
+   */
   readonly listHeard: () => readonly KeeperClaim[];
+  /** Whether this instance is to stand ready to keep keys. */
+  readonly isCandidate: () => boolean;
   readonly sendPeer: (instance: string, message: KeeperMessage) => void;
   readonly observe: (event: KeeperServiceEvent) => void;
   /** Told of each table that a keeper here has written. */
   readonly onTable?: (written: WrittenTable) => void;
   /** Told of each range that a keeper here has led to its new owner. */
   readonly onGranted?: (granted: GrantedRange) => void;
+  /** Told of each record that a keeper here has appended. */
+  readonly onAppended?: (part: number, record: StoreRecord) => void;
   /** Told of each claim that was accepted here. */
   readonly onClaim?: (part: number, term: number) => void;
 }
@@ -99,6 +107,8 @@
 /** A lost keeper is replaced before the holds that it granted run out (3 s). */
 const MEMBER_TTL_MS = 1_500;
 const JOINS_PER_TTL = 3;
+/** A datagram or two may be lost; to leave and join moves partitions twice. */
+const LEAVE_AFTER_MS = 10_000;
 /** Between two looks at whether to claim. */
 const TICK_MS = 100;
 /** Between two tries to leave the group while the store is away. */
@@ -166,6 +176,11 @@
     return this.#keepers.get(part)?.hasStopped === false;
   }
 
+  /** Partitions that are kept here. */
+  listKept(): readonly number[] {
+    return [...this.#keepers.keys()].filter((part) => this.isKeeper(part));
+  }
+
   /** Whether a partition falls to this instance, or is kept here still. */
   hasPart(part: number): boolean {
     return this.#assignedAt.has(part) || this.#keepers.has(part);
@@ -214,12 +229,35 @@
   }
 
   async #runShare(signal: AbortSignal): Promise<void> {
-    const { clock, minMemberTtlMs } = this.#options;
+    const { clock, minMemberTtlMs, isCandidate } = this.#options;
     const ttlMs = Math.max(MEMBER_TTL_MS, minMemberTtlMs);
+    let candidateAtMs = -Infinity;
     while (!signal.aborted && !this.#isLeaving) {
-      await this.#join(ttlMs);
-      await clock.sleep(ttlMs / JOINS_PER_TTL, signal);
+      const nowMs = clock.readMs();
+      candidateAtMs = isCandidate() ? nowMs : candidateAtMs;
+      if (nowMs - candidateAtMs < LEAVE_AFTER_MS) {
+        await this.#join(ttlMs);
+        await clock.sleep(ttlMs / JOINS_PER_TTL, signal);
+        continue;
+      }
+      if (this.#generation > 0) {
+        await this.#leaveShare();
+      }
+      await clock.sleep(TICK_MS, signal);
+    }
+  }
+
+  /** Others stand ready: what is kept here passes to them. */
+  async #leaveShare(): Promise<void> {
+    const { store, claim, observe } = this.#options;
+    const left = await store.leave(GROUP, formatIncarnation(claim));
+    if (!left.ok) {
+      observe({ kind: "share-failed", cause: left.val.kind });
+      return;
     }
+    this.#generation = 0;
+    this.#setParts([], this.#options.clock.readMs());
+    observe({ kind: "share", generation: 0, parts: [] });
   }
 
   async #join(ttlMs: number): Promise<void> {
@@ -467,6 +505,7 @@
       getTrustedSinceMs: this.#options.getTrustedSinceMs,
       observe: (event) =>
         this.#options.observe({ kind: "keeper", partition, event }),
+      onAppended: (record) => this.#options.onAppended?.(part, record),
       onTable: (written) => this.#options.onTable?.({ ...written, part }),
       onGranted: (granted) => this.#options.onGranted?.(granted),
     });
--- a/packages/gateway/src/keeper_world.ts
+++ b/packages/gateway/src/keeper_world.ts
@@ -80,6 +80,7 @@
         this.#incarnations.get(claim.instance) !== claim.incarnation,
       isHeard: (name) => this.#hasPath(name, instance),
       listHeard: () => this.#listHeard(instance),
+      isCandidate: () => true,
       sendPeer: (name, message) => this.#sendPeer(instance, name, message),
       observe: (event) => this.events.push(event),
     });
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -10,7 +10,7 @@
 import type { Catalogue } from "./catalogue.ts";
 import type { KeeperService } from "./keeper_service.ts";
 import { KeyReport } from "./key_report.ts";
-import type { PeerMessage } from "./peer_exchange.ts";
+import type { PeerMessage } from "./peer_message.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
 
 type KeysMessage = PeerMessage & { readonly kind: "keys" };
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -1,14 +1,22 @@
 /**
  * The other instances: where each can be reached, and which start of it is the
- * present one. Each writes one record at its start; records of instances that
- * are gone for good stay, and cost a datagram now and then.
+ * present one. Each writes one record at its start and tells the others of it;
+ * records of instances that are gone for good stay, and cost a datagram now and
+ * then.
  */
+import { hashText } from "./stable_hash.ts";
 
-export interface Member {
+/** What decides which work for others falls to an instance. */
+export interface RankedInstance {
   readonly instance: string;
+  readonly dataCentre: string;
+  /** Processor time that it may use, in cores. */
+  readonly cores: number;
+}
+
+export interface Member extends RankedInstance {
   /** Drawn anew at each start of the process. */
   readonly incarnation: string;
-  readonly dataCentre: string;
   readonly host: string;
   readonly port: number;
   /** Where it says how it is. */
@@ -16,55 +24,100 @@
 }
 
 /**
- * Two of an instance's datagrams may be lost where there are a dozen, which send
- * every 400 ms; one where there are 60.
+ * Instances that do work for others send at least every 500 ms: two datagrams
+ * may be lost.
  */
 const HEARD_MS = 1_600;
+/** Of an instance whose record does not say; those before this one did not. */
+const USUAL_CORES = 1;
+
+/** What an instance last told of itself. */
+interface Word {
+  readonly atMs: number;
+  readonly hasLostStore: boolean;
+}
 
 export class Members {
-  readonly #self: string;
+  readonly #self: RankedInstance;
   readonly #members = new Map<string, Member>();
-  readonly #heardAtMs = new Map<string, number>();
+  /** Of the record of each, so that an older one never replaces it. */
+  readonly #offsets = new Map<string, number>();
+  readonly #words = new Map<string, Word>();
+  #others: readonly Member[] = [];
+  #ranked: readonly RankedInstance[];
 
-  constructor(self: string) {
+  constructor(self: RankedInstance) {
     this.#self = self;
+    this.#ranked = [self];
   }
 
-  /** False where the text is no member's record; it is left out. */
-  apply(instance: string, text: string): boolean {
-    if (text === "") {
-      this.#members.delete(instance);
+  /**
+   * Takes over a record, read or told. An instance that is new, or has started
+   * anew, counts as heard: it was there just now. False where the text is no
+   * member's record; it is left out.
+   */
+  apply(
+    instance: string,
+    text: string,
+    { offset, nowMs }: { readonly offset: number; readonly nowMs: number },
+  ): boolean {
+    if (offset < (this.#offsets.get(instance) ?? -1)) {
       return true;
     }
-    const member = parseMember(instance, text);
-    if (member === undefined) {
-      return false;
+    if (text === "") {
+      this.#members.delete(instance);
+    } else {
+      const member = parseMember(instance, text);
+      if (member === undefined) {
+        return false;
+      }
+      this.#setMember(member, nowMs);
     }
-    this.#members.set(instance, member);
+    this.#offsets.set(instance, offset);
+    this.#sortMembers();
     return true;
   }
 
   recordHeard(instance: string, nowMs: number): void {
-    this.#heardAtMs.set(instance, nowMs);
+    const hasLostStore = this.#words.get(instance)?.hasLostStore ?? false;
+    this.#words.set(instance, { atMs: nowMs, hasLostStore });
   }
 
-  /** Whether one of its last datagrams, sent every 400 ms, has arrived. */
+  recordStore(instance: string, hasLostStore: boolean, nowMs: number): void {
+    this.#words.set(instance, { atMs: nowMs, hasLostStore });
+  }
+
+  /** Whether one of its last datagrams has arrived. */
   isHeard(instance: string, nowMs: number): boolean {
-    return nowMs - (this.#heardAtMs.get(instance) ?? -Infinity) < HEARD_MS;
+    return nowMs - (this.#words.get(instance)?.atMs ?? -Infinity) < HEARD_MS;
+  }
+
+  /** Whether it last told that the store does not answer it. */
+  hasLostStore(instance: string): boolean {
+    return this.#words.get(instance)?.hasLostStore === true;
   }
 
   /** All but this instance itself. */
   listOthers(): readonly Member[] {
-    return [...this.#members.values()]
-      .filter((member) => member.instance !== this.#self);
+    return this.#others;
   }
 
   /** The others that are heard of just now. */
   listHeard(nowMs: number): readonly Member[] {
-    return this.listOthers()
+    return this.#others
       .filter(({ instance }) => this.isHeard(instance, nowMs));
   }
 
+  /**
+   * All, this instance too, in the order in which work for others falls to them:
+   * the same at every instance that has read the same records. Those that may
+   * use most processor time come first, among equals in an order drawn from
+   * their names, so that the first few stand in different data centres.
+   */
+  listRanked(): readonly RankedInstance[] {
+    return this.#ranked;
+  }
+
   get(instance: string): Member | undefined {
     return this.#members.get(instance);
   }
@@ -77,13 +130,33 @@
 
   /** Instances that there may be, this one included. */
   get count(): number {
-    return Math.max(1, this.#members.size);
+    return this.#others.length + 1;
+  }
+
+  #setMember(member: Member, nowMs: number): void {
+    const { instance, incarnation } = member;
+    if (this.#members.get(instance)?.incarnation !== incarnation) {
+      this.#words.set(instance, { atMs: nowMs, hasLostStore: false });
+    }
+    this.#members.set(instance, member);
+  }
+
+  #sortMembers(): void {
+    this.#others = [...this.#members.values()]
+      .filter(({ instance }) => instance !== this.#self.instance);
+    const all: readonly RankedInstance[] = [this.#self, ...this.#others];
+    this.#ranked = all
+      .map((one) => ({ one, order: hashText(one.instance) }))
+      .toSorted((left, right) =>
+        right.one.cores - left.one.cores || left.order - right.order
+      )
+      .map(({ one }) => one);
   }
 }
 
 export function serializeMember(member: Member): string {
-  const { incarnation, dataCentre, host, port, statusPort } = member;
-  return JSON.stringify({ incarnation, dataCentre, host, port, statusPort });
+  const { instance: _key, ...fields } = member;
+  return JSON.stringify(fields);
 }
 
 /** Undefined where the text is no member's record. */
@@ -94,10 +167,11 @@
   try {
     const value = JSON.parse(text) as Partial<Member> | null;
     const { incarnation, dataCentre, host, port, statusPort } = value ?? {};
+    const { cores = USUAL_CORES } = value ?? {};
     return typeof incarnation === "string" && typeof host === "string" &&
         typeof dataCentre === "string" && typeof port === "number" &&
-        typeof statusPort === "number"
-      ? { instance, incarnation, dataCentre, host, port, statusPort }
+        typeof statusPort === "number" && typeof cores === "number"
+      ? { instance, incarnation, dataCentre, host, port, statusPort, cores }
       : undefined;
   } catch {
     // Not JSON; the caller logs that the record was left out.
--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -48,7 +48,7 @@
   readonly gapMs: number;
   /** How long a read may wait at the store for a record. */
   readonly waitMs: number;
-  /** What others pass on counts as read for this long; 0 where nobody does. */
+  /** What others pass on or confirm counts as read for this long; 0: not at all. */
   readonly validMs: number;
   /** Longest pause between two reads that fail. */
   readonly maxPauseMs: number;
@@ -82,6 +82,7 @@
   readonly #newest = new Map<string, StoreRecord>();
   #end = -1;
   #confirmedAtMs = -Infinity;
+  #toldAtMs = -Infinity;
   #lostAtMs: number | null = null;
   #regainedAtMs = -Infinity;
   #pauseMs = MIN_PAUSE_MS;
@@ -103,11 +104,19 @@
     return this.#end;
   }
 
-  /** The partition's state was as known here at this time; own clock. */
+  /**
+   * The store said at this time that the partition was as known here; own clock.
+   * What others say does not count: a keeper acts by this.
+   */
   get confirmedAtMs(): number {
     return this.#confirmedAtMs;
   }
 
+  /** As above, by the store's word or that of others. */
+  get currentAtMs(): number {
+    return Math.max(this.#confirmedAtMs, this.#toldAtMs);
+  }
+
   /** When the store last answered again after it had not; own clock. */
   get regainedAtMs(): number {
     return this.#regainedAtMs;
@@ -121,9 +130,9 @@
     return this.#newest.get(key);
   }
 
-  /** What was confirmed before does not count any more: this process stood still. */
-  expireConfirmation(): void {
-    this.#confirmedAtMs = -Infinity;
+  /** Another instance says that nothing has changed, or that this one wrote it. */
+  recordTold(atMs: number): void {
+    this.#toldAtMs = Math.max(this.#toldAtMs, atMs);
   }
 
   /**
@@ -150,7 +159,7 @@
       const regainedAtMs = nowMs - slice.sinceOutageMs;
       this.#regainedAtMs = Math.max(this.#regainedAtMs, regainedAtMs);
     }
-    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, nowMs - slice.ageMs);
+    this.recordTold(nowMs - slice.ageMs);
     for (const record of slice.records) {
       if (record.offset >= this.#end) {
         this.#applyRecord(record);
@@ -176,7 +185,7 @@
     while (
       !signal.aborted && !this.#isScheduled && !this.isLost && this.isLoaded
     ) {
-      const dueAtMs = this.#confirmedAtMs + getPace().validMs;
+      const dueAtMs = this.currentAtMs + getPace().validMs;
       const leftMs = dueAtMs - clock.readMs();
       if (leftMs <= 0) {
         return;
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -1,6 +1,6 @@
 /**
- * What instances tell each other in datagrams: how many of their requests each
- * target has, and which keys they were asked for.
+ * Sends and takes the datagrams by which instances tell each other how many of
+ * their requests each target has, and that they are there.
  *
  * Both are hints. A lost datagram makes a choice worse for some milliseconds;
  * the counts of an instance that has fallen silent fade. Within a data centre
@@ -9,78 +9,13 @@
  */
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "@lentilspur/ports/clock";
-import type { OwnDemand } from "@lentilspur/routing/account_limiter";
-import type { KeeperMessage } from "./keeper_peers.ts";
 import type { Member } from "./members.ts";
-import type { TailSlice } from "./partition_tail.ts";
-
-/** Numbers by target; absent means none. */
-export type TargetCounts = Readonly<Record<string, number>>;
-
-/** What one instance has at each target, and has waiting. */
-export interface LoadCounts {
-  /** Requests that each target has from it. */
-  readonly running: TargetCounts;
-  /** Requests that wait, by service, the target that they wait for, and rank. */
-  readonly waiting: Readonly<
-    Record<string, Readonly<Record<string, readonly number[]>>>
-  >;
-}
-
-/** First and last key, and the token under which they were granted. */
-export type GrantedKeys = readonly [from: number, to: number, token: number];
-
-export type PeerMessage =
-  | KeeperMessage
-  | {
-    readonly kind: "load";
-    readonly from: string;
-    /** Of the configuration in force there. */
-    readonly version: number;
-    readonly counts: LoadCounts;
-  }
-  | {
-    readonly kind: "keys";
-    readonly from: string;
-    readonly service: string;
-    readonly keys: readonly number[];
-    /** Work of one request at each target, in milliseconds, as measured. */
-    readonly serviceMs: Readonly<Record<string, number>>;
-  }
-  | ({
-    /** What a read of the targets' entries gave. */
-    readonly kind: "targets";
-    readonly from: string;
-  } & TailSlice)
-  | {
-    /** A table of owners that a keeper has written. */
-    readonly kind: "owners";
-    readonly from: string;
-    readonly part: number;
-    readonly offset: number;
-    readonly service: string;
-    /**
-     * What differs from the table before, packed, or a piece of that; `null`: it
-     * has to be read.
-     */
-    readonly ranges: string | null;
-    /** Which piece it is, of how many. */
-    readonly piece: number;
-    readonly pieces: number;
-  }
-  | {
-    /** Ranges that have reached their new owners; a record says so later. */
-    readonly kind: "granted";
-    readonly from: string;
-    readonly service: string;
-    readonly ranges: readonly GrantedKeys[];
-  }
-  | {
-    readonly kind: "demand";
-    readonly from: string;
-    /** What it sees of client accounts, the busiest of them. */
-    readonly demands: readonly OwnDemand[];
-  };
+import {
+  isPeerMessage,
+  type LoadCounts,
+  type PeerMessage,
+  type PeerStanding,
+} from "./peer_message.ts";
 
 export interface PeerExchangeOptions {
   readonly clock: Clock;
@@ -90,8 +25,9 @@
   readonly dataCentre: string;
   readonly listOthers: () => readonly Member[];
   readonly readCounts: () => LoadCounts;
-  /** Version of the configuration in force; 0 where there is none. */
-  readonly getVersion: () => number;
+  readonly describeStanding: () => PeerStanding;
+  /** Whether this instance is to say often that it is there. */
+  readonly isSpeaker: () => boolean;
   readonly handle: (message: PeerMessage) => void;
   /** A message that is none of the above, or a socket's failure. */
   readonly reportFault: (message: string) => void;
@@ -114,6 +50,11 @@
 const FAR: Pace = { leastMs: 250, perInstanceMs: 22 };
 /** Without a change, often enough for a receiver to take counts for current. */
 const REPEAT: Pace = { leastMs: 400, perInstanceMs: 16 };
+/**
+ * An instance that does work for others says at least this often that it is
+ * there: where there are 200, loads go out every 3 s only.
+ */
+const ALIVE_EVERY_MS = 500;
 /** Between two looks. */
 const TICK_MS = 40;
 /** A datagram above this may be cut into parts and lost as a whole. */
@@ -125,6 +66,7 @@
   #isClosed = false;
   #near = { text: "", atMs: -Infinity };
   #far = { text: "", atMs: -Infinity };
+  #alive = { text: "", atMs: -Infinity };
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
@@ -154,6 +96,7 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#sendLoads();
+      this.#sendAlive();
       await this.#options.clock.sleep(TICK_MS, signal);
     }
   }
@@ -178,24 +121,48 @@
       return;
     }
     const counts = readCounts();
-    const version = this.#options.getVersion();
-    const text = JSON.stringify({ kind: "load", from, version, counts });
+    const standing = this.#options.describeStanding();
+    const text = JSON.stringify({ kind: "load", from, ...standing, counts });
     const repeatMs = computeGapMs(REPEAT, others.length);
     const toNear = isDue(this.#near, { text, gapMs: nearMs, repeatMs, nowMs });
     const toFar = isDue(this.#far, { text, gapMs: farMs, repeatMs, nowMs });
     if (!toNear && !toFar) {
       return;
     }
+    const data = Buffer.from(text);
     for (const member of others) {
       const isNear = member.dataCentre === dataCentre;
       if (isNear ? toNear : toFar) {
-        this.#sendData(member, Buffer.from(text));
+        this.#sendData(member, data);
       }
     }
     this.#near = toNear ? { text, atMs: nowMs } : this.#near;
     this.#far = toFar ? { text, atMs: nowMs } : this.#far;
   }
 
+  /** What is news goes out at once: a new configuration, a store that is away. */
+  #sendAlive(): void {
+    const { clock, instance: from, describeStanding, listOthers, isSpeaker } =
+      this.#options;
+    if (!isSpeaker()) {
+      return;
+    }
+    const nowMs = clock.readMs();
+    const text = JSON.stringify({ kind: "alive", from, ...describeStanding() });
+    const saidAtMs = Math.max(
+      this.#alive.atMs,
+      Math.min(this.#near.atMs, this.#far.atMs),
+    );
+    if (text === this.#alive.text && nowMs - saidAtMs < ALIVE_EVERY_MS) {
+      return;
+    }
+    this.#alive = { text, atMs: nowMs };
+    const data = Buffer.from(text);
+    for (const member of listOthers()) {
+      this.#sendData(member, data);
+    }
+  }
+
   #sendData(to: Member, data: Buffer): boolean {
     if (data.byteLength > MAX_BYTES || this.#isClosed) {
       return false;
@@ -239,47 +206,3 @@
   return ageMs >= now.repeatMs ||
     (ageMs >= now.gapMs && now.text !== last.text);
 }
-
-function isPeerMessage(message: PeerMessage | null): message is PeerMessage {
-  if (message === null || typeof message.from !== "string") {
-    return false;
-  }
-  switch (message.kind) {
-    case "load":
-      return typeof message.counts?.running === "object" &&
-        typeof message.counts.waiting === "object";
-    case "keys":
-      return Array.isArray(message.keys) &&
-        typeof message.service === "string" &&
-        typeof message.serviceMs === "object" && message.serviceMs !== null;
-    case "targets":
-      return Number.isInteger(message.base) && Number.isInteger(message.end) &&
-        Number.isFinite(message.ageMs) && Array.isArray(message.records);
-    case "owners":
-      return Number.isInteger(message.part) &&
-        Number.isInteger(message.offset) &&
-        typeof message.service === "string" &&
-        Number.isInteger(message.piece) && Number.isInteger(message.pieces) &&
-        (message.ranges === null || typeof message.ranges === "string");
-    case "granted":
-      return typeof message.service === "string" &&
-        Array.isArray(message.ranges);
-    case "demand":
-      return Array.isArray(message.demands);
-    case "pledge-request":
-      return Number.isInteger(message.part) && Number.isInteger(message.term) &&
-        Number.isInteger(message.number);
-    case "pledge":
-      return Number.isInteger(message.part) &&
-        Number.isInteger(message.number) &&
-        typeof message.isGiven === "boolean";
-    case "keeper-replaced":
-      return Number.isInteger(message.part) && Number.isInteger(message.term);
-    case "keeper-stopped":
-      return Number.isInteger(message.part) &&
-        typeof message.incarnation === "string" &&
-        typeof message.isClean === "boolean";
-    default:
-      return false;
-  }
-}
--- /dev/null
+++ b/packages/gateway/src/peer_message.ts
@@ -0,0 +1,147 @@
+/** What instances tell each other in datagrams. All of it is a hint. */
+import type { OwnDemand } from "@lentilspur/routing/account_limiter";
+import type { KeeperMessage } from "./keeper_peers.ts";
+import type { TailSlice } from "./partition_tail.ts";
+
+/** Numbers by target; absent means none. */
+export type TargetCounts = Readonly<Record<string, number>>;
+
+/** What one instance has at each target, and has waiting. */
+export interface LoadCounts {
+  /** Requests that each target has from it. */
+  readonly running: TargetCounts;
+  /** Requests that wait, by service, the target that they wait for, and rank. */
+  readonly waiting: Readonly<
+    Record<string, Readonly<Record<string, readonly number[]>>>
+  >;
+}
+
+/** First and last key, and the token under which they were granted. */
+export type GrantedKeys = readonly [from: number, to: number, token: number];
+
+/** What an instance says of itself again and again. */
+export interface PeerStanding {
+  /** Of the configuration in force there. */
+  readonly version: number;
+  /** The store does not answer it. */
+  readonly hasLostStore: boolean;
+  /** Partitions of owners that it keeps, and where they end. */
+  readonly ends: readonly (readonly [part: number, end: number])[];
+}
+
+export type PeerMessage =
+  | KeeperMessage
+  | ({
+    readonly kind: "load";
+    readonly from: string;
+    readonly counts: LoadCounts;
+  } & PeerStanding)
+  /** That the sender is there. */
+  | ({ readonly kind: "alive"; readonly from: string } & PeerStanding)
+  | {
+    /** The sender's own record, as it has just written it. */
+    readonly kind: "member";
+    readonly from: string;
+    readonly offset: number;
+    readonly record: string;
+  }
+  | {
+    readonly kind: "keys";
+    readonly from: string;
+    readonly service: string;
+    readonly keys: readonly number[];
+    /** Work of one request at each target, in milliseconds, as measured. */
+    readonly serviceMs: Readonly<Record<string, number>>;
+  }
+  | ({
+    /** What a read of the targets' entries gave. */
+    readonly kind: "targets";
+    readonly from: string;
+  } & TailSlice)
+  | {
+    /** A table of owners that a keeper has written. */
+    readonly kind: "owners";
+    readonly from: string;
+    readonly part: number;
+    readonly offset: number;
+    readonly service: string;
+    /**
+     * What differs from the table before, packed, or a piece of that; `null`: it
+     * has to be read.
+     */
+    readonly ranges: string | null;
+    /** Which piece it is, of how many. */
+    readonly piece: number;
+    readonly pieces: number;
+  }
+  | {
+    /** Ranges that have reached their new owners; a record says so later. */
+    readonly kind: "granted";
+    readonly from: string;
+    readonly service: string;
+    readonly ranges: readonly GrantedKeys[];
+  }
+  | {
+    readonly kind: "demand";
+    readonly from: string;
+    /** What it sees of client accounts, the busiest of them. */
+    readonly demands: readonly OwnDemand[];
+  };
+
+/** Whether what came in a datagram is one of the messages. */
+export function isPeerMessage(
+  message: PeerMessage | null,
+): message is PeerMessage {
+  if (message === null || typeof message.from !== "string") {
+    return false;
+  }
+  switch (message.kind) {
+    case "load":
+      return typeof message.counts?.running === "object" &&
+        typeof message.counts.waiting === "object" && isStanding(message);
+    case "alive":
+      return isStanding(message);
+    case "member":
+      return Number.isInteger(message.offset) &&
+        typeof message.record === "string";
+    case "keys":
+      return Array.isArray(message.keys) &&
+        typeof message.service === "string" &&
+        typeof message.serviceMs === "object" && message.serviceMs !== null;
+    case "targets":
+      return Number.isInteger(message.base) && Number.isInteger(message.end) &&
+        Number.isFinite(message.ageMs) && Array.isArray(message.records);
+    case "owners":
+      return Number.isInteger(message.part) &&
+        Number.isInteger(message.offset) &&
+        typeof message.service === "string" &&
+        Number.isInteger(message.piece) && Number.isInteger(message.pieces) &&
+        (message.ranges === null || typeof message.ranges === "string");
+    case "granted":
+      return typeof message.service === "string" &&
+        Array.isArray(message.ranges);
+    case "demand":
+      return Array.isArray(message.demands);
+    case "pledge-request":
+      return Number.isInteger(message.part) && Number.isInteger(message.term) &&
+        Number.isInteger(message.number);
+    case "pledge":
+      return Number.isInteger(message.part) &&
+        Number.isInteger(message.number) &&
+        typeof message.isGiven === "boolean";
+    case "keeper-replaced":
+      return Number.isInteger(message.part) && Number.isInteger(message.term);
+    case "keeper-stopped":
+      return Number.isInteger(message.part) &&
+        typeof message.incarnation === "string" &&
+        typeof message.isClean === "boolean";
+    default:
+      return false;
+  }
+}
+
+function isStanding({ version, hasLostStore, ends }: PeerStanding): boolean {
+  return Number.isInteger(version) && typeof hasLostStore === "boolean" &&
+    Array.isArray(ends) &&
+    ends.every((one) => Array.isArray(one) && one.every(Number.isInteger));
+}
--- a/packages/gateway/src/service_part.ts
+++ b/packages/gateway/src/service_part.ts
@@ -1,8 +1,7 @@
 /** Which partition of the table of owners holds a service. */
-import { createHash } from "node:crypto";
+import { hashText } from "./stable_hash.ts";
 
 /** The same at every instance; spreads services evenly over the partitions. */
 export function choosePart(service: string, parts: number): number {
-  const digest = createHash("sha256").update(service).digest();
-  return digest.readUInt32BE(0) % Math.max(1, parts);
+  return hashText(service) % Math.max(1, parts);
 }
--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/service_registry.ts
@@ -13,7 +13,7 @@
 } from "@lentilspur/routing/service_places";
 import { SplitBalance } from "@lentilspur/routing/split_balance";
 import type { Catalogue } from "./catalogue.ts";
-import type { LoadCounts } from "./peer_exchange.ts";
+import type { LoadCounts } from "./peer_message.ts";
 
 export interface ServiceRegistryOptions {
   readonly clock: Clock;
@@ -36,6 +36,8 @@
   readonly #places = new Map<string, ServicePlaces>();
   readonly #retries = new Map<string, RetryAllowance>();
   readonly #split = new SplitBalance();
+  /** Targets at which each peer last had requests. */
+  readonly #peerTargets = new Map<string, readonly string[]>();
   #retryLimits: RetryLimits;
   #tickedAtMs = Infinity;
   #tickMs = IDLE_TICK_MS;
@@ -181,9 +183,13 @@
   /** A peer's requests at each target; those it does not name it has not. */
   applyPeerCounts(peer: string, counts: LoadCounts): void {
     const nowMs = this.#options.clock.readMs();
+    const named = Object.keys(counts.running);
+    const ids = new Set([...named, ...this.#peerTargets.get(peer) ?? []]);
+    this.#peerTargets.set(peer, named);
     for (const [service, places] of this.#places) {
-      for (const load of places.listLoads()) {
-        load.setPeerCount(peer, counts.running[load.target.id] ?? 0, nowMs);
+      for (const id of ids) {
+        const count = counts.running[id] ?? 0;
+        places.getLoad(id)?.setPeerCount(peer, count, nowMs);
       }
       const waits = Object.entries(counts.waiting[service] ?? {});
       places.setPeerWaits(peer, new Map(waits), nowMs);
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -9,6 +9,7 @@
 import { type Catalogue, RETURN_GRACE_MS } from "./catalogue.ts";
 import type { StorePlaces } from "./gateway_settings.ts";
 import type { KeyDirectory } from "./key_directory.ts";
+import type { Duties } from "./duties.ts";
 import type { Members } from "./members.ts";
 import {
   PartitionTail,
@@ -24,9 +25,8 @@
   readonly catalogue: Catalogue;
   readonly directory: KeyDirectory;
   readonly members: Members;
+  readonly duties: Duties;
   readonly onConfiguration: () => void;
-  /** Whether this instance reads the targets' entries for others too. */
-  readonly isReader: () => boolean;
   /** Whether this instance keeps a partition of owners, or is about to. */
   readonly isKeeper: (part: number) => boolean;
   readonly onTargetsRead: (slice: TailSlice) => void;
@@ -42,11 +42,18 @@
  */
 const CONFIGURATION_WAIT_MS = 3_500;
 /**
- * The keeper itself must see at once that another has claimed, and each read
- * confirms that none has: without that for 2 s it may not act.
+ * Those that follow the configuration say twice a second which version they
+ * have. Whoever hears none of them for this long follows it itself, and has a
+ * change in force well within 2 s.
  */
-const KEEPER_WAIT_MS = 600;
-const MEMBERS_WAIT_MS = 20_000;
+const CONFIGURATION_VALID_MS = 1_000;
+/**
+ * A keeper's own appends confirm that no other has claimed. Without one for this
+ * long it reads: without either for 2 s it may not act.
+ */
+const KEEPER_VALID_MS = 700;
+/** An instance that has started tells the others; a read finds who could not. */
+const MEMBERS_VALID_MS = 60_000;
 /** The targets' entries change all the time; in an outage a wait only delays. */
 const TARGETS_WAIT_MS = 1_000;
 /** A storm of changes every 60 ms is read in a few calls. */
@@ -57,14 +64,23 @@
  * 500 ms these were a third of all.
  */
 const TARGETS_GAP_MS = 750;
-/** An instance that reads for others is silent for one read: it is replaced. */
+/** The instance that reads for others is silent for one read: it is replaced. */
 const TARGETS_VALID_MS = 1_000;
+/** In each data centre one reads before the others do, and for all of them. */
+const LOCAL_READER_VALID_MS = 900;
 /** Members matter for hints only. */
 const MEMBERS_GAP_MS = 500;
 /** A keeper's own records come in quick succession. */
 const KEEPER_GAP_MS = 10;
-/** Where requests miss their owner, the table is read at most this often. */
-const OWNERS_GAP_MS = 100;
+/** Where nobody tells of a table, it is read at most this often. */
+const OWNERS_GAP_MS = 400;
+/**
+ * A table that its keeper has confirmed within this is current: a request that
+ * misses its owner gains nothing by another read. Keepers confirm every 500 ms.
+ */
+const OWNERS_CURRENT_MS = 700;
+/** What the keeper has written is on its way for this long at most. */
+const OWNERS_ARRIVAL_MS = 150;
 /**
  * Keepers tell of what they write; a datagram that was lost shows by the next
  * one, by a target that refuses, or after this.
@@ -97,19 +113,16 @@
       () => ({
         gapMs: CONFIGURATION_GAP_MS,
         waitMs: CONFIGURATION_WAIT_MS,
-        validMs: 0,
+        validMs: this.#options.duties.isCandidate()
+          ? 0
+          : CONFIGURATION_VALID_MS,
         maxPauseMs: URGENT_PAUSE_MS,
       }),
       (key, value) => this.#applyConfiguration(key, value),
     );
     this.#targets = this.#createTail(
       targets,
-      () => ({
-        gapMs: TARGETS_GAP_MS,
-        waitMs: TARGETS_WAIT_MS,
-        validMs: this.#options.isReader() ? 0 : TARGETS_VALID_MS,
-        maxPauseMs: this.#options.isReader() ? URGENT_PAUSE_MS : OTHER_PAUSE_MS,
-      }),
+      () => this.#getTargetsPace(),
       (key, value) => this.#applyTarget(key, value),
       (slice) => this.#options.onTargetsRead(slice),
     );
@@ -117,11 +130,11 @@
       members,
       () => ({
         gapMs: MEMBERS_GAP_MS,
-        waitMs: MEMBERS_WAIT_MS,
-        validMs: 0,
+        waitMs: 0,
+        validMs: MEMBERS_VALID_MS,
         maxPauseMs: OTHER_PAUSE_MS,
       }),
-      (key, value) => this.#applyMember(key, value),
+      (key, value, offset) => this.#applyMember(key, value, offset),
     );
   }
 
@@ -141,9 +154,51 @@
     return this.#targets;
   }
 
-  /** Another instance has a higher version in force. */
-  readConfiguration(): void {
-    this.#configuration.scheduleRead();
+  /** Whether the store does not answer what everybody is to know. */
+  get hasLostStore(): boolean {
+    return this.#configuration.isLost || this.#targets.isLost;
+  }
+
+  /** An instance that follows the configuration has this version in force. */
+  applyVersion(version: number): void {
+    const known = this.#options.catalogue.table?.version ?? 0;
+    if (version > known) {
+      this.#configuration.scheduleRead();
+    } else if (version === known) {
+      this.#configuration.recordTold(this.#options.clock.readMs());
+    }
+  }
+
+  /** An instance is heard of that no record here names. */
+  readMembers(): void {
+    this.#members.scheduleRead();
+  }
+
+  /** The keeper of a partition of owners says where it ends. */
+  applyOwnersEnd(part: number, end: number): void {
+    const tail = this.#owners.get(part);
+    if (tail === undefined || this.#options.isKeeper(part)) {
+      return;
+    }
+    if (end <= tail.end) {
+      tail.recordTold(this.#options.clock.readMs());
+      return;
+    }
+    void this.#options.clock.sleep(OWNERS_ARRIVAL_MS, this.#signal)
+      .then(() => {
+        if (tail.end < end) {
+          tail.scheduleRead();
+        }
+      });
+  }
+
+  /** A request did not find its owner where the table says. */
+  checkOwners(part: number): void {
+    const tail = this.#owners.get(part);
+    const currentAtMs = tail?.currentAtMs ?? -Infinity;
+    if (this.#options.clock.readMs() - currentAtMs > OWNERS_CURRENT_MS) {
+      tail?.scheduleRead();
+    }
   }
 
   getOwnersTail(part: number): PartitionTail | undefined {
@@ -165,12 +220,28 @@
     void tail.run(this.#signal);
   }
 
+  #getTargetsPace(): TailPace {
+    const { duties } = this.#options;
+    const isReader = duties.isReader();
+    const validMs = isReader
+      ? 0
+      : duties.isLocalReader()
+      ? LOCAL_READER_VALID_MS
+      : TARGETS_VALID_MS;
+    return {
+      gapMs: TARGETS_GAP_MS,
+      waitMs: TARGETS_WAIT_MS,
+      validMs,
+      maxPauseMs: isReader ? URGENT_PAUSE_MS : OTHER_PAUSE_MS,
+    };
+  }
+
   #getOwnersPace(part: number): TailPace {
     return this.#options.isKeeper(part)
       ? {
         gapMs: KEEPER_GAP_MS,
-        waitMs: KEEPER_WAIT_MS,
-        validMs: 0,
+        waitMs: 0,
+        validMs: KEEPER_VALID_MS,
         maxPauseMs: URGENT_PAUSE_MS,
       }
       : {
@@ -221,8 +292,9 @@
     catalogue.applyTarget(id, value, { nowMs, graceMs });
   }
 
-  #applyMember(key: string, value: string): void {
-    if (!this.#options.members.apply(key, value)) {
+  #applyMember(key: string, value: string, offset: number): void {
+    const { members, clock } = this.#options;
+    if (!members.apply(key, value, { offset, nowMs: clock.readMs() })) {
       this.#options.reportFault(`Unreadable record of member "${key}"`);
     }
   }
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -1,7 +1,8 @@
 /**
- * Spares the store most reads: one instance in each data centre follows the
- * targets' entries and passes changes on, and the keeper of a partition of
- * owners passes on what it has written.
+ * Spares the store most reads: one instance follows the targets' entries for
+ * all, and the keeper of a partition of owners passes on what it has written.
+ * Both tell those that are near and one in each other data centre, which tells
+ * the rest there.
  *
  * Load pattern: every target writes its entry about once a second, and a spell
  * moves keys several times a second. Were every instance to read each of these
@@ -9,7 +10,6 @@
  * they cost the store. What is passed on counts only if nothing was missed
  * before it; whoever has missed something, or hears nothing, reads itself.
  */
-import type { Clock } from "@lentilspur/ports/clock";
 import type { StoreRecord } from "@lentilspur/ports/store";
 import type { GrantedRange } from "@lentilspur/ownership/key_keeper";
 import { formatTableKey } from "@lentilspur/ownership/keeper_records";
@@ -21,21 +21,21 @@
   serializeTable,
 } from "@lentilspur/ownership/key_table";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { Duties } from "./duties.ts";
 import type { KeyDirectory } from "./key_directory.ts";
 import type { Member } from "./members.ts";
 import type { PartitionTail, TailSlice } from "./partition_tail.ts";
-import type { PeerMessage } from "./peer_exchange.ts";
+import type { PeerMessage } from "./peer_message.ts";
 
 type TargetsMessage = PeerMessage & { readonly kind: "targets" };
 type OwnersMessage = PeerMessage & { readonly kind: "owners" };
 
 export interface ViewRelayOptions {
-  readonly clock: Clock;
   readonly instance: string;
   readonly dataCentre: string;
   readonly directory: KeyDirectory;
-  readonly listOthers: () => readonly Member[];
-  readonly isHeard: (instance: string) => boolean;
+  readonly duties: Duties;
+  readonly findMember: (instance: string) => Member | undefined;
   readonly getTargetsTail: () => PartitionTail;
   readonly getOwnersTail: (part: number) => PartitionTail | undefined;
   /** False where the message is too long for a datagram; nothing is sent then. */
@@ -67,47 +67,37 @@
     this.#options = options;
   }
 
-  /**
-   * Whether this instance reads the targets' entries for its data centre: the
-   * first by name of those that are heard of. Two that each hear nothing of the
-   * other both read, which costs calls and harms nobody.
-   */
-  isReader(): boolean {
-    const { instance, isHeard } = this.#options;
-    return !this.#listNear()
-      .some((member) => member.instance < instance && isHeard(member.instance));
-  }
-
   /** Passes on what a read of the targets' entries gave. */
   sendTargets(
     slice: TailSlice,
     isNews: (record: StoreRecord) => boolean,
   ): void {
-    if (!this.isReader()) {
+    const { duties, instance: from } = this.#options;
+    const receivers = duties.isReader()
+      ? duties.listRelays()
+      : duties.isLocalReader()
+      ? duties.listNear()
+      : [];
+    if (receivers.length === 0) {
       return;
     }
-    const { instance: from } = this.#options;
     // All records of an entry that has any news: an entry may go and come back.
     const news = new Set(slice.records.filter(isNews).map(({ key }) => key));
-    const message: TargetsMessage = {
-      kind: "targets",
-      from,
-      base: slice.base,
-      end: slice.end,
-      ageMs: slice.ageMs,
-      sinceOutageMs: slice.sinceOutageMs,
-      records: slice.records.filter(({ key }) => news.has(key)),
-    };
-    for (const member of this.#listNear()) {
-      if (!this.#options.send(member, message)) {
-        // Too much for a datagram: without a base, the others read themselves.
-        this.#options
-          .send(member, { ...message, base: message.end, records: [] });
+    const records = slice.records.filter(({ key }) => news.has(key));
+    for (const part of splitSlice({ ...slice, records })) {
+      const message: TargetsMessage = { kind: "targets", from, ...part };
+      for (const member of receivers) {
+        if (!this.#options.send(member, message)) {
+          // Too much for a datagram: without a base, the others read themselves.
+          const { end } = message;
+          this.#options.send(member, { ...message, base: end, records: [] });
+        }
       }
     }
   }
 
   applyTargets(message: TargetsMessage): void {
+    this.#forward(message);
     this.#options.getTargetsTail().applySlice(message);
   }
 
@@ -137,6 +127,7 @@
   }
 
   applyGranted(message: PeerMessage & { readonly kind: "granted" }): void {
+    this.#forward(message);
     this.#options.directory.applyGranted(message.service, message.ranges);
   }
 
@@ -152,13 +143,29 @@
   }
 
   #sendToAll(message: PeerMessage): void {
-    const { listOthers, send } = this.#options;
-    for (const member of listOthers()) {
+    const { duties, send } = this.#options;
+    for (const member of duties.listRelays()) {
+      send(member, message);
+    }
+  }
+
+  /** What comes from another data centre is for everybody in this one. */
+  #forward(message: PeerMessage): void {
+    const { duties, send, findMember, dataCentre } = this.#options;
+    const sender = findMember(message.from);
+    if (
+      sender === undefined || sender.dataCentre === dataCentre ||
+      !duties.isLocalReader()
+    ) {
+      return;
+    }
+    for (const member of duties.listNear()) {
       send(member, message);
     }
   }
 
   applyTable(message: OwnersMessage): void {
+    this.#forward(message);
     const { directory, getOwnersTail } = this.#options;
     const { part, service, offset } = message;
     const tail = getOwnersTail(part);
@@ -210,11 +217,6 @@
       .map(([, text]) => text)
       .join("");
   }
-
-  #listNear(): readonly Member[] {
-    const { listOthers, dataCentre } = this.#options;
-    return listOthers().filter((member) => member.dataCentre === dataCentre);
-  }
 }
 
 /**
@@ -243,6 +245,32 @@
 /** Beyond this many, one of them is lost too often. */
 const MAX_PIECES = 12;
 
+/**
+ * What was read, in pieces that fit into a datagram each; the next goes on where
+ * the one before ends. A third of 180 targets leaving at once takes 20 of them,
+ * where 200 instances that are told to read would all do so at that moment.
+ */
+function splitSlice(slice: TailSlice): readonly TailSlice[] {
+  const pieces: TailSlice[] = [];
+  let { base } = slice;
+  let records: StoreRecord[] = [];
+  let size = 0;
+  for (const record of slice.records) {
+    const added = JSON.stringify(record).length;
+    if (records.length > 0 && size + added > MAX_PIECE) {
+      const end = record.offset;
+      pieces.push({ ...slice, base, end, records });
+      base = end;
+      records = [];
+      size = 0;
+    }
+    records.push(record);
+    size += added;
+  }
+  pieces.push({ ...slice, base, records });
+  return pieces;
+}
+
 /** Undefined where the text is none; the table is read instead. */
 function decodeRanges(text: string): readonly OwnedRange[] | undefined {
   try {
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -10,7 +10,12 @@
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { KeyOrders } from "@lentilspur/ports/key_orders";
-import type { Partition, Store, StoreFailure } from "@lentilspur/ports/store";
+import type {
+  Partition,
+  Store,
+  StoreFailure,
+  StoreRecord,
+} from "@lentilspur/ports/store";
 import { computeHoldEndMs } from "./hold_book.ts";
 import type { KeyRate } from "./key_load.ts";
 import { planReassignments } from "./key_planner.ts";
@@ -113,6 +118,8 @@
   /** What was confirmed before this time does not count; own clock. */
   readonly getTrustedSinceMs: () => number;
   readonly observe: (event: KeeperEvent) => void;
+  /** Told of each record that was accepted. */
+  readonly onAppended?: (record: StoreRecord) => void;
   /** Told of each table that was written, after its record was accepted. */
   readonly onTable?: (written: {
     readonly service: string;
@@ -484,6 +491,7 @@
     if (appended.ok) {
       this.#end = appended.val + 1;
       this.#contactAtMs = sentAtMs;
+      this.#options.onAppended?.({ offset: appended.val, key, value });
       return true;
     }
     const failure = appended.val;
--- a/packages/routing/src/target_load.ts
+++ b/packages/routing/src/target_load.ts
@@ -140,8 +140,13 @@
     this.#suspendedUntilMs = nowMs + this.#suspensionMs;
   }
 
+  /** Only those that have requests there are kept: of 200 instances, a few. */
   setPeerCount(peer: string, count: number, atMs: number): void {
-    this.#peers.set(peer, { count, atMs });
+    if (count > 0) {
+      this.#peers.set(peer, { count, atMs });
+    } else {
+      this.#peers.delete(peer);
+    }
   }
 
   isSuspended(nowMs: number): boolean {
