perf(gateway): gather loads in each data centre where there are many instances

Cause: each instance told each other what it has at every target. Ruled out: telling seldomer (what is known is older still), subsets of targets (keyed requests have one target, which all instances share). Change: beyond 24 instances one in each data centre, the one that passes on what was read, gathers what the others there have and tells the sum; loads have a module of their own, and so have values in pieces, which tables are sent in too. Fewer pairs: instances that only read for their data centre say to it alone that they are there.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -50,6 +50,8 @@
   readonly atMs: number;
   readonly isCandidate: boolean;
   readonly isSpeaker: boolean;
+  /** Whether everybody is to hear that this instance is there. */
+  readonly isRegionSpeaker: boolean;
   readonly candidates: ReadonlySet<string>;
   readonly speakers: ReadonlySet<string>;
   readonly reader: string;
@@ -100,6 +102,34 @@
     return this.#decide().localReaders.get(dataCentre) === instance;
   }
 
+  /** The one that passes on in this data centre; undefined where this one does. */
+  findLocalReader(): Member | undefined {
+    const { self, members } = this.#options;
+    const name = this.#decide().localReaders.get(self.dataCentre);
+    return name === undefined ? undefined : members.get(name);
+  }
+
+  /** Those that pass on in the other data centres. */
+  listFarReaders(): readonly Member[] {
+    const { self, members } = this.#options;
+    const { localReaders } = this.#decide();
+    return members.listOthers().filter(({ instance, dataCentre }) =>
+      dataCentre !== self.dataCentre &&
+      localReaders.get(dataCentre) === instance
+    );
+  }
+
+  /** Whom to tell often that this instance is there. */
+  listListeners(): readonly Member[] {
+    const { isRegionSpeaker, speakers } = this.#decide();
+    const { self, members } = this.#options;
+    return isRegionSpeaker
+      ? members.listOthers()
+      : members.listOthers().filter(({ instance, dataCentre }) =>
+        dataCentre === self.dataCentre || speakers.has(instance)
+      );
+  }
+
   /** The other instances of the data centre. */
   listNear(): readonly Member[] {
     const { self, members } = this.#options;
@@ -142,11 +172,13 @@
     const nearBefore = before
       .filter(({ dataCentre }) => dataCentre === self.dataCentre);
     const speakers = heard.slice(0, SPEAKERS);
+    const isRegionSpeaker = before.length < SPEAKERS;
     const candidates = listNames(chooseCandidates(speakers, new Set(able)));
     return {
       atMs: nowMs,
       isCandidate: candidates.has(self.instance) && this.#hasGathered(nowMs),
-      isSpeaker: before.length < SPEAKERS || nearBefore.length < NEAR_SPEAKERS,
+      isSpeaker: isRegionSpeaker || nearBefore.length < NEAR_SPEAKERS,
+      isRegionSpeaker,
       candidates,
       speakers: listNames(speakers),
       reader: (able[0] ?? heard[0]!).instance,
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -24,6 +24,7 @@
 import { KeyDirectory } from "./key_directory.ts";
 import { KeyTraffic } from "./key_traffic.ts";
 import { LineLog } from "./line_log.ts";
+import { LoadExchange } from "./load_exchange.ts";
 import { Members } from "./members.ts";
 import { publishMember } from "./member_record.ts";
 import { PeerExchange } from "./peer_exchange.ts";
@@ -68,6 +69,7 @@
   readonly #accounts: AccountGate;
   readonly #demands: AccountDemands;
   readonly #peers: PeerExchange;
+  readonly #loads: LoadExchange;
   readonly #ready: SideServer;
   readonly #metricsServer: SideServer;
   readonly #keyTraffic: KeyTraffic;
@@ -114,6 +116,7 @@
     this.#server = this.#createServer();
     this.#keepers = this.#createKeepers();
     this.#peers = this.#createPeers();
+    this.#loads = this.#createLoads();
     this.#relay = this.#createRelay();
     this.#keyTraffic = this.#createKeyTraffic();
     this.#demands = this.#createDemands();
@@ -148,6 +151,7 @@
     this.#views.start();
     void this.#publishMember();
     void this.#peers.run(signal);
+    void this.#loads.run(signal);
     void this.#services.run(signal);
     void this.#keepers.run(signal);
     void this.#runCatalogue(signal);
@@ -305,9 +309,7 @@
       host: settings.host,
       port: settings.peerPort,
       instance: settings.instance,
-      dataCentre: settings.dataCentre,
-      listOthers: () => this.#members.listOthers(),
-      readCounts: () => this.#services.countOwn(),
+      listListeners: () => this.#duties.listListeners(),
       describeStanding: () => this.#describeStanding(),
       isSpeaker: () => this.#duties.isSpeaker(),
       handle: (message) => this.#applyMessage(message),
@@ -315,6 +317,22 @@
     });
   }
 
+  #createLoads(): LoadExchange {
+    const { settings, clock } = this.#options;
+    return new LoadExchange({
+      clock,
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      members: this.#members,
+      duties: this.#duties,
+      readCounts: () => this.#services.countOwn(),
+      applyCounts: (peer, counts) =>
+        this.#services.applyPeerCounts(peer, counts),
+      describeStanding: () => this.#describeStanding(),
+      send: (members, message) => this.#peers.sendAll(members, message),
+    });
+  }
+
   #describeStanding(): PeerStanding {
     return {
       version: this.#catalogue.table?.version ?? 0,
@@ -358,9 +376,12 @@
     this.#members.recordHeard(message.from, this.#options.clock.readMs());
     switch (message.kind) {
       case "load":
-        this.#services.applyPeerCounts(message.from, message.counts);
+        this.#loads.applyLoad(message);
         this.#applyStanding(message.from, message);
         return;
+      case "gathered-load":
+        this.#loads.applyGathered(message);
+        return;
       case "alive":
         this.#applyStanding(message.from, message);
         return;
--- /dev/null
+++ b/packages/gateway/src/load_exchange.ts
@@ -0,0 +1,264 @@
+/**
+ * Tells the other instances how many requests this one has at each target and
+ * has waiting, and hears the same of them.
+ *
+ * Where there are few, each tells each: within a data centre at once, since its
+ * targets are shared by the instances there; across, a few times a second, since
+ * bytes there have a price.
+ *
+ * Load pattern: 60 to 200 instances. Told by each to each, 200 of them heard of
+ * each other every 3 s, when most requests were over, and still spent half of
+ * their processor time on it: 260 datagrams a second and instance. So one in
+ * each data centre gathers what the others there have and tells the sum: some
+ * 60 datagrams a second, and all are known everywhere within half a second.
+ *
+ * All of it is a hint. A lost datagram makes a choice worse for some moments;
+ * counts of instances that have fallen silent fade.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import { decodeValue, encodeValue, PieceJoiner } from "./datagram_pieces.ts";
+import type { Duties } from "./duties.ts";
+import {
+  type LoadCounts,
+  mergeCounts,
+  NO_LOAD,
+  removeCounts,
+} from "./load_counts.ts";
+import type { Member, Members } from "./members.ts";
+import type { PeerMessage, PeerStanding } from "./peer_message.ts";
+
+type LoadMessage = PeerMessage & { readonly kind: "load" };
+type GatheredMessage = PeerMessage & { readonly kind: "gathered-load" };
+
+export interface LoadExchangeOptions {
+  readonly clock: Clock;
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly members: Members;
+  readonly duties: Duties;
+  readonly readCounts: () => LoadCounts;
+  /** Takes over what an instance, or those of a data centre, have. */
+  readonly applyCounts: (peer: string, counts: LoadCounts) => void;
+  readonly describeStanding: () => PeerStanding;
+  readonly send: (to: readonly Member[], message: PeerMessage) => void;
+}
+
+/** Beyond this many each instance would tell the others seldomer than each 250 ms. */
+const MAX_DIRECT = 24;
+/**
+ * How often counts go out: changes of this long together. The more instances
+ * there are, the seldomer, since each tells each. With a dozen the least times
+ * hold.
+ */
+interface Pace {
+  readonly leastMs: number;
+  readonly perInstanceMs: number;
+}
+/** In the data centre; requests take 40 ms and more. */
+const NEAR: Pace = { leastMs: 40, perInstanceMs: 12 };
+/** Bytes across have a price; requests there take about this long in all. */
+const FAR: Pace = { leastMs: 250, perInstanceMs: 22 };
+/** Without a change, often enough for a receiver to take counts for current. */
+const REPEAT: Pace = { leastMs: 400, perInstanceMs: 16 };
+/** To the instance that gathers, which tells sums about as often. */
+const GATHER_MS = 100;
+/** Sums within the data centre, and to those that pass them on in the others. */
+const SUM_NEAR_MS = 150;
+const SUM_FAR_MS = 300;
+/** What an instance told longer ago than this is left out of the sum. */
+const GATHERED_VALID_MS = 1_500;
+/** Between two looks. */
+const TICK_MS = 40;
+
+interface Told {
+  readonly counts: LoadCounts;
+  readonly atMs: number;
+}
+
+/** What went out last, as text, and when. */
+interface Sent {
+  readonly text: string;
+  readonly atMs: number;
+}
+
+const NEVER: Sent = { text: "", atMs: -Infinity };
+
+export class LoadExchange {
+  readonly #options: LoadExchangeOptions;
+  readonly #joiner = new PieceJoiner();
+  /** By instance of this data centre: what this one gathers. */
+  readonly #told = new Map<string, Told>();
+  /** What this instance has told last, which is part of the sum that it hears. */
+  #ownTold = NO_LOAD;
+  #near = NEVER;
+  #far = NEVER;
+  #sum = 0;
+
+  constructor(options: LoadExchangeOptions) {
+    this.#options = options;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#advance();
+      await this.#options.clock.sleep(TICK_MS, signal);
+    }
+  }
+
+  /** What an instance tells of itself. */
+  applyLoad({ from, counts }: LoadMessage): void {
+    const { clock, applyCounts } = this.#options;
+    this.#told.set(from, { counts, atMs: clock.readMs() });
+    applyCounts(from, counts);
+  }
+
+  /** What the instances of a data centre have together. */
+  applyGathered(message: GatheredMessage): void {
+    const { dataCentre, duties, send, applyCounts } = this.#options;
+    const { from, dataCentre: origin, number } = message;
+    if (origin !== dataCentre && duties.isLocalReader()) {
+      send(duties.listNear(), message);
+    }
+    const text = this.#joiner.add(from, number, message);
+    const counts = text === undefined ? undefined : toCounts(decodeValue(text));
+    if (counts === undefined) {
+      return;
+    }
+    const others = origin === dataCentre
+      ? removeCounts(counts, this.#ownTold)
+      : counts;
+    applyCounts(formatPlace(origin), others);
+  }
+
+  #advance(): void {
+    const { members, duties } = this.#options;
+    if (members.count <= MAX_DIRECT) {
+      this.#sendDirectly();
+    } else if (duties.isLocalReader()) {
+      this.#sendSums();
+    } else {
+      this.#sendToGatherer();
+    }
+  }
+
+  #sendDirectly(): void {
+    const { clock, members, dataCentre, send } = this.#options;
+    const nowMs = clock.readMs();
+    const others = members.listOthers();
+    const near = others.filter((member) => member.dataCentre === dataCentre);
+    const far = others.filter((member) => member.dataCentre !== dataCentre);
+    const nearMs = computeGapMs(NEAR, near.length);
+    const farMs = computeGapMs(FAR, far.length);
+    if (nowMs - this.#near.atMs < nearMs && nowMs - this.#far.atMs < farMs) {
+      return;
+    }
+    const message = this.#createMessage();
+    const text = JSON.stringify(message);
+    const repeatMs = computeGapMs(REPEAT, others.length);
+    if (isDue(this.#near, { text, gapMs: nearMs, repeatMs, nowMs })) {
+      send(near, message);
+      this.#near = { text, atMs: nowMs };
+    }
+    if (isDue(this.#far, { text, gapMs: farMs, repeatMs, nowMs })) {
+      send(far, message);
+      this.#far = { text, atMs: nowMs };
+    }
+  }
+
+  #sendToGatherer(): void {
+    const { clock, duties, send } = this.#options;
+    const nowMs = clock.readMs();
+    const gatherer = duties.findLocalReader();
+    if (gatherer === undefined || nowMs - this.#near.atMs < GATHER_MS) {
+      return;
+    }
+    const message = this.#createMessage();
+    const text = JSON.stringify(message);
+    const repeatMs = REPEAT.leastMs;
+    if (isDue(this.#near, { text, gapMs: GATHER_MS, repeatMs, nowMs })) {
+      this.#ownTold = message.counts;
+      send([gatherer], message);
+      this.#near = { text, atMs: nowMs };
+    }
+  }
+
+  #sendSums(): void {
+    const { clock, duties } = this.#options;
+    const nowMs = clock.readMs();
+    const toNear = nowMs - this.#near.atMs >= SUM_NEAR_MS;
+    const toFar = nowMs - this.#far.atMs >= SUM_FAR_MS;
+    if (!toNear && !toFar) {
+      return;
+    }
+    const pieces = encodeValue(this.#computeSum(nowMs)) ?? [];
+    this.#sum++;
+    if (toNear) {
+      this.#sendPieces(duties.listNear(), pieces);
+      this.#near = { text: "", atMs: nowMs };
+    }
+    if (toFar) {
+      this.#sendPieces(duties.listFarReaders(), pieces);
+      this.#far = { text: "", atMs: nowMs };
+    }
+  }
+
+  #computeSum(nowMs: number): LoadCounts {
+    const all = [this.#options.readCounts()];
+    for (const [instance, { counts, atMs }] of this.#told) {
+      if (nowMs - atMs < GATHERED_VALID_MS) {
+        all.push(counts);
+      } else {
+        this.#told.delete(instance);
+      }
+    }
+    return mergeCounts(all);
+  }
+
+  #sendPieces(to: readonly Member[], pieces: readonly string[]): void {
+    const { instance: from, dataCentre, send } = this.#options;
+    for (const [piece, text] of pieces.entries()) {
+      send(to, {
+        kind: "gathered-load",
+        from,
+        dataCentre,
+        number: this.#sum,
+        text,
+        piece,
+        pieces: pieces.length,
+      });
+    }
+  }
+
+  #createMessage(): LoadMessage {
+    const { instance: from, describeStanding, readCounts } = this.#options;
+    return { kind: "load", from, ...describeStanding(), counts: readCounts() };
+  }
+}
+
+/** No instance has such a name. */
+function formatPlace(dataCentre: string): string {
+  return `all of ${dataCentre}`;
+}
+
+function toCounts(value: unknown): LoadCounts | undefined {
+  const { running, waiting, instances } = (value ?? {}) as Partial<LoadCounts>;
+  return typeof running === "object" && typeof waiting === "object" &&
+      typeof instances === "number"
+    ? { running, waiting, instances }
+    : undefined;
+}
+
+function computeGapMs({ leastMs, perInstanceMs }: Pace, count: number): number {
+  return Math.max(leastMs, perInstanceMs * count);
+}
+
+function isDue(last: Sent, now: {
+  readonly text: string;
+  readonly gapMs: number;
+  readonly repeatMs: number;
+  readonly nowMs: number;
+}): boolean {
+  const ageMs = now.nowMs - last.atMs;
+  return ageMs >= now.repeatMs ||
+    (ageMs >= now.gapMs && now.text !== last.text);
+}
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -399,7 +399,7 @@
   const after = applyReassignments(before, changes, 9);
   relay.sendTable({ part: 3, service: "files", offset: 1, before, after });
   const [message] = sent;
-  assert.ok(message?.kind === "owners" && message.ranges !== null);
+  assert.ok(message?.kind === "owners" && message.text !== "");
 
   store.write(partition, "table/files", serializeTable(before));
   const applied: StoreRecord[] = [];
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -1,18 +1,12 @@
 /**
- * Sends and takes the datagrams by which instances tell each other how many of
- * their requests each target has, and that they are there.
- *
- * Both are hints. A lost datagram makes a choice worse for some milliseconds;
- * the counts of an instance that has fallen silent fade. Within a data centre
- * changes go out at once, since its targets are shared by the instances there;
- * across, a few times a second, since bytes there have a price.
+ * Sends and takes the datagrams of this instance, and says of those that do work
+ * for others that they are there.
  */
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Member } from "./members.ts";
 import {
   isPeerMessage,
-  type LoadCounts,
   type PeerMessage,
   type PeerStanding,
 } from "./peer_message.ts";
@@ -22,9 +16,8 @@
   readonly host: string;
   readonly port: number;
   readonly instance: string;
-  readonly dataCentre: string;
-  readonly listOthers: () => readonly Member[];
-  readonly readCounts: () => LoadCounts;
+  /** Whom to tell often that this instance is there. */
+  readonly listListeners: () => readonly Member[];
   readonly describeStanding: () => PeerStanding;
   /** Whether this instance is to say often that it is there. */
   readonly isSpeaker: () => boolean;
@@ -33,23 +26,6 @@
   readonly reportFault: (message: string) => void;
 }
 
-/**
- * How often counts go out: changes of this long together. The more instances
- * there are, the seldomer, since each tells each: with 59 of them every 40 ms
- * and 250 ms, an instance sent and read 550 datagrams a second, which was half
- * of its processor time; and the share that one of so many has at a target is
- * small. With a dozen instances the least times hold.
- */
-interface Pace {
-  readonly leastMs: number;
-  readonly perInstanceMs: number;
-}
-/** In the data centre; requests take 40 ms and more. */
-const NEAR: Pace = { leastMs: 40, perInstanceMs: 12 };
-/** Bytes across have a price; requests there take about this long in all. */
-const FAR: Pace = { leastMs: 250, perInstanceMs: 22 };
-/** Without a change, often enough for a receiver to take counts for current. */
-const REPEAT: Pace = { leastMs: 400, perInstanceMs: 16 };
 /**
  * An instance that does work for others says at least this often that it is
  * there: where there are 200, loads go out every 3 s only.
@@ -64,8 +40,6 @@
   readonly #options: PeerExchangeOptions;
   readonly #socket: Socket;
   #isClosed = false;
-  #near = { text: "", atMs: -Infinity };
-  #far = { text: "", atMs: -Infinity };
   #alive = { text: "", atMs: -Infinity };
 
   constructor(options: PeerExchangeOptions) {
@@ -95,7 +69,6 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.#sendLoads();
       this.#sendAlive();
       await this.#options.clock.sleep(TICK_MS, signal);
     }
@@ -109,57 +82,29 @@
     return this.#sendData(to, Buffer.from(JSON.stringify(message)));
   }
 
-  #sendLoads(): void {
-    const { clock, instance: from, dataCentre, listOthers, readCounts } =
-      this.#options;
-    const nowMs = clock.readMs();
-    const others = listOthers();
-    const near = others.filter((member) => member.dataCentre === dataCentre);
-    const nearMs = computeGapMs(NEAR, near.length);
-    const farMs = computeGapMs(FAR, others.length - near.length);
-    if (nowMs - this.#near.atMs < nearMs && nowMs - this.#far.atMs < farMs) {
-      return;
-    }
-    const counts = readCounts();
-    const standing = this.#options.describeStanding();
-    const text = JSON.stringify({ kind: "load", from, ...standing, counts });
-    const repeatMs = computeGapMs(REPEAT, others.length);
-    const toNear = isDue(this.#near, { text, gapMs: nearMs, repeatMs, nowMs });
-    const toFar = isDue(this.#far, { text, gapMs: farMs, repeatMs, nowMs });
-    if (!toNear && !toFar) {
-      return;
-    }
-    const data = Buffer.from(text);
-    for (const member of others) {
-      const isNear = member.dataCentre === dataCentre;
-      if (isNear ? toNear : toFar) {
-        this.#sendData(member, data);
-      }
+  /** The same to several. */
+  sendAll(to: readonly Member[], message: PeerMessage): void {
+    const data = Buffer.from(JSON.stringify(message));
+    for (const member of to) {
+      this.#sendData(member, data);
     }
-    this.#near = toNear ? { text, atMs: nowMs } : this.#near;
-    this.#far = toFar ? { text, atMs: nowMs } : this.#far;
   }
 
   /** What is news goes out at once: a new configuration, a store that is away. */
   #sendAlive(): void {
-    const { clock, instance: from, describeStanding, listOthers, isSpeaker } =
+    const { clock, instance: from, describeStanding, isSpeaker } =
       this.#options;
     if (!isSpeaker()) {
       return;
     }
     const nowMs = clock.readMs();
-    const text = JSON.stringify({ kind: "alive", from, ...describeStanding() });
-    const saidAtMs = Math.max(
-      this.#alive.atMs,
-      Math.min(this.#near.atMs, this.#far.atMs),
-    );
-    if (text === this.#alive.text && nowMs - saidAtMs < ALIVE_EVERY_MS) {
-      return;
-    }
-    this.#alive = { text, atMs: nowMs };
-    const data = Buffer.from(text);
-    for (const member of listOthers()) {
-      this.#sendData(member, data);
+    const message = { kind: "alive", from, ...describeStanding() } as const;
+    const text = JSON.stringify(message);
+    if (
+      text !== this.#alive.text || nowMs - this.#alive.atMs >= ALIVE_EVERY_MS
+    ) {
+      this.#alive = { text, atMs: nowMs };
+      this.sendAll(this.#options.listListeners(), message);
     }
   }
 
@@ -188,21 +133,3 @@
     this.#options.reportFault(`Unreadable datagram from ${sender.address}`);
   }
 }
-
-function computeGapMs({ leastMs, perInstanceMs }: Pace, count: number): number {
-  return Math.max(leastMs, perInstanceMs * count);
-}
-
-function isDue(
-  last: { readonly text: string; readonly atMs: number },
-  now: {
-    readonly text: string;
-    readonly gapMs: number;
-    readonly repeatMs: number;
-    readonly nowMs: number;
-  },
-): boolean {
-  const ageMs = now.nowMs - last.atMs;
-  return ageMs >= now.repeatMs ||
-    (ageMs >= now.gapMs && now.text !== last.text);
-}
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -1,21 +1,10 @@
 /** What instances tell each other in datagrams. All of it is a hint. */
 import type { OwnDemand } from "@lentilspur/routing/account_limiter";
+import type { Piece } from "./datagram_pieces.ts";
 import type { KeeperMessage } from "./keeper_peers.ts";
+import type { LoadCounts } from "./load_counts.ts";
 import type { TailSlice } from "./partition_tail.ts";
 
-/** Numbers by target; absent means none. */
-export type TargetCounts = Readonly<Record<string, number>>;
-
-/** What one instance has at each target, and has waiting. */
-export interface LoadCounts {
-  /** Requests that each target has from it. */
-  readonly running: TargetCounts;
-  /** Requests that wait, by service, the target that they wait for, and rank. */
-  readonly waiting: Readonly<
-    Record<string, Readonly<Record<string, readonly number[]>>>
-  >;
-}
-
 /** First and last key, and the token under which they were granted. */
 export type GrantedKeys = readonly [from: number, to: number, token: number];
 
@@ -36,6 +25,14 @@
     readonly from: string;
     readonly counts: LoadCounts;
   } & PeerStanding)
+  | ({
+    /** What all instances of a data centre have together, packed. */
+    readonly kind: "gathered-load";
+    readonly from: string;
+    readonly dataCentre: string;
+    /** Which sum of the sender's it is. */
+    readonly number: number;
+  } & Piece)
   /** That the sender is there. */
   | ({ readonly kind: "alive"; readonly from: string } & PeerStanding)
   | {
@@ -58,22 +55,17 @@
     readonly kind: "targets";
     readonly from: string;
   } & TailSlice)
-  | {
-    /** A table of owners that a keeper has written. */
+  | ({
+    /**
+     * A table of owners that a keeper has written: what differs from the table
+     * before, packed. Without any text it has to be read.
+     */
     readonly kind: "owners";
     readonly from: string;
     readonly part: number;
     readonly offset: number;
     readonly service: string;
-    /**
-     * What differs from the table before, packed, or a piece of that; `null`: it
-     * has to be read.
-     */
-    readonly ranges: string | null;
-    /** Which piece it is, of how many. */
-    readonly piece: number;
-    readonly pieces: number;
-  }
+  } & Piece)
   | {
     /** Ranges that have reached their new owners; a record says so later. */
     readonly kind: "granted";
@@ -98,7 +90,11 @@
   switch (message.kind) {
     case "load":
       return typeof message.counts?.running === "object" &&
-        typeof message.counts.waiting === "object" && isStanding(message);
+        typeof message.counts.waiting === "object" &&
+        Number.isInteger(message.counts.instances) && isStanding(message);
+    case "gathered-load":
+      return typeof message.dataCentre === "string" &&
+        Number.isInteger(message.number) && isPiece(message);
     case "alive":
       return isStanding(message);
     case "member":
@@ -114,9 +110,7 @@
     case "owners":
       return Number.isInteger(message.part) &&
         Number.isInteger(message.offset) &&
-        typeof message.service === "string" &&
-        Number.isInteger(message.piece) && Number.isInteger(message.pieces) &&
-        (message.ranges === null || typeof message.ranges === "string");
+        typeof message.service === "string" && isPiece(message);
     case "granted":
       return typeof message.service === "string" &&
         Array.isArray(message.ranges);
@@ -145,3 +139,8 @@
     Array.isArray(ends) &&
     ends.every((one) => Array.isArray(one) && one.every(Number.isInteger));
 }
+
+function isPiece({ text, piece, pieces }: Piece): boolean {
+  return typeof text === "string" && Number.isInteger(piece) &&
+    Number.isInteger(pieces);
+}
--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/service_registry.ts
@@ -13,7 +13,7 @@
 } from "@lentilspur/routing/service_places";
 import { SplitBalance } from "@lentilspur/routing/split_balance";
 import type { Catalogue } from "./catalogue.ts";
-import type { LoadCounts } from "./peer_message.ts";
+import type { LoadCounts } from "./load_counts.ts";
 
 export interface ServiceRegistryOptions {
   readonly clock: Clock;
@@ -180,7 +180,10 @@
     places.advance(nowMs);
   }
 
-  /** A peer's requests at each target; those it does not name it has not. */
+  /**
+   * The requests of a peer, or of several together, at each target; those that
+   * are not named have none.
+   */
   applyPeerCounts(peer: string, counts: LoadCounts): void {
     const nowMs = this.#options.clock.readMs();
     const named = Object.keys(counts.running);
@@ -192,7 +195,7 @@
         places.getLoad(id)?.setPeerCount(peer, count, nowMs);
       }
       const waits = Object.entries(counts.waiting[service] ?? {});
-      places.setPeerWaits(peer, new Map(waits), nowMs);
+      places.setPeerWaits(peer, new Map(waits), nowMs, counts.instances);
       places.advance(nowMs);
     }
   }
@@ -210,7 +213,7 @@
         waiting[service] = Object.fromEntries(places.countWaits());
       }
     }
-    return { running, waiting };
+    return { running, waiting, instances: 1 };
   }
 
   getUsualServiceMs(service: string): number | null {
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -20,7 +20,7 @@
   type OwnedRange,
   serializeTable,
 } from "@lentilspur/ownership/key_table";
-import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { decodeValue, encodeValue, PieceJoiner } from "./datagram_pieces.ts";
 import type { Duties } from "./duties.ts";
 import type { KeyDirectory } from "./key_directory.ts";
 import type { Member } from "./members.ts";
@@ -52,16 +52,9 @@
   readonly after: KeyTable;
 }
 
-/** Pieces of one table's difference that have come so far. */
-interface GatheredPieces {
-  readonly offset: number;
-  readonly texts: Map<number, string>;
-}
-
 export class ViewRelay {
   readonly #options: ViewRelayOptions;
-  /** By partition. */
-  readonly #pieces = new Map<number, GatheredPieces>();
+  readonly #joiner = new PieceJoiner();
 
   constructor(options: ViewRelayOptions) {
     this.#options = options;
@@ -105,11 +98,11 @@
   sendTable(written: WrittenTable): void {
     const { part, service, offset, before, after } = written;
     const texts = before === undefined
-      ? [null]
-      : splitText(encodeRanges(diffTables(before, after))) ?? [null];
-    for (const [piece, ranges] of texts.entries()) {
+      ? [UNTOLD]
+      : encodeValue(diffTables(before, after)) ?? [UNTOLD];
+    for (const [piece, text] of texts.entries()) {
       const pieces = texts.length;
-      this.#sendOwners({ part, offset, service, ranges, piece, pieces });
+      this.#sendOwners({ part, offset, service, text, piece, pieces });
     }
   }
 
@@ -133,8 +126,8 @@
 
   /** Tells every instance that this one keeps a partition from now on. */
   sendClaim(part: number, offset: number): void {
-    const whole = { piece: 0, pieces: 1 };
-    this.#sendOwners({ part, offset, service: "", ranges: null, ...whole });
+    const whole = { text: UNTOLD, piece: 0, pieces: 1 };
+    this.#sendOwners({ part, offset, service: "", ...whole });
   }
 
   #sendOwners(fields: Omit<OwnersMessage, "kind" | "from">): void {
@@ -172,11 +165,12 @@
     if (tail === undefined || offset < tail.end) {
       return;
     }
-    const packed = this.#joinPieces(message);
+    // Where a piece is lost, the next table shows that one was missed.
+    const packed = this.#joiner.add(`${part}`, offset, message);
     if (packed === undefined) {
       return;
     }
-    const patch = packed === null ? undefined : decodeRanges(packed);
+    const patch = decodeValue(packed) as readonly OwnedRange[] | undefined;
     const before = directory.getTable(service);
     if (patch === undefined || before === undefined || offset !== tail.end) {
       tail.scheduleRead();
@@ -192,58 +186,12 @@
       records: [{ offset, key, value }],
     });
   }
-
-  /**
-   * The whole of what came in pieces; undefined until all are there. Where one
-   * is lost, the next table shows that one was missed, and the store is read.
-   */
-  #joinPieces(message: OwnersMessage): string | null | undefined {
-    const { part, offset, ranges, piece, pieces } = message;
-    if (ranges === null || pieces === 1) {
-      return ranges;
-    }
-    const known = this.#pieces.get(part);
-    const gathered = known?.offset === offset
-      ? known
-      : { offset, texts: new Map<number, string>() };
-    this.#pieces.set(part, gathered);
-    gathered.texts.set(piece, ranges);
-    if (gathered.texts.size < pieces) {
-      return undefined;
-    }
-    this.#pieces.delete(part);
-    return [...gathered.texts]
-      .sort(([left], [right]) => left - right)
-      .map(([, text]) => text)
-      .join("");
-  }
-}
-
-/**
- * Ids and addresses come again and again: ten moves are 3 KB as they are and
- * would not fit into a datagram, and 1 KB packed.
- */
-function encodeRanges(ranges: readonly OwnedRange[]): string {
-  return deflateRawSync(JSON.stringify(ranges)).toString("base64");
-}
-
-/**
- * What fits into a datagram each. With 150 targets a plan's moves take three to
- * six; told to read instead, 58 instances read the table at once, several times
- * a second: nine tenths of 156 calls a second.
- */
-function splitText(text: string): readonly string[] | undefined {
-  const pieces: string[] = [];
-  for (let start = 0; start < text.length; start += MAX_PIECE) {
-    pieces.push(text.slice(start, start + MAX_PIECE));
-  }
-  return pieces.length > MAX_PIECES ? undefined : pieces;
 }
 
-/** Characters; what surrounds them takes some 150 bytes of a datagram. */
+/** Stands for what is to be read instead. */
+const UNTOLD = "";
+/** Characters of records in one datagram. */
 const MAX_PIECE = 1_100;
-/** Beyond this many, one of them is lost too often. */
-const MAX_PIECES = 12;
 
 /**
  * What was read, in pieces that fit into a datagram each; the next goes on where
@@ -270,18 +218,3 @@
   pieces.push({ ...slice, base, records });
   return pieces;
 }
-
-/** Undefined where the text is none; the table is read instead. */
-function decodeRanges(text: string): readonly OwnedRange[] | undefined {
-  try {
-    const packed = Buffer.from(text, "base64");
-    const unpacked = inflateRawSync(packed, { maxOutputLength: MAX_UNPACKED });
-    return JSON.parse(unpacked.toString("utf8")) as readonly OwnedRange[];
-  } catch {
-    // Cut or foreign bytes: the sender is asked for nothing, the store is read.
-    return undefined;
-  }
-}
-
-/** Far above any table that fits packed into a datagram. */
-const MAX_UNPACKED = 256 * 1024;
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -105,8 +105,14 @@
     return this.#line.countWaits();
   }
 
-  setPeerWaits(peer: string, counts: WaitCounts, nowMs: number): void {
-    this.#line.setPeerWaits(peer, counts, nowMs);
+  /** `instances`: how many have these together. */
+  setPeerWaits(
+    peer: string,
+    counts: WaitCounts,
+    nowMs: number,
+    instances = 1,
+  ): void {
+    this.#line.setPeerWaits(peer, { counts, instances, atMs: nowMs });
   }
 
   /** Takes over the targets that there are now. */
--- a/packages/routing/src/wait_line.ts
+++ b/packages/routing/src/wait_line.ts
@@ -27,8 +27,10 @@
 /** Requests that wait, by the target that they wait for and by rank. */
 export type WaitCounts = ReadonlyMap<string, readonly number[]>;
 
-interface PeerWaits {
+/** What waits at a peer, or at several together. */
+export interface PeerWaits {
   readonly counts: WaitCounts;
+  readonly instances: number;
   readonly atMs: number;
 }
 
@@ -84,8 +86,8 @@
     this.#order.recordPlaced(tag);
   }
 
-  setPeerWaits(peer: string, counts: WaitCounts, nowMs: number): void {
-    this.#peerWaits.set(peer, { counts, atMs: nowMs });
+  setPeerWaits(peer: string, waits: PeerWaits): void {
+    this.#peerWaits.set(peer, waits);
   }
 
   /** By lane; under the empty name those for any target. */
@@ -120,9 +122,11 @@
     const peers = [...this.#peerWaits.values()]
       .filter(({ atMs }) => nowMs - atMs <= PEER_WAITS_VALID_MS);
     // Turns of accounts are known here only: elsewhere they stand as they do here.
-    return request.share === undefined
-      ? ahead + countWaitsAhead(peers, request)
-      : ahead * (1 + peers.length);
+    if (request.share === undefined) {
+      return ahead + countWaitsAhead(peers, request);
+    }
+    const elsewhere = peers.reduce((sum, { instances }) => sum + instances, 0);
+    return ahead * (1 + elsewhere);
   }
 }
 
