refactor(gateway): give the share of the group of keepers a module

The service that claims partitions no longer joins and leaves the group as well; both ways of leaving go through one call.

--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -2,8 +2,8 @@
  * Decides when this instance is the keeper of a partition of the table of
  * owners.
  *
- * The store's group divides the partitions among the instances that are alive.
- * That is only a hint to claim; what makes a keeper is its claim in the
+ * That a partition falls to it (`keeper_share`) is only a hint to claim; what
+ * makes a keeper is its claim in the
  * partition. A keeper to whom the partition does not fall any more hands over:
  * it stops, says so in the partition, and the next need not wait for it.
  */
@@ -35,6 +35,7 @@
   KeeperPeers,
   type KeeperPeersEvent,
 } from "./keeper_peers.ts";
+import { KeeperShare, type KeeperShareEvent } from "./keeper_share.ts";
 import type { PartitionTail } from "./partition_tail.ts";
 import type { WrittenTable } from "./view_relay.ts";
 
@@ -50,12 +51,7 @@
     readonly partition: Partition;
     readonly cause: string;
   }
-  | {
-    readonly kind: "share";
-    readonly generation: number;
-    readonly parts: readonly number[];
-  }
-  | { readonly kind: "share-failed"; readonly cause: string }
+  | KeeperShareEvent
   | { readonly kind: "record-fault"; readonly message: string }
   | KeeperPeersEvent
   | {
@@ -103,16 +99,8 @@
   readonly onClaim?: (part: number, term: number) => void;
 }
 
-const GROUP = "keepers";
-/** A lost keeper is replaced before the holds that it granted run out (3 s). */
-const MEMBER_TTL_MS = 1_500;
-const JOINS_PER_TTL = 3;
-/** A datagram or two may be lost; to leave and join moves partitions twice. */
-const LEAVE_AFTER_MS = 10_000;
 /** Between two looks at whether to claim. */
 const TICK_MS = 100;
-/** Between two tries to leave the group while the store is away. */
-const LEAVE_EVERY_MS = 300;
 /** A keeper asks for pledges once the store has not answered for this long. */
 const ASK_AFTER_MS = 1_000;
 /** Datagrams that are to be answered go out again after this. */
@@ -125,20 +113,17 @@
 export class KeeperService {
   readonly #options: KeeperServiceOptions;
   readonly #keepers = new Map<number, KeyKeeper>();
-  readonly #assignedAt = new Map<number, number>();
+  readonly #share: KeeperShare;
   readonly #claiming = new Set<number>();
   /** The last keeper of each partition here, also once it has stopped. */
   readonly #latest = new Map<number, KeyKeeper>();
   readonly #earlier = new Map<number, EarlierKeepers>();
-  #joinedAtMs = -Infinity;
   readonly #peers: KeeperPeers;
   #sentAtMs = -Infinity;
-  #generation = 0;
-  #isLeaving = false;
-  #hasEnded = false;
 
   constructor(options: KeeperServiceOptions) {
     this.#options = options;
+    this.#share = new KeeperShare(options);
     this.#peers = new KeeperPeers({
       clock: options.clock,
       claim: options.claim,
@@ -157,7 +142,7 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#runShare(signal), this.#runClaims(signal)]);
+    await Promise.all([this.#share.run(signal), this.#runClaims(signal)]);
   }
 
   /** Targets have changed: keepers look at once. */
@@ -183,7 +168,7 @@
 
   /** Whether a partition falls to this instance, or is kept here still. */
   hasPart(part: number): boolean {
-    return this.#assignedAt.has(part) || this.#keepers.has(part);
+    return this.#share.has(part) || this.#keepers.has(part);
   }
 
   /** Whom the partition names as its keeper. */
@@ -194,15 +179,13 @@
 
   /** Hands everything over, for a stop. */
   async leave(): Promise<void> {
-    this.#isLeaving = true;
-    await this.#leaveGroup();
-    this.#assignedAt.clear();
+    await this.#share.leave();
     await this.#transferKeepers();
   }
 
   /** The process ends: no order more, and others are told. */
   stop(): void {
-    this.#hasEnded = true;
+    this.#share.stop();
     for (const [part, keeper] of this.#keepers) {
       keeper.stop("asked");
       this.#sendStopped(part, keeper);
@@ -210,100 +193,11 @@
     this.#keepers.clear();
   }
 
-  /**
-   * Without the store nothing can be handed over: keepers here act on until it
-   * is back, or until the process ends. Failure: an instance is stopped in an
-   * outage of the store; had its keeper stopped at once, every key would be
-   * unserved from 3 s later until the outage is over (4 s, all lookups).
-   */
-  async #leaveGroup(): Promise<void> {
-    const { clock, store, claim, observe } = this.#options;
-    while (!this.#hasEnded) {
-      const left = await store.leave(GROUP, formatIncarnation(claim));
-      if (left.ok) {
-        return;
-      }
-      observe({ kind: "share-failed", cause: left.val.kind });
-      await clock.sleep(LEAVE_EVERY_MS);
-    }
-  }
-
-  async #runShare(signal: AbortSignal): Promise<void> {
-    const { clock, minMemberTtlMs, isCandidate } = this.#options;
-    const ttlMs = Math.max(MEMBER_TTL_MS, minMemberTtlMs);
-    let candidateAtMs = -Infinity;
-    while (!signal.aborted && !this.#isLeaving) {
-      const nowMs = clock.readMs();
-      candidateAtMs = isCandidate() ? nowMs : candidateAtMs;
-      if (nowMs - candidateAtMs < LEAVE_AFTER_MS) {
-        await this.#join(ttlMs);
-        await clock.sleep(ttlMs / JOINS_PER_TTL, signal);
-        continue;
-      }
-      if (this.#generation > 0) {
-        await this.#leaveShare();
-      }
-      await clock.sleep(TICK_MS, signal);
-    }
-  }
-
-  /** Others stand ready: what is kept here passes to them. */
-  async #leaveShare(): Promise<void> {
-    const { store, claim, observe } = this.#options;
-    const left = await store.leave(GROUP, formatIncarnation(claim));
-    if (!left.ok) {
-      observe({ kind: "share-failed", cause: left.val.kind });
-      return;
-    }
-    this.#generation = 0;
-    this.#setParts([], this.#options.clock.readMs());
-    observe({ kind: "share", generation: 0, parts: [] });
-  }
-
-  async #join(ttlMs: number): Promise<void> {
-    const { clock, store, topic, claim, observe } = this.#options;
-    const sentAtMs = clock.readMs();
-    const joined = await store.join({
-      group: GROUP,
-      member: formatIncarnation(claim),
-      topic,
-      ttlMs,
-      generation: this.#generation,
-    });
-    if (this.#isLeaving) {
-      return;
-    }
-    if (!joined.ok) {
-      observe({ kind: "share-failed", cause: joined.val.kind });
-      return;
-    }
-    this.#joinedAtMs = sentAtMs;
-    const { generation, parts } = joined.val;
-    if (generation !== this.#generation) {
-      observe({ kind: "share", generation, parts });
-    }
-    this.#generation = generation;
-    this.#setParts(parts, clock.readMs());
-  }
-
-  #setParts(parts: readonly number[], nowMs: number): void {
-    for (const part of [...this.#assignedAt.keys()]) {
-      if (!parts.includes(part)) {
-        this.#assignedAt.delete(part);
-      }
-    }
-    for (const part of parts) {
-      if (!this.#assignedAt.has(part)) {
-        this.#assignedAt.set(part, nowMs);
-      }
-    }
-  }
-
   async #runClaims(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#stopReplaced();
       this.#sendWhatIsDue();
-      for (const [part, sinceMs] of this.#assignedAt) {
+      for (const [part, sinceMs] of this.#share.list()) {
         void this.#claimIfDue(part, sinceMs);
       }
       void this.#transferKeepers();
@@ -314,9 +208,9 @@
 
   #hasStore(): boolean {
     const { clock, getTail } = this.#options;
-    const contacts = [...this.#assignedAt.keys(), ...this.#keepers.keys()]
+    const contacts = [...this.#share.list().keys(), ...this.#keepers.keys()]
       .map((part) => getTail(part)?.confirmedAtMs ?? -Infinity);
-    const latestMs = Math.max(this.#joinedAtMs, ...contacts);
+    const latestMs = Math.max(this.#share.joinedAtMs, ...contacts);
     return clock.readMs() - latestMs < STORE_CONTACT_MS;
   }
 
@@ -374,7 +268,7 @@
   async #transferKeepers(): Promise<void> {
     const leaving: Promise<void>[] = [];
     for (const [part, keeper] of this.#keepers) {
-      if (!this.#assignedAt.has(part)) {
+      if (!this.#share.has(part)) {
         this.#keepers.delete(part);
         leaving.push(this.#transferKeeper(part, keeper));
       }
@@ -397,7 +291,7 @@
     const tail = getTail(part);
     if (
       tail === undefined || !tail.isLoaded || this.#keepers.has(part) ||
-      this.#isLeaving || this.#claiming.has(part) ||
+      this.#share.isLeaving || this.#claiming.has(part) ||
       listFacts(part).length === 0
     ) {
       return;
