--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -119,7 +119,8 @@
   const mark = isInForce(report, version) ? "in force" : "BEHIND";
   const age = formatDuration(computeShownAge(status.inForceForMs));
   const ready = status.isReady ? "ready" : "not ready";
-  return `${name}: version ${status.configurationVersion} ${mark} for ${age}, ${status.targets} targets, ${ready}`;
+  const duties = status.duties.map((duty) => `, ${duty}`).join("");
+  return `${name}: version ${status.configurationVersion} ${mark} for ${age}, ${status.targets} targets, ${ready}${duties}`;
 }
 
 /** Whole seconds above one second: nobody reads the rest. */
--- a/packages/cli/src/instance_status.ts
+++ b/packages/cli/src/instance_status.ts
@@ -12,6 +12,8 @@
   inForceForMs: z.number(),
   targets: z.int().min(0),
   openRequests: z.int().min(0),
+  /** What it does for other instances. */
+  duties: z.array(z.string()),
 });
 
 export type InstanceStatus = Readonly<z.output<typeof statusSchema>>;
--- a/packages/cli/src/publish_test.ts
+++ b/packages/cli/src/publish_test.ts
@@ -264,7 +264,10 @@
   terminal.versions.set("b", 1).set("c", 1);
   const status = await terminal.run("status", STORE);
   assert.equal(status, EXIT_CODES.done);
-  assert.match(terminal.takeOutput(), /in force on 3 of 3 instances/);
+  const shown = terminal.takeOutput();
+  assert.match(shown, /in force on 3 of 3 instances/);
+  assert.match(shown, /^a .*ready, reader$/m);
+  assert.match(shown, /^b .*ready$/m);
 });
 
 test("asks named instances while the store is down", async () => {
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -105,6 +105,7 @@
             inForceForMs: 1_500,
             targets: 3,
             openRequests: 0,
+            duties: instance === "a" ? ["reader"] : [],
           }),
         );
       },
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -14,6 +14,14 @@
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Member, Members, RankedInstance } from "./members.ts";
 
+/**
+ * What an instance does for others. `keeper-candidate`: it joins the group of
+ * keepers and follows the configuration. `reader`: it reads the targets' entries
+ * for all. `local-reader`: it passes on in its data centre what is read, and
+ * gathers loads there.
+ */
+export type Duty = "keeper-candidate" | "reader" | "local-reader";
+
 export interface DutiesOptions {
   readonly clock: Clock;
   /** As `members` has it. */
@@ -69,6 +77,21 @@
     this.#startedAtMs = options.clock.readMs();
   }
 
+  /** What this instance does for others now. */
+  listDuties(): readonly Duty[] {
+    const duties: Duty[] = [];
+    if (this.isCandidate()) {
+      duties.push("keeper-candidate");
+    }
+    if (this.isReader()) {
+      duties.push("reader");
+    }
+    if (this.isLocalReader()) {
+      duties.push("local-reader");
+    }
+    return duties;
+  }
+
   /** Whether this instance stands ready to keep keys. */
   isCandidate(): boolean {
     return this.#decide().isCandidate;
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -480,6 +480,7 @@
         this.#keepers.schedulePlans();
       }
       this.#status.observeReady();
+      this.#status.observeDuties();
       await clock.sleep(CATALOGUE_TICK_MS, signal);
     }
   }
@@ -496,6 +497,7 @@
       catalogue: this.#catalogue,
       lines: this.#lines,
       isReady: () => this.#isReady(),
+      listDuties: () => this.#duties.listDuties(),
       countOpen: () => this.#server.openRequests,
       countWaiting: () => this.#services.waiting,
     });
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -1,6 +1,7 @@
 /** What an instance says of itself: whether it is ready, its state, its gauges. */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Catalogue } from "./catalogue.ts";
+import type { Duty } from "./duties.ts";
 import type { GatewayGauges } from "./gateway_metrics.ts";
 import type { ResolvedGatewaySettings } from "./gateway_settings.ts";
 import type { LineLog } from "./line_log.ts";
@@ -15,6 +16,8 @@
   readonly lines: LineLog;
   /** Whether callers are asked to come. */
   readonly isReady: () => boolean;
+  /** What this instance does for others now. */
+  readonly listDuties: () => readonly Duty[];
   /** Requests without an answer yet. */
   readonly countOpen: () => number;
   /** Requests that wait for a place. */
@@ -28,6 +31,7 @@
   readonly #options: InstanceStatusOptions;
   #inForceSinceMs = 0;
   #wasReady = false;
+  #duties = "";
 
   constructor(options: InstanceStatusOptions) {
     this.#options = options;
@@ -51,6 +55,16 @@
     }
   }
 
+  /** Logs where the work that falls to this instance has changed. */
+  observeDuties(): void {
+    const { listDuties, lines } = this.#options;
+    const duties = listDuties();
+    if (duties.join() !== this.#duties) {
+      this.#duties = duties.join();
+      lines.log("duties", "notable", { duties });
+    }
+  }
+
   /** Any path but one asks whether it is ready. */
   answer(path: string): SideAnswer {
     if (path === STATUS_PATH) {
@@ -76,8 +90,8 @@
   }
 
   #answerStatus(): SideAnswer {
-    const { settings, incarnation, clock, catalogue, isReady, countOpen } =
-      this.#options;
+    const { settings, incarnation, clock, catalogue } = this.#options;
+    const { isReady, countOpen, listDuties } = this.#options;
     const status = {
       instance: settings.instance,
       incarnation,
@@ -87,6 +101,7 @@
       inForceForMs: Math.round(clock.readMs() - this.#inForceSinceMs),
       targets: catalogue.targetCount,
       openRequests: countOpen(),
+      duties: listDuties(),
     };
     return {
       status: 200,
