test(gateway): what an instance reads while others tell it, and when they do not

What other instances tell is handed on by a module of its own, with the rule by whose word a version of the configuration counts as the newest.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -27,6 +27,7 @@
 import { LoadExchange } from "./load_exchange.ts";
 import { Members } from "./members.ts";
 import { publishMember } from "./member_record.ts";
+import { PeerDispatch } from "./peer_dispatch.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
 import { RequestRouter } from "./request_router.ts";
@@ -39,8 +40,6 @@
 import { SuspensionGuard } from "./suspension_guard.ts";
 import { ViewRelay } from "./view_relay.ts";
 
-type MemberMessage = PeerMessage & { readonly kind: "member" };
-
 /** Loops that end with the instance: a few, and one for each partition followed. */
 const MAX_LOOPS = 200;
 /** Targets that were missing are let go, and changes taken over, this often. */
@@ -70,6 +69,7 @@
   readonly #demands: AccountDemands;
   readonly #peers: PeerExchange;
   readonly #loads: LoadExchange;
+  readonly #dispatch: PeerDispatch;
   readonly #ready: SideServer;
   readonly #metricsServer: SideServer;
   readonly #keyTraffic: KeyTraffic;
@@ -121,6 +121,18 @@
     this.#keyTraffic = this.#createKeyTraffic();
     this.#demands = this.#createDemands();
     this.#status = this.#createStatus();
+    this.#dispatch = new PeerDispatch({
+      clock,
+      members: this.#members,
+      duties: this.#duties,
+      views: this.#views,
+      loads: this.#loads,
+      relay: this.#relay,
+      keyTraffic: this.#keyTraffic,
+      demands: this.#demands,
+      keepers: this.#keepers,
+      reportFault: (message) => this.#report.reportFault(message),
+    });
     this.#ready = new SideServer((path) => this.#status.answer(path));
     this.#metricsServer = new SideServer(async () => ({
       status: 200,
@@ -312,7 +324,7 @@
       listListeners: () => this.#duties.listListeners(),
       describeStanding: () => this.#describeStanding(),
       isSpeaker: () => this.#duties.isSpeaker(),
-      handle: (message) => this.#applyMessage(message),
+      handle: (message) => this.#dispatch.handle(message),
       reportFault: (message) => this.#report.reportFault(message),
     });
   }
@@ -351,74 +363,6 @@
     this.#views.getOwnersTail(part)?.applySlice({ ...slice, records });
   }
 
-  #applyStanding(from: string, standing: PeerStanding): void {
-    const nowMs = this.#options.clock.readMs();
-    this.#members.recordStore(from, standing.hasLostStore, nowMs);
-    if (this.#members.get(from) === undefined) {
-      this.#views.readMembers();
-    }
-    const known = this.#catalogue.table?.version ?? 0;
-    if (standing.version > known || this.#isFollower(from)) {
-      this.#views.applyVersion(standing.version);
-    }
-    for (const [part, end] of standing.ends) {
-      this.#views.applyOwnersEnd(part, end);
-    }
-  }
-
-  /** Whether another instance reads each change of the configuration at once. */
-  #isFollower(instance: string): boolean {
-    return this.#duties.hasCandidate(instance) &&
-      !this.#members.hasLostStore(instance);
-  }
-
-  #applyMessage(message: PeerMessage): void {
-    this.#members.recordHeard(message.from, this.#options.clock.readMs());
-    switch (message.kind) {
-      case "load":
-        this.#loads.applyLoad(message);
-        this.#applyStanding(message.from, message);
-        return;
-      case "gathered-load":
-        this.#loads.applyGathered(message);
-        return;
-      case "alive":
-        this.#applyStanding(message.from, message);
-        return;
-      case "member":
-        this.#applyMember(message);
-        return;
-      case "targets":
-        this.#relay.applyTargets(message);
-        return;
-      case "owners":
-        this.#relay.applyTable(message);
-        return;
-      case "granted":
-        this.#relay.applyGranted(message);
-        return;
-      case "keys":
-        this.#keyTraffic.apply(message);
-        return;
-      case "demand":
-        this.#demands.apply(message);
-        return;
-      case "pledge-request":
-      case "pledge":
-      case "keeper-replaced":
-      case "keeper-stopped":
-        this.#keepers.applyMessage(message);
-        return;
-    }
-  }
-
-  #applyMember({ from, record, offset }: MemberMessage): void {
-    const nowMs = this.#options.clock.readMs();
-    if (!this.#members.apply(from, record, { offset, nowMs })) {
-      this.#report.reportFault(`Unreadable word of member "${from}"`);
-    }
-  }
-
   #sendOwnRecord(offset: number, record: string): void {
     const { instance: from } = this.#options.settings;
     for (const member of this.#members.listOthers()) {
--- /dev/null
+++ b/packages/gateway/src/peer_dispatch.ts
@@ -0,0 +1,101 @@
+/** Hands what another instance has told to the part of this one that it is for. */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { AccountDemands } from "./account_demands.ts";
+import type { Duties } from "./duties.ts";
+import type { KeeperService } from "./keeper_service.ts";
+import type { KeyTraffic } from "./key_traffic.ts";
+import type { LoadExchange } from "./load_exchange.ts";
+import type { Members } from "./members.ts";
+import type { PeerMessage, PeerStanding } from "./peer_message.ts";
+import type { StoreViews } from "./store_views.ts";
+import type { ViewRelay } from "./view_relay.ts";
+
+type MemberMessage = PeerMessage & { readonly kind: "member" };
+
+export interface PeerDispatchOptions {
+  readonly clock: Clock;
+  readonly members: Members;
+  readonly duties: Duties;
+  readonly views: StoreViews;
+  readonly loads: LoadExchange;
+  readonly relay: ViewRelay;
+  readonly keyTraffic: KeyTraffic;
+  readonly demands: AccountDemands;
+  readonly keepers: KeeperService;
+  readonly reportFault: (message: string) => void;
+}
+
+export class PeerDispatch {
+  readonly #options: PeerDispatchOptions;
+
+  constructor(options: PeerDispatchOptions) {
+    this.#options = options;
+  }
+
+  handle(message: PeerMessage): void {
+    const { clock, members, loads, relay, keyTraffic, demands, keepers } =
+      this.#options;
+    members.recordHeard(message.from, clock.readMs());
+    switch (message.kind) {
+      case "load":
+        loads.applyLoad(message);
+        this.#applyStanding(message.from, message);
+        return;
+      case "gathered-load":
+        loads.applyGathered(message);
+        return;
+      case "alive":
+        this.#applyStanding(message.from, message);
+        return;
+      case "member":
+        this.#applyMember(message);
+        return;
+      case "targets":
+        relay.applyTargets(message);
+        return;
+      case "owners":
+        relay.applyTable(message);
+        return;
+      case "granted":
+        relay.applyGranted(message);
+        return;
+      case "keys":
+        keyTraffic.apply(message);
+        return;
+      case "demand":
+        demands.apply(message);
+        return;
+      case "pledge-request":
+      case "pledge":
+      case "keeper-replaced":
+      case "keeper-stopped":
+        keepers.applyMessage(message);
+        return;
+    }
+  }
+
+  #applyStanding(from: string, standing: PeerStanding): void {
+    const { clock, members, views } = this.#options;
+    members.recordStore(from, standing.hasLostStore, clock.readMs());
+    if (members.get(from) === undefined) {
+      views.readMembers();
+    }
+    views.applyVersion(standing.version, this.#hasNewest(from));
+    for (const [part, end] of standing.ends) {
+      views.applyOwnersEnd(part, end);
+    }
+  }
+
+  /** Whether an instance reads each change of the configuration at once. */
+  #hasNewest(instance: string): boolean {
+    const { duties, members } = this.#options;
+    return duties.hasCandidate(instance) && !members.hasLostStore(instance);
+  }
+
+  #applyMember({ from, record, offset }: MemberMessage): void {
+    const { clock, members, reportFault } = this.#options;
+    if (!members.apply(from, record, { offset, nowMs: clock.readMs() })) {
+      reportFault(`Unreadable word of member "${from}"`);
+    }
+  }
+}
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -159,12 +159,15 @@
     return this.#configuration.isLost || this.#targets.isLost;
   }
 
-  /** An instance that follows the configuration has this version in force. */
-  applyVersion(version: number): void {
+  /**
+   * Another instance has this version in force. `isNewest`: it reads each change
+   * at once, so that nothing newer is to be read here either.
+   */
+  applyVersion(version: number, isNewest: boolean): void {
     const known = this.#options.catalogue.table?.version ?? 0;
     if (version > known) {
       this.#configuration.scheduleRead();
-    } else if (version === known) {
+    } else if (version === known && isNewest) {
       this.#configuration.recordTold(this.#options.clock.readMs());
     }
   }
--- /dev/null
+++ b/packages/gateway/src/store_views_test.ts
@@ -0,0 +1,185 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Err, Ok } from "@lentilspur/outcomes/result";
+import { FakeStore } from "@lentilspur/ports/fake_store";
+import type { ReadRequest } from "@lentilspur/ports/store";
+import type { RoutingTable } from "@lentilspur/ports/routing_table";
+import { VirtualClock } from "@lentilspur/ports/virtual_clock";
+import { Catalogue } from "./catalogue.ts";
+import { Duties } from "./duties.ts";
+import type { StorePlaces } from "./gateway_settings.ts";
+import { KeyDirectory } from "./key_directory.ts";
+import { type Member, Members, serializeMember } from "./members.ts";
+import { StoreViews } from "./store_views.ts";
+
+const PLACES: StorePlaces = {
+  configuration: { topic: "configuration", part: 0, key: "newest" },
+  targets: { topic: "targets", part: 0 },
+  members: { topic: "members", part: 0 },
+  owners: { topic: "owners", parts: 8 },
+};
+const OWNERS_PART = 3;
+
+/** What a weak instance among many strong ones reads; the others are played. */
+class Reader {
+  readonly clock = new VirtualClock();
+  readonly store = new FakeStore(this.clock, 8);
+  readonly reads: string[] = [];
+  readonly views: StoreViews;
+  readonly #catalogue: Catalogue;
+  readonly #members: Members;
+  readonly #others: readonly Member[];
+  version = 1;
+
+  constructor() {
+    this.write();
+    const self = createMember("weak", 0.27);
+    this.#members = new Members(self);
+    this.#others = Array.from(
+      { length: 20 },
+      (_, index) => createMember(`strong-${index}`, 1.35),
+    );
+    this.#catalogue = new Catalogue({
+      decodeConfiguration: (text) => Ok(JSON.parse(text) as RoutingTable),
+      decodeTarget: () => Err("none is written"),
+      observe: () => undefined,
+    });
+    const client = this.store.createClient("weak");
+    const duties = new Duties({
+      clock: this.clock,
+      self,
+      members: this.#members,
+      hasLostStore: () => this.views.hasLostStore,
+    });
+    this.views = new StoreViews({
+      clock: this.clock,
+      store: { ...client, read: (request) => client.read(this.#note(request)) },
+      places: PLACES,
+      catalogue: this.#catalogue,
+      directory: new KeyDirectory(),
+      members: this.#members,
+      duties,
+      onConfiguration: () => undefined,
+      isKeeper: () => false,
+      onTargetsRead: () => undefined,
+      observe: () => undefined,
+      reportFault: (message) => assert.fail(message),
+    }, new AbortController().signal);
+    for (const [offset, one] of this.#others.entries()) {
+      const text = serializeMember(one);
+      this.#members.apply(one.instance, text, { offset, nowMs: 0 });
+      this.store.write(PLACES.members, one.instance, text);
+    }
+    this.views.start();
+    this.views.openOwners(OWNERS_PART);
+  }
+
+  get inForce(): number {
+    return this.#catalogue.table?.version ?? 0;
+  }
+
+  /** Operators publish the configuration in its present version. */
+  write(): void {
+    const { version } = this;
+    const table = { version, routes: [], services: {}, limits: {} };
+    this.store.write(PLACES.configuration, "newest", JSON.stringify(table));
+  }
+
+  /** The others say what they have every 500 ms; some time passes. */
+  async advance(ms: number, options: { ownersEnd: number }): Promise<void> {
+    for (let spentMs = 0; spentMs < ms; spentMs += 500) {
+      for (const { instance } of this.#others) {
+        this.#members.recordStore(instance, false, this.clock.readMs());
+      }
+      this.views.applyVersion(this.version, true);
+      this.views.applyOwnersEnd(OWNERS_PART, options.ownersEnd);
+      await this.clock.advance(500);
+    }
+  }
+
+  countReads(topic: string): number {
+    return this.reads.filter((one) => one === topic).length;
+  }
+
+  #note(request: ReadRequest): ReadRequest {
+    this.reads.push(request.partition.topic);
+    return request;
+  }
+}
+
+function createMember(instance: string, cores: number): Member {
+  return {
+    instance,
+    incarnation: "1",
+    dataCentre: "bole",
+    host: "10.0.0.1",
+    port: 1,
+    statusPort: 1,
+    cores,
+  };
+}
+
+test("an instance that hears which version is in force does not read", async () => {
+  // 200 instances that each hold a read open make 55 calls a second for nothing.
+  const reader = new Reader();
+  await reader.advance(2_000, { ownersEnd: 0 });
+  assert.equal(reader.inForce, 1);
+  reader.reads.length = 0;
+  await reader.advance(10_000, { ownersEnd: 0 });
+  assert.equal(reader.countReads("configuration"), 0);
+  assert.equal(reader.countReads("members"), 0);
+});
+
+test("a version that others have in force is read once, at once", async () => {
+  const reader = new Reader();
+  await reader.advance(3_000, { ownersEnd: 0 });
+  reader.reads.length = 0;
+  reader.version = 2;
+  reader.write();
+  await reader.advance(500, { ownersEnd: 0 });
+  assert.equal(reader.inForce, 2);
+  await reader.advance(5_000, { ownersEnd: 0 });
+  // The one that gives it, and none held open after it.
+  assert.equal(reader.countReads("configuration"), 1);
+});
+
+test("an instance that hears nobody follows the configuration itself", async () => {
+  // Its datagrams are lost, its path to the store is whole. A change must be in
+  // force within 2 s all the same.
+  const reader = new Reader();
+  await reader.advance(3_000, { ownersEnd: 0 });
+  await reader.clock.advance(400);
+  reader.version = 2;
+  reader.write();
+  await reader.clock.advance(1_000);
+  assert.equal(reader.inForce, 2);
+});
+
+test("a request that misses its owner reads only what is old", async () => {
+  // A target has lost its keys and refuses every request for them. Were each to
+  // have the table read, 59 instances made 7,000 calls in 30 s for one that was
+  // current; one that its keeper has not confirmed of late is read.
+  const reader = new Reader();
+  await reader.advance(2_000, { ownersEnd: 0 });
+  reader.reads.length = 0;
+  for (let step = 0; step < 10; step++) {
+    reader.views.checkOwners(OWNERS_PART);
+    await reader.advance(500, { ownersEnd: 0 });
+  }
+  assert.equal(reader.countReads("owners"), 0);
+  await reader.clock.advance(1_000);
+  reader.views.checkOwners(OWNERS_PART);
+  await reader.clock.advance(500);
+  assert.equal(reader.countReads("owners"), 1);
+});
+
+test("a table that did not arrive is read when its keeper says where it ends", async () => {
+  const reader = new Reader();
+  await reader.advance(2_000, { ownersEnd: 0 });
+  const partition = { topic: "owners", part: OWNERS_PART };
+  reader.store.write(partition, "keeper", "{}");
+  reader.reads.length = 0;
+  await reader.advance(500, { ownersEnd: 1 });
+  assert.equal(reader.views.getOwnersTail(OWNERS_PART)?.end, 1);
+  assert.equal(reader.countReads("owners"), 1);
+});
