--- a/packages/gateway/src/store_views_test.ts
+++ b/packages/gateway/src/store_views_test.ts
@@ -53,7 +53,10 @@
     });
     this.views = new StoreViews({
       clock: this.clock,
-      store: { ...client, read: (request) => client.read(this.#note(request)) },
+      store: {
+        ...client,
+        read: (request) => client.read(this.#observeRead(request)),
+      },
       places: PLACES,
       catalogue: this.#catalogue,
       directory: new KeyDirectory(),
@@ -101,7 +104,7 @@
     return this.reads.filter((one) => one === topic).length;
   }
 
-  #note(request: ReadRequest): ReadRequest {
+  #observeRead(request: ReadRequest): ReadRequest {
     this.reads.push(request.partition.topic);
     return request;
   }
