--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -15,8 +15,8 @@
   type KeeperEvent,
   KeyKeeper,
   type Predecessor,
-  type ServiceFacts,
 } from "@lentilspur/ownership/key_keeper";
+import type { ServiceFacts } from "@lentilspur/ownership/table_planner";
 import {
   formatIncarnation,
   KEEPER_KEY,
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Route } from "@lentilspur/ports/routing_table";
-import type { ServiceFacts } from "@lentilspur/ownership/key_keeper";
+import type { ServiceFacts } from "@lentilspur/ownership/table_planner";
 import { KeyLoad } from "@lentilspur/ownership/key_load";
 import type { Catalogue } from "./catalogue.ts";
 import type { KeeperService } from "./keeper_service.ts";
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -17,16 +17,10 @@
   StoreRecord,
 } from "@lentilspur/ports/store";
 import { computeHoldEndMs } from "./hold_book.ts";
-import type { KeyRate } from "./key_load.ts";
-import { planReassignments } from "./key_planner.ts";
 import {
-  applyReassignments,
-  createTable,
   type Holder,
-  isSameLife,
   type KeyTable,
   type OwnedRange,
-  renewTokens,
   serializeTable,
   settleRanges,
 } from "./key_table.ts";
@@ -40,20 +34,12 @@
   WITNESSES_KEY,
 } from "./keeper_records.ts";
 import { parseStanding, type Standing } from "./keeper_standing.ts";
-import type { OwnerCandidate } from "./owner_standing.ts";
 import {
   type InheritedGrants,
   type OrderReport,
   RangeKeeper,
 } from "./range_keeper.ts";
-
-/** What a keeper needs to know of one service. */
-export interface ServiceFacts {
-  readonly service: string;
-  /** Targets that may own keys. */
-  readonly candidates: readonly OwnerCandidate[];
-  readonly rates: readonly KeyRate[];
-}
+import { type ServiceFacts, TablePlanner } from "./table_planner.ts";
 
 /**
  * What is known of the keeper before. `none`: there was none. `resigned`: it has
@@ -157,13 +143,9 @@
   readonly #tables = new Map<string, KeyTable>();
   readonly #keepers = new Map<string, RangeKeeper>();
   readonly #stop = new AbortController();
+  readonly #planner: TablePlanner;
   #end: number;
   #contactAtMs: number;
-  /** Targets of services without a table, and since when there are so many. */
-  readonly #arrivals = new Map<
-    string,
-    { readonly count: number; readonly sinceMs: number }
-  >();
   #witnesses = "";
   /** Incarnations that the newest record may name. */
   #named: ReadonlySet<string> = new Set();
@@ -175,6 +157,7 @@
 
   constructor(options: KeyKeeperOptions) {
     this.#options = options;
+    this.#planner = new TablePlanner(options.clock, options.timing);
     this.#end = options.term + 1;
     this.#contactAtMs = options.claimSentAtMs;
     for (const [service, table] of options.tables) {
@@ -326,86 +309,19 @@
 
   async #plan(): Promise<void> {
     for (const facts of this.#options.listFacts()) {
-      const table = this.#planTable(facts);
-      if (table !== undefined) {
-        await this.#writeTable(facts.service, table.next, table.changes);
+      const { service } = facts;
+      const plan = this.#planner.plan(facts, {
+        table: this.#tables.get(service),
+        keeper: this.#keepers.get(service),
+        token: this.#end,
+        balances: this.#hasFastMoves(),
+      });
+      if (plan !== undefined) {
+        await this.#writeTable(service, plan.table, plan.changes);
       }
     }
   }
 
-  #planTable(
-    facts: ServiceFacts,
-  ): { readonly next: KeyTable; readonly changes: number } | undefined {
-    const table = this.#getSettledTable(facts.service);
-    const keeper = this.#keepers.get(facts.service);
-    const candidates = facts.candidates
-      .filter((candidate) => keeper?.isUnusable(candidate) !== true);
-    if (table === undefined) {
-      return candidates.length === 0 || !this.#mayDeal(facts) ? undefined : {
-        next: createTable(candidates, this.#end),
-        changes: candidates.length,
-      };
-    }
-    const renewed = this.#renewTokens(facts.service, table, candidates);
-    const changes = planReassignments(table, candidates, facts.rates, {
-      balances: this.#hasFastMoves(),
-    });
-    return changes.length === 0 && renewed === table ? undefined : {
-      next: applyReassignments(renewed, changes, this.#end),
-      changes: changes.length,
-    };
-  }
-
-  /** The table as it stands at the targets: some moves of it may have ended. */
-  #getSettledTable(service: string): KeyTable | undefined {
-    const table = this.#tables.get(service);
-    const keeper = this.#keepers.get(service);
-    return table === undefined || keeper === undefined
-      ? table
-      : settleRanges(table, (range) => keeper.isSettled(range));
-  }
-
-  /**
-   * Whether all targets seem to be there, or keys are asked for already. Dealt
-   * to the first target that registers, all keys would have to move again.
-   */
-  #mayDeal({ service, candidates, rates }: ServiceFacts): boolean {
-    const nowMs = this.#options.clock.readMs();
-    const count = candidates.length;
-    const known = this.#arrivals.get(service);
-    const arrival = known?.count === count ? known : { count, sinceMs: nowMs };
-    this.#arrivals.set(service, arrival);
-    return rates.length > 0 ||
-      nowMs - arrival.sinceMs >= this.#options.timing.dealAfterMs;
-  }
-
-  /**
-   * The table with new tokens for what its owners must not be granted under the
-   * old ones. Failure: a target is killed and starts again under its id, and a
-   * renewal gives the new life keys under the token of the one before.
-   */
-  #renewTokens(
-    service: string,
-    table: KeyTable,
-    candidates: readonly OwnerCandidate[],
-  ): KeyTable {
-    const keeper = this.#keepers.get(service);
-    const lives = new Map(candidates.map((one) => [one.id, one]));
-    let hasRenewed = false;
-    const renewed = renewTokens(table, (range) => {
-      const life = lives.get(range.owner.id);
-      if (life === undefined || life.address !== range.owner.address) {
-        return undefined;
-      }
-      if (isSameLife(life, range.owner) && keeper?.isOutworn(range) !== true) {
-        return undefined;
-      }
-      hasRenewed = true;
-      return life;
-    }, this.#end);
-    return hasRenewed ? renewed : table;
-  }
-
   async #writeTable(
     service: string,
     next: KeyTable,
@@ -464,7 +380,7 @@
       if (!isNews || !this.#mayAct()) {
         continue;
       }
-      const next = this.#getSettledTable(service)!;
+      const next = settleRanges(table, (range) => keeper.isSettled(range));
       const offset = this.#end;
       if (await this.#appendTable(service, next)) {
         this.#options.observe({ kind: "settled", service, offset });
