fix(gateway): have a table read that nobody was told of

Change: a keeper that had to read its partition has others know it up to there. Tests: one of the keeper, one of the relay; both fail without it.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -301,6 +301,7 @@
       onTable: (written) => this.#relay.sendTable(written),
       onGranted: (granted) => this.#relay.sendGranted(granted),
       onAppended: (part, record) => this.#recordAppended(part, record),
+      onResolved: (part, end) => this.#relay.recordResolved(part, end),
       onClaim: (part, term) => this.#relay.sendClaim(part, term),
     });
   }
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -95,6 +95,8 @@
   readonly onGranted?: (granted: GrantedRange) => void;
   /** Told of each record that a keeper here has appended. */
   readonly onAppended?: (part: number, record: StoreRecord) => void;
+  /** Told where a partition ends that a keeper here has had to read. */
+  readonly onResolved?: (part: number, end: number) => void;
   /** Told of each claim that was accepted here. */
   readonly onClaim?: (part: number, term: number) => void;
 }
@@ -400,6 +402,7 @@
       observe: (event) =>
         this.#options.observe({ kind: "keeper", partition, event }),
       onAppended: (record) => this.#options.onAppended?.(part, record),
+      onResolved: (end) => this.#options.onResolved?.(part, end),
       onTable: (written) => this.#options.onTable?.({ ...written, part }),
       onGranted: (granted) => this.#options.onGranted?.(granted),
     });
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -107,12 +107,6 @@
     return this.#others;
   }
 
-  /** The others that are heard of just now. */
-  listHeard(nowMs: number): readonly Member[] {
-    return this.listOthers()
-      .filter(({ instance }) => this.isHeard(instance, nowMs));
-  }
-
   /**
    * All, this instance too, in the order in which work for others falls to them:
    * the same at every instance that has read the same records. Those that may
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -493,6 +493,18 @@
   assert.equal(tail.end, 4);
   await clock.advance(1_000);
   assert.equal(reads, 0);
+
+  // A table at 4 was written whose answer was lost: nobody was told of it.
+  relay.recordResolved(3, 5);
+  relay.sendTable({
+    part: 3,
+    service: "files",
+    offset: 5,
+    before: first,
+    after: second,
+  });
+  const next = sent.at(-1)!;
+  assert.ok(next.kind === "owners" && next.since === 5);
 });
 
 test("a difference too long for a datagram comes in pieces, in any order", async () => {
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -135,6 +135,15 @@
     this.#sendOwners({ part, offset, since: offset, service: "", ...whole });
   }
 
+  /**
+   * The keeper here has read its partition: a table up to this end may be one
+   * that nobody was told of. Taken over onto the one before it, the difference
+   * of the next would leave keys with wrong owners for good.
+   */
+  recordResolved(part: number, end: number): void {
+    this.#tableEnds.set(part, end);
+  }
+
   /**
    * Where a partition that is kept here ended after its newest claim or table:
    * up to there others have to know it. What else a keeper writes is for its
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -106,6 +106,11 @@
   readonly observe: (event: KeeperEvent) => void;
   /** Told of each record that was accepted. */
   readonly onAppended?: (record: StoreRecord) => void;
+  /**
+   * Told where the partition ends once that had to be read: a table may stand
+   * there whose answer was lost, so that nobody has been told of it.
+   */
+  readonly onResolved?: (end: number) => void;
   /** Told of each table that was written, after its record was accepted. */
   readonly onTable?: (written: {
     readonly service: string;
@@ -452,6 +457,7 @@
     for (const [service, table] of standing.val.tables) {
       this.#setTable(service, table);
     }
+    this.#options.onResolved?.(this.#end);
   }
 
   async #readStanding(): Promise<Result<Standing, StoreFailure>> {
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -28,6 +28,7 @@
   dealAfterMs = 0;
   /** Whether all witnesses let a keeper act without the store. */
   hasPledges = false;
+  recordResolved: (end: number) => void = () => undefined;
   /** Instances that cannot reach the store. */
   readonly cut = new Set<string>();
 
@@ -73,6 +74,7 @@
         this.cut.has(instance) ? -Infinity : this.clock.readMs(),
       getTrustedSinceMs: options.getTrustedSinceMs ?? (() => -Infinity),
       observe: (event) => this.events.push(event),
+      onResolved: (end) => this.recordResolved(end),
     };
     const keeper = new KeyKeeper(keeperOptions);
     void keeper.run();
@@ -305,6 +307,25 @@
   }
 });
 
+test("a table whose answer was lost is told to be read before the next", async () => {
+  // The store takes a table and its answer is lost. The keeper finds it there,
+  // and the next table is told by what differs from it; others, who never heard
+  // of it, would put that onto the one before, and send keys to wrong owners.
+  const world = new World();
+  const told: number[] = [];
+  world.recordResolved = (end) => told.push(end);
+  world.startKeeper("one");
+  await world.clock.advance(500);
+  assert.deepEqual(told, []);
+  world.store.setMood("one", "losing-answers");
+  world.candidates = [createCandidate("a"), createCandidate("c")];
+  await world.clock.advance(1_500);
+  const lostAt = world.store.listRecords(PARTITION).length;
+  world.store.setMood("one", "serving");
+  await world.clock.advance(2_000);
+  assert.ok(told.some((end) => end >= lostAt), `${told} of ${lostAt}`);
+});
+
 test("an append whose answer was lost is found in the store", async () => {
   // The table with the new owner is in the store, but its answer is not back.
   // Written anew it would conflict for ever; read back, the move goes on.
