--- a/packages/gateway/src/duties_test.ts
+++ b/packages/gateway/src/duties_test.ts
@@ -2,9 +2,9 @@
 import { test } from "node:test";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Duties } from "./duties.ts";
+import { createInstances, createMembers } from "./member_sample.ts";
 import { type Member, Members, serializeMember } from "./members.ts";
 
-const DATA_CENTRES = ["bole", "kirkos", "yeka", "lideta", "arada"];
 const HEARTBEAT_MS = 500;
 /** An instance that has been silent for this long is not heard of any more. */
 const SILENT_MS = 1_700;
@@ -21,10 +21,7 @@
   constructor(instances: readonly Member[]) {
     this.names = instances.map(({ instance }) => instance);
     for (const self of instances) {
-      const members = new Members(self);
-      for (const [offset, one] of instances.entries()) {
-        members.apply(one.instance, serializeMember(one), { offset, nowMs: 0 });
-      }
+      const members = createMembers(self, instances, 0);
       this.#members.set(self.instance, members);
       this.duties.set(
         self.instance,
@@ -57,19 +54,6 @@
   }
 }
 
-/** Instances in five data centres, the first three in each of them strong. */
-function createInstances(count: number): readonly Member[] {
-  return Array.from({ length: count }, (_, index) => ({
-    instance: `${DATA_CENTRES[index % 5]}-${Math.floor(index / 5)}`,
-    incarnation: "1",
-    dataCentre: DATA_CENTRES[index % 5]!,
-    host: "10.0.0.1",
-    port: index,
-    statusPort: index,
-    cores: index < 15 ? 1.35 : 0.27,
-  }));
-}
-
 test("a few of 200 instances stand ready, the strongest", async () => {
   // All targets' keys are kept by one instance. Were it one of those with a
   // quarter of a core, it could not renew 400 ranges in time, and every key
--- a/packages/gateway/src/load_exchange_test.ts
+++ b/packages/gateway/src/load_exchange_test.ts
@@ -4,10 +4,10 @@
 import { Duties } from "./duties.ts";
 import type { LoadCounts } from "./load_counts.ts";
 import { LoadExchange } from "./load_exchange.ts";
-import { type Member, Members, serializeMember } from "./members.ts";
+import { createInstances, createMembers } from "./member_sample.ts";
+import type { Member, Members } from "./members.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
-const DATA_CENTRES = ["bole", "kirkos", "yeka", "lideta", "arada"];
 const STANDING = { version: 1, hasLostStore: false, ends: [] };
 /** As long as a target's id is. */
 const TARGETS = Array.from(
@@ -27,13 +27,10 @@
   datagrams = 0;
 
   constructor(count: number) {
-    const instances = Array.from({ length: count }, createInstance);
+    const instances = createInstances(count);
     const exchanges = new Map<string, LoadExchange>();
     for (const self of instances) {
-      const members = new Members(self);
-      for (const [offset, one] of instances.entries()) {
-        members.apply(one.instance, serializeMember(one), { offset, nowMs: 0 });
-      }
+      const members = createMembers(self, instances, 0);
       const duties = new Duties({
         clock: this.clock,
         self,
@@ -113,19 +110,6 @@
   }
 }
 
-function createInstance(_: unknown, index: number): Member {
-  const dataCentre = DATA_CENTRES[index % 5]!;
-  return {
-    instance: `${dataCentre}-${Math.floor(index / 5)}`,
-    incarnation: "1",
-    dataCentre,
-    host: "10.0.0.1",
-    port: index,
-    statusPort: index,
-    cores: index < 15 ? 1.35 : 0.27,
-  };
-}
-
 test("each of 200 instances knows what all others have at a target", async () => {
   // Told by each to each, an instance heard of most others every 3 s, when their
   // requests were over, sent and read 260 datagrams a second, and gave targets
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -1,21 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  applyReassignments,
-  applyTablePatch,
-  type Assignee,
-  createTable,
-  diffTables,
-  type KeyTable,
-  serializeTable,
-  settleRanges,
-} from "@lentilspur/ownership/key_table";
-import type { Partition, StoreRecord } from "@lentilspur/ports/store";
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Duties } from "./duties.ts";
 import { KeyDirectory } from "./key_directory.ts";
-import { type Member, Members, serializeMember } from "./members.ts";
+import { createMember, createMembers } from "./member_sample.ts";
+import type { Member, Members } from "./members.ts";
 import { PartitionTail } from "./partition_tail.ts";
 import type { PeerMessage } from "./peer_message.ts";
 import { ViewRelay } from "./view_relay.ts";
@@ -67,7 +57,11 @@
     this.known.set(name, known);
     const client = this.store.createClient(name);
     const self = createMember(name);
-    const members = createMembers(name, names, this.clock.readMs());
+    const members = createMembers(
+      self,
+      names.map((one) => createMember(one)),
+      this.clock.readMs(),
+    );
     const duties = new Duties({
       clock: this.clock,
       self,
@@ -146,31 +140,6 @@
   }
 }
 
-/** `bole-3` is the third in Bole; a name without a number stands in Bole. */
-function createMember(instance: string): Member {
-  return {
-    instance,
-    incarnation: "1",
-    dataCentre: instance.includes("-") ? instance.split("-")[0]! : "bole",
-    host: instance,
-    port: 1,
-    statusPort: 2,
-    cores: 1,
-  };
-}
-
-function createMembers(
-  self: string,
-  names: readonly string[],
-  nowMs: number,
-): Members {
-  const members = new Members(createMember(self));
-  for (const [offset, name] of names.entries()) {
-    members.apply(name, serializeMember(createMember(name)), { offset, nowMs });
-  }
-  return members;
-}
-
 test("one instance of a data centre reads for all of them", async () => {
   const names = ["one", "two", "three"];
   const readers = new Readers(names);
@@ -316,254 +285,3 @@
   assert.equal(tail.end, end);
   assert.equal(readers.known.get("two")!.get("a"), "leaving");
 });
-
-/** The relay of one of two instances. */
-function createRelay({ clock, directory, getTail, send }: {
-  readonly clock: VirtualClock;
-  readonly directory: KeyDirectory;
-  readonly getTail: () => PartitionTail | undefined;
-  readonly send: (message: PeerMessage) => boolean;
-}): ViewRelay {
-  const members = createMembers("one", ["one", "two"], clock.readMs());
-  const self = createMember("one");
-  return new ViewRelay({
-    instance: "one",
-    dataCentre: "bole",
-    directory,
-    duties: new Duties({ clock, self, members, hasLostStore: () => false }),
-    findMember: (name) => members.get(name),
-    getTargetsTail: () => getTail()!,
-    getOwnersTail: getTail,
-    send: (_member, message) => send(message),
-  });
-}
-
-/** A tail that goes by what it is told for a minute. */
-function createOwnersTail({ clock, store, partition, apply }: {
-  readonly clock: VirtualClock;
-  readonly store: FakeStore;
-  readonly partition: Partition;
-  readonly apply: (record: StoreRecord) => void;
-}): PartitionTail {
-  return new PartitionTail({
-    clock,
-    store: store.createClient("two"),
-    partition,
-    getPace: () => ({
-      gapMs: 100,
-      waitMs: 0,
-      validMs: 60_000,
-      maxPauseMs: 400,
-    }),
-    apply,
-    observe: () => undefined,
-  });
-}
-
-/** Ids and addresses as long as real ones. */
-function createOwners(count: number): readonly Assignee[] {
-  return Array.from({ length: count }, (_, index) => ({
-    id: `i-${(index * 7_919_777).toString(16).padStart(10, "0")}`,
-    address: `10.3.64.${index}:8422`,
-  }));
-}
-
-test("a keeper's table reaches the others by what differs from the last", async () => {
-  // Ten ranges move at once. The others route by the new owners without a call
-  // to the store; one that missed the table before reads instead of guessing.
-  const clock = new VirtualClock();
-  const store = new FakeStore(clock);
-  const directory = new KeyDirectory();
-  const sent: PeerMessage[] = [];
-  const partition = { topic: "owners", part: 3 };
-  const tails: PartitionTail[] = [];
-  const relay = createRelay({
-    clock,
-    directory,
-    getTail: () => tails[0],
-    send: (message) => {
-      const isShort = JSON.stringify(message).length <= 1_400;
-      if (isShort) {
-        sent.push(message);
-      }
-      return isShort;
-    },
-  });
-  const owners = createOwners(25);
-  const before = createTable(owners, 5);
-  const changes = Array.from({ length: 10 }, (_, index) => ({
-    from: index * 6_000,
-    to: index * 6_000 + 40,
-    owner: owners[(index * 11 + 3) % 25]!,
-  }));
-  const after = applyReassignments(before, changes, 9);
-  relay.sendTable({ part: 3, service: "files", offset: 1, before, after });
-  const [message] = sent;
-  assert.ok(message?.kind === "owners" && message.text !== "");
-
-  store.write(partition, "table/files", serializeTable(before));
-  const applied: StoreRecord[] = [];
-  const tail = createOwnersTail({
-    clock,
-    store,
-    partition,
-    apply: (record) => {
-      applied.push(record);
-      const { offset, value } = record;
-      directory.applyTable("files", value, { offset, nowMs: clock.readMs() });
-    },
-  });
-  tails.push(tail);
-  relay.applyTable(message);
-  assert.equal(applied.length, 0, "nothing counts before the first read");
-  void tail.run(new AbortController().signal);
-  await clock.advance(1_000);
-  relay.applyTable(message);
-  assert.deepEqual(directory.getTable("files"), after);
-  assert.equal(tail.end, 2);
-
-  store.write(partition, "table/files", serializeTable(after));
-  store.write(partition, "table/files", serializeTable(before));
-  relay.applyTable({ ...message, offset: 5, since: 4 });
-  assert.deepEqual(directory.getTable("files"), after, "it is not guessed");
-  await clock.advance(200);
-  assert.deepEqual(directory.getTable("files"), before, "it is read");
-});
-
-test("records between two tables that are for successors only are not read", async () => {
-  // A keeper names its witnesses anew when an instance starts. With 200 of them
-  // each such record was read by all: 700 calls in the first 8 s.
-  const clock = new VirtualClock();
-  const store = new FakeStore(clock);
-  const directory = new KeyDirectory();
-  const sent: PeerMessage[] = [];
-  const partition = { topic: "owners", part: 3 };
-  const owners = createOwners(6);
-  const first = createTable(owners, 1);
-  const change = { from: 0, to: 99, owner: owners[5]! };
-  const second = applyReassignments(first, [change], 3);
-  store.write(partition, "keeper", "{}");
-  store.write(partition, "table/files", serializeTable(first));
-  let reads = 0;
-  const tail = createOwnersTail({
-    clock,
-    store,
-    partition,
-    apply: ({ offset, key, value }) => {
-      if (key === "table/files") {
-        directory.applyTable("files", value, { offset, nowMs: clock.readMs() });
-      } else {
-        reads++;
-      }
-    },
-  });
-  const relay = createRelay({
-    clock,
-    directory,
-    getTail: () => tail,
-    send: (message) => {
-      sent.push(message);
-      return true;
-    },
-  });
-  void tail.run(new AbortController().signal);
-  await clock.advance(1_000);
-  relay.sendClaim(3, 0);
-  relay.sendTable({
-    part: 3,
-    service: "files",
-    offset: 1,
-    before: undefined,
-    after: first,
-  });
-  store.write(partition, "witnesses", "[]");
-  reads = 0;
-  relay.sendTable({
-    part: 3,
-    service: "files",
-    offset: 3,
-    before: first,
-    after: second,
-  });
-  assert.equal(relay.getTableEnd(3), 4);
-  const message = sent.at(-1)!;
-  assert.ok(message.kind === "owners");
-  relay.applyTable(message);
-  assert.deepEqual(directory.getTable("files"), second);
-  assert.equal(tail.end, 4);
-  await clock.advance(1_000);
-  assert.equal(reads, 0);
-
-  // A table at 4 was written whose answer was lost: nobody was told of it.
-  relay.recordResolved(3, 5);
-  relay.sendTable({
-    part: 3,
-    service: "files",
-    offset: 5,
-    before: first,
-    after: second,
-  });
-  const next = sent.at(-1)!;
-  assert.ok(next.kind === "owners" && next.since === 5);
-});
-
-test("a difference too long for a datagram comes in pieces, in any order", async () => {
-  // A plan moves keys of 150 targets at once. Told to read the table instead,
-  // 58 instances would read it at the same moment, several times a second.
-  const clock = new VirtualClock();
-  const store = new FakeStore(clock);
-  const directory = new KeyDirectory();
-  const sent: PeerMessage[] = [];
-  const partition = { topic: "owners", part: 0 };
-  const owners = createOwners(150);
-  const before = createTable(owners, 1);
-  const changes = owners.map((_, index) => ({
-    from: index * 400,
-    to: index * 400 + 30,
-    owner: owners[(index * 11 + 3) % 150]!,
-  }));
-  const after = applyReassignments(before, changes, 1);
-  store.write(partition, "table/files", serializeTable(before));
-  const tail = createOwnersTail({
-    clock,
-    store,
-    partition,
-    apply: ({ offset, value }) => {
-      directory.applyTable("files", value, { offset, nowMs: clock.readMs() });
-    },
-  });
-  const relay = createRelay({
-    clock,
-    directory,
-    getTail: () => tail,
-    send: (message) => {
-      assert.ok(JSON.stringify(message).length <= 1_400);
-      sent.push(message);
-      return true;
-    },
-  });
-  void tail.run(new AbortController().signal);
-  await clock.advance(1_000);
-  relay.sendTable({ part: 0, service: "files", offset: 1, before, after });
-  assert.ok(sent.length > 1);
-  for (const message of sent.toReversed()) {
-    assert.ok(message.kind === "owners");
-    assert.deepEqual(directory.getTable("files"), before, "not yet whole");
-    relay.applyTable(message);
-  }
-  assert.deepEqual(directory.getTable("files"), after);
-});
-
-test("a table and its difference give the later table", () => {
-  const owners = ["a", "b", "c"].map((id) => ({ id, address: `${id}:1` }));
-  let table: KeyTable = createTable(owners, 1);
-  for (let token = 2; token < 60; token++) {
-    const from = token * 1_009 % 60_000;
-    const change = { from, to: from + 400, owner: owners[token % 3]! };
-    const next = token % 4 === 0
-      ? settleRanges(table, () => true)
-      : applyReassignments(table, [change], token);
-    assert.deepEqual(applyTablePatch(table, diffTables(table, next)), next);
-    table = next;
-  }
-});
--- a/packages/gateway/src/store_views_test.ts
+++ b/packages/gateway/src/store_views_test.ts
@@ -9,7 +9,8 @@
 import { Duties } from "./duties.ts";
 import type { StorePlaces } from "./gateway_settings.ts";
 import { KeyDirectory } from "./key_directory.ts";
-import { type Member, Members, serializeMember } from "./members.ts";
+import { createMember, createMembers } from "./member_sample.ts";
+import { type Member, type Members, serializeMember } from "./members.ts";
 import { StoreViews } from "./store_views.ts";
 
 const PLACES: StorePlaces = {
@@ -33,12 +34,12 @@
 
   constructor() {
     this.write();
-    const self = createMember("weak", 0.27);
-    this.#members = new Members(self);
+    const self = createMember("weak", { cores: 0.27 });
     this.#others = Array.from(
       { length: 20 },
-      (_, index) => createMember(`strong-${index}`, 1.35),
+      (_, index) => createMember(`strong-${index}`, { cores: 1.35 }),
     );
+    this.#members = createMembers(self, this.#others, 0);
     this.#catalogue = new Catalogue({
       decodeConfiguration: (text) => Ok(JSON.parse(text) as RoutingTable),
       decodeTarget: () => Err("none is written"),
@@ -68,10 +69,8 @@
       observe: () => undefined,
       reportFault: (message) => assert.fail(message),
     }, new AbortController().signal);
-    for (const [offset, one] of this.#others.entries()) {
-      const text = serializeMember(one);
-      this.#members.apply(one.instance, text, { offset, nowMs: 0 });
-      this.store.write(PLACES.members, one.instance, text);
+    for (const one of this.#others) {
+      this.store.write(PLACES.members, one.instance, serializeMember(one));
     }
     this.views.start();
     this.views.openOwners(OWNERS_PART);
@@ -110,18 +109,6 @@
   }
 }
 
-function createMember(instance: string, cores: number): Member {
-  return {
-    instance,
-    incarnation: "1",
-    dataCentre: "bole",
-    host: "10.0.0.1",
-    port: 1,
-    statusPort: 1,
-    cores,
-  };
-}
-
 test("an instance that hears which version is in force does not read", async () => {
   // 200 instances that each hold a read open make 55 calls a second for nothing.
   const reader = new Reader();
