feat(gateway): log reads of the store that are given up

A read that others' news overtakes was begun anew without a word, so a read that stands still and one that is given up again and again while its answer comes in looked alike. A line now says after how long, and how many bytes had come.

No decision changes.

--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -28,7 +28,15 @@
     readonly partition: Partition;
     readonly afterMs: number;
   }
-  | { readonly kind: "history-lost"; readonly partition: Partition };
+  | { readonly kind: "history-lost"; readonly partition: Partition }
+  | {
+    /** A read was given up since others had news; it is begun anew. */
+    readonly kind: "read-abandoned";
+    readonly partition: Partition;
+    readonly afterMs: number;
+    /** Of its answer, which are read again. */
+    readonly receivedBytes: number;
+  };
 
 export interface PartitionTailOptions {
   readonly clock: Clock;
@@ -199,19 +207,28 @@
 
   /** One read; gives the pause before the next. */
   async #advance(): Promise<number> {
-    const { clock, store, partition, getPace } = this.#options;
+    const { clock, store, partition, getPace, observe } = this.#options;
     const { waitMs, gapMs } = getPace();
     const sentAtMs = clock.readMs();
     const base = this.#end;
     const isWhole = base < 0;
     // A store that is away shows its return in a short call, not a long one.
     const isShort = this.isLost || this.#isOvertaken;
+    let receivedBytes = 0;
+    const onData = (bytes: number): void => void (receivedBytes += bytes);
     const reading = isWhole
-      ? store.readNewest(partition)
-      : store.read({ partition, from: base, waitMs: isShort ? 0 : waitMs });
+      ? store.readNewest(partition, { onData })
+      : store.read({
+        partition,
+        from: base,
+        waitMs: isShort ? 0 : waitMs,
+        onData,
+      });
     const read = await this.#waitUnlessOvertaken(reading);
     this.#isOvertaken = read === undefined;
     if (read === undefined) {
+      const afterMs = clock.readMs() - sentAtMs;
+      observe({ kind: "read-abandoned", partition, afterMs, receivedBytes });
       return 0;
     }
     if (!read.ok) {
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -40,7 +40,13 @@
   readonly at?: number;
 }
 
-export interface ReadRequest {
+/** What whoever reads may watch and end while the answer comes in. */
+export interface ReadOptions {
+  /** Told of each part of the answer, in bytes. */
+  readonly onData?: (bytes: number) => void;
+}
+
+export interface ReadRequest extends ReadOptions {
   readonly partition: Partition;
   readonly from: number;
   /** How long the store may hold the call open until there is a record. */
@@ -68,7 +74,10 @@
   append(request: AppendRequest): Promise<Result<number, StoreFailure>>;
   read(request: ReadRequest): Promise<Result<StoreSlice, StoreFailure>>;
   /** The newest record of each key. */
-  readNewest(partition: Partition): Promise<Result<StoreSlice, StoreFailure>>;
+  readNewest(
+    partition: Partition,
+    options?: ReadOptions,
+  ): Promise<Result<StoreSlice, StoreFailure>>;
   /** Joins a group of instances that divide partitions, or stays in it. */
   join(request: JoinRequest): Promise<Result<GroupShare, StoreFailure>>;
   leave(group: string, member: string): Promise<Result<void, StoreFailure>>;
--- a/packages/transport/src/answer_collector.ts
+++ b/packages/transport/src/answer_collector.ts
@@ -73,6 +73,7 @@
       return;
     }
     this.#chunks.push(chunk);
+    this.#request.onData?.(chunk.length);
   }
 
   #settleWhole(): void {
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -27,6 +27,8 @@
    */
   readonly acceptsUnframed?: boolean;
   readonly signal?: AbortSignal;
+  /** Told of each part of the answer's body, in bytes. */
+  readonly onData?: (bytes: number) => void;
   /** Asked right before the first byte is written; false keeps it all back. */
   readonly mayStart?: () => boolean;
 }
