fix(transport): wait for an answer of the store as long as it comes in

Callers were sent by an old configuration, or told that there is no route, by 23 of 76 instances that a partial outage had turned away. What they had missed, 0.7 MB, takes a link of 7 Mbit/s 0.8 s; a call was given up after 0.7 s whatever had come, and the next read began with the same first byte. Their links were full for 19 s while the store counted each call as answered.

Ruled out: instances that do not read at all (2 reads a second each, answered); lack of processor time (5 to 17 % used).

A call's time now counts until the answer begins, and from then on between two parts of it. It holds because a connection that has fallen silent still shows within 0.7 s, and nothing that moves is thrown away.

--- a/packages/transport/src/answer_collector.ts
+++ b/packages/transport/src/answer_collector.ts
@@ -32,14 +32,17 @@
       this.fail(this.#status === 0 ? "reset" : "cut", error.message),
   };
   readonly #request: HttpRequest;
+  readonly #observeData: () => void;
   readonly #chunks: Uint8Array[] = [];
   #settle: (ending: Ending) => void = () => undefined;
   #status = 0;
   #headers: readonly HeaderField[] = [];
   #length = 0;
 
-  constructor(request: HttpRequest) {
+  /** `observeData` is told of each part that comes in, the head included. */
+  constructor(request: HttpRequest, observeData: () => void) {
     this.#request = request;
+    this.#observeData = observeData;
     this.ending = new Promise((resolve) => this.#settle = resolve);
   }
 
@@ -59,6 +62,7 @@
     status: number,
     raw: Dispatcher.DispatchController["rawHeaders"],
   ): void {
+    this.#observeData();
     if (status >= FIRST_FINAL_STATUS) {
       this.#status = status;
       this.#headers = listFields(raw);
@@ -73,6 +77,7 @@
       return;
     }
     this.#chunks.push(chunk);
+    this.#observeData();
     this.#request.onData?.(chunk.length);
   }
 
