fix(gateway): keep the patience of a read through failures

While a store was silent, every other read was given up after 0.4 s of others' news, as each that failed set the patience back: 9 calls in 8 s in place of 7. Only a read that was answered sets it back now.

The test failed before.

--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -232,10 +232,10 @@
     if (read === undefined) {
       return this.#handleAbandoned(watch, sentAtMs);
     }
-    this.#patienceMs = MIN_PATIENCE_MS;
     if (!read.ok) {
       return this.#handleFailure(read.val);
     }
+    this.#patienceMs = MIN_PATIENCE_MS;
     this.#recordContact(sentAtMs);
     if (base === NEWEST) {
       this.#mergeWhole(read.val.records);
--- a/packages/gateway/src/partition_tail_test.ts
+++ b/packages/gateway/src/partition_tail_test.ts
@@ -144,6 +144,30 @@
   assert.equal(applied.at(-1)?.value, "2");
 });
 
+test("a silent store is not asked more often for others' news", async () => {
+  // A third of the instances are turned away in silence while the others tell of
+  // new versions: each call has its price, and none of them is answered.
+  let calls = 0;
+  const { clock, store, tail } = startTail((client) => ({
+    ...client,
+    read: (request) => {
+      calls++;
+      return client.read(request);
+    },
+  }));
+  await clock.advance(50);
+  store.setMood("me", "silent");
+  await clock.advance(2_000);
+  calls = 0;
+  for (let spentMs = 0; spentMs < 8_000; spentMs += 100) {
+    tail.scheduleRead();
+    await clock.advance(100);
+  }
+  // Each is silent for 1 s, and the pause after it is 0.4 s; the first word ends
+  // the one before early, and the last has not ended.
+  assert.ok(calls <= 8_000 / 1_400 + 2, `${calls} calls`);
+});
+
 test("news of what a read is about to bring costs no second read", async () => {
   // A change reaches others a moment earlier than this instance's own read,
   // which a slow store answers after 240 ms.
