fix(gateway): keep when a line was written from being hidden by its event

Lines of orders of keys told the order's own time under the name of the process's steady clock, and as an unrounded number, so that they seemed to lie seconds before their neighbours. Seen while looking for gaps that would show an instance that stood still. The order's time is now told as `tookMs`, as sends do, and the compiler refuses an event that names a field of every line.

--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -7,7 +7,7 @@
 import type { CatalogueEvent } from "./catalogue.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { KeeperServiceEvent } from "./keeper_service.ts";
-import type { LineLog, LineWeight } from "./line_log.ts";
+import type { LineFields, LineLog, LineWeight } from "./line_log.ts";
 import type { TailEvent } from "./partition_tail.ts";
 import type { RequestEvent } from "./request_report.ts";
 
@@ -111,7 +111,7 @@
 
   #log(
     event: string,
-    fields: Readonly<Record<string, unknown>>,
+    fields: LineFields,
     weight: LineWeight = "notable",
   ): void {
     const { kind: _kind, ...rest } = fields;
--- a/packages/gateway/src/line_log.ts
+++ b/packages/gateway/src/line_log.ts
@@ -10,7 +10,12 @@
 import winston from "winston";
 import type { Clock } from "@lentilspur/ports/clock";
 
-export type LineFields = Readonly<Record<string, unknown>>;
+/** Fields of one event. None of them may hide those that every line has. */
+export type LineFields =
+  & Readonly<Record<string, unknown>>
+  & { readonly [Name in CommonField]?: never };
+
+type CommonField = "time" | "elapsedMs" | "sequence" | "event";
 
 /** `routine` tells of what went well, `notable` of what did not or changed. */
 export type LineWeight = "routine" | "notable";
--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -159,7 +159,7 @@
   /**
    * There is something to read: the next read comes after the gap at once, and
    * a read that is on its way may not stand still any more. Without that, one
-   * that a returning store held hid a configuration for the whole wait, 3.5 s.
+   * that a returning store held hid a configuration for the whole wait.
    */
   scheduleRead(): void {
     this.#isScheduled = true;
--- a/packages/ownership/src/range_keeper.ts
+++ b/packages/ownership/src/range_keeper.ts
@@ -26,7 +26,8 @@
   readonly to: number;
   readonly token: number;
   readonly outcome: OrderOutcome["kind"];
-  readonly elapsedMs: number;
+  /** Until its outcome was known, in whole milliseconds. */
+  readonly tookMs: number;
 };
 
 /** What may still be in force of the grants of earlier keepers. */
@@ -345,7 +346,7 @@
       to: state.range.to,
       token: state.range.owner.token,
       outcome: result.outcome.kind,
-      elapsedMs: this.#options.clock.readMs() - result.sentAtMs,
+      tookMs: Math.round(this.#options.clock.readMs() - result.sentAtMs),
     });
   }
 }
