perf(gateway): do periodic work of one process at the same moments

Cause: eight loops with periods of 20 to 500 ms each woke up at moments of their own. An instance at rest among 76 (played by a script: 394 targets, sums of loads, twelve speakers) woke up 107 times a second, 57 of them for datagrams. A wake-up has a price of its own, and turns of the event loop that find nothing.

Weighed: one timer for all loops (a scheduler to keep, for the same wake-ups).

--- a/packages/gateway/src/account_demands.ts
+++ b/packages/gateway/src/account_demands.ts
@@ -7,6 +7,7 @@
  * one that is not heard of any more counts for nothing.
  */
 import type { Clock } from "@lentilspur/ports/clock";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import type {
   AccountLimiter,
   OwnDemand,
@@ -57,7 +58,7 @@
         this.#sendDemands();
         this.#applyPeers(gate.limiter);
       }
-      await clock.sleep(TELL_EVERY_MS, signal);
+      await sleepUntilTick(clock, TELL_EVERY_MS, signal);
     }
   }
 
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -8,6 +8,7 @@
 import { resolveKeeperTiming } from "@lentilspur/ownership/keeper_timing";
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import type { StoreRecord } from "@lentilspur/ports/store";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { AccountDemands } from "./account_demands.ts";
 import { AccountGate } from "./account_gate.ts";
 import { Catalogue } from "./catalogue.ts";
@@ -429,7 +430,7 @@
       }
       this.#status.observeReady();
       this.#status.observeDuties();
-      await clock.sleep(CATALOGUE_TICK_MS, signal);
+      await sleepUntilTick(clock, CATALOGUE_TICK_MS, signal);
     }
   }
 
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "@lentilspur/ports/clock";
 import type { KeyOrders } from "@lentilspur/ports/key_orders";
 import type { Partition, Store, StoreRecord } from "@lentilspur/ports/store";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import {
   type GrantedRange,
   type KeeperEvent,
@@ -203,7 +204,7 @@
         void this.#claimIfDue(part, sinceMs);
       }
       void this.#transferKeepers();
-      await this.#options.clock.sleep(TICK_MS, signal);
+      await sleepUntilTick(this.#options.clock, TICK_MS, signal);
     }
     this.stop();
   }
--- a/packages/gateway/src/keeper_share.ts
+++ b/packages/gateway/src/keeper_share.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Store } from "@lentilspur/ports/store";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import {
   formatIncarnation,
   type KeeperClaim,
@@ -88,7 +89,7 @@
       if (this.#generation > 0) {
         await this.#leaveToOthers();
       }
-      await clock.sleep(TICK_MS, signal);
+      await sleepUntilTick(clock, TICK_MS, signal);
     }
   }
 
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Route } from "@lentilspur/ports/routing_table";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import type { ServiceFacts } from "@lentilspur/ownership/table_planner";
 import { KeyLoad } from "@lentilspur/ownership/key_load";
 import type { Catalogue } from "./catalogue.ts";
@@ -111,7 +112,7 @@
         const serviceMs = this.#takeSpeeds(service);
         this.#sendToKeeper({ kind: "keys", from, service, keys, serviceMs });
       }
-      await clock.sleep(KEY_REPORT_MS, signal);
+      await sleepUntilTick(clock, KEY_REPORT_MS, signal);
     }
   }
 
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -16,6 +16,7 @@
  * counts of instances that have fallen silent fade.
  */
 import type { Clock } from "@lentilspur/ports/clock";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { decodeValue, encodeValue, PieceJoiner } from "./datagram_pieces.ts";
 import type { Duties } from "./duties.ts";
 import {
@@ -103,7 +104,8 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#advance();
-      await this.#options.clock.sleep(
+      await sleepUntilTick(
+        this.#options.clock,
         this.#isGathered() ? GATHERED_TICK_MS : TICK_MS,
         signal,
       );
--- a/packages/gateway/src/partition_tail.ts
+++ b/packages/gateway/src/partition_tail.ts
@@ -15,6 +15,7 @@
   StoreRecord,
   StoreSlice,
 } from "@lentilspur/ports/store";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { ReadWatch } from "./read_watch.ts";
 
 export type TailEvent =
@@ -213,7 +214,9 @@
       }
       const wake = new AbortController();
       this.#wake = () => wake.abort();
-      await clock.sleep(Math.min(leftMs, LOOK_MS), wake.signal);
+      await (leftMs < LOOK_MS
+        ? clock.sleep(leftMs, wake.signal)
+        : sleepUntilTick(clock, LOOK_MS, wake.signal));
       this.#wake = undefined;
     }
   }
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -4,6 +4,7 @@
  */
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "@lentilspur/ports/clock";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import type { Member } from "./members.ts";
 import {
   isPeerMessage,
@@ -73,7 +74,7 @@
     while (!signal.aborted) {
       this.#sendAlive();
       const tickMs = this.#options.isSpeaker() ? TICK_MS : IDLE_TICK_MS;
-      await this.#options.clock.sleep(tickMs, signal);
+      await sleepUntilTick(this.#options.clock, tickMs, signal);
     }
   }
 
--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/service_registry.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from "@lentilspur/ports/clock";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import type { Route } from "@lentilspur/ports/routing_table";
+import { sleepUntilTick } from "@lentilspur/ports/tick";
 import {
   RetryAllowance,
   type RetryLimits,
@@ -93,7 +94,7 @@
         places.advance(clock.readMs());
       }
       this.#tickMs = this.waiting > 0 ? TICK_MS : IDLE_TICK_MS;
-      await clock.sleep(this.#tickMs, signal);
+      await sleepUntilTick(clock, this.#tickMs, signal);
     }
   }
 
--- /dev/null
+++ b/packages/ports/src/tick_test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Clock } from "./clock.ts";
+import { sleepUntilTick } from "./tick.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+
+test("loops that began at different moments wake together", async () => {
+  // An instance at rest woke up 75 times a second, nearly always for one loop of
+  // eight, and spent more on waking up than on what there was to do.
+  const clock = new VirtualClock();
+  const wokenAtMs = new Set<number>();
+  const run = async (startMs: number, periodMs: number): Promise<void> => {
+    await clock.sleep(startMs);
+    for (;;) {
+      await sleepUntilTick(clock, periodMs);
+      wokenAtMs.add(clock.readMs());
+    }
+  };
+  for (
+    const [startMs, periodMs] of [[3, 50], [17, 100], [31, 100], [77, 250]]
+  ) {
+    void run(startMs!, periodMs!);
+  }
+  await clock.advance(1_000);
+  assert.equal(wokenAtMs.size, 1_000 / 50);
+});
+
+test("a timer that fires early does not wake a loop twice", async () => {
+  // Timers count from the start of a turn of the event loop: one that is set
+  // late in a long turn fires before its moment.
+  let sleptMs = 0;
+  const clock: Clock = {
+    readMs: () => 99.2,
+    sleep: (ms) => {
+      sleptMs = ms;
+      return Promise.resolve();
+    },
+  };
+  await sleepUntilTick(clock, 100);
+  assert.equal(sleptMs, 101);
+});
