perf(gateway): find the target of a told count once

Cause: each sum of loads that an instance is told (20 a second with five data centres, some 100 targets in each) looked every target up in every service, made a set of all names and a record of each count anew: 0.29 ms a sum, measured by a profile of one instance among 76, played by a script.

A target is now looked up until it is found, and a known count is changed in place: 70 and 68 ms before, 36 and 44 ms after, in 12 s each; 2 to 3 of the 40 ms a second that an instance spends at rest where loads are told.

What else that profile shows of 40 ms a second: unpacking the sums 7, timers and wake-ups, then the kernel.

--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/service_registry.ts
@@ -13,6 +13,7 @@
   ServicePlaces,
 } from "@lentilspur/routing/service_places";
 import { SplitBalance } from "@lentilspur/routing/split_balance";
+import type { TargetLoad } from "@lentilspur/routing/target_load";
 import type { Catalogue } from "./catalogue.ts";
 import type { LoadCounts } from "./load_counts.ts";
 
@@ -188,14 +189,18 @@
    */
   applyPeerCounts(peer: string, counts: LoadCounts): void {
     const nowMs = this.#options.clock.readMs();
-    const named = Object.keys(counts.running);
-    const ids = new Set([...named, ...this.#peerTargets.get(peer) ?? []]);
+    const { running } = counts;
+    const named = Object.keys(running);
+    for (const id of this.#peerTargets.get(peer) ?? []) {
+      if (!Object.hasOwn(running, id)) {
+        this.#findLoad(id)?.setPeerCount(peer, 0, nowMs);
+      }
+    }
+    for (const id of named) {
+      this.#findLoad(id)?.setPeerCount(peer, running[id]!, nowMs);
+    }
     this.#peerTargets.set(peer, named);
     for (const [service, places] of this.#places) {
-      for (const id of ids) {
-        const count = counts.running[id] ?? 0;
-        places.getLoad(id)?.setPeerCount(peer, count, nowMs);
-      }
       const waits = Object.entries(counts.waiting[service] ?? {});
       places.setPeerWaits(peer, new Map(waits), nowMs, counts.instances);
       places.advance(nowMs);
@@ -241,6 +246,17 @@
     return measured;
   }
 
+  /** A target belongs to one service. */
+  #findLoad(targetId: string): TargetLoad | undefined {
+    for (const places of this.#places.values()) {
+      const load = places.getLoad(targetId);
+      if (load !== undefined) {
+        return load;
+      }
+    }
+    return undefined;
+  }
+
   #getPlaces(service: string): ServicePlaces {
     let places = this.#places.get(service);
     if (places === undefined) {
--- a/packages/routing/src/target_load.ts
+++ b/packages/routing/src/target_load.ts
@@ -30,8 +30,8 @@
 const MIN_SUCCESS = 0.05;
 
 interface PeerCount {
-  readonly count: number;
-  readonly atMs: number;
+  count: number;
+  atMs: number;
 }
 
 export class TargetLoad {
@@ -142,11 +142,18 @@
 
   /** Only those that have requests there are kept: of 200 instances, a few. */
   setPeerCount(peer: string, count: number, atMs: number): void {
-    if (count > 0) {
-      this.#peers.set(peer, { count, atMs });
-    } else {
+    if (count <= 0) {
       this.#peers.delete(peer);
+      return;
+    }
+    const known = this.#peers.get(peer);
+    if (known === undefined) {
+      this.#peers.set(peer, { count, atMs });
+      return;
     }
+    // Told some hundred times a second: nothing is made anew for it.
+    known.count = count;
+    known.atMs = atMs;
   }
 
   isSuspended(nowMs: number): boolean {
