perf(gateway): add loads up in one sum

The instance that gathers the loads of its data centre copied the whole sum for each of the others, 39 times for each sum where there are 40, seven sums a second. It adds to one sum now.

2.4 and 2.8 ms a sum of 39 before, 0.5 and 0.6 ms after, in a script. Both give the same for 20,000 random cases (fast-check, beside the former code), and leave what they are given as it was; the tests of the exchange are unchanged.

--- a/packages/gateway/src/load_counts.ts
+++ b/packages/gateway/src/load_counts.ts
@@ -22,49 +22,58 @@
   instances: 0,
 });
 
-/** What all of them have together. */
+/** A sum while counts are added to it. */
+interface CountSum {
+  readonly running: Record<string, number>;
+  readonly waiting: Record<string, Record<string, readonly number[]>>;
+  instances: number;
+}
+
+/**
+ * What all of them have together. An instance that gathers does this several
+ * times a second for dozens of others, so one sum is added to, not copied.
+ */
 export function mergeCounts(all: readonly LoadCounts[]): LoadCounts {
-  return all.reduce((left, right) => addCounts(left, right, 1), NO_LOAD);
+  const sum = createSum(NO_LOAD);
+  for (const counts of all) {
+    addCounts(sum, counts, 1);
+  }
+  return sum;
 }
 
 /** What is left of a sum without one of its parts. */
 export function removeCounts(sum: LoadCounts, part: LoadCounts): LoadCounts {
-  return addCounts(sum, part, -1);
+  const left = createSum(sum);
+  addCounts(left, part, -1);
+  return left;
 }
 
-function addCounts(
-  left: LoadCounts,
-  right: LoadCounts,
-  sign: 1 | -1,
-): LoadCounts {
-  const running = { ...left.running };
-  for (const [id, count] of Object.entries(right.running)) {
+/** A sum of its own that begins with some counts. */
+function createSum({ running, waiting, instances }: LoadCounts): CountSum {
+  const services = Object.entries(waiting)
+    .map(([service, lanes]) => [service, { ...lanes }] as const);
+  return {
+    running: { ...running },
+    waiting: Object.fromEntries(services),
+    instances,
+  };
+}
+
+function addCounts(sum: CountSum, counts: LoadCounts, sign: 1 | -1): void {
+  const { running, waiting } = sum;
+  for (const [id, count] of Object.entries(counts.running)) {
     running[id] = Math.max(0, (running[id] ?? 0) + sign * count);
     if (running[id] === 0) {
       delete running[id];
     }
   }
-  return {
-    running,
-    waiting: addWaiting(left.waiting, right.waiting, sign),
-    instances: Math.max(0, left.instances + sign * right.instances),
-  };
-}
-
-function addWaiting(
-  left: WaitingCounts,
-  right: WaitingCounts,
-  sign: 1 | -1,
-): WaitingCounts {
-  const waiting: Record<string, Record<string, readonly number[]>> = {};
-  for (const service of Object.keys({ ...left, ...right })) {
-    const lanes: Record<string, readonly number[]> = { ...left[service] };
-    for (const [lane, ranks] of Object.entries(right[service] ?? {})) {
-      lanes[lane] = addRanks(lanes[lane] ?? [], ranks, sign);
+  for (const [service, lanes] of Object.entries(counts.waiting)) {
+    const known = waiting[service] ??= {};
+    for (const [lane, ranks] of Object.entries(lanes)) {
+      known[lane] = addRanks(known[lane] ?? [], ranks, sign);
     }
-    waiting[service] = lanes;
   }
-  return waiting;
+  sum.instances = Math.max(0, sum.instances + sign * counts.instances);
 }
 
 function addRanks(
