refactor(gateway): ask the duties who is near and who is far

The exchange of loads told the instances of its data centre from the others by a filter of its own, beside the one that the duties have. Behaviour is the same.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -134,10 +134,8 @@
 
   /** Those that pass on in the other data centres. */
   listFarReaders(): readonly Member[] {
-    const { self, members } = this.#options;
     const { localReaders } = this.#decide();
-    return members.listOthers().filter(({ instance, dataCentre }) =>
-      dataCentre !== self.dataCentre &&
+    return this.listFar().filter(({ instance, dataCentre }) =>
       localReaders.get(dataCentre) === instance
     );
   }
@@ -160,6 +158,13 @@
       .filter(({ dataCentre }) => dataCentre === self.dataCentre);
   }
 
+  /** The instances of the other data centres. */
+  listFar(): readonly Member[] {
+    const { self, members } = this.#options;
+    return members.listOthers()
+      .filter(({ dataCentre }) => dataCentre !== self.dataCentre);
+  }
+
   /** Whom to pass a message on to that comes from an instance of a data centre. */
   listToForward(dataCentre: string): readonly Member[] {
     return dataCentre !== this.#options.self.dataCentre && this.isLocalReader()
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -152,11 +152,10 @@
   }
 
   #sendDirectly(): void {
-    const { clock, members, dataCentre, send } = this.#options;
+    const { clock, duties, send } = this.#options;
     const nowMs = clock.readMs();
-    const others = members.listOthers();
-    const near = others.filter((member) => member.dataCentre === dataCentre);
-    const far = others.filter((member) => member.dataCentre !== dataCentre);
+    const near = duties.listNear();
+    const far = duties.listFar();
     const nearMs = computeGapMs(NEAR, near.length);
     const farMs = computeGapMs(FAR, far.length);
     if (nowMs - this.#near.atMs < nearMs && nowMs - this.#far.atMs < farMs) {
@@ -164,7 +163,7 @@
     }
     const message = this.#createMessage();
     const text = JSON.stringify(message);
-    const repeatMs = computeGapMs(REPEAT, others.length);
+    const repeatMs = computeGapMs(REPEAT, near.length + far.length);
     if (isDue(this.#near, { text, gapMs: nearMs, repeatMs, nowMs })) {
       send(near, message);
       this.#near = { text, atMs: nowMs };
