--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -83,10 +83,11 @@
    * message is too long for a datagram; nothing is sent then.
    */
   send(to: readonly Member[], message: PeerMessage): boolean {
-    if (to.length === 0) {
-      return true;
-    }
-    const data = Buffer.from(JSON.stringify(message));
+    return to.length === 0 || this.#sendText(to, JSON.stringify(message));
+  }
+
+  #sendText(to: readonly Member[], text: string): boolean {
+    const data = Buffer.from(text);
     if (data.byteLength > MAX_BYTES || this.#isClosed) {
       return false;
     }
@@ -110,7 +111,7 @@
       text !== this.#alive.text || nowMs - this.#alive.atMs >= ALIVE_EVERY_MS
     ) {
       this.#alive = { text, atMs: nowMs };
-      this.send(this.#options.listListeners(), message);
+      this.#sendText(this.#options.listListeners(), text);
     }
   }
 
