--- a/packages/gateway/src/request_report.ts
+++ b/packages/gateway/src/request_report.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
 import type { OwnerLookup } from "./owner_finder.ts";
 import type { Passage } from "./passage.ts";
+import { computeFingerprint } from "./request_fingerprint.ts";
 
 export type RequestEvent =
   | {
@@ -26,6 +27,8 @@
     readonly cause?: string;
     readonly status?: number;
     readonly tookMs: number;
+    /** The same for each attempt of the request; where its end is unknown. */
+    readonly fingerprint?: string;
   }
   | {
     readonly kind: "final";
@@ -81,6 +84,9 @@
         ? { status: outcome.status }
         : { cause: outcome.cause }),
       tookMs: Math.round(this.#clock.readMs() - sentAtMs),
+      ...(outcome.kind === "unknown"
+        ? { fingerprint: computeFingerprint(request) }
+        : {}),
     });
   }
 
