--- /dev/null
+++ b/packages/gateway/src/request_world.ts
@@ -0,0 +1,262 @@
+/**
+ * The paths of requests through several instances to targets that may crash and
+ * start again, in virtual time. For tests.
+ */
+import { Ok } from "@lentilspur/outcomes/result";
+import { createTable, serializeTable } from "@lentilspur/ownership/key_table";
+import {
+  FakeTarget,
+  type FakeTargetOptions,
+  type TargetReply,
+} from "@lentilspur/ports/fake_target";
+import type {
+  OutgoingRequest,
+  SendOutcome,
+} from "@lentilspur/ports/request_sender";
+import type { Route, RoutingTable } from "@lentilspur/ports/routing_table";
+import { SeededRandom } from "@lentilspur/ports/seeded_random";
+import { VirtualClock } from "@lentilspur/ports/virtual_clock";
+import { AccountGate } from "./account_gate.ts";
+import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
+import { Catalogue } from "./catalogue.ts";
+import { KeyDirectory } from "./key_directory.ts";
+import { RequestRouter } from "./request_router.ts";
+import { ServiceRegistry } from "./service_registry.ts";
+
+export interface RequestWorldOptions {
+  readonly instances: readonly string[];
+  readonly targets: number;
+  /** Whether each request may go to the owner of its key only. */
+  readonly keyed: boolean;
+  readonly route?: Partial<Route>;
+  readonly target?: Partial<FakeTargetOptions>;
+}
+
+/** A request as it reached a target. */
+export interface Arrival {
+  readonly instance: string;
+  readonly targetId: string;
+  readonly path: string;
+  readonly atMs: number;
+}
+
+interface Path {
+  readonly catalogue: Catalogue;
+  readonly directory: KeyDirectory;
+  readonly services: ServiceRegistry;
+  readonly router: RequestRouter;
+}
+
+const SERVICE = "files";
+const HOST = "files.example";
+const WAY_MS = 3;
+const CONNECT_TIMEOUT_MS = 250;
+/** From a crash: keys have other owners, the entry is gone, it is back. */
+const KEYS_MOVED_MS = 1_000;
+const ENTRY_GONE_MS = 2_400;
+const RESTARTED_MS = 3_300;
+
+export class RequestWorld {
+  readonly clock = new VirtualClock();
+  readonly arrivals: Arrival[] = [];
+  /** When each target that crashed did so. */
+  readonly crashes: { readonly targetId: string; readonly atMs: number }[] = [];
+  readonly #options: RequestWorldOptions;
+  readonly #paths = new Map<string, Path>();
+  readonly #targets = new Map<string, FakeTarget>();
+  #starts = 0;
+  #sent = 0;
+  #token = 0;
+
+  constructor(options: RequestWorldOptions) {
+    this.#options = options;
+    for (const name of options.instances) {
+      this.#paths.set(name, this.#createPath(name));
+    }
+    for (let count = 0; count < options.targets; count++) {
+      this.#startTarget();
+    }
+    this.#assignKeys();
+  }
+
+  /** Sends as a caller would; resolves with the answer as time goes by. */
+  send(
+    instance: string,
+    changes: Partial<CallerRequest> = {},
+  ): Promise<FinalAnswer> {
+    return this.#paths.get(instance)!.router.handle({
+      requestId: `r${++this.#sent}`,
+      deadlineMs: 1_500,
+      key: 1,
+      credential: undefined,
+      method: "GET",
+      host: HOST,
+      path: "/files/1",
+      headers: [],
+      body: new Uint8Array(0),
+      arrivedAtMs: this.clock.readMs(),
+      signal: new AbortController().signal,
+      ...changes,
+    });
+  }
+
+  /** Sends of one path that reached a target later than a time. */
+  countArrivals(path: string, afterMs = -Infinity): number {
+    return this.arrivals
+      .filter((one) => one.path === path && one.atMs > afterMs).length;
+  }
+
+  #createPath(name: string): Path {
+    const { clock } = this;
+    const catalogue = new Catalogue({
+      decodeConfiguration: () => Ok(this.#createTable()),
+      decodeTarget: (id, text) => Ok({ id, ...JSON.parse(text) }),
+      observe: () => undefined,
+    });
+    catalogue.applyConfiguration("");
+    const directory = new KeyDirectory();
+    const services = new ServiceRegistry({
+      clock,
+      catalogue,
+      dataCentre: name,
+      retryLimits: { ratio: 0.2, reserve: 64, windowMs: 10_000 },
+      random: new SeededRandom(1),
+      countInstances: () => this.#options.instances.length,
+    });
+    void services.run(new AbortController().signal);
+    const router = new RequestRouter({
+      clock,
+      catalogue,
+      directory,
+      services,
+      accounts: new AccountGate(clock),
+      observeKey: () => undefined,
+      refreshOwners: () => undefined,
+      sender: { send: (request) => this.#transfer(name, request) },
+      getLeavingUseMs: () => 1_000,
+      isStopping: () => false,
+      observe: () => undefined,
+    });
+    return { catalogue, directory, services, router };
+  }
+
+  async #transfer(
+    instance: string,
+    request: OutgoingRequest,
+  ): Promise<SendOutcome> {
+    const { targetId, path, requestId, key = 0 } = request;
+    await this.clock.sleep(WAY_MS);
+    const target = this.#targets.get(targetId);
+    if (target === undefined || target.hasCrashed) {
+      await this.clock.sleep(CONNECT_TIMEOUT_MS);
+      return {
+        kind: "not-run",
+        cause: "unreachable",
+        message: "No connection",
+      };
+    }
+    this.arrivals
+      .push({ instance, targetId, path, atMs: this.clock.readMs() });
+    const reply = await target.run({ requestId, key, path, body: "" });
+    await this.clock.sleep(WAY_MS);
+    return toOutcome(reply);
+  }
+
+  #startTarget(): void {
+    const id = `t${++this.#starts}`;
+    const target = new FakeTarget({
+      clock: this.clock,
+      id,
+      service: SERVICE,
+      keyed: false,
+      workMs: 60,
+      ...this.#options.target,
+      observeCrash: () => void this.#restartTarget(id),
+    });
+    this.#targets.set(id, target);
+    const entry = {
+      service: SERVICE,
+      address: `${id}:80`,
+      dataCentre: "bole",
+      places: 2,
+      leaving: false,
+      coldMs: 0,
+    };
+    this.#applyEntry(id, JSON.stringify(entry));
+  }
+
+  async #restartTarget(id: string): Promise<void> {
+    this.crashes.push({ targetId: id, atMs: this.clock.readMs() });
+    await this.clock.sleep(KEYS_MOVED_MS);
+    this.#targets.delete(id);
+    this.#assignKeys();
+    await this.clock.sleep(ENTRY_GONE_MS - KEYS_MOVED_MS);
+    this.#applyEntry(id, "");
+    await this.clock.sleep(RESTARTED_MS - ENTRY_GONE_MS);
+    this.#startTarget();
+  }
+
+  #applyEntry(id: string, text: string): void {
+    const nowMs = this.clock.readMs();
+    for (const { catalogue, services } of this.#paths.values()) {
+      catalogue.applyTarget(id, text, { nowMs, graceMs: 0 });
+      catalogue.advance(nowMs);
+      services.update();
+    }
+  }
+
+  #assignKeys(): void {
+    const owners = [...this.#targets.keys()]
+      .map((id) => ({ id, address: `${id}:80` }));
+    const offset = ++this.#token;
+    const text = serializeTable(createTable(owners, offset));
+    const nowMs = this.clock.readMs();
+    for (const { directory } of this.#paths.values()) {
+      directory.applyTable(SERVICE, text, { offset, nowMs });
+    }
+  }
+
+  #createTable(): RoutingTable {
+    const { keyed, route } = this.#options;
+    return {
+      version: 1,
+      routes: [{
+        name: "r",
+        match: { kind: "prefix", host: HOST, pathPrefix: "/files/" },
+        idempotent: true,
+        timeoutMs: 1_500,
+        goalMs: 400,
+        maxAttempts: 2,
+        rank: 0,
+        parts: [{ service: SERVICE, weight: 1 }],
+        ...route,
+      }],
+      services: new Map([[SERVICE, {
+        name: SERVICE,
+        keyed,
+        maxConnections: 130,
+      }]]),
+      limits: { maxBodyBytes: 1_000, headTimeoutMs: 1, idleTimeoutMs: 1 },
+      access: { kind: "open" },
+    };
+  }
+}
+
+function toOutcome(reply: TargetReply): SendOutcome {
+  switch (reply.kind) {
+    case "ran":
+      return {
+        kind: "answered",
+        status: 200,
+        headers: [],
+        body: new Uint8Array(0),
+        isFramed: true,
+      };
+    case "crashed":
+      return { kind: "unknown", cause: "reset", message: "reset" };
+    case "full":
+      return { kind: "not-run", cause: "full", message: "full" };
+    case "not-owner":
+      return { kind: "not-run", cause: "not-owner", message: "not owner" };
+  }
+}
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -40,9 +40,23 @@
   readonly workMs: number;
   /** Told when a run begins and when it ends. */
   readonly observeRun?: (run: TargetRun) => void;
+  /** Whether the target crashes soon after it has begun to run a request. */
+  readonly isFatal?: (request: TargetRequest) => boolean;
+  /** Told when it has crashed; it does nothing more. */
+  readonly observeCrash?: () => void;
+}
+
+export interface TargetRequest {
+  readonly requestId: string;
+  readonly key: number;
+  readonly path?: string;
+  /** What it will answer. */
+  readonly body: string;
 }
 
 export type TargetReply =
+  /** The target ended before it could answer. */
+  | { readonly kind: "crashed" }
   | { readonly kind: "not-owner" }
   | { readonly kind: "full" }
   | { readonly kind: "ran"; readonly run: TargetRun };
@@ -63,6 +77,8 @@
 /** As both users' targets have. */
 export const TARGET_PLACES = 2;
 const QUEUE = 8;
+/** A fatal request ends its target this long after it has begun to run. */
+const CRASH_AFTER_MS = 25;
 
 export class FakeTarget {
   /** Ids of the requests that it ran, in order. */
@@ -73,9 +89,21 @@
   #holds: Hold[] = [];
   #running = 0;
   #runs = 0;
+  readonly #crash = new AbortController();
+  readonly #crashed: Promise<TargetReply>;
 
   constructor(options: FakeTargetOptions) {
     this.#options = options;
+    this.#crashed = new Promise((resolve) =>
+      this.#crash.signal.addEventListener(
+        "abort",
+        () => resolve({ kind: "crashed" }),
+      )
+    );
+  }
+
+  get hasCrashed(): boolean {
+    return this.#crash.signal.aborted;
   }
 
   get load(): { readonly running: number; readonly waiting: number } {
@@ -129,15 +157,15 @@
       )?.token;
   }
 
-  /** Runs a request when a place is free; `body` is what it will answer. */
-  async run(
-    request: {
-      readonly requestId: string;
-      readonly key: number;
-      readonly body: string;
-    },
-  ): Promise<TargetReply> {
-    const { clock, keyed, workMs } = this.#options;
+  /** Runs a request when a place is free, unless the target crashes first. */
+  run(request: TargetRequest): Promise<TargetReply> {
+    return this.hasCrashed
+      ? this.#crashed
+      : Promise.race([this.#runToEnd(request), this.#crashed]);
+  }
+
+  async #runToEnd(request: TargetRequest): Promise<TargetReply> {
+    const { clock, keyed, workMs, isFatal } = this.#options;
     const { requestId, key, body } = request;
     const token = keyed ? this.findToken(key) : 0;
     if (token === undefined) {
@@ -149,7 +177,14 @@
     await this.#takePlace();
     const run = this.#startRun({ requestId, key, token });
     const work = this.#startWork(key);
-    await clock.sleep(workMs);
+    if (isFatal?.(request) === true) {
+      await clock.sleep(CRASH_AFTER_MS);
+      this.#failAll();
+    }
+    await clock.sleep(workMs, this.#crash.signal);
+    if (this.hasCrashed) {
+      return { kind: "crashed" };
+    }
     this.#leavePlace();
     const isLapsed = keyed && clock.readMs() > work.allowedUntilMs;
     work.end();
@@ -157,6 +192,13 @@
     return { kind: "ran", run: this.#settleRun(run, body, ending) };
   }
 
+  #failAll(): void {
+    if (!this.hasCrashed) {
+      this.#crash.abort();
+      this.#options.observeCrash?.();
+    }
+  }
+
   /** It may have waited: by now its hold may have run out already. */
   #startWork(key: number): Work & { readonly end: () => void } {
     let settle = (): void => {};
--- a/packages/ports/src/fake_target_test.ts
+++ b/packages/ports/src/fake_target_test.ts
@@ -71,3 +71,29 @@
   await clock.advance(1_000);
   assert.equal(getEnding(renewed), "done");
 });
+
+test("a fatal request ends its target, with all that it runs", async () => {
+  const clock = new VirtualClock();
+  let crashes = 0;
+  const target = new FakeTarget({
+    clock,
+    id: "t1",
+    service: "files",
+    keyed: false,
+    workMs: 100,
+    isFatal: ({ requestId }) => requestId === "r2",
+    observeCrash: () => crashes++,
+  });
+  const innocent = send(target, 1);
+  const fatal = send(target, 2);
+  await clock.advance(30);
+  const later = send(target, 3);
+  await clock.advance(200);
+  assert.deepEqual([innocent, fatal, later].map(getEnding), [
+    "crashed",
+    "crashed",
+    "crashed",
+  ]);
+  assert.equal(crashes, 1);
+  assert.deepEqual(target.ran, ["r1", "r2"]);
+});
