--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -20,6 +20,7 @@
   readonly sequence: number;
   readonly requestId: string;
   readonly key: number;
+  readonly path?: string;
   /** Of the hold under which it began; 0 where the service is not keyed. */
   readonly token: number;
   /** On the target's own clock. */
@@ -174,7 +175,8 @@
 
   async #runToEnd(request: TargetRequest): Promise<TargetReply> {
     const { clock, keyed, workMs, isFatal } = this.#options;
-    const { requestId, key, body } = request;
+    const { body, ...asked } = request;
+    const { key } = asked;
     const token = keyed ? this.findToken(key) : 0;
     if (token === undefined) {
       return { kind: "not-owner" };
@@ -183,7 +185,7 @@
       return { kind: "full" };
     }
     await this.#takePlace();
-    const run = this.#startRun({ requestId, key, token });
+    const run = this.#startRun({ ...asked, token });
     const work = this.#startWork(key);
     if (isFatal?.(request) === true) {
       await clock.sleep(CRASH_AFTER_MS);
@@ -218,7 +220,9 @@
     return work;
   }
 
-  #startRun(of: Pick<TargetRun, "requestId" | "key" | "token">): TargetRun {
+  #startRun(
+    of: Pick<TargetRun, "requestId" | "key" | "path" | "token">,
+  ): TargetRun {
     const { id: target, service, clock, observeRun } = this.#options;
     const run: TargetRun = {
       ...of,
--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -19,6 +19,7 @@
   "target-killed",
   "target-paused",
   "target-leaving",
+  "request-fatal",
   "store-silent",
   "store-refusing",
   "store-losing-answers",
@@ -37,6 +38,9 @@
 const PAUSES_MS = [300, 1_500, 3_500, 7_000];
 const RESTARTS_MS = [100, 800, 2_500];
 const OUTAGES_MS = [500, 2_500, 6_000];
+/** A request that crashes its targets comes so often, and after this long. */
+const FATAL_REPEATS = 10;
+const FATAL_PAUSE_MS = 1_200;
 /** A target is stopped this long after it said that it leaves. */
 const LEAVING_MS = 6_000;
 
@@ -45,6 +49,7 @@
   readonly #random: TrafficRandom;
   /** What another fault has in hand already. */
   readonly #taken = new Set<string>();
+  #fatalRequests = 0;
 
   constructor(trial: Trial, random: TrafficRandom) {
     this.#trial = trial;
@@ -64,6 +69,8 @@
       case "target-paused":
       case "target-leaving":
         return await this.#failTarget(fault);
+      case "request-fatal":
+        return await this.#sendFatal();
       case "store-silent":
         return await this.#failStore("silent");
       case "store-refusing":
@@ -171,6 +178,34 @@
     return target.id;
   }
 
+  async #sendFatal(): Promise<string> {
+    if (this.#taken.has("fatal")) {
+      return "nothing: another such request is on its way";
+    }
+    this.#taken.add("fatal");
+    const name = String(++this.#fatalRequests);
+    const restarts: Promise<void>[] = [];
+    for (let nth = 0; nth < FATAL_REPEATS; nth++) {
+      await this.#trial.traffic.sendFatal(name);
+      await sleep(FATAL_PAUSE_MS);
+      restarts.push(...this.#restartCrashed());
+    }
+    await Promise.all(restarts);
+    this.#taken.delete("fatal");
+    return `${restarts.length} targets crashed`;
+  }
+
+  #restartCrashed(): readonly Promise<void>[] {
+    const { processes } = this.#trial;
+    const crashed = processes.targets
+      .filter(({ id, child }) => child.hasEnded && !this.#taken.has(id));
+    return crashed.map(async (target) => {
+      processes.recordDeath(target);
+      await sleep(this.#draw(RESTARTS_MS));
+      await processes.startTarget(target);
+    });
+  }
+
   async #failStore(mood: StoreMood): Promise<string> {
     if (this.#taken.has("store")) {
       return "nothing: the store fails already";
--- a/packages/trials/src/standins/standin_cli.ts
+++ b/packages/trials/src/standins/standin_cli.ts
@@ -10,6 +10,7 @@
 import { TARGETS } from "@lentilspur/platform/declared_adapter";
 import { StoreServer } from "@lentilspur/platform/standins/store_server";
 import { TargetServer } from "@lentilspur/platform/standins/target_server";
+import { FATAL_MARK } from "../traffic/fatal_request.ts";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import {
   binary,
@@ -89,6 +90,9 @@
       ...options,
       clock,
       keyed: !unkeyed,
+      isFatal: ({ path }) => path?.includes(FATAL_MARK) === true,
+      // As a process that crashes: nothing is said, and the entry stays.
+      observeCrash: () => process.exit(CRASHED),
       writeEntry: (key, value) =>
         void client.append({ partition: TARGETS, key, value }),
       observeRun: (run) => {
@@ -108,6 +112,7 @@
 });
 
 const LAST_APPEND_MS = 100;
+const CRASHED = 70;
 
 function printListening(address: string): void {
   process.stdout.write(`${JSON.stringify({ listening: address })}\n`);
--- a/packages/trials/src/start/processes.ts
+++ b/packages/trials/src/start/processes.ts
@@ -179,6 +179,11 @@
   async killTarget(target: TargetProcess): Promise<void> {
     target.child.send("SIGKILL");
     await target.child.ended;
+    this.recordDeath(target);
+  }
+
+  /** A target's process has ended by itself. */
+  recordDeath(target: TargetProcess): void {
     this.deaths.push({ target: target.id, atMs: readMachineMs() });
     this.targets.splice(this.targets.indexOf(target), 1);
   }
--- a/packages/trials/src/traffic/caller.ts
+++ b/packages/trials/src/traffic/caller.ts
@@ -55,7 +55,7 @@
   async send(wanted: WantedRequest): Promise<CallerRecord> {
     const wantedId = randomUUID();
     for (let count = 1;; count++) {
-      const record = await this.#sendOnce(wanted, wantedId);
+      const record = await this.sendOnce(wanted, wantedId);
       this.#options.record(record);
       if (count === MAX_ATTEMPTS || !mayTryAgain(record)) {
         return record;
@@ -68,9 +68,10 @@
     await this.#agent.destroy();
   }
 
-  async #sendOnce(
+  /** Sends once and lets nobody know what came of it but whoever asks. */
+  async sendOnce(
     wanted: WantedRequest,
-    wantedId: string,
+    wantedId: string = randomUUID(),
   ): Promise<CallerRecord> {
     const entry = this.#chooseEntry();
     const sentAtMs = readMachineMs();
--- /dev/null
+++ b/packages/trials/src/traffic/fatal_request.ts
@@ -0,0 +1,45 @@
+/** Requests that crash every target that begins to run them. */
+import type { TargetRun } from "@lentilspur/ports/fake_target";
+import type { WantedRequest } from "./caller.ts";
+import type { RequestShape } from "./deployment.ts";
+import { splitBy } from "./split_by.ts";
+
+/** Stands in the path of such a request. */
+export const FATAL_MARK = "fatal";
+
+/** The system may send one on while it learns of the crashes. */
+const FREE_CRASHES = 3;
+const LEARNING_MS = 3_000;
+/** And so often after that. */
+const MAX_SENDS = 3;
+
+export function makeFatalRequest(
+  shape: RequestShape,
+  key: string,
+  name: string,
+): WantedRequest {
+  return {
+    template: shape.template,
+    key,
+    method: shape.method,
+    path: `${shape.path.replace("{key}", key)}?${FATAL_MARK}=${name}`,
+    idempotent: shape.method === "GET",
+  };
+}
+
+/** Fatal requests that went on to be sent, each with how often. */
+export function listUnstoppedRequests(
+  runs: readonly TargetRun[],
+): readonly { readonly path: string; readonly sends: number }[] {
+  const fatal = runs.filter(({ path }) => path?.includes(FATAL_MARK) === true);
+  return [...splitBy(fatal, ({ path }) => path ?? "")]
+    .map(([path, own]) => ({ path, sends: countLate(own) }))
+    .filter(({ sends }) => sends > MAX_SENDS);
+}
+
+function countLate(runs: readonly TargetRun[]): number {
+  const times = runs.map(({ startedAtMs }) => startedAtMs)
+    .toSorted((left, right) => left - right);
+  const last = times[FREE_CRASHES - 1] ?? Infinity;
+  return times.filter((atMs) => atMs > last + LEARNING_MS).length;
+}
--- a/packages/trials/src/traffic/judge.ts
+++ b/packages/trials/src/traffic/judge.ts
@@ -4,6 +4,7 @@
  */
 import type { TargetRun } from "@lentilspur/ports/fake_target";
 import type { CallerRecord } from "./caller_record.ts";
+import { listUnstoppedRequests } from "./fatal_request.ts";
 import { splitBy } from "./split_by.ts";
 
 export interface Violation {
@@ -12,7 +13,8 @@
     | "not-run-is-true"
     | "own-answer"
     | "sole-owner"
-    | "leaving-target";
+    | "leaving-target"
+    | "fatal-request";
   readonly message: string;
 }
 
@@ -53,6 +55,7 @@
     ),
     ...checkSoleOwner(runs),
     ...checkLeaving(runs, evidence.leaving, evidence.disturbances ?? []),
+    ...checkFatal(runs),
   ];
 }
 
@@ -165,6 +168,13 @@
   );
 }
 
+function checkFatal(runs: readonly TargetRun[]): readonly Violation[] {
+  return listUnstoppedRequests(runs).map(({ path, sends }) => ({
+    promise: "fatal-request",
+    message: `"${path}" was sent on ${sends} times after three crashes`,
+  }));
+}
+
 /**
  * The longest time that one key went unserved: from a send that failed, or
  * that was answered late, to the next whole answer for that key.
