--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -39,7 +39,7 @@
 const RESTARTS_MS = [100, 800, 2_500];
 const OUTAGES_MS = [500, 2_500, 6_000];
 /** A request that crashes its targets comes so often, and after this long. */
-const FATAL_REPEATS = 25;
+const FATAL_REPEATS = 40;
 const FATAL_PAUSE_MS = 1_000;
 /** A target is stopped this long after it said that it leaves. */
 const LEAVING_MS = 6_000;
