--- a/packages/gateway/src/request_report.ts
+++ b/packages/gateway/src/request_report.ts
@@ -26,6 +26,8 @@
     readonly cause?: string;
     readonly status?: number;
     readonly tookMs: number;
+    /** What the target says that it takes from all instances together. */
+    readonly limitPerSecond?: number;
     /** The same for each attempt of the request; where its end is unknown. */
     readonly fingerprint?: string;
   }
@@ -83,6 +85,9 @@
         ? { status: outcome.status }
         : { cause: outcome.cause }),
       tookMs: Math.round(this.#clock.readMs() - sentAtMs),
+      ...(outcome.kind === "unknown" || outcome.limitPerSecond === undefined
+        ? {}
+        : { limitPerSecond: outcome.limitPerSecond }),
       ...(outcome.kind === "unknown"
         ? { fingerprint: getFingerprint(passage) }
         : {}),
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -30,6 +30,13 @@
   readonly waiting: number;
 }
 
+/** What a target says of itself along with an answer. */
+export interface TargetReport {
+  readonly load?: ReportedLoad;
+  /** Requests a second that it takes from all instances together, if it says so. */
+  readonly limitPerSecond?: number;
+}
+
 /** A target's answer, as it is passed on. */
 export interface TargetAnswer {
   readonly status: number;
@@ -45,17 +52,13 @@
 
 export type SendOutcome =
   /** The target's whole answer, to be passed on unchanged. */
-  | (TargetAnswer & {
-    readonly kind: "answered";
-    readonly load?: ReportedLoad;
-  })
+  | (TargetAnswer & TargetReport & { readonly kind: "answered" })
   /** Proved not to have run, and never to run. */
-  | {
+  | (TargetReport & {
     readonly kind: "not-run";
     readonly cause: "unreachable" | "full" | "not-owner" | "replaced";
     readonly message: string;
-    readonly load?: ReportedLoad;
-  }
+  })
   /** It may have run. */
   | {
     readonly kind: "unknown";
