--- a/packages/gateway/src/request_world.ts
+++ b/packages/gateway/src/request_world.ts
@@ -80,6 +80,8 @@
   readonly #random = new SeededRandom(1);
   readonly #paths = new Map<string, Path>();
   readonly #targets = new Map<string, FakeTarget>();
+  /** Requests a second that targets name in their answers. */
+  readonly #limits = new Map<string, number>();
   #starts = 0;
   #sent = 0;
   #token = 0;
@@ -131,6 +133,20 @@
     this.#targets.get(id)!.fail();
   }
 
+  /** From now on the target names this limit in its answers, or none. */
+  setLimit(id: string, perSecond: number | undefined): void {
+    if (perSecond === undefined) {
+      this.#limits.delete(id);
+    } else {
+      this.#limits.set(id, perSecond);
+    }
+  }
+
+  /** Ids of the targets that run. */
+  listTargets(): readonly string[] {
+    return [...this.#targets.keys()];
+  }
+
   /** Sends of one path that reached a target later than a time. */
   countArrivals(path: string, afterMs = -Infinity): number {
     return this.arrivals
@@ -245,7 +261,11 @@
       .push({ instance, targetId, path, atMs: this.clock.readMs() });
     const reply = await target.run({ requestId, key, path, body: "" });
     await this.clock.sleep(WAY_MS);
-    return toOutcome(reply);
+    const limitPerSecond = this.#limits.get(targetId);
+    const outcome = toOutcome(reply);
+    return outcome.kind === "unknown" || limitPerSecond === undefined
+      ? outcome
+      : { ...outcome, limitPerSecond };
   }
 
   #startTarget(): void {
