--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -356,6 +356,7 @@
       catalogue: this.#catalogue,
       services: this.#services,
       keepers: this.#keepers,
+      limits: this.#limits,
       choosePart: (service) => this.#choosePart(service),
       sendPeer: (name, message) => this.#sendTo(name, message),
     });
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -4,8 +4,9 @@
  * keys are planned by.
  */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { Route } from "@lentilspur/ports/routing_table";
+import type { Route, RoutingTarget } from "@lentilspur/ports/routing_table";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
+import type { OwnerCandidate } from "@lentilspur/ownership/owner_standing";
 import type { ServiceFacts } from "@lentilspur/ownership/table_planner";
 import { KeyLoad } from "@lentilspur/ownership/key_load";
 import type { Catalogue } from "./catalogue.ts";
@@ -13,6 +14,7 @@
 import { KeyReport } from "./key_report.ts";
 import type { PeerMessage } from "./peer_message.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
+import type { TargetLimits } from "./target_limits.ts";
 
 type KeysMessage = PeerMessage & { readonly kind: "keys" };
 
@@ -22,6 +24,7 @@
   readonly catalogue: Catalogue;
   readonly services: ServiceRegistry;
   readonly keepers: KeeperService;
+  readonly limits: TargetLimits;
   readonly choosePart: (service: string) => number;
   readonly sendPeer: (instance: string, message: PeerMessage) => void;
 }
@@ -85,19 +88,26 @@
         UNKNOWN_SERVICE_MS;
       const candidates = this.#options.catalogue.listTargets(service.name)
         .filter((target) => !target.leaving)
-        .map((target) => ({
-          id: target.id,
-          address: target.address,
-          ...(target.bornMs === undefined ? {} : { bornMs: target.bornMs }),
-          places: target.places,
-          serviceMs: this.#serviceMs.get(target.id) ?? usualMs,
-        }));
+        .map((target) => this.#createCandidate(target, usualMs));
       const rates = this.#getKeyLoad(service.name).listRates(nowMs);
       facts.push({ service: service.name, candidates, rates });
     }
     return facts;
   }
 
+  #createCandidate(target: RoutingTarget, usualMs: number): OwnerCandidate {
+    const { id, address, bornMs, places } = target;
+    const limitPerSecond = this.#options.limits.getPerSecond(target);
+    return {
+      id,
+      address,
+      ...(bornMs === undefined ? {} : { bornMs }),
+      places,
+      serviceMs: this.#serviceMs.get(id) ?? usualMs,
+      ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
+    };
+  }
+
   #getKeyLoad(service: string): KeyLoad {
     const load = this.#keyLoads.get(service) ?? new KeyLoad();
     this.#keyLoads.set(service, load);
--- a/packages/ownership/src/key_planner_test.ts
+++ b/packages/ownership/src/key_planner_test.ts
@@ -195,3 +195,17 @@
   assert.equal(findRange(table, 100)!.owner.id, "t0");
   assert.ok(owners.size > 1, "the busy stretch is spread");
 });
+
+test("keys that a target's limit leaves unserved pass to others", () => {
+  const candidates = createCandidates(6)
+    .map((one, index) => index === 0 ? { ...one, limitPerSecond: 2 } : one);
+  const busy = new Map<number, number>();
+  for (let key = 0; key < LAST_KEY; key += 1_024) {
+    busy.set(key, 0.6);
+  }
+  const table = runPlans(candidates, countRates(busy));
+  const asked = [...busy]
+    .filter(([key]) => findRange(table, key)!.owner.id === "t0")
+    .reduce((sum, [, perSecond]) => sum + perSecond, 0);
+  assert.ok(asked <= 2, `${asked} a second are asked of it`);
+});
--- a/packages/ownership/src/owner_standing.ts
+++ b/packages/ownership/src/owner_standing.ts
@@ -19,6 +19,8 @@
   readonly places: number;
   /** Work of one request, in milliseconds. */
   readonly serviceMs: number;
+  /** Requests a second that it takes, whatever it could do. */
+  readonly limitPerSecond?: number;
 }
 
 /**
@@ -26,6 +28,9 @@
  * deviations: a target's share of a quiet second is 20 requests, give or take 4.
  */
 const CAUTION = 1.5;
+/** A target that takes nothing is planned for as one that takes this much. */
+const MIN_LIMIT = 0.1;
+
 export interface Standing {
   readonly candidate: OwnerCandidate;
   /** Places kept busy, as a share of all of its places. */
@@ -117,9 +122,11 @@
   return rate === 0 ? 0 : load / rate;
 }
 
-/** Requests a second that keep all of its places busy. */
+/** Requests a second that it can do: all that it takes, or all of its places. */
 export function computeRate(candidate: OwnerCandidate): number {
-  return candidate.places * 1_000 / Math.max(1, candidate.serviceMs);
+  const { places, serviceMs, limitPerSecond = Infinity } = candidate;
+  const most = places * 1_000 / Math.max(1, serviceMs);
+  return Math.min(most, Math.max(MIN_LIMIT, limitPerSecond));
 }
 
 export function computeBusy(
