--- a/packages/gateway/src/passage.ts
+++ b/packages/gateway/src/passage.ts
@@ -37,7 +37,7 @@
   | { readonly kind: "again"; readonly pauseMs: number };
 
 export function getFingerprint(passage: Passage): string {
-  passage.fingerprint ??= computeFingerprint(passage.request);
+  passage.fingerprint ??= computeFingerprint(passage.request, passage.route);
   return passage.fingerprint;
 }
 
--- a/packages/gateway/src/request_fingerprint_test.ts
+++ b/packages/gateway/src/request_fingerprint_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { Route } from "@lentilspur/ports/routing_table";
 import type { CallerRequest } from "./caller_request.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 
@@ -17,22 +18,41 @@
   signal: new AbortController().signal,
 };
 
+const BY_HOST: Pick<Route, "match"> = {
+  match: { kind: "prefix", host: "files.example", pathPrefix: "/files/" },
+};
+const BY_PATH: Pick<Route, "match"> = {
+  match: { kind: "pattern", method: "POST", segments: ["files", null] },
+};
+
 test("a repeat under another id is known again", () => {
   const repeat = { ...REQUEST, requestId: "a2", deadlineMs: 400 };
-  assert.equal(computeFingerprint(repeat), computeFingerprint(REQUEST));
+  assert.equal(
+    computeFingerprint(repeat, BY_HOST),
+    computeFingerprint(REQUEST, BY_HOST),
+  );
+});
+
+test("a repeat that names another instance as its host is known again", () => {
+  const [one, other] = ["10.0.0.1:80", "10.0.0.2:80"]
+    .map((host) => computeFingerprint({ ...REQUEST, host }, BY_PATH));
+  assert.equal(one, other);
 });
 
 test("a request that differs in what it asks, or in who asks, is another one", () => {
   const others: readonly Partial<CallerRequest>[] = [
     { method: "PUT" },
-    { host: "other.example" },
     { path: "/files/1" },
     { key: 8 },
     { credential: "another" },
     { credential: undefined },
     { body: Buffer.from("other") },
   ];
-  const known = others.map((one) => computeFingerprint({ ...REQUEST, ...one }));
-  const all = new Set([computeFingerprint(REQUEST), ...known]);
-  assert.equal(all.size, others.length + 1);
+  const known = others
+    .map((one) => computeFingerprint({ ...REQUEST, ...one }, BY_HOST));
+  const elsewhere = computeFingerprint(REQUEST, {
+    match: { kind: "prefix", host: "other.example", pathPrefix: "/files/" },
+  });
+  const own = computeFingerprint(REQUEST, BY_HOST);
+  assert.equal(new Set([own, elsewhere, ...known]).size, others.length + 2);
 });
