--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -193,7 +193,7 @@
     Array.isArray(report.crashes) &&
     report.crashes.every((one: unknown) =>
       Array.isArray(one) && typeof one[0] === "string" &&
-      Number.isFinite(one[1])
+      Number.isFinite(one[1]) && Number.isFinite(one[2])
     );
 }
 
--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -131,7 +131,7 @@
       case "unknown":
         if (hasNoAnswer(end)) {
           const fingerprint = getFingerprint(passage);
-          this.#broken.record({ fingerprint, target, atMs: nowMs });
+          this.#broken.record({ fingerprint, target, sentAtMs, atMs: nowMs });
         }
         return;
     }
@@ -223,8 +223,8 @@
   }
 
   #recordCrashes(sends: readonly BrokenSend[]): void {
-    for (const { fingerprint, target, atMs } of sends) {
-      if (this.#suspects.recordCrash(fingerprint, hashLife(target), atMs)) {
+    for (const { fingerprint, target, ...times } of sends) {
+      if (this.#suspects.recordCrash(fingerprint, hashLife(target), times)) {
         const isQuarantined = this.#suspects.isQuarantined(fingerprint);
         const { id: targetId } = target;
         this.#options
--- a/packages/routing/src/broken_sends.ts
+++ b/packages/routing/src/broken_sends.ts
@@ -10,6 +10,7 @@
 export interface BrokenSend {
   readonly fingerprint: string;
   readonly target: TargetLife;
+  readonly sentAtMs: number;
   /** When it broke, or was given up; own clock. */
   readonly atMs: number;
 }
@@ -31,10 +32,15 @@
   /** The last answers of two targets. */
   #heard: readonly Heard[] = [];
 
+  /** What was sent after the first one broke came to a target that had ended. */
   record(send: BrokenSend): void {
-    const { id } = send.target;
-    const sends = this.#byTarget.get(id) ?? [];
-    this.#byTarget.set(id, [...sends, send].slice(-MAX_PER_TARGET));
+    const { target: { id }, sentAtMs, atMs } = send;
+    const sends = (this.#byTarget.get(id) ?? [])
+      .filter((one) => atMs - one.atMs <= VALID_MS);
+    if (sends.length > 0 && sentAtMs > sends[0]!.atMs) {
+      return;
+    }
+    this.#byTarget.set(id, [...sends, send].slice(0, MAX_PER_TARGET));
     if (this.#byTarget.size > MAX_TARGETS) {
       this.#byTarget.delete(this.#byTarget.keys().next().value!);
     }
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -16,7 +16,12 @@
 export interface SuspectReport {
   readonly fingerprint: string;
   /** Of each target that crashed: a name of that life of it, and how long ago. */
-  readonly crashes: readonly (readonly [life: string, ageMs: number])[];
+  readonly crashes: readonly (readonly [
+    life: string,
+    ageMs: number,
+    /** Since the request was sent to it. */
+    sentAgeMs: number,
+  ])[];
   /** Since its last answer; null where there was none. */
   readonly clearedAgeMs: number | null;
   /** Since it was last tried in spite of its crashes. */
@@ -33,9 +38,15 @@
     readonly retryAfterMs: number;
   };
 
+/** A send that broke with its target; own clock. */
+export interface Crash {
+  readonly sentAtMs: number;
+  readonly atMs: number;
+}
+
 interface Suspect {
-  /** Times by life of a target; own clock. */
-  readonly crashes: Map<string, number>;
+  /** By life of a target. */
+  readonly crashes: Map<string, Crash>;
   clearedAtMs: number;
   trialAtMs: number;
 }
@@ -46,7 +57,7 @@
  * How long a quarantine lasts after the third crash and after the fourth. After
  * the fifth it lasts until the crashes are forgotten.
  */
-const QUARANTINES_MS = [60_000, 3_600_000] as const;
+const QUARANTINES_MS = [30_000, 600_000] as const;
 /** A trial has shown by now whether its target survives. */
 const TRIAL_MS = 6_000;
 /** A request that has crashed nothing for this long starts anew. */
@@ -54,6 +65,12 @@
 /** Older reports of crashes are still on their way for less than this. */
 const CLEARED_KEPT_MS = 60_000;
 const MAX_SUSPECTS = 1_024;
+/**
+ * What was sent to a target later than this after it had ended has not ended it.
+ * Times from other instances are late by as long as their datagrams took.
+ */
+const LATE_SEND_MS = 100;
+const MAX_LIVES = 1_024;
 /** More of them change no decision. */
 const MAX_KEPT_CRASHES = 5;
 /** Reports that are told again and again: one or two datagrams each second. */
@@ -61,6 +78,8 @@
 
 export class CrashSuspects {
   readonly #suspects = new Map<string, Suspect>();
+  /** When each life of a target ended: when the first send to it broke. */
+  readonly #endedAtMs = new Map<string, number>();
 
   /** Whether there is no suspect at all, which saves callers the fingerprint. */
   get isEmpty(): boolean {
@@ -68,20 +87,27 @@
   }
 
   countQuarantined(): number {
-    return [...this.#suspects.values()].filter(isQuarantined).length;
+    return [...this.#suspects.values()]
+      .filter((suspect) => this.#isQuarantined(suspect)).length;
   }
 
   /** False where that crash is known, or an answer has come since. */
-  recordCrash(fingerprint: string, life: string, atMs: number): boolean {
-    const suspect = this.#claim(fingerprint);
-    const { crashes, clearedAtMs } = suspect;
-    if (
-      crashes.has(life) || atMs <= clearedAtMs ||
-      crashes.size >= MAX_KEPT_CRASHES
-    ) {
+  recordCrash(fingerprint: string, life: string, crash: Crash): boolean {
+    this.#recordEnd(life, crash.atMs);
+    const { crashes, clearedAtMs } = this.#claim(fingerprint);
+    const known = crashes.get(life);
+    if (known !== undefined) {
+      // The report that was the shortest time on its way is the nearest.
+      crashes.set(life, {
+        sentAtMs: Math.min(known.sentAtMs, crash.sentAtMs),
+        atMs: Math.min(known.atMs, crash.atMs),
+      });
+      return false;
+    }
+    if (crash.atMs <= clearedAtMs || crashes.size >= MAX_KEPT_CRASHES) {
       return false;
     }
-    crashes.set(life, atMs);
+    crashes.set(life, crash);
     return true;
   }
 
@@ -98,25 +124,26 @@
 
   isQuarantined(fingerprint: string): boolean {
     const suspect = this.#suspects.get(fingerprint);
-    return suspect !== undefined && isQuarantined(suspect);
+    return suspect !== undefined && this.#isQuarantined(suspect);
   }
 
   /** Whether a request may be sent now; marks the trial that it allows. */
   admit(fingerprint: string, nowMs: number): SuspectDecision {
     const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined || !isQuarantined(suspect)) {
+    if (suspect === undefined || !this.#isQuarantined(suspect)) {
       return { kind: "admitted" };
     }
+    const crashes = this.#listCrashes(suspect);
     const endsAtMs = Math.max(
-      computeQuarantineEnd(suspect),
+      computeQuarantineEnd(crashes),
       suspect.trialAtMs + TRIAL_MS,
     );
     if (nowMs >= endsAtMs) {
       suspect.trialAtMs = nowMs;
       return { kind: "trial" };
     }
-    const { size: crashes } = suspect.crashes;
-    return { kind: "quarantined", crashes, retryAfterMs: endsAtMs - nowMs };
+    const retryAfterMs = endsAtMs - nowMs;
+    return { kind: "quarantined", crashes: crashes.length, retryAfterMs };
   }
 
   /** Takes over what another instance knows; true where it was news. */
@@ -130,8 +157,9 @@
       suspect.clearedAtMs = clearedAtMs;
     }
     suspect.trialAtMs = Math.max(suspect.trialAtMs, toTime(trialAgeMs, nowMs));
-    for (const [life, ageMs] of crashes) {
-      const isNew = this.recordCrash(fingerprint, life, nowMs - ageMs);
+    for (const [life, ageMs, sentAgeMs] of crashes) {
+      const crash = { sentAtMs: nowMs - sentAgeMs, atMs: nowMs - ageMs };
+      const isNew = this.recordCrash(fingerprint, life, crash);
       isNews ||= isNew;
     }
     return isNews;
@@ -148,7 +176,7 @@
   listReports(nowMs: number): readonly SuspectReport[] {
     return [...this.#suspects]
       .filter(([, suspect]) =>
-        isQuarantined(suspect) || suspect.crashes.size === 0
+        this.#isQuarantined(suspect) || suspect.crashes.size === 0
       )
       .slice(-MAX_REPORTS)
       .map(([fingerprint, suspect]) =>
@@ -161,17 +189,39 @@
     for (const [fingerprint, { crashes, clearedAtMs }] of this.#suspects) {
       const isOver = crashes.size === 0
         ? nowMs - clearedAtMs > CLEARED_KEPT_MS
-        : nowMs - Math.max(...crashes.values()) > FORGET_MS;
+        : nowMs - findLast([...crashes.values()]) > FORGET_MS;
       if (isOver) {
         this.#suspects.delete(fingerprint);
       }
     }
   }
 
+  #isQuarantined(suspect: Suspect): boolean {
+    return this.#listCrashes(suspect).length >= MAX_CRASHES;
+  }
+
+  /** Those that the request may have brought about. */
+  #listCrashes({ crashes }: Suspect): readonly Crash[] {
+    return [...crashes]
+      .filter(([life, { sentAtMs }]) =>
+        sentAtMs <= (this.#endedAtMs.get(life) ?? Infinity) + LATE_SEND_MS
+      )
+      .map(([, crash]) => crash);
+  }
+
+  #recordEnd(life: string, atMs: number): void {
+    const known = this.#endedAtMs.get(life) ?? Infinity;
+    this.#endedAtMs.delete(life);
+    this.#endedAtMs.set(life, Math.min(known, atMs));
+    if (this.#endedAtMs.size > MAX_LIVES) {
+      this.#endedAtMs.delete(this.#endedAtMs.keys().next().value!);
+    }
+  }
+
   /** A flood of suspects pushes out those with the fewest crashes. */
   #claim(fingerprint: string): Suspect {
     const suspect = this.#suspects.get(fingerprint) ?? {
-      crashes: new Map<string, number>(),
+      crashes: new Map<string, Crash>(),
       clearedAtMs: -Infinity,
       trialAtMs: -Infinity,
     };
@@ -196,13 +246,13 @@
   }
 }
 
-function isQuarantined({ crashes }: Suspect): boolean {
-  return crashes.size >= MAX_CRASHES;
+function computeQuarantineEnd(crashes: readonly Crash[]): number {
+  const lengthMs = QUARANTINES_MS[crashes.length - MAX_CRASHES] ?? FORGET_MS;
+  return findLast(crashes) + lengthMs;
 }
 
-function computeQuarantineEnd({ crashes }: Suspect): number {
-  const lastAtMs = Math.max(...crashes.values());
-  return lastAtMs + (QUARANTINES_MS[crashes.size - MAX_CRASHES] ?? FORGET_MS);
+function findLast(crashes: readonly Crash[]): number {
+  return Math.max(...crashes.map(({ atMs }) => atMs));
 }
 
 function createReport(
@@ -212,14 +262,18 @@
 ): SuspectReport {
   return {
     fingerprint,
-    crashes: [...crashes].map(([life, atMs]) => [life, toAge(atMs, nowMs)!]),
+    crashes: [...crashes].map(([life, { sentAtMs, atMs }]) => [
+      life,
+      Math.floor(nowMs - atMs),
+      Math.floor(nowMs - sentAtMs),
+    ]),
     clearedAgeMs: toAge(clearedAtMs, nowMs),
     trialAgeMs: toAge(trialAtMs, nowMs),
   };
 }
 
 function toAge(atMs: number, nowMs: number): number | null {
-  return Number.isFinite(atMs) ? Math.max(0, Math.round(nowMs - atMs)) : null;
+  return Number.isFinite(atMs) ? Math.floor(nowMs - atMs) : null;
 }
 
 function toTime(ageMs: number | null, nowMs: number): number {
@@ -227,12 +281,12 @@
 }
 
 /** True where any was removed. */
-function removeUntil(times: Map<string, number>, untilMs: number): boolean {
-  const before = times.size;
-  for (const [name, atMs] of times) {
+function removeUntil(crashes: Map<string, Crash>, untilMs: number): boolean {
+  const before = crashes.size;
+  for (const [life, { atMs }] of crashes) {
     if (atMs <= untilMs) {
-      times.delete(name);
+      crashes.delete(life);
     }
   }
-  return times.size < before;
+  return crashes.size < before;
 }
--- /dev/null
+++ b/packages/trials/src/traffic/target_limit.ts
@@ -0,0 +1,43 @@
+/** Whether targets got no more than what they said that they take. */
+import type { TargetRun } from "@lentilspur/ports/fake_target";
+
+/** A time in which a target named a limit; machine time. */
+export interface LimitSpan {
+  readonly target: string;
+  readonly perSecond: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** All instances keep to it this long after it was first named. */
+const LEARNING_MS = 3_000;
+const WINDOW_MS = 4_000;
+/** Of what the limit allows, and requests beyond it. */
+const MAX_SHARE = 1.5;
+const MAX_EXTRA = 5;
+
+/** Spans in which some window got too much, each with the most. */
+export function listExceeded(
+  runs: readonly TargetRun[],
+  spans: readonly LimitSpan[],
+): readonly { readonly span: LimitSpan; readonly most: number }[] {
+  return spans
+    .map((span) => ({ span, most: countMost(runs, span) }))
+    .filter(({ span, most }) =>
+      most > MAX_SHARE * span.perSecond * WINDOW_MS / 1_000 + MAX_EXTRA
+    );
+}
+
+function countMost(
+  runs: readonly TargetRun[],
+  { target, fromMs, toMs }: LimitSpan,
+): number {
+  const times = runs
+    .filter((run) => run.target === target)
+    .map(({ startedAtMs }) => startedAtMs)
+    .filter((atMs) => atMs >= fromMs + LEARNING_MS && atMs < toMs);
+  const counts = times.map((from) =>
+    times.filter((atMs) => atMs >= from && atMs < from + WINDOW_MS).length
+  );
+  return Math.max(0, ...counts);
+}
