--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -19,6 +19,7 @@
   "target-killed",
   "target-paused",
   "target-leaving",
+  "target-limited",
   "request-fatal",
   "store-silent",
   "store-refusing",
@@ -41,6 +42,8 @@
 /** A request that crashes its targets comes so often, and after this long. */
 const FATAL_REPEATS = 40;
 const FATAL_PAUSE_MS = 1_000;
+const LIMITS_PER_SECOND = [0.5, 2.5, 8];
+const LIMITED_MS = 10_000;
 /** A target is stopped this long after it said that it leaves. */
 const LEAVING_MS = 6_000;
 
@@ -69,6 +72,8 @@
       case "target-paused":
       case "target-leaving":
         return await this.#failTarget(fault);
+      case "target-limited":
+        return await this.#setLimit();
       case "request-fatal":
         return await this.#sendFatal();
       case "store-silent":
@@ -147,7 +152,7 @@
     fault: "target-killed" | "target-paused" | "target-leaving",
   ): Promise<string> {
     const { processes, leaving } = this.#trial;
-    const target = this.#take(processes.targets, ({ id }) => id);
+    const target = this.#takeTarget();
     if (target === undefined) {
       return "nothing: no target is at hand";
     }
@@ -178,6 +183,26 @@
     return target.id;
   }
 
+  async #setLimit(): Promise<string> {
+    const { processes, limits } = this.#trial;
+    const target = this.#takeTarget();
+    if (target === undefined) {
+      return "nothing: no target is at hand";
+    }
+    const perSecond = this.#draw(LIMITS_PER_SECOND);
+    const fromMs = readMachineMs();
+    await processes.setTargetLimit(target, perSecond);
+    await sleep(LIMITED_MS);
+    const toMs = readMachineMs();
+    limits.push({ target: target.id, perSecond, fromMs, toMs });
+    if (!target.child.hasEnded) {
+      await processes.setTargetLimit(target, null);
+    }
+    this.#taken.delete(target.id);
+    await Promise.all(this.#restartCrashed());
+    return `${target.id} takes ${perSecond} a second`;
+  }
+
   async #sendFatal(): Promise<string> {
     if (this.#taken.has("fatal")) {
       return "nothing: another such request is on its way";
@@ -249,6 +274,12 @@
     this.#trial.disturbances.push({ fromMs, toMs: readMachineMs() });
   }
 
+  #takeTarget(): TargetProcess | undefined {
+    const running = this.#trial.processes.targets
+      .filter(({ child }) => !child.hasEnded);
+    return this.#take(running, ({ id }) => id);
+  }
+
   #take<Item extends InstanceProcess | TargetProcess>(
     items: readonly Item[],
     getName: (item: Item) => string,
--- a/packages/trials/src/start/once.ts
+++ b/packages/trials/src/start/once.ts
@@ -11,6 +11,7 @@
 import type { CallerRecord } from "../traffic/caller_record.ts";
 import type { Deployment } from "../traffic/deployment.ts";
 import type { Disturbance, LeavingTarget } from "../traffic/judge.ts";
+import type { LimitSpan } from "../traffic/target_limit.ts";
 import { Traffic } from "../traffic/traffic.ts";
 import { Balancer } from "./balancer.ts";
 import { type InstanceProcess, Processes, waitUntil } from "./processes.ts";
@@ -43,6 +44,7 @@
   readonly leaving: LeavingTarget[] = [];
   /** Times in which the store, or the way to it, was made to fail. */
   readonly disturbances: Disturbance[] = [];
+  readonly limits: LimitSpan[] = [];
   readonly faults: string[] = [];
   readonly #options: TrialOptions;
   readonly #end = new AbortController();
@@ -93,6 +95,7 @@
       historyFile: this.processes.historyFile,
       leaving: this.leaving,
       disturbances: this.disturbances,
+      limits: this.limits,
       deaths: this.processes.deaths,
       lineFiles: this.processes.lineFiles,
       faults: this.faults,
--- a/packages/trials/src/start/processes.ts
+++ b/packages/trials/src/start/processes.ts
@@ -170,6 +170,14 @@
     await sendJson(`http://${address}/standin/drain`, {});
   }
 
+  /** The target names a limit of requests a second in its answers, or none. */
+  async setTargetLimit(
+    { address }: TargetProcess,
+    perSecond: number | null,
+  ): Promise<void> {
+    await sendJson(`http://${address}/standin/limit`, { perSecond });
+  }
+
   /** How the store treats calls from now on. */
   async setStoreMood(mood: StoreMood): Promise<void> {
     await sendJson(`http://${this.#storeAddress}/standin/mood`, { mood });
--- a/packages/trials/src/start/trial_report.ts
+++ b/packages/trials/src/start/trial_report.ts
@@ -12,6 +12,7 @@
   type Violation,
 } from "../traffic/judge.ts";
 import { splitBy } from "../traffic/split_by.ts";
+import type { LimitSpan } from "../traffic/target_limit.ts";
 import type { TargetDeath } from "./processes.ts";
 
 export interface TrialReport {
@@ -39,13 +40,14 @@
   readonly historyFile: string;
   readonly leaving: readonly LeavingTarget[];
   readonly disturbances: readonly Disturbance[];
+  readonly limits: readonly LimitSpan[];
   readonly deaths: readonly TargetDeath[];
   readonly lineFiles: readonly string[];
   readonly faults: readonly string[];
 }
 
 export function buildReport(facts: TrialFacts): TrialReport {
-  const { records, leaving, disturbances, lineFiles } = facts;
+  const { records, leaving, disturbances, limits, lineFiles } = facts;
   const runs = loadRuns(facts.historyFile, facts.deaths);
   const read = parseLines(lineFiles.map((file) => readFileSync(file, "utf8")));
   const requests = splitBy(records, ({ wantedId }) => wantedId);
@@ -62,7 +64,13 @@
     moves: countMoves(read.lines),
     unservedMsMax: Math.round(computeUnservedMsMax(records)),
     audit: checkLines(read),
-    violations: listViolations({ records, runs, leaving, disturbances }),
+    violations: listViolations({
+      records,
+      runs,
+      leaving,
+      disturbances,
+      limits,
+    }),
     faults: facts.faults,
   };
 }
--- a/packages/trials/src/traffic/judge.ts
+++ b/packages/trials/src/traffic/judge.ts
@@ -6,6 +6,7 @@
 import type { CallerRecord } from "./caller_record.ts";
 import { listUnstoppedRequests } from "./fatal_request.ts";
 import { splitBy } from "./split_by.ts";
+import { type LimitSpan, listExceeded } from "./target_limit.ts";
 
 export interface Violation {
   readonly promise:
@@ -14,7 +15,8 @@
     | "own-answer"
     | "sole-owner"
     | "leaving-target"
-    | "fatal-request";
+    | "fatal-request"
+    | "target-limit";
   readonly message: string;
 }
 
@@ -36,6 +38,7 @@
   readonly leaving: readonly LeavingTarget[];
   /** Of the store, or of the way to it. */
   readonly disturbances?: readonly Disturbance[];
+  readonly limits?: readonly LimitSpan[];
 }
 
 /** "After a few seconds": the reading of entries and a planner's round included. */
@@ -56,6 +59,7 @@
     ...checkSoleOwner(runs),
     ...checkLeaving(runs, evidence.leaving, evidence.disturbances ?? []),
     ...checkFatal(runs),
+    ...checkLimits(evidence.runs, evidence.limits ?? []),
   ];
 }
 
@@ -175,6 +179,17 @@
   }));
 }
 
+function checkLimits(
+  runs: readonly TargetRun[],
+  limits: readonly LimitSpan[],
+): readonly Violation[] {
+  return listExceeded(runs, limits).map(({ span, most }) => ({
+    promise: "target-limit",
+    message:
+      `${span.target} got ${most} requests in 4 s and takes ${span.perSecond} a second`,
+  }));
+}
+
 /**
  * The longest time that one key went unserved: from a send that failed, or
  * that was answered late, to the next whole answer for that key.
