--- a/packages/trials/src/traffic/judge_test.ts
+++ b/packages/trials/src/traffic/judge_test.ts
@@ -145,3 +145,35 @@
   ];
   assert.equal(computeUnservedMsMax(records), 220);
 });
+
+/** Runs of different requests at one target, each on a key of its own. */
+function makeRuns(times: readonly number[], path?: string): TargetRun[] {
+  return times.map((startedAtMs, key) =>
+    makeRun({
+      requestId: `r${key}`,
+      key,
+      startedAtMs,
+      endedAtMs: startedAtMs + 10,
+      ...(path === undefined ? {} : { path }),
+    })
+  );
+}
+
+test("a request that goes on crashing targets is found", () => {
+  const times = [0, 1_000, 2_000, 5_500, 6_500, 7_500, 8_500];
+  const runs = makeRuns(times, "/files/1?fatal=1");
+  assert.deepEqual(listBroken({ records: [], runs }), ["fatal-request"]);
+  const stopped = runs.slice(0, 6);
+  assert.deepEqual(listBroken({ records: [], runs: stopped }), []);
+});
+
+test("a target that gets more than the limit that it names is found", () => {
+  const span = { target: "t1", perSecond: 1, fromMs: 0, toMs: 10_000 };
+  const times = Array.from({ length: 60 }, (_, index) => index * 250);
+  const many = makeRuns(times);
+  const few = makeRuns(times.filter((_, index) => index % 2 === 0));
+  assert.deepEqual(listBroken({ records: [], runs: many, limits: [span] }), [
+    "target-limit",
+  ]);
+  assert.deepEqual(listBroken({ records: [], runs: few, limits: [span] }), []);
+});
