--- a/packages/trials/src/soak/soak_cli.ts
+++ b/packages/trials/src/soak/soak_cli.ts
@@ -10,6 +10,7 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { binary, command, number, oneOf, option, run } from "cmd-ts";
+import { hashText } from "@lentilspur/gateway/stable_hash";
 import { Trial } from "../start/once.ts";
 import { hasHeld, renderReport, renderSummary } from "../start/trial_report.ts";
 import { readMachineMs } from "../traffic/caller.ts";
@@ -47,17 +48,16 @@
   { seed, seconds, deployment }: SoakArguments,
 ): Promise<void> {
   const directory = mkdtempSync(join(tmpdir(), `lentilspur-soak-${seed}-`));
-  const random = new TrafficRandom(seed);
   const trial = new Trial({
     deployment: deployment === "abay" ? ABAY : SAUTIBA,
     directory,
     print,
-    random,
+    random: new TrafficRandom(seed),
     hasLinks: true,
   });
   try {
     await trial.start();
-    await runFaults(trial, random, seconds * 1_000);
+    await runFaults(trial, seed, seconds * 1_000);
     await trial.checkRecovery(RECOVERY_MS);
     const report = await trial.stopAndReport();
     print(renderReport(report));
@@ -75,10 +75,12 @@
 
 async function runFaults(
   trial: Trial,
-  random: TrafficRandom,
+  seed: number,
   lengthMs: number,
 ): Promise<void> {
-  const injector = new FaultInjector(trial, random);
+  const injector = new FaultInjector(trial, createRandom("details", seed));
+  // Of their own: how much the callers draw follows from the machine.
+  const random = createRandom("faults", seed);
   const startedAtMs = readMachineMs();
   const running: Promise<void>[] = [];
   while (readMachineMs() - startedAtMs < lengthMs) {
@@ -94,6 +96,11 @@
   await Promise.all(running);
 }
 
+/** Small seeds alone give first draws that are all alike. */
+function createRandom(purpose: string, seed: number): TrafficRandom {
+  return new TrafficRandom(hashText(`${purpose} ${seed}`));
+}
+
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
