--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -44,6 +44,8 @@
 const FATAL_PAUSE_MS = 1_000;
 const LIMITS_PER_SECOND = [0.5, 2.5, 8];
 const LIMITED_MS = 10_000;
+/** Requests for the service of a limited target, beyond those of the callers. */
+const EXTRA_EVERY_MS = 40;
 /** A target is stopped this long after it said that it leaves. */
 const LEAVING_MS = 6_000;
 
@@ -192,8 +194,13 @@
     const perSecond = this.#draw(LIMITS_PER_SECOND);
     const fromMs = readMachineMs();
     await processes.setTargetLimit(target, perSecond);
-    await sleep(LIMITED_MS);
+    const sent: Promise<void>[] = [];
+    while (readMachineMs() < fromMs + LIMITED_MS) {
+      sent.push(this.#trial.traffic.sendExtra(target.group.template));
+      await sleep(EXTRA_EVERY_MS);
+    }
     const toMs = readMachineMs();
+    await Promise.all(sent);
     limits.push({ target: target.id, perSecond, fromMs, toMs });
     if (!target.child.hasEnded) {
       await processes.setTargetLimit(target, null);
--- a/packages/trials/src/traffic/traffic.ts
+++ b/packages/trials/src/traffic/traffic.ts
@@ -52,6 +52,17 @@
     await Promise.all(this.#callers.map((caller) => caller.close()));
   }
 
+  /** Sends one request of a kind, beside what the callers send. */
+  async sendExtra(template: string): Promise<void> {
+    const { deployment, random } = this.#options;
+    const shape = deployment.requests
+      .find((one) => one.template === template)!;
+    const key = this.#makeKey(Math.floor(random.draw() * KEYS));
+    const caller = this
+      .#callers[Math.floor(random.draw() * this.#callers.length)]!;
+    this.records.push(await caller.sendOnce(makeRequest(shape, key)));
+  }
+
   /** Sends a fatal request as one of the callers; `name` tells it from others. */
   async sendFatal(name: string): Promise<void> {
     const { deployment } = this.#options;
