--- a/packages/gateway/src/outcome_settler.ts
+++ b/packages/gateway/src/outcome_settler.ts
@@ -146,6 +146,13 @@
       : createFailure("quarantined", message, retryAfterMs);
   }
 
+  /** The final answer of a request whose one trial has not answered it. */
+  settleTrial(passage: Passage): FinalAnswer {
+    return passage.mayHaveRun
+      ? createFailure("answer-lost", "Its answer was lost again")
+      : this.settleUnserved(passage);
+  }
+
   /** The target takes no more just now; another may, unless it owns the key. */
   settleOverLimit(passage: Passage, refused: {
     readonly target: RoutingTarget;
--- a/packages/gateway/src/request_router.ts
+++ b/packages/gateway/src/request_router.ts
@@ -209,7 +209,7 @@
 
   #checkQuarantine(passage: Passage): FinalAnswer | undefined {
     if (passage.isTrial && passage.sends > 0) {
-      return createFailure("answer-lost", "Its answer was lost again");
+      return this.#settler.settleTrial(passage);
     }
     const decision = this.#options.quarantine.admit(passage);
     switch (decision.kind) {
--- a/packages/gateway/src/request_router_test.ts
+++ b/packages/gateway/src/request_router_test.ts
@@ -21,6 +21,7 @@
 import { KeyDirectory } from "./key_directory.ts";
 import { createMember, createMembers } from "./member_sample.ts";
 import { TargetLimits } from "./target_limits.ts";
+import { computeFingerprint } from "./request_fingerprint.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRouter } from "./request_router.ts";
 import { ServiceRegistry } from "./service_registry.ts";
@@ -58,6 +59,7 @@
   readonly catalogue: Catalogue;
   readonly accounts = new AccountGate(this.clock);
   readonly #router: RequestRouter;
+  readonly quarantine: RequestQuarantine;
   isStopping = false;
   #version = 0;
 
@@ -90,7 +92,7 @@
       send: () => undefined,
       observe: () => undefined,
     };
-    const quarantine = new RequestQuarantine({
+    this.quarantine = new RequestQuarantine({
       ...shared,
       findTarget: (id) => this.catalogue.getTarget(id),
     });
@@ -104,7 +106,7 @@
       directory: this.directory,
       services,
       accounts: this.accounts,
-      quarantine,
+      quarantine: this.quarantine,
       limits,
       observeKey: () => undefined,
       refreshOwners: () => undefined,
@@ -155,7 +157,32 @@
     advanceMs = 2_000,
   ): Promise<FinalAnswer | undefined> {
     let answer: FinalAnswer | undefined;
-    void this.#router.handle({
+    void this.#router.handle({ ...this.#createRequest(), ...changes })
+      .then((given) => answer = given);
+    await this.clock.advance(advanceMs);
+    return answer;
+  }
+
+  /** Three targets have crashed under the request a minute ago. */
+  recordCrashes(): void {
+    const request = this.#createRequest();
+    const { route } = this.catalogue.match(request)!;
+    const lives = ["x", "y", "z"];
+    this.quarantine.apply({
+      kind: "suspects",
+      from: "bole-2",
+      dataCentre: "bole",
+      reports: [{
+        fingerprint: computeFingerprint(request, route),
+        crashes: lives.map((life) => [life, 60_000, 60_030] as const),
+        clearedAgeMs: null,
+        trialAgeMs: null,
+      }],
+    });
+  }
+
+  #createRequest(): CallerRequest {
+    return {
       requestId: "r1",
       deadlineMs: 1_000,
       key: undefined,
@@ -167,10 +194,7 @@
       body: new Uint8Array(0),
       arrivedAtMs: this.clock.readMs(),
       signal: new AbortController().signal,
-      ...changes,
-    }).then((given) => answer = given);
-    await this.clock.advance(advanceMs);
-    return answer;
+    };
   }
 
   #decode(text: string): RoutingTable {
@@ -359,3 +383,11 @@
     "no-such-route",
   );
 });
+
+test("a trial that a target refused unrun is not said to be unknown", async () => {
+  const path = new Path(() => FULL);
+  path.setRoute({ idempotent: true });
+  path.recordCrashes();
+  assert.equal(getFailure(await path.send()), "target-refused");
+  assert.equal(path.sent.length, 1);
+});
