--- a/packages/gateway/src/request_router.ts
+++ b/packages/gateway/src/request_router.ts
@@ -395,7 +395,9 @@
     const { clock, services } = this.#options;
     const { request, route, sends, service } = passage;
     const watch = new AnswerWatch(request.signal);
-    if (!route.idempotent || sends >= route.maxAttempts) {
+    if (
+      !route.idempotent || sends >= route.maxAttempts || passage.isTrial
+    ) {
       return watch;
     }
     const expectedMs = services.estimateAnswerMs(service, placed.target.id);
--- a/packages/gateway/src/request_router_test.ts
+++ b/packages/gateway/src/request_router_test.ts
@@ -391,3 +391,11 @@
   assert.equal(getFailure(await path.send()), "target-refused");
   assert.equal(path.sent.length, 1);
 });
+
+test("a trial whose answer is overdue is waited for", async () => {
+  const path = new Path(() => SILENT);
+  path.setRoute({ idempotent: true, timeoutMs: 5_000 });
+  path.recordCrashes();
+  await path.send({ deadlineMs: 5_000 }, 3_000);
+  assert.deepEqual(path.sent.map(({ signal }) => signal.aborted), [false]);
+});
