--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -68,6 +68,8 @@
 }
 
 const TICK_MS = 500;
+/** What an instance that has just started has to know is told this often. */
+const LIST_EVERY_MS = 1_000;
 /** What this instance has observed is told again for this long. */
 const TOLD_AGAIN_MS = 3_000;
 /** What fits into one datagram. */
@@ -81,6 +83,7 @@
   readonly #suspects = new CrashSuspects();
   /** Until when a change that this instance observed is told again. */
   readonly #news = new Map<string, number>();
+  #listedAtMs = -Infinity;
 
   constructor(options: RequestQuarantineOptions) {
     this.#options = options;
@@ -195,7 +198,8 @@
         reports.set(fingerprint, report);
       }
     }
-    if (duties.isLocalReader()) {
+    if (duties.isLocalReader() && nowMs - this.#listedAtMs >= LIST_EVERY_MS) {
+      this.#listedAtMs = nowMs;
       for (const report of this.#suspects.listReports(nowMs)) {
         reports.set(report.fingerprint, report);
       }
