--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peer_exchange.ts
@@ -6,11 +6,8 @@
 import type { Clock } from "@lentilspur/ports/clock";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import type { Member } from "./members.ts";
-import {
-  isPeerMessage,
-  type PeerMessage,
-  type PeerStanding,
-} from "./peer_message.ts";
+import type { PeerMessage, PeerStanding } from "./peer_message.ts";
+import { isPeerMessage } from "./peer_message_check.ts";
 
 export interface PeerExchangeOptions {
   readonly clock: Clock;
--- /dev/null
+++ b/packages/gateway/src/peer_message_check.ts
@@ -0,0 +1,114 @@
+/** Whether what came in a datagram is one of the messages, whole and of its types. */
+import type { QuotaDecision } from "@lentilspur/routing/paced_quota";
+import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
+import type { Piece } from "./datagram_pieces.ts";
+import type { PeerMessage, PeerStanding } from "./peer_message.ts";
+import type { LimitReport } from "./target_limits.ts";
+
+export function isPeerMessage(
+  message: PeerMessage | null,
+): message is PeerMessage {
+  if (message === null || typeof message.from !== "string") {
+    return false;
+  }
+  switch (message.kind) {
+    case "load":
+      return typeof message.counts?.running === "object" &&
+        typeof message.counts.waiting === "object" &&
+        Number.isInteger(message.counts.instances) && isStanding(message);
+    case "gathered-load":
+      return typeof message.dataCentre === "string" &&
+        Number.isInteger(message.number) && isPiece(message);
+    case "alive":
+      return isStanding(message);
+    case "member":
+      return Number.isInteger(message.offset) &&
+        typeof message.record === "string";
+    case "keys":
+      return Array.isArray(message.keys) &&
+        typeof message.service === "string" &&
+        typeof message.serviceMs === "object" && message.serviceMs !== null;
+    case "targets":
+      return Number.isInteger(message.base) && Number.isInteger(message.end) &&
+        Number.isFinite(message.ageMs) && Array.isArray(message.records);
+    case "owners":
+      return Number.isInteger(message.part) &&
+        Number.isInteger(message.offset) && Number.isInteger(message.since) &&
+        typeof message.service === "string" && isPiece(message);
+    case "granted":
+      return typeof message.service === "string" &&
+        Array.isArray(message.ranges);
+    case "demand":
+      return Array.isArray(message.demands);
+    case "suspects":
+      return typeof message.dataCentre === "string" &&
+        Array.isArray(message.reports) && message.reports.every(isReport);
+    case "limits":
+      return typeof message.dataCentre === "string" &&
+        Array.isArray(message.limits) && message.limits.every(isLimit);
+    case "quota-request":
+      return Number.isInteger(message.number) && isLimit(message.limit) &&
+        Number.isFinite(message.maxWaitMs);
+    case "quota":
+      return Number.isInteger(message.number) && isDecision(message.decision);
+    case "pledge-request":
+      return Number.isInteger(message.part) && Number.isInteger(message.term) &&
+        Number.isInteger(message.number);
+    case "pledge":
+      return Number.isInteger(message.part) &&
+        Number.isInteger(message.number) &&
+        typeof message.isGiven === "boolean";
+    case "keeper-replaced":
+      return Number.isInteger(message.part) && Number.isInteger(message.term);
+    case "keeper-stopped":
+      return Number.isInteger(message.part) &&
+        typeof message.incarnation === "string" &&
+        typeof message.isClean === "boolean";
+    default:
+      return false;
+  }
+}
+
+function isStanding({ version, hasLostStore, ends }: PeerStanding): boolean {
+  return Number.isInteger(version) && typeof hasLostStore === "boolean" &&
+    Array.isArray(ends) &&
+    ends.every((one) => Array.isArray(one) && one.every(Number.isInteger));
+}
+
+function isReport(report: SuspectReport | null): boolean {
+  return typeof report?.fingerprint === "string" && report.fingerprint !== "" &&
+    isAge(report.clearedAgeMs) && isAge(report.trialAgeMs) &&
+    Array.isArray(report.crashes) &&
+    report.crashes.every((one: unknown) =>
+      Array.isArray(one) && typeof one[0] === "string" &&
+      Number.isFinite(one[1]) && Number.isFinite(one[2])
+    );
+}
+
+function isLimit(limit: LimitReport | null): boolean {
+  return typeof limit?.life === "string" && Number.isFinite(limit.ageMs) &&
+    (limit.perSecond === null || Number.isFinite(limit.perSecond));
+}
+
+function isDecision(decision: QuotaDecision | null): boolean {
+  if (decision === null || typeof decision !== "object") {
+    return false;
+  }
+  switch (decision.kind) {
+    case "granted":
+      return Number.isFinite(decision.waitMs);
+    case "refused":
+      return Number.isFinite(decision.retryAfterMs);
+    default:
+      return false;
+  }
+}
+
+function isAge(ageMs: number | null): boolean {
+  return ageMs === null || Number.isFinite(ageMs);
+}
+
+function isPiece({ text, piece, pieces }: Piece): boolean {
+  return typeof text === "string" && Number.isInteger(piece) &&
+    Number.isInteger(pieces);
+}
