--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -7,7 +7,7 @@
  * to all instances at once, and told again until everybody has heard of them.
  */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import { isServed, type SendOutcome } from "@lentilspur/ports/request_sender";
 import { type BrokenSend, BrokenSends } from "@lentilspur/routing/broken_sends";
 import {
   CrashSuspects,
@@ -21,6 +21,7 @@
 import type { Member } from "./members.ts";
 import { getFingerprint, type Passage } from "./passage.ts";
 import type { PeerMessage } from "./peer_message.ts";
+import { splitReports } from "./report_batches.ts";
 import { hashShort } from "./stable_hash.ts";
 
 type SuspectsMessage = PeerMessage & { readonly kind: "suspects" };
@@ -74,8 +75,6 @@
 const TOLD_AGAIN_MS = 3_000;
 /** What fits into one datagram. */
 const REPORTS_PER_MESSAGE = 4;
-/** An answer of a target that has failed at the request clears nothing. */
-const FAILED_STATUS = 500;
 
 export class RequestQuarantine {
   readonly #options: RequestQuarantineOptions;
@@ -120,7 +119,7 @@
     switch (outcome.kind) {
       case "answered":
         this.#broken.recordHeard(target.id, sentAtMs);
-        if (outcome.status < FAILED_STATUS) {
+        if (isServed(outcome)) {
           this.#clear(passage);
         }
         return;
@@ -219,10 +218,9 @@
 
   #send(reports: readonly SuspectReport[]): void {
     const { instance: from, dataCentre, duties, send } = this.#options;
-    for (let at = 0; at < reports.length; at += REPORTS_PER_MESSAGE) {
-      const some = reports.slice(at, at + REPORTS_PER_MESSAGE);
-      const message = { kind: "suspects", from, dataCentre, reports: some };
-      send(duties.listRelays(), message as SuspectsMessage);
+    for (const some of splitReports(reports, REPORTS_PER_MESSAGE)) {
+      const message = { kind: "suspects", from, dataCentre } as const;
+      send(duties.listRelays(), { ...message, reports: some });
     }
   }
 
--- a/packages/gateway/src/target_limits.ts
+++ b/packages/gateway/src/target_limits.ts
@@ -12,7 +12,7 @@
  * gives out its turns again and again.
  */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import { isServed, type SendOutcome } from "@lentilspur/ports/request_sender";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import {
   PacedQuota,
@@ -22,6 +22,7 @@
 import type { Duties } from "./duties.ts";
 import type { Member } from "./members.ts";
 import type { PeerMessage } from "./peer_message.ts";
+import { splitReports } from "./report_batches.ts";
 
 type LimitsMessage = PeerMessage & { readonly kind: "limits" };
 type QuotaRequest = PeerMessage & { readonly kind: "quota-request" };
@@ -86,7 +87,6 @@
 const NO_DECIDER_RETRY_MS = 300;
 /** What fits into one datagram. */
 const REPORTS_PER_MESSAGE = 8;
-const FAILED_STATUS = 500;
 const FREE: QuotaDecision = { kind: "granted", waitMs: 0 };
 
 export class TargetLimits {
@@ -146,9 +146,7 @@
     const { limitPerSecond } = outcome;
     if (limitPerSecond !== undefined) {
       this.#recordNamed(target, limitPerSecond);
-    } else if (
-      outcome.kind === "answered" && outcome.status < FAILED_STATUS
-    ) {
+    } else if (isServed(outcome)) {
       this.#recordUnnamed(target, sentAtMs);
     }
   }
@@ -304,10 +302,9 @@
 
   #send(to: readonly Member[], lives: readonly string[]): void {
     const { instance: from, dataCentre, send } = this.#options;
-    for (let at = 0; at < lives.length; at += REPORTS_PER_MESSAGE) {
-      const limits = lives.slice(at, at + REPORTS_PER_MESSAGE)
-        .map((life) => this.#describe(life))
-        .filter((report) => report !== undefined);
+    const reports = lives.map((life) => this.#describe(life))
+      .filter((report) => report !== undefined);
+    for (const limits of splitReports(reports, REPORTS_PER_MESSAGE)) {
       send(to, { kind: "limits", from, dataCentre, limits });
     }
   }
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -1,6 +1,9 @@
 /** How an instance puts a request on a connection to a target, and what comes of it. */
 import type { HeaderField } from "./header_field.ts";
 
+/** From here on a status says that the target itself has failed. */
+const FIRST_FAILED_STATUS = 500;
+
 export interface OutgoingRequest {
   readonly targetId: string;
   readonly address: string;
@@ -66,6 +69,11 @@
     readonly message: string;
   };
 
+/** Whether a target ran it and did not fail at it. */
+export function isServed(outcome: SendOutcome): boolean {
+  return outcome.kind === "answered" && outcome.status < FIRST_FAILED_STATUS;
+}
+
 export interface RequestSender {
   send(request: OutgoingRequest): Promise<SendOutcome>;
 }
