--- a/packages/gateway/src/target_limits.ts
+++ b/packages/gateway/src/target_limits.ts
@@ -113,15 +113,14 @@
   getPerSecond(target: TargetLife): number | undefined {
     return this.#limits.size === 0
       ? undefined
-      : this.#limits.get(formatLife(target))?.perSecond ?? undefined;
+      : this.#findPerSecond(formatLife(target));
   }
 
   /** A turn to send to the target, if there is one within `maxWaitMs`. */
   async claim(target: TargetLife, maxWaitMs: number): Promise<QuotaDecision> {
     const { clock, duties } = this.#options;
     const life = formatLife(target);
-    const known = this.#limits.get(life);
-    if (known === undefined || known.perSecond === null) {
+    if (this.#findPerSecond(life) === undefined) {
       return FREE;
     }
     const closedMs = (this.#closedUntilMs.get(life) ?? 0) - clock.readMs();
@@ -202,7 +201,13 @@
       return Promise.resolve(undefined);
     }
     const number = ++this.#lastNumber;
-    const message = { kind: "quota-request", from, number, limit, ...terms };
+    const message: QuotaRequest = {
+      kind: "quota-request",
+      from,
+      number,
+      limit,
+      ...terms,
+    };
     const over = new AbortController();
     return new Promise((resolve) => {
       const settle = (decision: QuotaDecision | undefined): void => {
@@ -211,15 +216,15 @@
         resolve(decision);
       };
       this.#asked.set(number, settle);
-      send([member], message as QuotaRequest);
+      send([member], message);
       void clock.sleep(ANSWER_MS, over.signal).then(() => settle(undefined));
     });
   }
 
   /** Gives out a turn as the one that decides. */
   #decide({ life, maxWaitMs, share }: WantedTurn): QuotaDecision {
-    const perSecond = this.#limits.get(life)?.perSecond;
-    if (perSecond === undefined || perSecond === null) {
+    const perSecond = this.#findPerSecond(life);
+    if (perSecond === undefined) {
       return FREE;
     }
     const quota = this.#quotas.get(life) ?? new PacedQuota();
@@ -237,20 +242,17 @@
   }
 
   #recordNamed(target: TargetLife, perSecond: number): void {
-    const { clock, duties, observe } = this.#options;
+    const { clock, instance, duties, findMember } = this.#options;
     const life = formatLife(target);
-    const before = this.#limits.get(life)?.perSecond ?? null;
-    this.#limits.set(life, { perSecond, atMs: clock.readMs() });
+    const before = this.#findPerSecond(life) ?? null;
     if (isChange(before, perSecond)) {
-      observe({ kind: "target-limit", targetId: target.id, perSecond });
-      this.#send(duties.listRelays(), [life]);
+      this.#setLimit(target, perSecond);
       return;
     }
+    this.#limits.set(life, { perSecond, atMs: clock.readMs() });
     // Whoever gives out the turns tells the others that it holds.
-    const [decider] = duties.chooseDeciders(life);
-    const member = decider === undefined
-      ? undefined
-      : this.#options.findMember(decider);
+    const [decider = instance] = duties.chooseDeciders(life);
+    const member = decider === instance ? undefined : findMember(decider);
     this.#send(member === undefined ? [] : [member], [life]);
   }
 
@@ -258,19 +260,28 @@
     if (this.#limits.size === 0) {
       return;
     }
-    const { clock, duties, observe } = this.#options;
-    const life = formatLife(target);
-    const known = this.#limits.get(life);
+    const known = this.#limits.get(formatLife(target));
     if (
       known !== undefined && known.perSecond !== null &&
       sentAtMs > known.atMs + LIFTED_MS
     ) {
-      this.#limits.set(life, { perSecond: null, atMs: clock.readMs() });
-      observe({ kind: "target-limit", targetId: target.id, perSecond: null });
-      this.#send(duties.listRelays(), [life]);
+      this.#setLimit(target, null);
     }
   }
 
+  /** This instance is the first to see a change; all are told. */
+  #setLimit(target: TargetLife, perSecond: number | null): void {
+    const { clock, duties, observe } = this.#options;
+    const life = formatLife(target);
+    this.#limits.set(life, { perSecond, atMs: clock.readMs() });
+    observe({ kind: "target-limit", targetId: target.id, perSecond });
+    this.#send(duties.listRelays(), [life]);
+  }
+
+  #findPerSecond(life: string): number | undefined {
+    return this.#limits.get(life)?.perSecond ?? undefined;
+  }
+
   /** True where it was news. */
   #merge({ life, perSecond, ageMs }: LimitReport): boolean {
     const atMs = this.#options.clock.readMs() - ageMs;
