--- a/packages/routing/src/broken_sends.ts
+++ b/packages/routing/src/broken_sends.ts
@@ -29,7 +29,7 @@
 
 export class BrokenSends {
   readonly #byTarget = new Map<string, BrokenSend[]>();
-  /** The last answers of two targets. */
+  /** The last answers of two targets, while any send is broken. */
   #heard: readonly Heard[] = [];
 
   /** What was sent after the first one broke came to a target that had ended. */
@@ -48,6 +48,9 @@
 
   /** The target has answered what was sent to it at this time. */
   recordHeard(targetId: string, sentAtMs: number): void {
+    if (this.#byTarget.size === 0) {
+      return;
+    }
     const others = this.#heard.filter((one) => one.targetId !== targetId);
     this.#heard = [{ targetId, sentAtMs }, ...others.slice(0, 1)];
     const sends = this.#byTarget.get(targetId);
