--- a/packages/gateway/src/outcome_settler.ts
+++ b/packages/gateway/src/outcome_settler.ts
@@ -107,16 +107,15 @@
       decision.retryAfterMs,
       this.#clock.readMs(),
     );
-    if (decision.reason === "no-target" && passage.excluded.size > 0) {
-      return this.settleUnserved(passage);
-    }
     switch (decision.reason) {
       case "no-target":
-        return createFailure(
-          "no-target",
-          `Service "${passage.service}" has no target to send to`,
-          retryAfterMs,
-        );
+        return passage.excluded.size > 0
+          ? this.settleUnserved(passage)
+          : createFailure(
+            "no-target",
+            `Service "${passage.service}" has no target to send to`,
+            retryAfterMs,
+          );
       case "owner-silent":
         return createFailure(
           "target-unreachable",
