--- a/packages/trials/src/traffic/fatal_request.ts
+++ b/packages/trials/src/traffic/fatal_request.ts
@@ -1,7 +1,6 @@
 /** Requests that crash every target that begins to run them. */
 import type { TargetRun } from "@lentilspur/ports/fake_target";
 import type { WantedRequest } from "./caller.ts";
-import type { RequestShape } from "./deployment.ts";
 import { splitBy } from "./split_by.ts";
 
 /** Stands in the path of such a request. */
@@ -13,18 +12,9 @@
 /** And so often after that. */
 const MAX_SENDS = 3;
 
-export function makeFatalRequest(
-  shape: RequestShape,
-  key: string,
-  name: string,
-): WantedRequest {
-  return {
-    template: shape.template,
-    key,
-    method: shape.method,
-    path: `${shape.path.replace("{key}", key)}?${FATAL_MARK}=${name}`,
-    idempotent: shape.method === "GET",
-  };
+/** The same request as one that crashes its targets; `name` tells it from others. */
+export function markFatal(wanted: WantedRequest, name: string): WantedRequest {
+  return { ...wanted, path: `${wanted.path}?${FATAL_MARK}=${name}` };
 }
 
 /** Fatal requests that went on to be sent, each with how often. */
--- a/packages/trials/src/traffic/traffic.ts
+++ b/packages/trials/src/traffic/traffic.ts
@@ -5,7 +5,7 @@
 import { Caller, type WantedRequest } from "./caller.ts";
 import type { CallerRecord } from "./caller_record.ts";
 import type { Deployment } from "./deployment.ts";
-import { makeFatalRequest } from "./fatal_request.ts";
+import { markFatal } from "./fatal_request.ts";
 
 const KEYS = 24;
 const HOT_SHARE = 0.25;
@@ -65,10 +65,10 @@
 
   /** Sends a fatal request as one of the callers; `name` tells it from others. */
   async sendFatal(name: string): Promise<void> {
-    const { deployment } = this.#options;
-    const shape = deployment.requests[0]!;
-    const wanted = makeFatalRequest(shape, this.#makeKey(0), name);
-    this.records.push(await this.#callers[0]!.sendOnce(wanted));
+    const shape = this.#options.deployment.requests[0]!;
+    const wanted = makeRequest(shape, this.#makeKey(0));
+    this.records
+      .push(await this.#callers[0]!.sendOnce(markFatal(wanted, name)));
   }
 
   /** Sends one request of each kind; true if all were answered. */
