--- a/packages/gateway/src/target_limits_test.ts
+++ b/packages/gateway/src/target_limits_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { LAST_KEY } from "@lentilspur/ports/key_orders";
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
+import { countMostWithin } from "@lentilspur/ports/window_count";
 import { RequestWorld, type RequestWorldOptions } from "./request_world.ts";
 
 const INSTANCES = Array.from(
@@ -38,12 +39,7 @@
   const times = world.arrivals
     .filter(({ targetId, atMs }) => targetId === id && atMs >= afterMs)
     .map(({ atMs }) => atMs);
-  return Math.max(
-    0,
-    ...times.map((from) =>
-      times.filter((atMs) => atMs >= from && atMs < from + WINDOW_MS).length
-    ),
-  );
+  return countMostWithin(times, WINDOW_MS);
 }
 
 /** A world with callers, in which the first target has named its limit. */
--- /dev/null
+++ b/packages/ports/src/window_count.ts
@@ -0,0 +1,12 @@
+/** Counts of events in a window that slides. */
+
+/** The most of these times that lie in any window of this length. */
+export function countMostWithin(
+  times: readonly number[],
+  windowMs: number,
+): number {
+  const counts = times.map((from) =>
+    times.filter((atMs) => atMs >= from && atMs < from + windowMs).length
+  );
+  return Math.max(0, ...counts);
+}
--- a/packages/routing/src/paced_quota_test.ts
+++ b/packages/routing/src/paced_quota_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { countMostWithin } from "@lentilspur/ports/window_count";
 import { PacedQuota } from "./paced_quota.ts";
 
 const WINDOW_MS = 4_000;
@@ -43,13 +44,7 @@
           starts.push(nowMs + decision.waitMs);
         }
       }
-      const most = Math.max(
-        0,
-        ...starts.map((from) =>
-          starts.filter((atMs) => atMs >= from && atMs < from + WINDOW_MS)
-            .length
-        ),
-      );
+      const most = countMostWithin(starts, WINDOW_MS);
       assert.ok(most <= perSecond * (WINDOW_MS + 500) / 1_000 + 1);
     }),
     { seed: 28, numRuns: 300 },
