--- a/packages/gateway/src/request_quarantine_test.ts
+++ b/packages/gateway/src/request_quarantine_test.ts
@@ -149,7 +149,7 @@
   for (let count = 0; count < 4; count++) {
     const sent = sendOnce(world, "bole-1", INNOCENT);
     await world.clock.advance(20);
-    world.killTarget(world.arrivals.at(-1)!.targetId, { leaving: true });
+    world.stopTarget(world.arrivals.at(-1)!.targetId);
     await sent;
   }
   assert.equal(world.events.length, 0);
--- a/packages/gateway/src/request_world.ts
+++ b/packages/gateway/src/request_world.ts
@@ -135,11 +135,9 @@
     });
   }
 
-  /** Ends a target with what it runs; one that leaves has said so before. */
-  killTarget(id: string, { leaving }: { readonly leaving: boolean }): void {
-    if (leaving) {
-      this.#applyEntry(id, createEntry(id, true));
-    }
+  /** The target says that it leaves, and ends with what it runs. */
+  stopTarget(id: string): void {
+    this.#applyEntry(id, createEntry(id, true));
     this.#targets.get(id)!.fail();
   }
 
@@ -158,11 +156,6 @@
     return path!.duties.chooseDeciders(formatLife({ id }))[0]!;
   }
 
-  /** Ids of the targets that run. */
-  listTargets(): readonly string[] {
-    return [...this.#targets.keys()];
-  }
-
   /** Sends of one path that reached a target later than a time. */
   countArrivals(path: string, afterMs = -Infinity): number {
     return this.arrivals
