--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -32,6 +32,7 @@
 import { PeerDispatch } from "./peer_dispatch.ts";
 import { PeerExchange } from "./peer_exchange.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
+import type { PeerOptions } from "./peer_options.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
 import { RequestRouter } from "./request_router.ts";
 import { RequestServer } from "./request_server.ts";
@@ -257,28 +258,29 @@
     }, this.#running.signal);
   }
 
-  #createQuarantine(): RequestQuarantine {
+  #createPeerOptions(): PeerOptions {
     const { settings, clock } = this.#options;
-    return new RequestQuarantine({
+    return {
       clock,
       instance: settings.instance,
       dataCentre: settings.dataCentre,
       duties: this.#duties,
-      findTarget: (id) => this.#catalogue.getTarget(id),
       send: (members, message) => void this.#peers.send(members, message),
+    };
+  }
+
+  #createQuarantine(): RequestQuarantine {
+    return new RequestQuarantine({
+      ...this.#createPeerOptions(),
+      findTarget: (id) => this.#catalogue.getTarget(id),
       observe: (event) => this.#report.observeQuarantine(event),
     });
   }
 
   #createLimits(): TargetLimits {
-    const { settings, clock } = this.#options;
     return new TargetLimits({
-      clock,
-      instance: settings.instance,
-      dataCentre: settings.dataCentre,
-      duties: this.#duties,
+      ...this.#createPeerOptions(),
       findMember: (name) => this.#members.get(name),
-      send: (members, message) => void this.#peers.send(members, message),
       observe: (event) => this.#report.observeLimit(event),
     });
   }
@@ -378,18 +380,13 @@
   }
 
   #createLoads(): LoadExchange {
-    const { settings, clock } = this.#options;
     return new LoadExchange({
-      clock,
-      instance: settings.instance,
-      dataCentre: settings.dataCentre,
+      ...this.#createPeerOptions(),
       members: this.#members,
-      duties: this.#duties,
       readCounts: () => this.#services.countOwn(),
       applyCounts: (peer, counts) =>
         this.#services.applyPeerCounts(peer, counts),
       describeStanding: () => this.#describeStanding(),
-      send: (members, message) => void this.#peers.send(members, message),
     });
   }
 
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -15,10 +15,8 @@
  * All of it is a hint. A lost datagram makes a choice worse for some moments;
  * counts of instances that have fallen silent fade.
  */
-import type { Clock } from "@lentilspur/ports/clock";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { decodeValue, encodeValue, PieceJoiner } from "./datagram_pieces.ts";
-import type { Duties } from "./duties.ts";
 import {
   type LoadCounts,
   mergeCounts,
@@ -27,21 +25,17 @@
 } from "./load_counts.ts";
 import type { Member, Members } from "./members.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
+import type { PeerOptions } from "./peer_options.ts";
 
 type LoadMessage = PeerMessage & { readonly kind: "load" };
 type GatheredMessage = PeerMessage & { readonly kind: "gathered-load" };
 
-export interface LoadExchangeOptions {
-  readonly clock: Clock;
-  readonly instance: string;
-  readonly dataCentre: string;
+export interface LoadExchangeOptions extends PeerOptions {
   readonly members: Members;
-  readonly duties: Duties;
   readonly readCounts: () => LoadCounts;
   /** Takes over what an instance, or those of a data centre, have. */
   readonly applyCounts: (peer: string, counts: LoadCounts) => void;
   readonly describeStanding: () => PeerStanding;
-  readonly send: (to: readonly Member[], message: PeerMessage) => void;
 }
 
 /** Beyond this many each instance would tell the others seldomer than each 250 ms. */
--- /dev/null
+++ b/packages/gateway/src/peer_options.ts
@@ -0,0 +1,14 @@
+/** What a part needs that decides or tells something together with other instances. */
+import type { Clock } from "@lentilspur/ports/clock";
+import type { Duties } from "./duties.ts";
+import type { Member } from "./members.ts";
+import type { PeerMessage } from "./peer_message.ts";
+
+export interface PeerOptions {
+  readonly clock: Clock;
+  /** Its own name, and where it stands. */
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly duties: Duties;
+  readonly send: (to: readonly Member[], message: PeerMessage) => void;
+}
--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/request_quarantine.ts
@@ -6,7 +6,6 @@
  * from this instance's sends and from the targets' entries; the crashes are told
  * to all instances at once, and told again until everybody has heard of them.
  */
-import type { Clock } from "@lentilspur/ports/clock";
 import { isServed, type SendOutcome } from "@lentilspur/ports/request_sender";
 import { type BrokenSend, BrokenSends } from "@lentilspur/routing/broken_sends";
 import {
@@ -17,10 +16,9 @@
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import type { CatalogueEvent } from "./catalogue.ts";
-import type { Duties } from "./duties.ts";
-import type { Member } from "./members.ts";
 import { getFingerprint, type Passage } from "./passage.ts";
 import type { PeerMessage } from "./peer_message.ts";
+import type { PeerOptions } from "./peer_options.ts";
 import { splitReports } from "./report_batches.ts";
 import { hashShort } from "./stable_hash.ts";
 
@@ -47,15 +45,11 @@
     readonly crashes: number;
   };
 
-export interface RequestQuarantineOptions {
-  readonly clock: Clock;
-  readonly instance: string;
-  readonly dataCentre: string;
-  readonly duties: Duties;
+export interface RequestQuarantineOptions extends PeerOptions {
   readonly findTarget: (
     id: string,
   ) => (TargetLife & { readonly leaving: boolean }) | undefined;
-  readonly send: (to: readonly Member[], message: PeerMessage) => void;
+
   readonly observe: (event: QuarantineEvent) => void;
 }
 
--- a/packages/gateway/src/request_world.ts
+++ b/packages/gateway/src/request_world.ts
@@ -26,6 +26,7 @@
 import { createMember, createMembers } from "./member_sample.ts";
 import type { Member, Members } from "./members.ts";
 import type { PeerMessage } from "./peer_message.ts";
+import type { PeerOptions } from "./peer_options.ts";
 import {
   type QuarantineEvent,
   RequestQuarantine,
@@ -224,13 +225,12 @@
       members,
       hasLostStore: () => false,
     });
-    const shared = {
+    const shared: PeerOptions = {
       clock,
       instance: name,
       dataCentre: self.dataCentre,
       duties,
-      send: (to: readonly Member[], message: PeerMessage) =>
-        void this.#forward(to, message),
+      send: (to, message) => void this.#forward(to, message),
     };
     const quarantine = new RequestQuarantine({
       ...shared,
--- a/packages/gateway/src/target_limits.ts
+++ b/packages/gateway/src/target_limits.ts
@@ -11,7 +11,6 @@
  * That a target has a limit is told to all at once, and by the instance that
  * gives out its turns again and again.
  */
-import type { Clock } from "@lentilspur/ports/clock";
 import { isServed, type SendOutcome } from "@lentilspur/ports/request_sender";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import {
@@ -19,9 +18,9 @@
   type QuotaDecision,
 } from "@lentilspur/routing/paced_quota";
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
-import type { Duties } from "./duties.ts";
 import type { Member } from "./members.ts";
 import type { PeerMessage } from "./peer_message.ts";
+import type { PeerOptions } from "./peer_options.ts";
 import { splitReports } from "./report_batches.ts";
 
 type LimitsMessage = PeerMessage & { readonly kind: "limits" };
@@ -44,13 +43,9 @@
   readonly perSecond: number | null;
 }
 
-export interface TargetLimitsOptions {
-  readonly clock: Clock;
-  readonly instance: string;
-  readonly dataCentre: string;
-  readonly duties: Duties;
+export interface TargetLimitsOptions extends PeerOptions {
   readonly findMember: (instance: string) => Member | undefined;
-  readonly send: (to: readonly Member[], message: PeerMessage) => void;
+
   readonly observe: (event: LimitEvent) => void;
 }
 
