--- a/packages/ports/src/tick_test.ts
+++ b/packages/ports/src/tick_test.ts
@@ -5,8 +5,7 @@
 import { VirtualClock } from "./virtual_clock.ts";
 
 test("loops that began at different moments wake together", async () => {
-  // An instance at rest woke up 75 times a second, nearly always for one loop of
-  // eight, and spent more on waking up than on what there was to do.
+  // Guards against a process at rest that wakes up for each of its loops.
   const clock = new VirtualClock();
   const wokenAtMs = new Set<number>();
   const run = async (startMs: number, periodMs: number): Promise<void> => {
@@ -26,8 +25,7 @@
 });
 
 test("a timer that fires early does not wake a loop twice", async () => {
-  // Timers count from the start of a turn of the event loop: one that is set
-  // late in a long turn fires before its moment.
+  // Guards against a second wake-up: a timer counts from the start of its turn.
   let sleptMs = 0;
   const clock: Clock = {
     readMs: () => 99.2,
