feat: evacuate data centres

Cause: no part read the orders. They stand beside the configuration in the store, under keys that were passed over.

What changed: an order has the standing of a configuration. The partition's end is told among instances in place of the version, so an order is read by whoever has missed it, also after an outage and after a lost history. Targets of an evacuated data centre get no new work; an owner among them serves its keys for 2 s at most, while the keeper moves them as it does for targets that leave. A request that waits is decided anew before it is sent. Targets that are restored count as cold for 2 s, until their entries have said how they are. `lentilspur evacuate` and `restore` write the orders, status, metrics and lines show them.

--- /dev/null
+++ b/packages/cli/src/evacuate_test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PUBLICATIONS } from "@lentilspur/platform/declared_adapter";
+import { EXIT_CODES } from "./exit_codes.ts";
+import {
+  FakePlatform,
+  makeDirectory,
+  Terminal,
+} from "./testing/fake_terminal.ts";
+
+const OPTIONS = ["--store=127.0.0.1:1", "--operator=neema"];
+
+function createTerminal(): Terminal {
+  const platform = new FakePlatform();
+  platform.addTarget("ledger-1", "bole");
+  platform.addTarget("ledger-2", "yeka");
+  return new Terminal(platform);
+}
+
+function findNewest(terminal: Terminal, key: string): string | undefined {
+  return terminal.platform.store.listRecords(PUBLICATIONS)
+    .findLast((record) => record.key === key)?.value;
+}
+
+test("evacuates a data centre and restores it", async () => {
+  const terminal = createTerminal();
+  const evacuate = ["evacuate", "yeka", ...OPTIONS];
+  assert.equal(await terminal.run(...evacuate), EXIT_CODES.done);
+  assert.match(findNewest(terminal, "evacuate/yeka")!, /"operator":"neema"/);
+  assert.equal(await terminal.run(...evacuate), EXIT_CODES.done);
+  assert.match(terminal.takeOutput(), /yeka is evacuated already/);
+  assert.equal(terminal.platform.recordCount, 1);
+  const restore = ["restore", "yeka", ...OPTIONS];
+  assert.equal(await terminal.run(...restore), EXIT_CODES.done);
+  assert.equal(findNewest(terminal, "evacuate/yeka"), "");
+});
+
+test("a data centre without targets is not evacuated", async () => {
+  const terminal = createTerminal();
+  const code = await terminal.run("evacuate", "yekka", ...OPTIONS);
+  assert.equal(code, EXIT_CODES.refused);
+  assert.match(terminal.takeOutput(), /name one of: bole, yeka/);
+  assert.equal(terminal.platform.recordCount, 0);
+});
+
+test("a publication goes on beside an evacuation", async () => {
+  // Both stand in one partition, and a publication is written on the condition
+  // that it has not grown.
+  const terminal = createTerminal();
+  const { link } = terminal;
+  terminal.link = {
+    ...link,
+    append: (request) => {
+      if (request.at !== undefined && terminal.platform.recordCount === 0) {
+        const { store } = terminal.platform;
+        store.write(PUBLICATIONS, "evacuate/yeka", "{}");
+      }
+      return link.append(request);
+    },
+  };
+  const code = await terminal
+    .publish(makeDirectory(), "--expect-version=0");
+  const output = terminal.takeOutput();
+  assert.match(output, /Version 1 is accepted/);
+  assert.notEqual(code, EXIT_CODES.refused);
+});
+
+test("status shows which data centres instances send nothing to", async () => {
+  const terminal = createTerminal();
+  terminal.platform.addMember("a");
+  terminal.versions.set("a", 0);
+  terminal.evacuated = ["yeka"];
+  await terminal.run("status", "--store=127.0.0.1:1");
+  assert.match(terminal.takeOutput(), /a \(Bole, a:1\): .*, evacuated: yeka/);
+});
--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -120,7 +120,10 @@
   const age = formatDuration(computeShownAge(status.inForceForMs));
   const ready = status.isReady ? "ready" : "not ready";
   const duties = status.duties.map((duty) => `, ${duty}`).join("");
-  return `${name}: version ${status.configurationVersion} ${mark} for ${age}, ${status.targets} targets, ${ready}${duties}`;
+  const evacuated = status.evacuated.length === 0
+    ? ""
+    : `, evacuated: ${status.evacuated.join(" ")}`;
+  return `${name}: version ${status.configurationVersion} ${mark} for ${age}, ${status.targets} targets, ${ready}${duties}${evacuated}`;
 }
 
 /** Whole seconds above one second: nobody reads the rest. */
--- a/packages/cli/src/instance_status.ts
+++ b/packages/cli/src/instance_status.ts
@@ -14,6 +14,8 @@
   openRequests: z.int().min(0),
   /** What it does for other instances. */
   duties: z.array(z.string()),
+  /** Data centres that it sends no new work to. */
+  evacuated: z.array(z.string()).readonly(),
 });
 
 export type InstanceStatus = Readonly<z.output<typeof statusSchema>>;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -6,6 +6,10 @@
 import { createCheckCommand } from "./commands/check.ts";
 import { createCredentialCommand } from "./commands/credential.ts";
 import { createDiffCommand } from "./commands/diff.ts";
+import {
+  createEvacuateCommand,
+  createRestoreCommand,
+} from "./commands/evacuate.ts";
 import { createExplainCommand } from "./commands/explain.ts";
 import { createHistoryCommand } from "./commands/history.ts";
 import { createLossesCommand } from "./commands/losses.ts";
@@ -29,6 +33,8 @@
       publish: createPublishCommand(context),
       show: createShowCommand(context),
       status: createStatusCommand(context),
+      evacuate: createEvacuateCommand(context),
+      restore: createRestoreCommand(context),
       history: createHistoryCommand(context),
       owner: createOwnerCommand(context),
       credential: createCredentialCommand(context),
--- a/packages/cli/src/publisher.ts
+++ b/packages/cli/src/publisher.ts
@@ -215,7 +215,11 @@
         return { kind: "accepted", version, publicationId };
       }
       if (appended.val.kind === "conflict") {
-        return await this.#findWinner();
+        const winner = await this.#findWinner();
+        if (winner !== undefined) {
+          return winner;
+        }
+        continue;
       }
       this.#mayBeDone ||= appended.val.kind === "unavailable";
       const message = describeStoreFailure(appended.val);
@@ -228,17 +232,23 @@
     }
   }
 
-  /** The partition has moved on: by an earlier try of this, or by another. */
-  async #findWinner(): Promise<PublishOutcome> {
+  /**
+   * The partition has moved on: by an earlier try of this, or by another.
+   * Undefined where no publication was written since, but an evacuation.
+   */
+  async #findWinner(): Promise<PublishOutcome | undefined> {
     const { publicationId } = this.#planned;
     for (;;) {
       const read = await this.#session.readAnew();
       if (read.ok) {
         const { version, notes } = this.#session.publication;
         const found = notes.find(({ id }) => id === publicationId);
-        return found === undefined
+        if (found !== undefined) {
+          return { kind: "accepted", version: found.version, publicationId };
+        }
+        return version >= this.#planned.version
           ? { kind: "superseded", version }
-          : { kind: "accepted", version: found.version, publicationId };
+          : undefined;
       }
       if (this.#clock.readMs() >= this.#giveUpAtMs) {
         const message = describeStoreFailure(read.val);
--- a/packages/cli/src/setting_table.ts
+++ b/packages/cli/src/setting_table.ts
@@ -94,6 +94,10 @@
     "How long after it was seen to leave a target may be sent work",
     2_000,
   ),
+  evacuation: createDurationSetting(
+    "How long after its data centre was evacuated a target may be sent work",
+    5_000,
+  ),
   gracePeriod: createDurationSetting(
     "From the signal to stop until the process is killed",
     6_000,
--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -127,6 +127,7 @@
       }),
       maxHoldMs: values.maxHold,
       drainMs: values.drain,
+      evacuationMs: values.evacuation,
       gracePeriodMs: values.gracePeriod,
       minMemberTtlMs: values.minMemberTtl,
     }),
--- a/packages/cli/src/store_session.ts
+++ b/packages/cli/src/store_session.ts
@@ -17,7 +17,9 @@
   MEMBERS,
   OWNERS_TOPIC,
   PUBLICATIONS,
+  TARGETS,
 } from "@lentilspur/platform/declared_adapter";
+import { decodeTarget } from "@lentilspur/platform/target_format";
 import type { Store, StoreFailure, StoreRecord } from "@lentilspur/ports/store";
 
 /** A failure of the store, or a record that cannot be read. */
@@ -28,6 +30,7 @@
 export class StoreSession {
   readonly #store: Store;
   #publication = NOTHING_PUBLISHED;
+  #evacuated: readonly string[] = [];
   #end = 0;
 
   constructor(store: Store) {
@@ -39,6 +42,11 @@
     return this.#publication;
   }
 
+  /** Data centres that get no new work, as of the last read. */
+  get evacuated(): readonly string[] {
+    return this.#evacuated;
+  }
+
   async readAnew(): Promise<Result<void, SessionFailure>> {
     const read = await this.#store.readNewest(PUBLICATIONS);
     if (!read.ok) {
@@ -53,6 +61,7 @@
       return Err({ kind: "unreadable", message: parsed.val });
     }
     this.#publication = parsed.val;
+    this.#evacuated = listEvacuated(records);
     this.#end = end;
     return Ok(undefined);
   }
@@ -67,6 +76,31 @@
     });
   }
 
+  /** Evacuates a data centre, with a note of who did; `null` restores it. */
+  appendEvacuation(
+    dataCentre: string,
+    note: { readonly operator: string; readonly at: string } | null,
+  ): Promise<Result<number, StoreFailure>> {
+    return this.#store.append({
+      partition: PUBLICATIONS,
+      key: `${PUBLICATIONS.evacuationPrefix}${dataCentre}`,
+      value: note === null ? "" : JSON.stringify(note),
+    });
+  }
+
+  /** Data centres in which targets stand. */
+  async listDataCentres(): Promise<Result<readonly string[], StoreFailure>> {
+    const read = await this.#store.readNewest(TARGETS);
+    if (!read.ok) {
+      return Err(read.val);
+    }
+    const names = read.val.records.flatMap(({ key, value }) => {
+      const target = decodeTarget(key, value);
+      return target.ok ? [target.val.dataCentre] : [];
+    });
+    return Ok([...new Set(names)].toSorted());
+  }
+
   /** Instances that have said where they are; some may be gone. */
   async listMembers(): Promise<Result<readonly Member[], StoreFailure>> {
     const read = await this.#store.readNewest(MEMBERS);
@@ -119,6 +153,16 @@
   }
 }
 
+function listEvacuated(records: readonly StoreRecord[]): readonly string[] {
+  const { evacuationPrefix } = PUBLICATIONS;
+  return records
+    .filter(({ key, value }) =>
+      key.startsWith(evacuationPrefix) && value !== ""
+    )
+    .map(({ key }) => key.slice(evacuationPrefix.length))
+    .toSorted();
+}
+
 function findTable(
   records: readonly StoreRecord[],
   service: string,
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -5,7 +5,11 @@
 import process from "node:process";
 import { Err, Ok } from "@lentilspur/outcomes/result";
 import { serializeMember } from "@lentilspur/gateway/members";
-import { MEMBERS, PUBLICATIONS } from "@lentilspur/platform/declared_adapter";
+import {
+  MEMBERS,
+  PUBLICATIONS,
+  TARGETS,
+} from "@lentilspur/platform/declared_adapter";
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import type { Store } from "@lentilspur/ports/store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
@@ -29,6 +33,18 @@
     return this.store.listRecords(PUBLICATIONS).length;
   }
 
+  addTarget(id: string, dataCentre: string): void {
+    const info = {
+      service: "ledger",
+      version: "1",
+      zone: dataCentre,
+      slots: 2,
+    };
+    const status = { state: "ready", sequence: 1, cold_remaining: "0ms" };
+    const entry = { address: "10.0.0.1:80", server_info: info, status };
+    this.store.write(TARGETS, id, JSON.stringify(entry));
+  }
+
   addMember(instance: string): void {
     const text = serializeMember({
       instance,
@@ -50,6 +66,8 @@
   link: Store;
   /** What each instance answers when asked for its version; others are silent. */
   readonly versions = new Map<string, number>();
+  /** Data centres that each instance says it sends nothing to. */
+  evacuated: readonly string[] = [];
   /** Instances whose process has ended. */
   readonly gone = new Set<string>();
   readonly environment: Record<string, string> = {};
@@ -106,6 +124,7 @@
             targets: 3,
             openRequests: 0,
             duties: instance === "a" ? ["reader"] : [],
+            evacuated: this.evacuated,
           }),
         );
       },
--- a/packages/gateway/src/catalogue.ts
+++ b/packages/gateway/src/catalogue.ts
@@ -10,6 +10,7 @@
 import type { Result } from "@lentilspur/outcomes/result";
 import type { Assignee } from "@lentilspur/ownership/key_table";
 import type {
+  KnownTarget,
   RoutingTable,
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
@@ -18,6 +19,8 @@
   type RouteHit,
   RouteIndex,
 } from "@lentilspur/routing/route_index";
+import type { TargetLife } from "@lentilspur/routing/target_life";
+import { Evacuations } from "./evacuations.ts";
 
 export type CatalogueEvent =
   | {
@@ -36,8 +39,31 @@
     readonly kind: "target-ignored";
     readonly targetId: string;
     readonly why: string;
+  }
+  | {
+    /** A target is cold, as it says or as is presumed. */
+    readonly kind: "target-cold";
+    readonly targetId: string;
+    readonly service: string;
+    readonly forMs: number;
+  }
+  | {
+    readonly kind: "evacuation";
+    readonly dataCentre: string;
+    readonly state: "evacuated" | "restored";
+    /** That stand there, as far as known. */
+    readonly targets: number;
   };
 
+/** Why a target gets no new work. */
+export type WithdrawalReason = "leaving" | "evacuated";
+
+export interface Withdrawal {
+  readonly reason: WithdrawalReason;
+  /** Since when this instance has known; own clock. */
+  readonly sinceMs: number;
+}
+
 export interface CatalogueOptions {
   readonly decodeConfiguration: (text: string) => Result<RoutingTable, string>;
   readonly decodeTarget: (
@@ -55,6 +81,13 @@
 
 /** Entries of one read are taken over within this; reads are 750 ms apart. */
 const SAME_READ_MS = 300;
+/** An entry is read at most this long after it was written. */
+const ENTRY_DELAY_MS = 800;
+/**
+ * Targets of a data centre that is restored may have become cold in the
+ * meantime; their entries tell within this.
+ */
+const PRESUMED_COLD_MS = 2_000;
 /** Ids that are remembered: some days of a fleet with 4,600 restarts a day. */
 const MAX_REMEMBERED = 20_000;
 
@@ -64,8 +97,8 @@
   readonly atMs: number;
 }
 
-interface KnownTarget {
-  target: RoutingTarget;
+interface Entry {
+  target: KnownTarget;
   /** Of its newest entry. */
   sequence: number;
   /** Since when its entry has been missing; own clock. */
@@ -78,7 +111,8 @@
 
 export class Catalogue {
   readonly #options: CatalogueOptions;
-  readonly #targets = new Map<string, KnownTarget>();
+  readonly #targets = new Map<string, Entry>();
+  readonly #evacuations = new Evacuations();
   /** The newest life of each id. */
   readonly #sightings = new Map<string, Sighting>();
   #table: RoutingTable | undefined;
@@ -119,7 +153,7 @@
   }
 
   /** Whether an entry would change what is known of its target. */
-  isNews(id: string, text: string): boolean {
+  isNews(id: string, text: string, nowMs: number): boolean {
     const known = this.#targets.get(id);
     if (text === "") {
       return known !== undefined && known.goneAtMs === null;
@@ -130,7 +164,8 @@
     }
     return this.#findOldness(decoded.val) === undefined &&
       (known === undefined || known.goneAtMs !== null ||
-        !isSame(known.target, decoded.val));
+        !isSame(known.target, decoded.val) ||
+        isColder(known.target, decoded.val, nowMs));
   }
 
   /** `graceMs` is how long a missing entry may still come back. */
@@ -169,10 +204,70 @@
     return changed;
   }
 
-  getTarget(id: string): RoutingTarget | undefined {
+  getTarget(id: string): KnownTarget | undefined {
     return this.#targets.get(id)?.target;
   }
 
+  /** An operator takes a data centre out of use, or back into it. */
+  applyEvacuation(
+    dataCentre: string,
+    isEvacuated: boolean,
+    nowMs: number,
+  ): void {
+    if (!this.#evacuations.apply(dataCentre, isEvacuated, nowMs)) {
+      return;
+    }
+    const entries = [...this.#targets.values()]
+      .filter(({ target }) => target.dataCentre === dataCentre);
+    if (!isEvacuated) {
+      entries.forEach((entry) =>
+        this.#setCold(entry, nowMs + PRESUMED_COLD_MS, nowMs)
+      );
+    }
+    this.#targetsChanged = true;
+    this.#options.observe({
+      kind: "evacuation",
+      dataCentre,
+      state: isEvacuated ? "evacuated" : "restored",
+      targets: entries.length,
+    });
+  }
+
+  hasTargetsIn(dataCentre: string): boolean {
+    return [...this.#targets.values()]
+      .some(({ target }) => target.dataCentre === dataCentre);
+  }
+
+  /** Data centres that are evacuated now. */
+  listEvacuated(): readonly string[] {
+    return this.#evacuations.list();
+  }
+
+  /** Requests a second that a target takes while it is cold; else undefined. */
+  getColdPerSecond(
+    { id, bornMs }: TargetLife,
+    nowMs: number,
+  ): number | undefined {
+    const target = this.getTarget(id);
+    return target === undefined || target.bornMs !== bornMs ||
+        nowMs >= target.coldUntilMs
+      ? undefined
+      : this.#table?.services.get(target.service)?.coldPerSecond;
+  }
+
+  /** Why and since when a target gets no new work; null where it does. */
+  findWithdrawal(id: string): Withdrawal | null {
+    const leavingSinceMs = this.getLeavingSinceMs(id);
+    if (leavingSinceMs !== null) {
+      return { reason: "leaving", sinceMs: leavingSinceMs };
+    }
+    const dataCentre = this.getTarget(id)?.dataCentre;
+    const sinceMs = dataCentre === undefined
+      ? null
+      : this.#evacuations.getSinceMs(dataCentre);
+    return sinceMs === null ? null : { reason: "evacuated", sinceMs };
+  }
+
   /**
    * Since when a target has been leaving, or `null` where it is not. One whose
    * entry alone has gone is taken for leaving, though it may come back: it may
@@ -188,17 +283,17 @@
       (this.#hasLapsed(known.target.service) ? null : known.missingSinceMs);
   }
 
-  /** Targets of a service to which new work may go; the others are leaving. */
-  listForWork(service: string): readonly RoutingTarget[] {
+  /** Targets of a service; those that get no new work are marked as leaving. */
+  listForWork(service: string): readonly KnownTarget[] {
     return this.listTargets(service).map((target) =>
-      target.leaving || this.getLeavingSinceMs(target.id) === null
+      target.leaving || this.findWithdrawal(target.id) === null
         ? target
         : { ...target, leaving: true }
     );
   }
 
-  listTargets(service: string): readonly RoutingTarget[] {
-    const targets: RoutingTarget[] = [];
+  listTargets(service: string): readonly KnownTarget[] {
+    const targets: KnownTarget[] = [];
     for (const { target } of this.#targets.values()) {
       if (target.service === service) {
         targets.push(target);
@@ -278,22 +373,42 @@
       known.sequence = target.sequence;
       known.missingSinceMs = null;
       known.goneAtMs = null;
+      if (isColder(known.target, target, nowMs)) {
+        this.#setCold(known, nowMs + target.coldMs, nowMs);
+      }
       return;
     }
     this.#recordSighting(target, nowMs);
-    const isSameLife = known?.target.bornMs === target.bornMs;
+    const isSameLife = known !== undefined &&
+      known.target.bornMs === target.bornMs;
     // One that has said that it leaves does not come back in this life.
     const leaving = target.leaving ||
-      (isSameLife && known?.target.leaving === true);
-    const since = isSameLife ? known?.leavingSinceMs : undefined;
-    this.#targets.set(target.id, {
-      target: { ...target, leaving },
+      (isSameLife && known.target.leaving);
+    const since = isSameLife ? known.leavingSinceMs : undefined;
+    const coldUntilMs = isSameLife ? known.target.coldUntilMs : -Infinity;
+    const entry: Entry = {
+      target: { ...target, leaving, coldUntilMs },
       sequence: target.sequence,
       missingSinceMs: null,
       goneAtMs: null,
       leavingSinceMs: leaving ? since ?? nowMs : null,
-    });
+    };
+    this.#targets.set(target.id, entry);
     this.#report(target, leaving ? "leaving" : "present");
+    if (isColder(entry.target, target, nowMs)) {
+      this.#setCold(entry, nowMs + target.coldMs, nowMs);
+    }
+  }
+
+  #setCold(entry: Entry, untilMs: number, nowMs: number): void {
+    const { id: targetId, service, coldUntilMs } = entry.target;
+    entry.target = {
+      ...entry.target,
+      coldUntilMs: Math.max(coldUntilMs, untilMs),
+    };
+    this.#targetsChanged = true;
+    const forMs = Math.round(entry.target.coldUntilMs - nowMs);
+    this.#options.observe({ kind: "target-cold", targetId, service, forMs });
   }
 
   #hasLapsed(service: string): boolean {
@@ -329,6 +444,16 @@
   }
 }
 
+/** Whether an entry says that its target is cold for longer than is known. */
+function isColder(
+  known: KnownTarget,
+  { coldMs }: RoutingTarget,
+  nowMs: number,
+): boolean {
+  const knownUntilMs = Math.max(known.coldUntilMs, nowMs);
+  return nowMs + coldMs > knownUntilMs + ENTRY_DELAY_MS;
+}
+
 /** A heartbeat that changes nothing but its count is no news. */
 function isSame(left: RoutingTarget, right: RoutingTarget): boolean {
   return left.bornMs === right.bornMs && left.service === right.service &&
--- a/packages/gateway/src/catalogue_test.ts
+++ b/packages/gateway/src/catalogue_test.ts
@@ -200,7 +200,7 @@
   const life = { bornMs: 9_000, sequence: 2 };
   catalogue.applyTarget("a", formatTarget(life), NOW);
   const earlier = formatTarget({ bornMs: 1_000, sequence: 80, leaving: true });
-  assert.ok(!catalogue.isNews("a", earlier), "nor is it passed on");
+  assert.ok(!catalogue.isNews("a", earlier, 0), "nor is it passed on");
   catalogue.applyTarget("a", earlier, NOW);
   // Nor does it once the entry of the later life has gone.
   catalogue.applyTarget("a", "", NOW);
@@ -263,3 +263,53 @@
   });
   assert.ok(!catalogue.hasEnded({ id: "a", address: ADDRESS }));
 });
+
+test("an evacuated data centre gets no new work until it is restored", () => {
+  const { catalogue, events } = createConfiguredCatalogue();
+  catalogue.applyTarget("a", formatTarget(), NOW);
+  catalogue.applyTarget(
+    "b",
+    formatTarget({ id: "b", dataCentre: "yeka" }),
+    NOW,
+  );
+  catalogue.advance(0);
+  catalogue.applyEvacuation("bole", true, 10);
+  assert.ok(catalogue.advance(10));
+  catalogue.applyTarget("c", formatTarget({ id: "c" }), NOW);
+  const listLeaving = () =>
+    catalogue.listForWork("ledger").map(({ leaving }) => leaving);
+  assert.deepEqual(listLeaving(), [true, false, true]);
+  assert.deepEqual(catalogue.findWithdrawal("c"), {
+    reason: "evacuated",
+    sinceMs: 10,
+  });
+  catalogue.applyEvacuation("bole", true, 20);
+  catalogue.applyEvacuation("bole", false, 30);
+  assert.ok(catalogue.advance(30));
+  assert.deepEqual(listLeaving(), [false, false, false]);
+  const states = events.flatMap((event) =>
+    event.kind === "evacuation" ? [event.state] : []
+  );
+  assert.deepEqual(states, ["evacuated", "restored"]);
+});
+
+test("a target is cold for as long as it says, and no longer for each entry", () => {
+  const { catalogue } = createConfiguredCatalogue();
+  catalogue.applyTarget("a", formatTarget({ coldMs: 3_000 }), NOW);
+  assert.equal(catalogue.getTarget("a")?.coldUntilMs, 3_000);
+  const late = formatTarget({ coldMs: 2_000, sequence: 2 });
+  catalogue.applyTarget("a", late, { nowMs: 1_700, graceMs: 0 });
+  assert.equal(catalogue.getTarget("a")?.coldUntilMs, 3_000);
+  const again = formatTarget({ coldMs: 3_000, sequence: 3 });
+  assert.ok(catalogue.isNews("a", again, 5_000));
+  catalogue.applyTarget("a", again, { nowMs: 5_000, graceMs: 0 });
+  assert.equal(catalogue.getTarget("a")?.coldUntilMs, 8_000);
+});
+
+test("targets of a restored data centre count as cold until they have said", () => {
+  const { catalogue } = createConfiguredCatalogue();
+  catalogue.applyTarget("a", formatTarget(), NOW);
+  catalogue.applyEvacuation("bole", true, 0);
+  catalogue.applyEvacuation("bole", false, 1_000);
+  assert.ok(catalogue.getTarget("a")!.coldUntilMs > 2_500);
+});
--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -46,6 +46,9 @@
   observeCatalogue(event: CatalogueEvent): void {
     const { kind, ...fields } = event;
     this.#lines.log(kind, "notable", fields);
+    if (event.kind === "evacuation") {
+      this.#metrics.evacuations.inc({ state: event.state });
+    }
   }
 
   observeTail(event: TailEvent): void {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -24,6 +24,7 @@
   readonly droppedLines: number;
   readonly quarantined: number;
   readonly limited: number;
+  readonly evacuated: number;
 }
 
 export class GatewayMetrics {
@@ -67,6 +68,13 @@
     registers: [this.#registry],
   });
 
+  readonly evacuations = new Counter({
+    name: "lentilspur_evacuations_total",
+    help: "Data centres taken out of use, or back into it, by state",
+    labelNames: ["state"] as const,
+    registers: [this.#registry],
+  });
+
   readonly suspicions = new Counter({
     name: "lentilspur_suspicions_total",
     help: "Crashes under requests, trials of requests, and requests cleared",
@@ -105,6 +113,11 @@
       "Requests that are sent to no target, since targets crash under them",
       () => readGauges().quarantined,
     );
+    this.#addGauge(
+      "lentilspur_evacuated_data_centres",
+      "Data centres whose targets get no new work",
+      () => readGauges().evacuated,
+    );
     this.#addGauge(
       "lentilspur_limited_targets",
       "Targets that name a limit of requests a second",
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -18,6 +18,8 @@
   readonly maxHoldMs: number;
   /** After a target was acknowledged as leaving, it may be sent work this long. */
   readonly drainMs: number;
+  /** After an evacuation was acknowledged, its targets may be sent work this long. */
+  readonly evacuationMs: number;
   /** From the signal to stop until the process is killed. */
   readonly gracePeriodMs: number;
   /** Shortest time after which the store takes a silent member for gone. */
@@ -30,6 +32,8 @@
     readonly topic: string;
     readonly part: number;
     readonly key: string;
+    /** Before the name of a data centre that operators have evacuated. */
+    readonly evacuationPrefix: string;
   };
   readonly targets: { readonly topic: string; readonly part: number };
   readonly members: { readonly topic: string; readonly part: number };
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -11,7 +11,7 @@
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { AccountDemands } from "./account_demands.ts";
 import { AccountGate } from "./account_gate.ts";
-import { Catalogue } from "./catalogue.ts";
+import { Catalogue, type WithdrawalReason } from "./catalogue.ts";
 import { Duties } from "./duties.ts";
 import { EventReport } from "./event_report.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -53,6 +53,8 @@
 const CATALOGUE_TICK_MS = 100;
 /** Room between the last sends to a leaving target and the bound on them. */
 const LEAVING_MARGIN_MS = 1_100;
+/** The same for an evacuated data centre; word of it travels as a configuration does. */
+const EVACUATION_MARGIN_MS = 3_000;
 
 export class Instance {
   readonly #options: InstanceOptions;
@@ -251,7 +253,8 @@
       onTargetsRead: (slice) =>
         this.#relay.sendTargets(
           slice,
-          ({ key, value }) => this.#catalogue.isNews(key, value),
+          ({ key, value }) =>
+            this.#catalogue.isNews(key, value, this.#options.clock.readMs()),
         ),
       observe: (event) => this.#report.observeTail(event),
       reportFault: (message) => this.#report.reportFault(message),
@@ -299,11 +302,20 @@
         this.#views.checkOwners(this.#choosePart(service)),
       sender: this.#adapter.sender,
       isStopping: () => this.#isStopping,
-      getLeavingUseMs: () => this.#drainMs - LEAVING_MARGIN_MS,
+      getWithdrawnUseMs: (reason) => this.#getWithdrawnUseMs(reason),
       observe: (event) => this.#report.observeRequest(event),
     });
   }
 
+  #getWithdrawnUseMs(reason: WithdrawalReason): number {
+    switch (reason) {
+      case "leaving":
+        return this.#drainMs - LEAVING_MARGIN_MS;
+      case "evacuated":
+        return this.#options.settings.evacuationMs - EVACUATION_MARGIN_MS;
+    }
+  }
+
   #createServer(): RequestServer {
     const { settings, clock } = this.#options;
     return new RequestServer({
@@ -392,7 +404,7 @@
 
   #describeStanding(): PeerStanding {
     return {
-      version: this.#catalogue.table?.version ?? 0,
+      configurationEnd: this.#views.configurationEnd,
       hasLostStore: this.#views.hasLostStore,
       ends: this.#keepers.listKept().map((part) =>
         [part, this.#relay.getTableEnd(part) ?? 0] as const
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -97,6 +97,7 @@
       droppedLines: lines.droppedCount,
       quarantined: countQuarantined(),
       limited: countLimited(),
+      evacuated: catalogue.listEvacuated().length,
     };
   }
 
@@ -113,6 +114,7 @@
       targets: catalogue.targetCount,
       openRequests: countOpen(),
       duties: listDuties(),
+      evacuated: catalogue.listEvacuated(),
     };
     return {
       status: 200,
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/key_traffic.ts
@@ -86,8 +86,12 @@
       }
       const usualMs = this.#options.services.getUsualServiceMs(service.name) ??
         UNKNOWN_SERVICE_MS;
-      const candidates = this.#options.catalogue.listTargets(service.name)
-        .filter((target) => !target.leaving)
+      const { catalogue } = this.#options;
+      const evacuated = new Set(catalogue.listEvacuated());
+      const candidates = catalogue.listTargets(service.name)
+        .filter((target) =>
+          !target.leaving && !evacuated.has(target.dataCentre)
+        )
         .map((target) => this.#createCandidate(target, usualMs));
       const rates = this.#getKeyLoad(service.name).listRates(nowMs);
       facts.push({ service: service.name, candidates, rates });
--- a/packages/gateway/src/load_exchange_test.ts
+++ b/packages/gateway/src/load_exchange_test.ts
@@ -8,7 +8,7 @@
 import type { Member, Members } from "./members.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
-const STANDING = { version: 1, hasLostStore: false, ends: [] };
+const STANDING = { configurationEnd: 1, hasLostStore: false, ends: [] };
 /** As long as a target's id is. */
 const TARGETS = Array.from(
   { length: 300 },
--- a/packages/gateway/src/outcome_settler.ts
+++ b/packages/gateway/src/outcome_settler.ts
@@ -9,6 +9,7 @@
 import type { SuspectDecision } from "@lentilspur/routing/crash_suspects";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
 import type { FinalAnswer } from "./caller_request.ts";
+import type { Catalogue } from "./catalogue.ts";
 import {
   computeReturnMs,
   createFailure,
@@ -23,13 +24,21 @@
 /** A target that refused is followed by another; a target that holds no such key is asked again after this. */
 const NOT_OWNER_PAUSE_MS = 60;
 
+export interface OutcomeSettlerOptions {
+  readonly clock: Clock;
+  readonly services: ServiceRegistry;
+  readonly catalogue: Catalogue;
+}
+
 export class OutcomeSettler {
   readonly #clock: Clock;
   readonly #services: ServiceRegistry;
+  readonly #catalogue: Catalogue;
 
-  constructor(clock: Clock, services: ServiceRegistry) {
+  constructor({ clock, services, catalogue }: OutcomeSettlerOptions) {
     this.#clock = clock;
     this.#services = services;
+    this.#catalogue = catalogue;
   }
 
   settle(
@@ -113,7 +122,7 @@
           ? this.settleUnserved(passage)
           : createFailure(
             "no-target",
-            `Service "${passage.service}" has no target to send to`,
+            this.#describeNoTarget(passage.service),
             retryAfterMs,
           );
       case "owner-silent":
@@ -132,6 +141,14 @@
     }
   }
 
+  #describeNoTarget(service: string): string {
+    const evacuated = this.#catalogue.listEvacuated();
+    const why = evacuated.length === 0
+      ? ""
+      : `; evacuated data centres: ${evacuated.join(", ")}`;
+    return `Service "${service}" has no target to send to${why}`;
+  }
+
   /** The final answer of a request that has crashed its targets. */
   settleQuarantined(
     passage: Passage,
--- a/packages/gateway/src/owner_finder.ts
+++ b/packages/gateway/src/owner_finder.ts
@@ -1,6 +1,6 @@
 /** Which target may run a request, where its service is keyed. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { Catalogue } from "./catalogue.ts";
+import type { Catalogue, WithdrawalReason } from "./catalogue.ts";
 import type { KeyDirectory } from "./key_directory.ts";
 import { type Passage, setRefusal } from "./passage.ts";
 
@@ -35,8 +35,8 @@
   readonly clock: Clock;
   readonly catalogue: Catalogue;
   readonly directory: KeyDirectory;
-  /** A leaving target is sent nothing later than this after it was seen to leave. */
-  readonly getLeavingUseMs: () => number;
+  /** An owner is sent nothing later than this after it was withdrawn. */
+  readonly getWithdrawnUseMs: (reason: WithdrawalReason) => number;
 }
 
 export class OwnerFinder {
@@ -63,27 +63,35 @@
       });
       return { kind: "wait", isLong };
     }
-    if (!this.#mayUseOwner(owner.owner.id)) {
+    const why = this.#findObstacle(owner.owner.id);
+    if (why !== undefined) {
       setRefusal(passage, "owner-changing", {
-        message: `The owner of key ${key} is leaving`,
+        message: `The owner of key ${key} is ${why}`,
         retryAfterMs: OWNER_RETRY_MS,
       });
-      return { kind: "wait", isLong: false };
+      return { kind: "wait", isLong: why === "evacuated" };
     }
     const { id: targetId, token } = owner.owner;
     return { kind: "found", targetId, token, ownersOffset: owner.offset };
   }
 
   /**
-   * A leaving owner serves its keys until they have moved, but not for long:
-   * a move that does not come must not send work to a target that ends.
+   * Why an owner may not be used. A withdrawn owner serves its keys until they
+   * have moved, but not for long: a move that does not come must not send work
+   * to a target that ends.
    */
-  #mayUseOwner(id: string): boolean {
-    const { catalogue, clock, getLeavingUseMs } = this.#options;
+  #findObstacle(id: string): WithdrawalReason | "gone" | undefined {
+    const { catalogue, clock, getWithdrawnUseMs } = this.#options;
     if (catalogue.getTarget(id) === undefined) {
-      return false;
+      return "gone";
     }
-    const sinceMs = catalogue.getLeavingSinceMs(id);
-    return sinceMs === null || clock.readMs() - sinceMs < getLeavingUseMs();
+    const withdrawal = catalogue.findWithdrawal(id);
+    if (withdrawal === null) {
+      return undefined;
+    }
+    const { reason, sinceMs } = withdrawal;
+    return clock.readMs() - sinceMs < getWithdrawnUseMs(reason)
+      ? undefined
+      : reason;
   }
 }
--- a/packages/gateway/src/peer_dispatch.ts
+++ b/packages/gateway/src/peer_dispatch.ts
@@ -96,7 +96,10 @@
     if (members.get(from) === undefined) {
       views.readMembers();
     }
-    views.applyVersion(standing.version, this.#hasNewest(from));
+    views.applyConfigurationEnd(
+      standing.configurationEnd,
+      this.#hasNewest(from),
+    );
     for (const [part, end] of standing.ends) {
       views.applyOwnersEnd(part, end);
     }
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -13,8 +13,8 @@
 
 /** What an instance says of itself again and again. */
 export interface PeerStanding {
-  /** Of the configuration in force there. */
-  readonly version: number;
+  /** Up to where it has read the configuration's partition. */
+  readonly configurationEnd: number;
   /** The store does not answer it. */
   readonly hasLostStore: boolean;
   /** Partitions of owners that it keeps, and up to where others must know them. */
--- a/packages/gateway/src/peer_message_check.ts
+++ b/packages/gateway/src/peer_message_check.ts
@@ -69,8 +69,11 @@
   }
 }
 
-function isStanding({ version, hasLostStore, ends }: PeerStanding): boolean {
-  return Number.isInteger(version) && typeof hasLostStore === "boolean" &&
+function isStanding(
+  { configurationEnd, hasLostStore, ends }: PeerStanding,
+): boolean {
+  return Number.isInteger(configurationEnd) &&
+    typeof hasLostStore === "boolean" &&
     Array.isArray(ends) &&
     ends.every((one) => Array.isArray(one) && one.every(Number.isInteger));
 }
--- a/packages/gateway/src/request_router.ts
+++ b/packages/gateway/src/request_router.ts
@@ -15,7 +15,7 @@
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
 import type { AccountGate } from "./account_gate.ts";
 import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
-import type { Catalogue } from "./catalogue.ts";
+import type { Catalogue, WithdrawalReason } from "./catalogue.ts";
 import type { KeyDirectory } from "./key_directory.ts";
 import { AnswerWatch } from "./answer_watch.ts";
 import { OutcomeSettler, REFUSED_RETRY_MS } from "./outcome_settler.ts";
@@ -42,8 +42,8 @@
   /** A request for a key has come in. */
   readonly observeKey: (route: Route, key: number) => void;
   readonly sender: RequestSender;
-  /** A leaving target is sent nothing later than this after it was seen to leave. */
-  readonly getLeavingUseMs: () => number;
+  /** An owner is sent nothing later than this after it was withdrawn. */
+  readonly getWithdrawnUseMs: (reason: WithdrawalReason) => number;
   /** Whether this instance is about to end: it breaks nothing off any more. */
   readonly isStopping: () => boolean;
   readonly observe: (event: RequestEvent) => void;
@@ -81,7 +81,7 @@
     this.#options = options;
     this.#owners = new OwnerFinder(options);
     this.#report = new RequestReport(options.clock, options.observe);
-    this.#settler = new OutcomeSettler(options.clock, options.services);
+    this.#settler = new OutcomeSettler(options);
   }
 
   async handle(request: CallerRequest): Promise<FinalAnswer> {
@@ -241,7 +241,8 @@
     }
     const turn = await this.#waitForTurn(passage, decision.target);
     if (
-      turn.kind === "granted" && !this.#isOutdated(passage, owner.targetId)
+      turn.kind === "granted" &&
+      !this.#isOutdated(passage, decision.target, owner.targetId)
     ) {
       return await this.#send(passage, decision, owner);
     }
@@ -290,10 +291,15 @@
   }
 
   /** What decided before it waited for a place may have changed meanwhile. */
-  #isOutdated(passage: Passage, owner: string | undefined): boolean {
+  #isOutdated(
+    passage: Passage,
+    target: RoutingTarget,
+    owner: string | undefined,
+  ): boolean {
     const { catalogue, quarantine } = this.#options;
     const now = this.#owners.find(passage);
     return passage.request.signal.aborted ||
+      (owner === undefined && catalogue.findWithdrawal(target.id) !== null) ||
       quarantine.isQuarantined(passage) ||
       catalogue.table?.version !== passage.version ||
       now.kind === "wait" || now.targetId !== owner;
--- a/packages/gateway/src/request_router_test.ts
+++ b/packages/gateway/src/request_router_test.ts
@@ -119,7 +119,7 @@
           return outcome;
         },
       },
-      getLeavingUseMs: () => 1_000,
+      getWithdrawnUseMs: () => 1_000,
       isStopping: () => this.isStopping,
       observe: () => undefined,
     });
--- a/packages/gateway/src/request_world.ts
+++ b/packages/gateway/src/request_world.ts
@@ -42,6 +42,10 @@
   readonly keyed: boolean;
   readonly route?: Partial<Route>;
   readonly target?: Partial<FakeTargetOptions>;
+  /** Where targets stand, in turn; all in one if left out. */
+  readonly dataCentres?: readonly string[];
+  /** Requests a second that a cold target takes. */
+  readonly coldPerSecond?: number;
   /** Share of the datagrams between instances that do not arrive. */
   readonly lostDatagrams?: number;
 }
@@ -67,6 +71,7 @@
 
 const SERVICE = "files";
 const HOST = "files.example";
+const DATA_CENTRE = "bole";
 const WAY_MS = 3;
 const DATAGRAM_MS = 2;
 const MAX_DATAGRAM_BYTES = 1_400;
@@ -138,10 +143,35 @@
 
   /** The target says that it leaves, and ends with what it runs. */
   stopTarget(id: string): void {
-    this.#applyEntry(id, createEntry(id, true));
+    this.#applyEntry(id, this.#createEntry(id, { leaving: true }));
     this.#targets.get(id)!.fail();
   }
 
+  /** The target says how much longer it is cold. */
+  setCold(id: string, coldMs: number): void {
+    this.#applyEntry(id, this.#createEntry(id, { coldMs }));
+  }
+
+  /** Operators evacuate a data centre, or restore it. */
+  setEvacuated(dataCentre: string, isEvacuated: boolean): void {
+    const nowMs = this.clock.readMs();
+    for (const { catalogue, services } of this.#paths.values()) {
+      catalogue.applyEvacuation(dataCentre, isEvacuated, nowMs);
+      catalogue.advance(nowMs);
+      services.update();
+    }
+  }
+
+  getDataCentre(targetId: string): string {
+    const { dataCentres = [DATA_CENTRE] } = this.#options;
+    return dataCentres[(Number(targetId.slice(1)) - 1) % dataCentres.length]!;
+  }
+
+  /** The keys of all targets are dealt out to those of these data centres. */
+  assignKeysTo(dataCentres: readonly string[]): void {
+    this.#assignKeys((id) => dataCentres.includes(this.getDataCentre(id)));
+  }
+
   /** From now on the target names this limit in its answers, or none. */
   setLimit(id: string, perSecond: number | undefined): void {
     if (perSecond === undefined) {
@@ -192,7 +222,7 @@
       observeKey: () => undefined,
       refreshOwners: () => undefined,
       sender: { send: (request) => this.#transfer(name, request) },
-      getLeavingUseMs: () => 1_000,
+      getWithdrawnUseMs: () => 1_000,
       isStopping: () => false,
       observe: () => undefined,
     });
@@ -326,7 +356,7 @@
       observeCrash: () => void this.#restartTarget(id),
     });
     this.#targets.set(id, target);
-    this.#applyEntry(id, createEntry(id, false));
+    this.#applyEntry(id, this.#createEntry(id));
   }
 
   async #restartTarget(id: string): Promise<void> {
@@ -340,6 +370,17 @@
     this.#startTarget();
   }
 
+  #createEntry(id: string, { leaving = false, coldMs = 0 } = {}): string {
+    return JSON.stringify({
+      service: SERVICE,
+      address: `${id}:80`,
+      dataCentre: this.getDataCentre(id),
+      places: 2,
+      leaving,
+      coldMs,
+    });
+  }
+
   #applyEntry(id: string, text: string): void {
     const nowMs = this.clock.readMs();
     for (const { catalogue, services } of this.#paths.values()) {
@@ -349,8 +390,8 @@
     }
   }
 
-  #assignKeys(): void {
-    const owners = [...this.#targets.keys()]
+  #assignKeys(isOwner: (id: string) => boolean = () => true): void {
+    const owners = [...this.#targets.keys()].filter(isOwner)
       .map((id) => ({ id, address: `${id}:80` }));
     const offset = ++this.#token;
     const text = serializeTable(createTable(owners, offset));
@@ -361,7 +402,7 @@
   }
 
   #createTable(): RoutingTable {
-    const { keyed, route } = this.#options;
+    const { keyed, route, coldPerSecond } = this.#options;
     return {
       version: 1,
       routes: [{
@@ -379,6 +420,7 @@
         name: SERVICE,
         keyed,
         maxConnections: 130,
+        ...(coldPerSecond === undefined ? {} : { coldPerSecond }),
       }]]),
       limits: { maxBodyBytes: 1_000, headTimeoutMs: 1, idleTimeoutMs: 1 },
       access: { kind: "open" },
@@ -386,17 +428,6 @@
   }
 }
 
-function createEntry(id: string, leaving: boolean): string {
-  return JSON.stringify({
-    service: SERVICE,
-    address: `${id}:80`,
-    dataCentre: "bole",
-    places: 2,
-    leaving,
-    coldMs: 0,
-  });
-}
-
 function toOutcome(reply: TargetReply): SendOutcome {
   switch (reply.kind) {
     case "ran":
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -120,7 +120,7 @@
           : CONFIGURATION_VALID_MS,
         maxPauseMs: URGENT_PAUSE_MS,
       }),
-      (key, value) => this.#applyConfiguration(key, value),
+      (key, value) => this.#applyOperatorRecord(key, value),
       { isNewestOnly: true },
     );
     this.#targets = this.#createTail(
@@ -162,15 +162,20 @@
     return this.#configuration.isLost || this.#targets.isLost;
   }
 
+  /** Up to where the configuration and what stands beside it has been read. */
+  get configurationEnd(): number {
+    return this.#configuration.end;
+  }
+
   /**
-   * Another instance has this version in force. `isNewest`: it reads each change
-   * at once, so that nothing newer is to be read here either.
+   * Another instance has read the configuration up to here. `isNewest`: it reads
+   * each change at once, so that nothing newer is to be read here either.
    */
-  applyVersion(version: number, isNewest: boolean): void {
-    const known = this.#options.catalogue.table?.version ?? 0;
-    if (version > known) {
+  applyConfigurationEnd(end: number, isNewest: boolean): void {
+    const known = this.#configuration.end;
+    if (end > known) {
       this.#configuration.scheduleRead();
-    } else if (version === known && isNewest) {
+    } else if (end === known && isNewest) {
       this.#configuration.recordTold(this.#options.clock.readMs());
     }
   }
@@ -277,16 +282,31 @@
     });
   }
 
-  #applyConfiguration(key: string, value: string): void {
+  #applyOperatorRecord(key: string, value: string): void {
     const { places, catalogue, onConfiguration } = this.#options;
+    const { key: configurationKey, evacuationPrefix } = places.configuration;
+    if (key.startsWith(evacuationPrefix)) {
+      this.#applyEvacuation(key.slice(evacuationPrefix.length), value !== "");
+      return;
+    }
     if (
-      key === places.configuration.key && value !== "" &&
+      key === configurationKey && value !== "" &&
       catalogue.applyConfiguration(value)
     ) {
       onConfiguration();
     }
   }
 
+  #applyEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    const { clock, catalogue, reportFault } = this.#options;
+    catalogue.applyEvacuation(dataCentre, isEvacuated, clock.readMs());
+    if (
+      isEvacuated && this.isLoaded && !catalogue.hasTargetsIn(dataCentre)
+    ) {
+      reportFault(`No target stands in data centre "${dataCentre}"`);
+    }
+  }
+
   #applyTarget(id: string, value: string): void {
     const { clock, catalogue } = this.#options;
     const nowMs = clock.readMs();
--- a/packages/gateway/src/store_views_test.ts
+++ b/packages/gateway/src/store_views_test.ts
@@ -8,7 +8,10 @@
   StoreFailure,
   StoreSlice,
 } from "@lentilspur/ports/store";
-import type { RoutingTable } from "@lentilspur/ports/routing_table";
+import type {
+  RoutingTable,
+  RoutingTarget,
+} from "@lentilspur/ports/routing_table";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Catalogue } from "./catalogue.ts";
 import { Duties } from "./duties.ts";
@@ -19,11 +22,17 @@
 import { StoreViews } from "./store_views.ts";
 
 const PLACES: StorePlaces = {
-  configuration: { topic: "configuration", part: 0, key: "newest" },
+  configuration: {
+    topic: "configuration",
+    part: 0,
+    key: "newest",
+    evacuationPrefix: "evacuate/",
+  },
   targets: { topic: "targets", part: 0 },
   members: { topic: "members", part: 0 },
   owners: { topic: "owners", parts: 8 },
 };
+const DATA_CENTRES = ["bole", "kirkos", "yeka"];
 const OWNERS_PART = 3;
 /** A link of 7 Mbit/s. */
 const SLOW_LINK_BYTES_PER_MS = 875;
@@ -37,6 +46,19 @@
 /** An instance whose connections fell silent has to be right this long after. */
 const GRACE_MS = 3_000;
 
+function createTarget(dataCentre: string): RoutingTarget {
+  return {
+    id: `target-${dataCentre}`,
+    sequence: 1,
+    service: "ledger",
+    address: "10.0.0.1:80",
+    dataCentre,
+    places: 2,
+    leaving: false,
+    coldMs: 0,
+  };
+}
+
 /** What a weak instance among many strong ones reads; the others are played. */
 class Reader {
   readonly clock = new VirtualClock();
@@ -47,11 +69,19 @@
   readonly #members: Members;
   readonly #others: readonly Member[];
   version = 1;
+  #configurationEnd = 0;
   /** Whether reads that begin now are on a connection that has fallen silent. */
   isSilent = false;
 
-  constructor({ others = 20 } = {}) {
+  constructor({ others = 20, reportFault = assert.fail }: {
+    readonly others?: number;
+    readonly reportFault?: (message: string) => void;
+  } = {}) {
     this.write();
+    for (const dataCentre of DATA_CENTRES) {
+      const target = createTarget(dataCentre);
+      this.store.write(PLACES.targets, target.id, JSON.stringify(target));
+    }
     const self = createMember("weak", { cores: 0.27 });
     this.#others = Array.from(
       { length: others },
@@ -60,7 +90,7 @@
     this.#members = createMembers(self, this.#others, 0);
     this.#catalogue = new Catalogue({
       decodeConfiguration: (text) => Ok(JSON.parse(text) as RoutingTable),
-      decodeTarget: () => Err("none is written"),
+      decodeTarget: (_id, text) => Ok(JSON.parse(text) as RoutingTarget),
       observe: () => undefined,
     });
     const client = this.store.createClient("weak");
@@ -85,7 +115,7 @@
       isKeeper: () => false,
       onTargetsRead: () => undefined,
       observe: () => undefined,
-      reportFault: (message) => assert.fail(message),
+      reportFault,
     }, new AbortController().signal);
     for (const one of this.#others) {
       this.store.write(PLACES.members, one.instance, serializeMember(one));
@@ -103,6 +133,18 @@
     const { version } = this;
     const table = { version, routes: [], services: {}, limits: {}, padding };
     this.store.write(PLACES.configuration, "newest", JSON.stringify(table));
+    this.#configurationEnd++;
+  }
+
+  /** Operators evacuate a data centre, or restore it. */
+  writeEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    const value = isEvacuated ? "{}" : "";
+    this.store.write(PLACES.configuration, `evacuate/${dataCentre}`, value);
+    this.#configurationEnd++;
+  }
+
+  get evacuated(): readonly string[] {
+    return this.#catalogue.listEvacuated();
   }
 
   /** The others say what they have every so often; some time passes. */
@@ -117,7 +159,7 @@
       for (const { instance } of this.#others) {
         this.#members.recordStore(instance, false, this.clock.readMs());
       }
-      this.views.applyVersion(this.version, true);
+      this.views.applyConfigurationEnd(this.#configurationEnd, true);
       this.views.applyOwnersEnd(OWNERS_PART, ownersEnd);
       await this.clock.advance(everyMs);
     }
@@ -176,6 +218,53 @@
   assert.equal(reader.inForce, 2);
 });
 
+test("an evacuation is in force, and taken back, as soon as others tell of it", async () => {
+  const reader = new Reader();
+  await reader.advance(3_000, { ownersEnd: 0 });
+  reader.writeEvacuation("kirkos", true);
+  reader.writeEvacuation("yeka", true);
+  await reader.advance(500, { ownersEnd: 0 });
+  assert.deepEqual(reader.evacuated, ["kirkos", "yeka"]);
+  reader.writeEvacuation("kirkos", false);
+  await reader.advance(500, { ownersEnd: 0 });
+  assert.deepEqual(reader.evacuated, ["yeka"]);
+  reader.writeEvacuation("kirkos", true);
+  await reader.advance(500, { ownersEnd: 0 });
+  assert.deepEqual(reader.evacuated, ["kirkos", "yeka"]);
+});
+
+test("an evacuation of a data centre without targets is a logged fault", async () => {
+  const faults: string[] = [];
+  const reader = new Reader({ reportFault: (fault) => faults.push(fault) });
+  await reader.advance(3_000, { ownersEnd: 0 });
+  reader.writeEvacuation("kirkos", true);
+  reader.writeEvacuation("kikros", true);
+  await reader.advance(1_000, { ownersEnd: 0 });
+  assert.deepEqual(faults, ['No target stands in data centre "kikros"']);
+  reader.writeEvacuation("kikros", false);
+  await reader.advance(1_000, { ownersEnd: 0 });
+  assert.deepEqual(reader.evacuated, ["kirkos"]);
+});
+
+test("an instance that was cut off finds the evacuations as they stand", async () => {
+  const reader = new Reader();
+  reader.writeEvacuation("kirkos", true);
+  await reader.advance(3_000, { ownersEnd: 0 });
+  assert.deepEqual(reader.evacuated, ["kirkos"]);
+  reader.store.setMood("weak", "refusing");
+  reader.writeEvacuation("kirkos", false);
+  reader.writeEvacuation("bole", true);
+  await reader.advance(3_000, { ownersEnd: 0 });
+  assert.deepEqual(
+    reader.evacuated,
+    ["kirkos"],
+    "kept while the store is away",
+  );
+  reader.store.setMood("weak", "serving");
+  await reader.advance(APPLY_MS, { ownersEnd: 0, everyMs: 100 });
+  assert.deepEqual(reader.evacuated, ["bole"]);
+});
+
 test("a request that misses its owner reads only what is old", async () => {
   // A target has lost its keys and refuses every request for them. Were each to
   // have the table read, 59 instances made 7,000 calls in 30 s for one that was
--- a/packages/ports/src/routing_table.ts
+++ b/packages/ports/src/routing_table.ts
@@ -59,6 +59,8 @@
   readonly retryRatio?: number;
   /** Requests that may wait for one target, over all instances. */
   readonly maxWaitingPerTarget?: number;
+  /** Requests a second that a cold target takes from all instances together. */
+  readonly coldPerSecond?: number;
 }
 
 /** What one client account may ask of one service, over all instances. */
@@ -126,3 +128,9 @@
   /** How much longer it is slow after its start, as of its last report. */
   readonly coldMs: number;
 }
+
+/** A target as an instance knows it. */
+export interface KnownTarget extends RoutingTarget {
+  /** Until when it is cold; own clock. */
+  readonly coldUntilMs: number;
+}
