fix(gateway): claim no partition on a share that has run out

Cause: the keeper had been turned away for 7 s, and its partition had fallen to another instance. It still took the partition for its own, as its joins had failed, and claimed at the moment the store answered. The other claimed back; five claims within 1.5 s, and each made all grants before it doubtful.

Ruled out: the duel of two candidates over who is stronger (the group's share is the same for both), and a late hand-over (nobody had been asked for one).

Why this works: the store forgets a member that has not joined for its TTL. Past that the instance knows that its share has gone, and claims only once a join has told it what it has now; what is read while a claim is prepared is checked again before it is written. Keepers that act on in an outage are not concerned.

--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper_service.ts
@@ -294,7 +294,8 @@
     const tail = getTail(part);
     if (
       tail === undefined || !tail.isLoaded || this.#keepers.has(part) ||
-      this.#share.isLeaving || this.#claiming.has(part) ||
+      this.#share.isLeaving || !this.#share.isCurrent ||
+      this.#claiming.has(part) ||
       listFacts(part).length === 0
     ) {
       return;
@@ -330,6 +331,9 @@
       observe({ kind: "claim-failed", partition, cause: read.val.kind });
       return;
     }
+    if (!this.#share.has(part)) {
+      return;
+    }
     const { records, end: at } = read.val;
     const standing = parseStanding(records, at);
     for (const message of standing.faults) {
--- a/packages/gateway/src/keeper_service_test.ts
+++ b/packages/gateway/src/keeper_service_test.ts
@@ -84,6 +84,22 @@
   assert.deepEqual(world.holders.listStaleTokens(), []);
 });
 
+test("a keeper that the store answers again does not claim on its old share", async () => {
+  for (let silentMs = 4_000; silentMs < 5_000; silentMs += 100) {
+    const { world, keeper } = await startThree();
+    world.store.setMood(keeper, "silent");
+    await world.clock.advance(silentMs);
+    assert.notEqual(world.findKeeper(), keeper);
+    const before = world.events.length;
+    world.store.setMood(keeper, "serving");
+    await world.clock.advance(5_000);
+    const forced = world.events.slice(before).filter((event) =>
+      event.kind === "claimed" && event.predecessor !== "resigned"
+    );
+    assert.deepEqual(forced, [], `silent for ${silentMs} ms`);
+  }
+});
+
 test("a keeper that is lost for good holds its successor up for seconds only", async () => {
   // Its machine is taken away: no later start of it will ever prove its end.
   const { world, keeper } = await startThree();
--- a/packages/gateway/src/keeper_share.ts
+++ b/packages/gateway/src/keeper_share.ts
@@ -45,6 +45,7 @@
 export class KeeperShare {
   readonly #options: KeeperShareOptions;
   readonly #assignedAt = new Map<number, number>();
+  readonly #ttlMs: number;
   #joinedAtMs = -Infinity;
   #generation = 0;
   #isLeaving = false;
@@ -52,6 +53,7 @@
 
   constructor(options: KeeperShareOptions) {
     this.#options = options;
+    this.#ttlMs = Math.max(MEMBER_TTL_MS, options.minMemberTtlMs);
   }
 
   /** When the store last answered a join; own clock, from when it was sent. */
@@ -59,6 +61,15 @@
     return this.#joinedAtMs;
   }
 
+  /**
+   * Whether the store still counts this instance as a member, as far as is known
+   * here. Where it does not, the partitions have fallen to others.
+   */
+  get isCurrent(): boolean {
+    const ageMs = this.#options.clock.readMs() - this.#joinedAtMs;
+    return ageMs < this.#ttlMs;
+  }
+
   /** Whether this instance is about to end. */
   get isLeaving(): boolean {
     return this.#isLeaving;
@@ -75,15 +86,14 @@
 
   /** Joins while this instance is a candidate, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, minMemberTtlMs, isCandidate } = this.#options;
-    const ttlMs = Math.max(MEMBER_TTL_MS, minMemberTtlMs);
+    const { clock, isCandidate } = this.#options;
     let candidateAtMs = -Infinity;
     while (!signal.aborted && !this.#isLeaving) {
       const nowMs = clock.readMs();
       candidateAtMs = isCandidate() ? nowMs : candidateAtMs;
       if (nowMs - candidateAtMs < LEAVE_AFTER_MS) {
-        await this.#join(ttlMs);
-        await clock.sleep(ttlMs / JOINS_PER_TTL, signal);
+        await this.#join();
+        await clock.sleep(this.#ttlMs / JOINS_PER_TTL, signal);
         continue;
       }
       if (this.#generation > 0) {
@@ -131,14 +141,14 @@
     return left.ok;
   }
 
-  async #join(ttlMs: number): Promise<void> {
+  async #join(): Promise<void> {
     const { clock, store, topic, claim, observe } = this.#options;
     const sentAtMs = clock.readMs();
     const joined = await store.join({
       group: GROUP,
       member: formatIncarnation(claim),
       topic,
-      ttlMs,
+      ttlMs: this.#ttlMs,
       generation: this.#generation,
     });
     if (this.#isLeaving) {
