perf(gateway): look for lapsed entries only where one is missing

Each choice of an owner, two a request, and each target of each update went through all entries of the service to see whether most of them are missing, though the target's own was there: 234 targets, 55,000 looks an update. The answer is the same; it is asked for only where the target's entry is missing.

--- a/packages/gateway/src/catalogue.ts
+++ b/packages/gateway/src/catalogue.ts
@@ -279,8 +279,11 @@
     if (known === undefined) {
       return null;
     }
-    return known.leavingSinceMs ??
-      (this.#hasLapsed(known.target.service) ? null : known.missingSinceMs);
+    const { leavingSinceMs, missingSinceMs, target } = known;
+    return leavingSinceMs === null && missingSinceMs !== null &&
+        this.#hasLapsed(target.service)
+      ? null
+      : leavingSinceMs ?? missingSinceMs;
   }
 
   /** Targets of a service; those that get no new work are marked as leaving. */
