perf(gateway): take a told table over without writing it out and parsing it

A keeper tells the difference of each table it writes, two or three times a second while keys move. Each instance applied it, wrote the whole table out as text (300 ranges with 109 targets) and parsed that again. The table that was worked out is now taken over as it is; what a read brings is parsed as before.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -524,8 +524,9 @@
   }
 
   #createRelay(): ViewRelay {
-    const { settings } = this.#options;
+    const { settings, clock } = this.#options;
     return new ViewRelay({
+      clock,
       instance: settings.instance,
       directory: this.#directory,
       duties: this.#duties,
--- a/packages/gateway/src/key_directory.ts
+++ b/packages/gateway/src/key_directory.ts
@@ -48,11 +48,20 @@
     if (!parsed.ok) {
       return parsed.val;
     }
-    this.#tables.set(service, { table: parsed.val, offset: options.offset });
-    this.#recordMoves(service, parsed.val, options.nowMs);
+    this.setTable(service, parsed.val, options);
     return undefined;
   }
 
+  /** A table that need not be parsed. */
+  setTable(
+    service: string,
+    table: KeyTable,
+    options: { readonly offset: number; readonly nowMs: number },
+  ): void {
+    this.#tables.set(service, { table, offset: options.offset });
+    this.#recordMoves(service, table, options.nowMs);
+  }
+
   /** What a keeper tells of before its record does; a hint. */
   applyGranted(service: string, ranges: readonly GrantedKeys[]): void {
     const granted = this.#granted.get(service) ?? new Set<string>();
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -107,6 +107,7 @@
   #createRelay(name: string, members: Members, duties: Duties): ViewRelay {
     const { instance } = createMember(name);
     return new ViewRelay({
+      clock: this.clock,
       instance,
       directory: new KeyDirectory(),
       duties,
--- a/packages/gateway/src/table_relay_test.ts
+++ b/packages/gateway/src/table_relay_test.ts
@@ -31,6 +31,7 @@
   const all = [self, createMember("two")];
   const members = createMembers(self, all, clock.readMs());
   return new ViewRelay({
+    clock,
     instance: "one",
     directory,
     duties: new Duties({ clock, self, members, hasLostStore: () => false }),
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -10,15 +10,14 @@
  * they cost the store. What is passed on counts only if nothing was missed
  * before it; whoever has missed something, or hears nothing, reads itself.
  */
+import type { Clock } from "@lentilspur/ports/clock";
 import type { StoreRecord } from "@lentilspur/ports/store";
 import type { GrantedRange } from "@lentilspur/ownership/key_keeper";
-import { formatTableKey } from "@lentilspur/ownership/keeper_records";
 import {
   applyTablePatch,
   diffTables,
   type KeyTable,
   type OwnedRange,
-  serializeTable,
 } from "@lentilspur/ownership/key_table";
 import {
   decodeValue,
@@ -36,6 +35,7 @@
 type OwnersMessage = PeerMessage & { readonly kind: "owners" };
 
 export interface ViewRelayOptions {
+  readonly clock: Clock;
   readonly instance: string;
   readonly directory: KeyDirectory;
   readonly duties: Duties;
@@ -193,14 +193,16 @@
       tail.scheduleRead();
       return;
     }
-    const value = serializeTable(applyTablePatch(before, patch));
-    const key = formatTableKey(service);
+    directory.setTable(service, applyTablePatch(before, patch), {
+      offset,
+      nowMs: this.#options.clock.readMs(),
+    });
     tail.applySlice({
       base: since,
       end: offset + 1,
       ageMs: 0,
       sinceOutageMs: null,
-      records: [{ offset, key, value }],
+      records: [],
     });
   }
 }
