feat(ownership): relieve an owner by what its places bear, chance left out

Cause: an owner counted as too busy from 0.6 of its places and 1.15 of the average. With four places a target serves well beyond 0.6, and six requests a second counted over 8 s are 48, give or take 7: the busiest of 20 is beyond 1.15 by chance alone.

What changed: the share of its places that an owner may keep busy follows from their number (one place 0.43, two 0.6 as before, four 0.72), for givers and for receivers, and the count over the longer time is taken for less by its own chance as well, as that over the shorter time was.

The test moved 14 stretches before, in 22 s of an even load, and 2 now.

--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -39,15 +39,10 @@
   toWholeStretch,
 } from "./stretch_choice.ts";
 
-/**
- * A target busier than this share of its places is relieved: from there on the
- * wait for one of two places grows faster than the work put on it.
- */
-const MAX_BUSY = 0.6;
+/** Of a target with one place, the share that is to be free on average. */
+const CALM_MARGIN = 0.57;
 /** And only if it is this much busier than the average: twice what chance does. */
 const MIN_EXCESS = 1.15;
-/** A receiver is filled to the average, or up to this. */
-const RECEIVER_BUSY = 0.6;
 /** A key that asks for less than this share of its owner is only busy. */
 const HOT_SHARE = 0.8;
 /** Below this many times the owner's speed a move gains less than it breaks off. */
@@ -237,8 +232,10 @@
   if (giver === receiver) {
     return undefined;
   }
-  const excess = giver.busy - Math.max(average, RECEIVER_BUSY);
-  const room = Math.max(average, RECEIVER_BUSY) - receiver.busy;
+  const excess = giver.busy -
+    Math.max(average, computeCalmShare(giver.candidate));
+  const room = Math.max(average, computeCalmShare(receiver.candidate)) -
+    receiver.busy;
   const wanted = Math.min(
     excess * computeRate(giver.candidate),
     room * computeRate(receiver.candidate),
@@ -327,5 +324,14 @@
 }
 
 function hasTooMuch(standing: Standing, average: number): boolean {
-  return standing.busy > MAX_BUSY && standing.busy > MIN_EXCESS * average;
+  return standing.certainBusy > computeCalmShare(standing.candidate) &&
+    standing.certainBusy > MIN_EXCESS * average;
+}
+
+/**
+ * The share of its places that a target may keep busy: beyond it the wait for a
+ * place grows faster than the work put on it. With more places it comes later.
+ */
+function computeCalmShare({ places }: OwnerCandidate): number {
+  return 1 - CALM_MARGIN / Math.sqrt(Math.max(1, places));
 }
--- a/packages/ownership/src/key_planner_test.ts
+++ b/packages/ownership/src/key_planner_test.ts
@@ -105,6 +105,31 @@
   assert.ok(moved < 0.05 * LAST_KEY, `${moved} keys moved`);
 });
 
+test("targets with four places that are unevenly busy by chance keep their keys", () => {
+  // Each move breaks requests off that its target could have served in time.
+  const draw = createDraw();
+  const candidates = createCandidates(20)
+    .map((one) => ({ ...one, places: 4, serviceMs: 290 }));
+  const load = new KeyLoad();
+  let table = createTable(candidates, 1);
+  let changed = 0;
+  for (let nowMs = 0; nowMs < 30_000; nowMs += 200) {
+    // Nearly 0.62 of all places.
+    const keys = Array.from(
+      { length: 34 },
+      () => Math.floor(draw() * (LAST_KEY + 1)),
+    );
+    load.observe(keys, nowMs);
+    if (nowMs < 8_000 || nowMs % 400 !== 0) {
+      continue;
+    }
+    const changes = planReassignments(table, candidates, load.listRates(nowMs));
+    changed += changes.length;
+    table = settleRanges(applyReassignments(table, changes, nowMs), () => true);
+  }
+  assert.ok(changed <= 5, `${changed} stretches moved`);
+});
+
 test("a lost target's keys are shared out", () => {
   const [lost, ...rest] = createCandidates(4);
   const table = createTable([lost!, ...rest], 1);
--- a/packages/ownership/src/owner_standing.ts
+++ b/packages/ownership/src/owner_standing.ts
@@ -3,7 +3,7 @@
  * often they are asked for.
  */
 import { splitRange } from "@lentilspur/ports/key_orders";
-import { type KeyRate, RECENT_MS } from "./key_load.ts";
+import { type KeyRate, RECENT_MS, USUAL_MS } from "./key_load.ts";
 import {
   type Assignee,
   isSamePlace,
@@ -28,6 +28,8 @@
  * deviations: a target's share of a quiet second is 20 requests, give or take 4.
  */
 const CAUTION = 1.5;
+/** The same for what is counted over a longer time. */
+const LASTING_CAUTION = 0.7;
 /** A target that takes nothing is planned for as one that takes this much. */
 const MIN_LIMIT = 0.1;
 
@@ -35,6 +37,8 @@
   readonly candidate: OwnerCandidate;
   /** Places kept busy, as a share of all of its places. */
   busy: number;
+  /** As above, less what chance may have added to the count. */
+  certainBusy: number;
   /** Whether it is of late that it is busy. */
   isSpell: boolean;
   ranges: OwnedRange[];
@@ -71,16 +75,27 @@
     usual += lines.usual.computeSum(range.from, range.to);
     recent += lines.recent.computeSum(range.from, range.to);
   }
-  const counted = Math.max(1, recent * RECENT_MS / 1_000);
-  const certain = recent * Math.max(0, 1 - CAUTION / Math.sqrt(counted));
+  const certain = estimateCertainRate(recent, RECENT_MS, CAUTION);
+  const lasting = estimateCertainRate(usual, USUAL_MS, LASTING_CAUTION);
   return {
     candidate,
     busy: computeBusy(candidate, Math.max(usual, certain)),
+    certainBusy: computeBusy(candidate, Math.max(lasting, certain)),
     isSpell: certain > usual,
     ranges,
   };
 }
 
+/** A rate less some standard deviations of its count within a time. */
+function estimateCertainRate(
+  perSecond: number,
+  withinMs: number,
+  deviations: number,
+): number {
+  const counted = Math.max(1, perSecond * withinMs / 1_000);
+  return perSecond * Math.max(0, 1 - deviations / Math.sqrt(counted));
+}
+
 /** The same keys by both counts. */
 export interface RateLines {
   readonly usual: RateLine;
@@ -144,8 +159,10 @@
 }): Reassignment {
   const { from, to } = keys;
   giver.busy -= computeBusy(giver.candidate, keys.perSecond);
+  giver.certainBusy -= computeBusy(giver.candidate, keys.perSecond);
   giver.ranges = giver.ranges.flatMap((range) => splitRange(range, keys));
   receiver.busy += computeBusy(receiver.candidate, keys.perSecond);
+  receiver.certainBusy += computeBusy(receiver.candidate, keys.perSecond);
   receiver.isSpell ||= giver.isSpell;
   receiver.ranges.push({
     from,
