feat(gateway): pass changes of the configuration on between instances

What changed: the instance that reads the targets' entries for all passes on what a read of the configuration has brought as well, packed and in pieces, where it fits into a dozen datagrams. Whoever hears that there is more waits 150 ms for it before it reads; what is larger, or was missed, is read as before.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -261,6 +261,7 @@
           ({ key, value }) =>
             this.#catalogue.isNews(key, value, this.#options.clock.readMs()),
         ),
+      onConfigurationRead: (slice) => this.#relay.sendConfiguration(slice),
       observe: (event) => this.#report.observeTail(event),
       reportFault: (message) => this.#report.reportFault(message),
     }, this.#running.signal);
@@ -532,6 +533,7 @@
       duties: this.#duties,
       findMember: (name) => this.#members.get(name),
       getTargetsTail: () => this.#views.targetsTail,
+      getConfigurationTail: () => this.#views.configurationTail,
       getOwnersTail: (part) => this.#views.getOwnersTail(part),
       send: (members, message) => this.#peers.send(members, message),
     });
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -113,6 +113,7 @@
       duties,
       findMember: (other) => members.get(other),
       getTargetsTail: () => this.tails.get(name)!,
+      getConfigurationTail: () => this.tails.get(name)!,
       getOwnersTail: () => undefined,
       send: (to, message) => this.#transfer(name, to, message),
     });
--- a/packages/gateway/src/peer_dispatch.ts
+++ b/packages/gateway/src/peer_dispatch.ts
@@ -59,6 +59,9 @@
       case "targets":
         relay.applyTargets(message);
         return;
+      case "configuration":
+        relay.applyConfiguration(message);
+        return;
       case "owners":
         relay.applyTable(message);
         return;
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -58,6 +58,13 @@
     readonly kind: "targets";
     readonly from: string;
   } & TailSlice)
+  | ({
+    /** What a read of the configuration's partition gave, packed. */
+    readonly kind: "configuration";
+    readonly from: string;
+    /** Up to where it goes. */
+    readonly end: number;
+  } & Piece)
   | ({
     /**
      * A table of owners that a keeper has written: what differs from the table
--- a/packages/gateway/src/peer_message_check.ts
+++ b/packages/gateway/src/peer_message_check.ts
@@ -31,6 +31,8 @@
     case "targets":
       return Number.isInteger(message.base) && Number.isInteger(message.end) &&
         Number.isFinite(message.ageMs) && Array.isArray(message.records);
+    case "configuration":
+      return Number.isInteger(message.end) && isPiece(message);
     case "owners":
       return Number.isInteger(message.part) &&
         Number.isInteger(message.offset) && Number.isInteger(message.since) &&
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -31,6 +31,7 @@
   /** Whether this instance keeps a partition of owners, or is about to. */
   readonly isKeeper: (part: number) => boolean;
   readonly onTargetsRead: (slice: TailSlice) => void;
+  readonly onConfigurationRead: (slice: TailSlice) => void;
   readonly observe: (event: TailEvent) => void;
   readonly reportFault: (message: string) => void;
 }
@@ -81,8 +82,8 @@
  * misses its owner gains nothing by another read. Keepers confirm every 500 ms.
  */
 const OWNERS_CURRENT_MS = 700;
-/** What the keeper has written is on its way for this long at most. */
-const OWNERS_ARRIVAL_MS = 150;
+/** What others have written or read is on its way here for this long at most. */
+const ARRIVAL_MS = 150;
 /**
  * Keepers tell of what they write; a datagram that was lost shows by the next
  * one, by a target that refuses, or after this.
@@ -105,6 +106,8 @@
   readonly #members: PartitionTail;
   readonly #owners = new Map<number, PartitionTail>();
   readonly #signal: AbortSignal;
+  /** Up to where the configuration is said to go, while it may be on its way. */
+  #awaitedEnd = -1;
 
   constructor(options: StoreViewsOptions, signal: AbortSignal) {
     this.#options = options;
@@ -118,10 +121,15 @@
         validMs: this.#options.duties.isCandidate()
           ? 0
           : CONFIGURATION_VALID_MS,
-        maxPauseMs: URGENT_PAUSE_MS,
+        maxPauseMs: this.#options.duties.isCandidate()
+          ? URGENT_PAUSE_MS
+          : OTHER_PAUSE_MS,
       }),
       (key, value) => this.#applyOperatorRecord(key, value),
-      { isNewestOnly: true },
+      {
+        isNewestOnly: true,
+        onRead: (slice) => this.#options.onConfigurationRead(slice),
+      },
     );
     this.#targets = this.#createTail(
       targets,
@@ -157,6 +165,10 @@
     return this.#targets;
   }
 
+  get configurationTail(): PartitionTail {
+    return this.#configuration;
+  }
+
   /** Whether the store does not answer what everybody is to know. */
   get hasLostStore(): boolean {
     return this.#configuration.isLost || this.#targets.isLost;
@@ -174,12 +186,25 @@
   applyConfigurationEnd(end: number, isNewest: boolean): void {
     const known = this.#configuration.end;
     if (end > known) {
-      this.#configuration.scheduleRead();
+      void this.#waitForConfiguration(end);
     } else if (end === known && isNewest) {
       this.#configuration.recordTold(this.#options.clock.readMs());
     }
   }
 
+  /** What has been passed on may be on its way still; then it is read. */
+  async #waitForConfiguration(end: number): Promise<void> {
+    if (end <= this.#awaitedEnd) {
+      return;
+    }
+    this.#awaitedEnd = end;
+    await this.#options.clock.sleep(ARRIVAL_MS, this.#signal);
+    if (this.#configuration.end < end) {
+      this.#configuration.scheduleRead();
+    }
+    this.#awaitedEnd = -1;
+  }
+
   /** An instance is heard of that no record here names. */
   readMembers(): void {
     this.#members.scheduleRead();
@@ -195,7 +220,7 @@
       tail.recordTold(this.#options.clock.readMs());
       return;
     }
-    void this.#options.clock.sleep(OWNERS_ARRIVAL_MS, this.#signal)
+    void this.#options.clock.sleep(ARRIVAL_MS, this.#signal)
       .then(() => {
         if (tail.end < end) {
           tail.scheduleRead();
--- a/packages/gateway/src/store_views_test.ts
+++ b/packages/gateway/src/store_views_test.ts
@@ -41,6 +41,8 @@
 /** A change must be in force this long after the store is back. */
 const APPLY_MS = 2_000;
 
+/** Whoever tells of a version is heard before it has come in pieces. */
+const ON_ITS_WAY_MS = 60;
 /** A call that nothing answers fails this long after the time that it may wait. */
 const CALL_TIMEOUT_MS = 700;
 /** An instance whose connections fell silent has to be right this long after. */
@@ -114,6 +116,7 @@
       onConfiguration: () => undefined,
       isKeeper: () => false,
       onTargetsRead: () => undefined,
+      onConfigurationRead: () => undefined,
       observe: () => undefined,
       reportFault,
     }, new AbortController().signal);
@@ -136,6 +139,22 @@
     this.#configurationEnd++;
   }
 
+  /** Another instance passes on the newest record. */
+  forwardNewest(): void {
+    const base = this.#configurationEnd - 1;
+    const records = this.store.listRecords(PLACES.configuration)
+      .filter(({ offset }) => offset === base);
+    void this.clock.sleep(ON_ITS_WAY_MS).then(() =>
+      this.views.configurationTail.applySlice({
+        base,
+        end: base + 1,
+        ageMs: 0,
+        sinceOutageMs: null,
+        records,
+      })
+    );
+  }
+
   /** Operators evacuate a data centre, or restore it. */
   writeEvacuation(dataCentre: string, isEvacuated: boolean): void {
     const value = isEvacuated ? "{}" : "";
@@ -206,6 +225,18 @@
   assert.equal(reader.countReads("configuration"), 1);
 });
 
+test("a version that is passed on is not read", async () => {
+  const reader = new Reader();
+  await reader.advance(3_000, { ownersEnd: 0 });
+  reader.reads.length = 0;
+  reader.version = 2;
+  reader.write();
+  reader.forwardNewest();
+  await reader.advance(1_000, { ownersEnd: 0 });
+  assert.equal(reader.inForce, 2);
+  assert.equal(reader.countReads("configuration"), 0);
+});
+
 test("an instance that hears nobody follows the configuration itself", async () => {
   // Its datagrams are lost, its path to the store is whole. A change must be in
   // force within 2 s all the same.
--- a/packages/gateway/src/table_relay_test.ts
+++ b/packages/gateway/src/table_relay_test.ts
@@ -12,6 +12,7 @@
 } from "@lentilspur/ownership/key_table";
 import type { Partition, StoreRecord } from "@lentilspur/ports/store";
 import { FakeStore } from "@lentilspur/ports/fake_store";
+import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Duties } from "./duties.ts";
 import { KeyDirectory } from "./key_directory.ts";
@@ -27,7 +28,7 @@
   readonly getTail: () => PartitionTail | undefined;
   readonly send: (message: PeerMessage) => boolean;
 }): ViewRelay {
-  const self = createMember("one");
+  const self = createMember("one", { cores: 2 });
   const all = [self, createMember("two")];
   const members = createMembers(self, all, clock.readMs());
   return new ViewRelay({
@@ -37,6 +38,7 @@
     duties: new Duties({ clock, self, members, hasLostStore: () => false }),
     findMember: (name) => members.get(name),
     getTargetsTail: () => getTail()!,
+    getConfigurationTail: () => getTail()!,
     getOwnersTail: getTail,
     // To nobody nothing is sent.
     send: (to, message) => to.length === 0 || send(message),
@@ -272,3 +274,45 @@
     table = next;
   }
 });
+
+test("a configuration reaches the others in pieces, and is taken over whole", async () => {
+  const clock = new VirtualClock();
+  const store = new FakeStore(clock);
+  const partition = { topic: "configuration", part: 0 };
+  const sent: PeerMessage[] = [];
+  const tails: PartitionTail[] = [];
+  const relay = createRelay({
+    clock,
+    directory: new KeyDirectory(),
+    getTail: () => tails[0],
+    send: (message) => sent.push(message) > 0,
+  });
+  store.write(partition, "newest", "first");
+  const applied: StoreRecord[] = [];
+  const tail = createOwnersTail({
+    clock,
+    store,
+    partition,
+    apply: (record) => applied.push(record),
+  });
+  tails.push(tail);
+  void tail.run(new AbortController().signal);
+  await clock.advance(500);
+  const random = new SeededRandom(3);
+  const value = Array.from({ length: 4_000 }, () => random.draw().toString(36))
+    .join("").slice(0, 5_000);
+  const records = [{ offset: 1, key: "newest", value }];
+  const slice = { base: 1, end: 2, ageMs: 0, sinceOutageMs: null, records };
+  relay.sendConfiguration(slice);
+  assert.ok(sent.length > 2, `${sent.length} pieces`);
+  const pieces = sent.flatMap((message) =>
+    message.kind === "configuration" ? [message] : []
+  );
+  pieces.slice(1).toReversed().forEach((one) => relay.applyConfiguration(one));
+  assert.equal(tail.end, 1, "a piece is missing");
+  relay.applyConfiguration(pieces[0]!);
+  assert.equal(tail.end, 2);
+  assert.equal(applied.at(-1)?.value, value);
+  relay.applyConfiguration({ ...pieces[0]!, pieces: 1, end: 9 });
+  assert.equal(tail.end, 2, "cut text changes nothing");
+});
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -1,6 +1,6 @@
 /**
- * Spares the store most reads: one instance follows the targets' entries for
- * all, and the keeper of a partition of owners passes on what it has written.
+ * Spares the store most reads: one instance follows the targets' entries and the
+ * configuration for all, and the keeper of a partition of owners passes on what it has written.
  * Both tell those that are near and one in each other data centre, which tells
  * the rest there.
  *
@@ -32,6 +32,7 @@
 import type { PeerMessage } from "./peer_message.ts";
 
 type TargetsMessage = PeerMessage & { readonly kind: "targets" };
+type ConfigurationMessage = PeerMessage & { readonly kind: "configuration" };
 type OwnersMessage = PeerMessage & { readonly kind: "owners" };
 
 export interface ViewRelayOptions {
@@ -41,6 +42,7 @@
   readonly duties: Duties;
   readonly findMember: (instance: string) => Member | undefined;
   readonly getTargetsTail: () => PartitionTail;
+  readonly getConfigurationTail: () => PartitionTail;
   readonly getOwnersTail: (part: number) => PartitionTail | undefined;
   /** False where the message is too long for a datagram; nothing is sent then. */
   readonly send: (to: readonly Member[], message: PeerMessage) => boolean;
@@ -98,6 +100,36 @@
     this.#options.getTargetsTail().applySlice(message);
   }
 
+  /** Passes on a change of the configuration, where it fits into datagrams. */
+  sendConfiguration({ base, end, records }: TailSlice): void {
+    const { duties, instance: from } = this.#options;
+    if (records.length === 0 || !duties.isReader()) {
+      return;
+    }
+    const texts = encodeValue({ base, records }) ?? [];
+    for (const [piece, text] of texts.entries()) {
+      const pieces = texts.length;
+      const message = { kind: "configuration", from, end, text, piece, pieces };
+      this.#sendToAll(message as ConfigurationMessage);
+    }
+  }
+
+  applyConfiguration(message: ConfigurationMessage): void {
+    this.#forward(message);
+    const tail = this.#options.getConfigurationTail();
+    const { from, end } = message;
+    if (end <= tail.end) {
+      return;
+    }
+    const packed = this.#joiner.add(`configuration of ${from}`, end, message);
+    const slice = packed === undefined
+      ? undefined
+      : toRecords(decodeValue(packed));
+    if (slice !== undefined) {
+      tail.applySlice({ ...slice, end, ageMs: 0, sinceOutageMs: null });
+    }
+  }
+
   /** Tells every instance what this keeper has written, or to read it itself. */
   sendTable(written: WrittenTable): void {
     const { part, service, offset, before, after } = written;
@@ -207,6 +239,15 @@
   }
 }
 
+function toRecords(
+  value: unknown,
+): Pick<TailSlice, "base" | "records"> | undefined {
+  const { base, records } = (value ?? {}) as Partial<TailSlice>;
+  return Number.isInteger(base) && Array.isArray(records)
+    ? { base: base!, records }
+    : undefined;
+}
+
 /** Stands for what is to be read instead. */
 const UNTOLD = "";
 
