feat(gateway): fetch a missed table of owners from its keeper

Cause: tables are told by their difference. Whoever misses one datagram reads the table from the store, and these could not until it answered them again.

A target still refuses what it does not hold: the table is a hint, as its differences are.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -42,6 +42,7 @@
 import { type StopTiming, waitUntilQuiet } from "./stop_timing.ts";
 import { StoreViews } from "./store_views.ts";
 import { SuspensionGuard } from "./suspension_guard.ts";
+import { TableRequests } from "./table_requests.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetTurns } from "./target_turns.ts";
 import { ViewRelay } from "./view_relay.ts";
@@ -78,6 +79,7 @@
   readonly #server: RequestServer;
   readonly #keepers: KeeperService;
   readonly #relay: ViewRelay;
+  readonly #tables: TableRequests;
   readonly #accounts: AccountGate;
   readonly #demands: AccountDemands;
   readonly #peers: PeerExchange;
@@ -136,6 +138,7 @@
     this.#peers = this.#createPeers();
     this.#loads = this.#createLoads();
     this.#relay = this.#createRelay();
+    this.#tables = this.#createTables();
     this.#keyTraffic = this.#createKeyTraffic();
     this.#demands = this.#createDemands();
     this.#status = this.#createStatus();
@@ -152,6 +155,7 @@
       quarantine: this.#quarantine,
       limits: this.#limits,
       turns: this.#turns,
+      tables: this.#tables,
       reportFault: (message) => this.#report.reportFault(message),
     });
     this.#ready = new SideServer((path) => this.#status.answer(path));
@@ -261,6 +265,8 @@
           ({ key, value }) =>
             this.#catalogue.isNews(key, value, this.#options.clock.readMs()),
         ),
+      fetchTable: (part, keeper, end) =>
+        void this.#tables.fetch(part, keeper, end),
       onConfigurationRead: (slice) => this.#relay.sendConfiguration(slice),
       observe: (event) => this.#report.observeTail(event),
       reportFault: (message) => this.#report.reportFault(message),
@@ -535,10 +541,36 @@
       getTargetsTail: () => this.#views.targetsTail,
       getConfigurationTail: () => this.#views.configurationTail,
       getOwnersTail: (part) => this.#views.getOwnersTail(part),
+      fetchTable: (part, keeper, end) =>
+        void this.#tables.fetch(part, keeper, end),
       send: (members, message) => this.#peers.send(members, message),
     });
   }
 
+  #createTables(): TableRequests {
+    const { settings, clock } = this.#options;
+    return new TableRequests({
+      clock,
+      instance: settings.instance,
+      directory: this.#directory,
+      findMember: (name) => this.#members.get(name),
+      getOwnersTail: (part) => this.#views.getOwnersTail(part),
+      getTableEnd: (part) =>
+        this.#keepers.isKeeper(part)
+          ? this.#relay.getTableEnd(part)
+          : undefined,
+      listServices: (part) => this.#listKeyedServices(part),
+      send: (members, message) => this.#peers.send(members, message),
+    });
+  }
+
+  #listKeyedServices(part: number): readonly string[] {
+    const services = [...this.#catalogue.table?.services.values() ?? []];
+    return services
+      .filter(({ name, keyed }) => keyed && this.#choosePart(name) === part)
+      .map(({ name }) => name);
+  }
+
   #createDemands(): AccountDemands {
     return new AccountDemands({
       clock: this.#options.clock,
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/partition_relay_test.ts
@@ -115,6 +115,7 @@
       getTargetsTail: () => this.tails.get(name)!,
       getConfigurationTail: () => this.tails.get(name)!,
       getOwnersTail: () => undefined,
+      fetchTable: () => undefined,
       send: (to, message) => this.#transfer(name, to, message),
     });
   }
--- a/packages/gateway/src/peer_dispatch.ts
+++ b/packages/gateway/src/peer_dispatch.ts
@@ -9,6 +9,7 @@
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { StoreViews } from "./store_views.ts";
+import type { TableRequests } from "./table_requests.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetTurns } from "./target_turns.ts";
 import type { ViewRelay } from "./view_relay.ts";
@@ -28,6 +29,7 @@
   readonly quarantine: RequestQuarantine;
   readonly limits: TargetLimits;
   readonly turns: TargetTurns;
+  readonly tables: TableRequests;
   readonly reportFault: (message: string) => void;
 }
 
@@ -40,7 +42,7 @@
 
   handle(message: PeerMessage): void {
     const { clock, members, loads, relay, keyTraffic, demands } = this.#options;
-    const { keepers, quarantine, limits, turns } = this.#options;
+    const { keepers, quarantine, limits, turns, tables } = this.#options;
     members.recordHeard(message.from, clock.readMs());
     switch (message.kind) {
       case "load":
@@ -65,6 +67,12 @@
       case "owners":
         relay.applyTable(message);
         return;
+      case "table-request":
+        tables.answer(message);
+        return;
+      case "table":
+        tables.apply(message);
+        return;
       case "granted":
         relay.applyGranted(message);
         return;
@@ -106,7 +114,7 @@
       this.#hasNewest(from),
     );
     for (const [part, end] of standing.ends) {
-      views.applyOwnersEnd(part, end);
+      views.applyOwnersEnd(part, end, from);
     }
   }
 
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peer_message.ts
@@ -78,6 +78,21 @@
     readonly since: number;
     readonly service: string;
   } & Piece)
+  | {
+    /** Asks the keeper of a partition of owners for its tables. */
+    readonly kind: "table-request";
+    readonly from: string;
+    readonly part: number;
+  }
+  | ({
+    /** A whole table of owners, packed, for whoever has asked for it. */
+    readonly kind: "table";
+    readonly from: string;
+    readonly part: number;
+    /** Of its record, or of a later one that changes nothing of it. */
+    readonly offset: number;
+    readonly service: string;
+  } & Piece)
   | {
     /** Ranges that have reached their new owners; a record says so later. */
     readonly kind: "granted";
--- a/packages/gateway/src/peer_message_check.ts
+++ b/packages/gateway/src/peer_message_check.ts
@@ -37,6 +37,12 @@
       return Number.isInteger(message.part) &&
         Number.isInteger(message.offset) && Number.isInteger(message.since) &&
         typeof message.service === "string" && isPiece(message);
+    case "table-request":
+      return Number.isInteger(message.part);
+    case "table":
+      return Number.isInteger(message.part) &&
+        Number.isInteger(message.offset) &&
+        typeof message.service === "string" && isPiece(message);
     case "granted":
       return typeof message.service === "string" &&
         Array.isArray(message.ranges);
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/store_views.ts
@@ -32,6 +32,8 @@
   readonly isKeeper: (part: number) => boolean;
   readonly onTargetsRead: (slice: TailSlice) => void;
   readonly onConfigurationRead: (slice: TailSlice) => void;
+  /** Tables up to `end` were missed, which the keeper has. */
+  readonly fetchTable: (part: number, keeper: string, end: number) => void;
   readonly observe: (event: TailEvent) => void;
   readonly reportFault: (message: string) => void;
 }
@@ -211,7 +213,7 @@
   }
 
   /** The keeper of a partition of owners says where it ends. */
-  applyOwnersEnd(part: number, end: number): void {
+  applyOwnersEnd(part: number, end: number, keeper: string): void {
     const tail = this.#owners.get(part);
     if (tail === undefined || this.#options.isKeeper(part)) {
       return;
@@ -223,7 +225,7 @@
     void this.#options.clock.sleep(ARRIVAL_MS, this.#signal)
       .then(() => {
         if (tail.end < end) {
-          tail.scheduleRead();
+          this.#options.fetchTable(part, keeper, end);
         }
       });
   }
--- a/packages/gateway/src/store_views_test.ts
+++ b/packages/gateway/src/store_views_test.ts
@@ -117,6 +117,7 @@
       isKeeper: () => false,
       onTargetsRead: () => undefined,
       onConfigurationRead: () => undefined,
+      fetchTable: (part) => this.views.getOwnersTail(part)?.scheduleRead(),
       observe: () => undefined,
       reportFault,
     }, new AbortController().signal);
@@ -179,7 +180,7 @@
         this.#members.recordStore(instance, false, this.clock.readMs());
       }
       this.views.applyConfigurationEnd(this.#configurationEnd, true);
-      this.views.applyOwnersEnd(OWNERS_PART, ownersEnd);
+      this.views.applyOwnersEnd(OWNERS_PART, ownersEnd, "strong-0");
       await this.clock.advance(everyMs);
     }
   }
--- a/packages/gateway/src/table_relay_test.ts
+++ b/packages/gateway/src/table_relay_test.ts
@@ -39,6 +39,7 @@
     findMember: (name) => members.get(name),
     getTargetsTail: () => getTail()!,
     getConfigurationTail: () => getTail()!,
+    fetchTable: () => getTail()!.scheduleRead(),
     getOwnersTail: getTail,
     // To nobody nothing is sent.
     send: (to, message) => to.length === 0 || send(message),
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/view_relay.ts
@@ -45,6 +45,8 @@
   readonly getConfigurationTail: () => PartitionTail;
   readonly getOwnersTail: (part: number) => PartitionTail | undefined;
   /** False where the message is too long for a datagram; nothing is sent then. */
+  /** Tables up to `end` were missed, which the keeper has. */
+  readonly fetchTable: (part: number, keeper: string, end: number) => void;
   readonly send: (to: readonly Member[], message: PeerMessage) => boolean;
 }
 
@@ -206,6 +208,18 @@
     }
   }
 
+  /** Word of a claim alone says nothing of tables. */
+  #handleMissed(
+    { from, part, service, offset }: OwnersMessage,
+    tail: PartitionTail,
+  ): void {
+    if (service === "") {
+      tail.scheduleRead();
+    } else {
+      this.#options.fetchTable(part, from, offset + 1);
+    }
+  }
+
   applyTable(message: OwnersMessage): void {
     this.#forward(message);
     const { directory, getOwnersTail } = this.#options;
@@ -222,7 +236,7 @@
     const patch = decodeValue(packed) as readonly OwnedRange[] | undefined;
     const before = directory.getTable(service);
     if (patch === undefined || before === undefined || tail.end < since) {
-      tail.scheduleRead();
+      this.#handleMissed(message, tail);
       return;
     }
     directory.setTable(service, applyTablePatch(before, patch), {
