--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -10,6 +10,7 @@
   PUBLICATIONS,
   TARGETS,
 } from "@lentilspur/platform/declared_adapter";
+import { encodeTarget } from "@lentilspur/platform/target_format";
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import type { Store } from "@lentilspur/ports/store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
@@ -34,15 +35,16 @@
   }
 
   addTarget(id: string, dataCentre: string): void {
-    const info = {
+    const entry = encodeTarget({
+      address: "10.0.0.1:80",
+      sequence: 1,
       service: "ledger",
-      version: "1",
-      zone: dataCentre,
-      slots: 2,
-    };
-    const status = { state: "ready", sequence: 1, cold_remaining: "0ms" };
-    const entry = { address: "10.0.0.1:80", server_info: info, status };
-    this.store.write(TARGETS, id, JSON.stringify(entry));
+      dataCentre,
+      places: 2,
+      leaving: false,
+      coldMs: 0,
+    });
+    this.store.write(TARGETS, id, entry);
   }
 
   addMember(instance: string): void {
