--- a/packages/cli/src/commands/owner.ts
+++ b/packages/cli/src/commands/owner.ts
@@ -1,5 +1,5 @@
 /** `lentilspur owner TEMPLATE KEY`: who owns a key now. */
-import { hashPathKey } from "@lentilspur/gateway/path_key";
+import { hashPathKey } from "@lentilspur/gateway/requests/path_key";
 import type { OwnedRange } from "@lentilspur/ownership/key_table";
 import { command, number, option, positional, string } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
--- a/packages/cli/src/declared_instance.ts
+++ b/packages/cli/src/declared_instance.ts
@@ -2,9 +2,9 @@
 import { randomUUID } from "node:crypto";
 import process from "node:process";
 import { decodePublishedRouting } from "@lentilspur/declarations/publication";
-import { readDeclaredFields } from "@lentilspur/gateway/declared_fields";
+import { readDeclaredFields } from "@lentilspur/gateway/entry/declared_fields";
 import { Instance } from "@lentilspur/gateway/instance";
-import { resolveStopTiming } from "@lentilspur/gateway/stop_timing";
+import { resolveStopTiming } from "@lentilspur/gateway/entry/stop_timing";
 import { createAdapter } from "@lentilspur/platform/adapter";
 import { createDeclaredAdapter } from "@lentilspur/platform/declared_adapter";
 import { SystemClock } from "@lentilspur/ports/system_clock";
--- a/packages/cli/src/in_force.ts
+++ b/packages/cli/src/in_force.ts
@@ -1,6 +1,6 @@
 /** Where a version is in force: every member instance asked directly. */
 import { formatDuration } from "@lentilspur/declarations/units";
-import type { Member } from "@lentilspur/gateway/members";
+import type { Member } from "@lentilspur/gateway/members/members";
 import type { Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import type {
--- a/packages/cli/src/operator_commands_test.ts
+++ b/packages/cli/src/operator_commands_test.ts
@@ -2,7 +2,7 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { test } from "node:test";
-import { choosePart } from "@lentilspur/gateway/service_part";
+import { choosePart } from "@lentilspur/gateway/keeper/service_part";
 import { formatTableKey } from "@lentilspur/ownership/keeper_records";
 import { createTable, serializeTable } from "@lentilspur/ownership/key_table";
 import { OWNERS_TOPIC } from "@lentilspur/platform/declared_adapter";
--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -5,7 +5,7 @@
  */
 import type { ResolvedGatewaySettings } from "@lentilspur/gateway/gateway_settings";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
-import { MIN_GRACE_MS } from "@lentilspur/gateway/stop_timing";
+import { MIN_GRACE_MS } from "@lentilspur/gateway/entry/stop_timing";
 import {
   getFlagName,
   getVariableName,
--- a/packages/cli/src/store_session.ts
+++ b/packages/cli/src/store_session.ts
@@ -4,8 +4,8 @@
   parsePublication,
   type Publication,
 } from "@lentilspur/declarations/publication";
-import { type Member, parseMember } from "@lentilspur/gateway/members";
-import { choosePart } from "@lentilspur/gateway/service_part";
+import { type Member, parseMember } from "@lentilspur/gateway/members/members";
+import { choosePart } from "@lentilspur/gateway/keeper/service_part";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import {
   findRange,
--- a/packages/cli/src/testing/fake_terminal.ts
+++ b/packages/cli/src/testing/fake_terminal.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { Err, Ok } from "@lentilspur/outcomes/result";
-import { serializeMember } from "@lentilspur/gateway/members";
+import { serializeMember } from "@lentilspur/gateway/members/members";
 import {
   MEMBERS,
   PUBLICATIONS,
--- a/packages/gateway/src/account_demands.ts
+++ b/packages/gateway/src/entry/account_demands.ts
@@ -13,8 +13,8 @@
   OwnDemand,
 } from "@lentilspur/routing/account_limiter";
 import type { AccountGate } from "./account_gate.ts";
-import type { Member } from "./members.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { Member } from "../members/members.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 
 type DemandMessage = PeerMessage & { readonly kind: "demand" };
 
--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -4,14 +4,14 @@
  * its cause.
  */
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
-import type { CatalogueEvent } from "./catalogue.ts";
+import type { CatalogueEvent } from "./views/catalogue.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { KeeperServiceEvent } from "./keeper_service.ts";
+import type { KeeperServiceEvent } from "./keeper/keeper_service.ts";
 import type { LineFields, LineLog, LineWeight } from "./line_log.ts";
-import type { QuarantineEvent } from "./request_quarantine.ts";
-import type { LimitEvent } from "./target_limits.ts";
-import type { TailEvent } from "./partition_tail.ts";
-import type { RequestEvent } from "./request_report.ts";
+import type { QuarantineEvent } from "./requests/request_quarantine.ts";
+import type { LimitEvent } from "./requests/target_limits.ts";
+import type { TailEvent } from "./views/partition_tail.ts";
+import type { RequestEvent } from "./requests/request_report.ts";
 
 export class EventReport {
   readonly #lines: LineLog;
--- a/packages/gateway/src/instance_options.ts
+++ b/packages/gateway/src/instance_options.ts
@@ -9,7 +9,7 @@
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
 import type { Store } from "@lentilspur/ports/store";
-import type { CallerFields } from "./caller_request.ts";
+import type { CallerFields } from "./entry/caller_request.ts";
 import type {
   ResolvedGatewaySettings,
   StorePlaces,
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -1,11 +1,11 @@
 /** What an instance says of itself: whether it is ready, its state, its gauges. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { Catalogue } from "./catalogue.ts";
-import type { Duty } from "./duties.ts";
+import type { Catalogue } from "./views/catalogue.ts";
+import type { Duty } from "./members/duties.ts";
 import type { GatewayGauges } from "./gateway_metrics.ts";
 import type { ResolvedGatewaySettings } from "./gateway_settings.ts";
 import type { LineLog } from "./line_log.ts";
-import type { SideAnswer } from "./side_server.ts";
+import type { SideAnswer } from "./entry/side_server.ts";
 
 export interface InstanceStatusOptions {
   readonly clock: Clock;
--- a/packages/gateway/src/keeper_replay_test.ts
+++ b/packages/gateway/src/keeper/keeper_replay_test.ts
@@ -22,7 +22,7 @@
   };
 }
 
-const DIRECTORY = new URL("../traces/", import.meta.url);
+const DIRECTORY = new URL("../../traces/", import.meta.url);
 /** In a trace, whoever keeps the keys when it begins. */
 const KEEPER = '"KEEPER"';
 const SETTLE_MS = 5_000;
--- a/packages/gateway/src/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -37,8 +37,8 @@
   type KeeperPeersEvent,
 } from "./keeper_peers.ts";
 import { KeeperShare, type KeeperShareEvent } from "./keeper_share.ts";
-import type { PartitionTail } from "./partition_tail.ts";
-import type { WrittenTable } from "./view_relay.ts";
+import type { PartitionTail } from "../views/partition_tail.ts";
+import type { WrittenTable } from "../views/view_relay.ts";
 
 export type KeeperServiceEvent =
   | {
--- a/packages/gateway/src/keeper_world.ts
+++ b/packages/gateway/src/keeper/keeper_world.ts
@@ -10,7 +10,7 @@
 import type { KeeperClaim } from "@lentilspur/ownership/keeper_records";
 import type { KeeperMessage } from "./keeper_peers.ts";
 import { KeeperService, type KeeperServiceEvent } from "./keeper_service.ts";
-import { PartitionTail } from "./partition_tail.ts";
+import { PartitionTail } from "../views/partition_tail.ts";
 
 export const OWNERS_PARTITION = { topic: "owners", part: 0 };
 const SERVICE = "files";
--- a/packages/gateway/src/key_traffic.ts
+++ b/packages/gateway/src/keeper/key_traffic.ts
@@ -9,12 +9,12 @@
 import type { OwnerCandidate } from "@lentilspur/ownership/owner_standing";
 import type { ServiceFacts } from "@lentilspur/ownership/table_planner";
 import { KeyLoad } from "@lentilspur/ownership/key_load";
-import type { Catalogue } from "./catalogue.ts";
+import type { Catalogue } from "../views/catalogue.ts";
 import type { KeeperService } from "./keeper_service.ts";
 import { KeyReport } from "./key_report.ts";
-import type { PeerMessage } from "./peer_message.ts";
-import type { ServiceRegistry } from "./service_registry.ts";
-import type { TargetTurns } from "./target_turns.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
+import type { ServiceRegistry } from "../requests/service_registry.ts";
+import type { TargetTurns } from "../requests/target_turns.ts";
 
 type KeysMessage = PeerMessage & { readonly kind: "keys" };
 
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/peers/load_exchange.ts
@@ -23,7 +23,7 @@
   NO_LOAD,
   removeCounts,
 } from "./load_counts.ts";
-import type { Member, Members } from "./members.ts";
+import type { Member, Members } from "../members/members.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
 import type { PeerOptions } from "./peer_options.ts";
 
--- a/packages/gateway/src/load_exchange_test.ts
+++ b/packages/gateway/src/peers/load_exchange_test.ts
@@ -1,11 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { Duties } from "./duties.ts";
+import { Duties } from "../members/duties.ts";
 import type { LoadCounts } from "./load_counts.ts";
 import { LoadExchange } from "./load_exchange.ts";
-import { createInstances, createMembers } from "./member_sample.ts";
-import type { Member, Members } from "./members.ts";
+import { createInstances, createMembers } from "../members/member_sample.ts";
+import type { Member, Members } from "../members/members.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
 const STANDING = { configurationEnd: 1, hasLostStore: false, ends: [] };
--- a/packages/gateway/src/peer_dispatch.ts
+++ b/packages/gateway/src/peers/peer_dispatch.ts
@@ -1,18 +1,18 @@
 /** Hands what another instance has told to the part of this one that it is for. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { AccountDemands } from "./account_demands.ts";
-import type { Duties } from "./duties.ts";
-import type { KeeperService } from "./keeper_service.ts";
-import type { KeyTraffic } from "./key_traffic.ts";
+import type { AccountDemands } from "../entry/account_demands.ts";
+import type { Duties } from "../members/duties.ts";
+import type { KeeperService } from "../keeper/keeper_service.ts";
+import type { KeyTraffic } from "../keeper/key_traffic.ts";
 import type { LoadExchange } from "./load_exchange.ts";
-import type { Members } from "./members.ts";
+import type { Members } from "../members/members.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
-import type { RequestQuarantine } from "./request_quarantine.ts";
-import type { StoreViews } from "./store_views.ts";
-import type { TableRequests } from "./table_requests.ts";
-import type { TargetLimits } from "./target_limits.ts";
-import type { TargetTurns } from "./target_turns.ts";
-import type { ViewRelay } from "./view_relay.ts";
+import type { RequestQuarantine } from "../requests/request_quarantine.ts";
+import type { StoreViews } from "../views/store_views.ts";
+import type { TableRequests } from "../views/table_requests.ts";
+import type { TargetLimits } from "../requests/target_limits.ts";
+import type { TargetTurns } from "../requests/target_turns.ts";
+import type { ViewRelay } from "../views/view_relay.ts";
 
 type MemberMessage = PeerMessage & { readonly kind: "member" };
 
--- a/packages/gateway/src/peer_exchange.ts
+++ b/packages/gateway/src/peers/peer_exchange.ts
@@ -5,7 +5,7 @@
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "@lentilspur/ports/clock";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
-import type { Member } from "./members.ts";
+import type { Member } from "../members/members.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
 import { isPeerMessage } from "./peer_message_check.ts";
 
--- a/packages/gateway/src/peer_message.ts
+++ b/packages/gateway/src/peers/peer_message.ts
@@ -3,10 +3,10 @@
 import type { QuotaDecision } from "@lentilspur/routing/paced_quota";
 import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
 import type { Piece } from "./datagram_pieces.ts";
-import type { KeeperMessage } from "./keeper_peers.ts";
+import type { KeeperMessage } from "../keeper/keeper_peers.ts";
 import type { LoadCounts } from "./load_counts.ts";
-import type { LimitReport } from "./target_limits.ts";
-import type { TailSlice } from "./partition_tail.ts";
+import type { LimitReport } from "../requests/target_limits.ts";
+import type { TailSlice } from "../views/partition_tail.ts";
 
 /** First and last key, and the token under which they were granted. */
 export type GrantedKeys = readonly [from: number, to: number, token: number];
--- a/packages/gateway/src/peer_options.ts
+++ b/packages/gateway/src/peers/peer_options.ts
@@ -1,7 +1,7 @@
 /** What a part needs that decides or tells something together with other instances. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { Duties } from "./duties.ts";
-import type { Member } from "./members.ts";
+import type { Duties } from "../members/duties.ts";
+import type { Member } from "../members/members.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
 export interface PeerOptions {
--- a/packages/gateway/src/outcome_settler.ts
+++ b/packages/gateway/src/requests/outcome_settler.ts
@@ -8,8 +8,8 @@
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
 import type { SuspectDecision } from "@lentilspur/routing/crash_suspects";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
-import type { FinalAnswer } from "./caller_request.ts";
-import type { Catalogue } from "./catalogue.ts";
+import type { FinalAnswer } from "../entry/caller_request.ts";
+import type { Catalogue } from "../views/catalogue.ts";
 import {
   computeReturnMs,
   createFailure,
--- a/packages/gateway/src/owner_finder.ts
+++ b/packages/gateway/src/requests/owner_finder.ts
@@ -1,7 +1,7 @@
 /** Which target may run a request, where its service is keyed. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { Catalogue, WithdrawalReason } from "./catalogue.ts";
-import type { KeyDirectory } from "./key_directory.ts";
+import type { Catalogue, WithdrawalReason } from "../views/catalogue.ts";
+import type { KeyDirectory } from "../views/key_directory.ts";
 import { type Passage, setRefusal } from "./passage.ts";
 
 export type OwnerLookup =
--- a/packages/gateway/src/passage.ts
+++ b/packages/gateway/src/requests/passage.ts
@@ -1,8 +1,8 @@
 /** One request on its way through an instance, and how its way can end. */
 import type { Route } from "@lentilspur/ports/routing_table";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
-import type { Admission } from "./account_gate.ts";
-import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
+import type { Admission } from "../entry/account_gate.ts";
+import type { CallerRequest, FinalAnswer } from "../entry/caller_request.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 
 /** Of what a caller has left, it waits at most a third before it comes back. */
--- a/packages/gateway/src/request_fingerprint.ts
+++ b/packages/gateway/src/requests/request_fingerprint.ts
@@ -1,7 +1,7 @@
 /** What the attempts of one request have in common: each has an id of its own. */
 import { hash } from "node:crypto";
 import type { Route } from "@lentilspur/ports/routing_table";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../entry/caller_request.ts";
 
 /** 96 bits, in base64url: no two of a year's requests share one by chance. */
 const FINGERPRINT_LENGTH = 16;
--- a/packages/gateway/src/request_fingerprint_test.ts
+++ b/packages/gateway/src/requests/request_fingerprint_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Route } from "@lentilspur/ports/routing_table";
-import type { CallerRequest } from "./caller_request.ts";
+import type { CallerRequest } from "../entry/caller_request.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 
 const REQUEST: CallerRequest = {
--- a/packages/gateway/src/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -15,12 +15,12 @@
 } from "@lentilspur/routing/crash_suspects";
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
-import type { CatalogueEvent } from "./catalogue.ts";
+import type { CatalogueEvent } from "../views/catalogue.ts";
 import { getFingerprint, type Passage } from "./passage.ts";
-import type { PeerMessage } from "./peer_message.ts";
-import type { PeerOptions } from "./peer_options.ts";
-import { splitReports } from "./report_batches.ts";
-import { hashShort } from "./stable_hash.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
+import type { PeerOptions } from "../peers/peer_options.ts";
+import { splitReports } from "../peers/report_batches.ts";
+import { hashShort } from "../members/stable_hash.ts";
 
 type SuspectsMessage = PeerMessage & { readonly kind: "suspects" };
 
--- a/packages/gateway/src/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { FinalAnswer } from "./caller_request.ts";
+import type { FinalAnswer } from "../entry/caller_request.ts";
 import { RequestWorld, type RequestWorldOptions } from "./request_world.ts";
 
 const INSTANCES = ["bole-1", "bole-2", "kirkos-1", "kirkos-2", "yeka-1"];
--- a/packages/gateway/src/request_report.ts
+++ b/packages/gateway/src/requests/request_report.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "@lentilspur/ports/clock";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
-import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
+import type { CallerRequest, FinalAnswer } from "../entry/caller_request.ts";
 import type { OwnerLookup } from "./owner_finder.ts";
 import { getFingerprint, type Passage } from "./passage.ts";
 
--- a/packages/gateway/src/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -14,12 +14,12 @@
   createTable,
   serializeTable,
 } from "@lentilspur/ownership/key_table";
-import { AccountGate } from "./account_gate.ts";
-import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
-import { Catalogue } from "./catalogue.ts";
-import { Duties } from "./duties.ts";
-import { KeyDirectory } from "./key_directory.ts";
-import { createMember, createMembers } from "./member_sample.ts";
+import { AccountGate } from "../entry/account_gate.ts";
+import type { CallerRequest, FinalAnswer } from "../entry/caller_request.ts";
+import { Catalogue } from "../views/catalogue.ts";
+import { Duties } from "../members/duties.ts";
+import { KeyDirectory } from "../views/key_directory.ts";
+import { createMember, createMembers } from "../members/member_sample.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetTurns } from "./target_turns.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
--- a/packages/gateway/src/request_world.ts
+++ b/packages/gateway/src/requests/request_world.ts
@@ -18,15 +18,15 @@
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { formatLife } from "@lentilspur/routing/target_life";
-import { AccountGate } from "./account_gate.ts";
-import type { CallerRequest, FinalAnswer } from "./caller_request.ts";
-import { Catalogue } from "./catalogue.ts";
-import { KeyDirectory } from "./key_directory.ts";
-import { Duties } from "./duties.ts";
-import { createMember, createMembers } from "./member_sample.ts";
-import type { Member, Members } from "./members.ts";
-import type { PeerMessage } from "./peer_message.ts";
-import type { PeerOptions } from "./peer_options.ts";
+import { AccountGate } from "../entry/account_gate.ts";
+import type { CallerRequest, FinalAnswer } from "../entry/caller_request.ts";
+import { Catalogue } from "../views/catalogue.ts";
+import { KeyDirectory } from "../views/key_directory.ts";
+import { Duties } from "../members/duties.ts";
+import { createMember, createMembers } from "../members/member_sample.ts";
+import type { Member, Members } from "../members/members.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
+import type { PeerOptions } from "../peers/peer_options.ts";
 import {
   type QuarantineEvent,
   RequestQuarantine,
--- a/packages/gateway/src/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -14,8 +14,8 @@
 } from "@lentilspur/routing/service_places";
 import { SplitBalance } from "@lentilspur/routing/split_balance";
 import type { TargetLoad } from "@lentilspur/routing/target_load";
-import type { Catalogue } from "./catalogue.ts";
-import type { LoadCounts } from "./load_counts.ts";
+import type { Catalogue } from "../views/catalogue.ts";
+import type { LoadCounts } from "../peers/load_counts.ts";
 
 export interface ServiceRegistryOptions {
   readonly clock: Clock;
--- a/packages/gateway/src/target_limits.ts
+++ b/packages/gateway/src/requests/target_limits.ts
@@ -6,10 +6,10 @@
 import { isServed, type SendOutcome } from "@lentilspur/ports/request_sender";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
-import type { Member } from "./members.ts";
-import type { PeerMessage } from "./peer_message.ts";
-import type { PeerOptions } from "./peer_options.ts";
-import { splitReports } from "./report_batches.ts";
+import type { Member } from "../members/members.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
+import type { PeerOptions } from "../peers/peer_options.ts";
+import { splitReports } from "../peers/report_batches.ts";
 
 type LimitsMessage = PeerMessage & { readonly kind: "limits" };
 
--- a/packages/gateway/src/target_turns.ts
+++ b/packages/gateway/src/requests/target_turns.ts
@@ -14,9 +14,9 @@
   type QuotaDecision,
 } from "@lentilspur/routing/paced_quota";
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
-import type { Member } from "./members.ts";
-import type { PeerMessage } from "./peer_message.ts";
-import type { PeerOptions } from "./peer_options.ts";
+import type { Member } from "../members/members.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
+import type { PeerOptions } from "../peers/peer_options.ts";
 import type { TargetLimits } from "./target_limits.ts";
 
 type QuotaRequest = PeerMessage & { readonly kind: "quota-request" };
--- a/packages/gateway/src/key_directory.ts
+++ b/packages/gateway/src/views/key_directory.ts
@@ -5,7 +5,7 @@
   type KeyTable,
   parseTable,
 } from "@lentilspur/ownership/key_table";
-import type { GrantedKeys } from "./peer_message.ts";
+import type { GrantedKeys } from "../peers/peer_message.ts";
 
 export type KeyOwner =
   | { readonly kind: "owned"; readonly owner: Holder; readonly offset: number }
--- a/packages/gateway/src/partition_relay_test.ts
+++ b/packages/gateway/src/views/partition_relay_test.ts
@@ -2,12 +2,12 @@
 import { test } from "node:test";
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { Duties } from "./duties.ts";
+import { Duties } from "../members/duties.ts";
 import { KeyDirectory } from "./key_directory.ts";
-import { createMember, createMembers } from "./member_sample.ts";
-import type { Member, Members } from "./members.ts";
+import { createMember, createMembers } from "../members/member_sample.ts";
+import type { Member, Members } from "../members/members.ts";
 import { PartitionTail } from "./partition_tail.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 import { ViewRelay } from "./view_relay.ts";
 
 const PARTITION = { topic: "targets", part: 0 };
--- a/packages/gateway/src/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -7,10 +7,10 @@
   WITNESSES_KEY,
 } from "@lentilspur/ownership/keeper_records";
 import { type Catalogue, RETURN_GRACE_MS } from "./catalogue.ts";
-import type { StorePlaces } from "./gateway_settings.ts";
+import type { StorePlaces } from "../gateway_settings.ts";
 import type { KeyDirectory } from "./key_directory.ts";
-import type { Duties } from "./duties.ts";
-import type { Members } from "./members.ts";
+import type { Duties } from "../members/duties.ts";
+import type { Members } from "../members/members.ts";
 import {
   PartitionTail,
   type PartitionTailOptions,
--- a/packages/gateway/src/store_views_test.ts
+++ b/packages/gateway/src/views/store_views_test.ts
@@ -14,11 +14,15 @@
 } from "@lentilspur/ports/routing_table";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Catalogue } from "./catalogue.ts";
-import { Duties } from "./duties.ts";
-import type { StorePlaces } from "./gateway_settings.ts";
+import { Duties } from "../members/duties.ts";
+import type { StorePlaces } from "../gateway_settings.ts";
 import { KeyDirectory } from "./key_directory.ts";
-import { createMember, createMembers } from "./member_sample.ts";
-import { type Member, type Members, serializeMember } from "./members.ts";
+import { createMember, createMembers } from "../members/member_sample.ts";
+import {
+  type Member,
+  type Members,
+  serializeMember,
+} from "../members/members.ts";
 import { StoreViews } from "./store_views.ts";
 
 const PLACES: StorePlaces = {
--- a/packages/gateway/src/table_relay_test.ts
+++ b/packages/gateway/src/views/table_relay_test.ts
@@ -14,11 +14,11 @@
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { Duties } from "./duties.ts";
+import { Duties } from "../members/duties.ts";
 import { KeyDirectory } from "./key_directory.ts";
-import { createMember, createMembers } from "./member_sample.ts";
+import { createMember, createMembers } from "../members/member_sample.ts";
 import { PartitionTail } from "./partition_tail.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 import { ViewRelay } from "./view_relay.ts";
 
 /** The relay of one of two instances. */
--- a/packages/gateway/src/table_requests.ts
+++ b/packages/gateway/src/views/table_requests.ts
@@ -10,11 +10,15 @@
 import type { StoreRecord } from "@lentilspur/ports/store";
 import { KEEPER_KEY } from "@lentilspur/ownership/keeper_records";
 import { parseTable, serializeTable } from "@lentilspur/ownership/key_table";
-import { decodeValue, encodeValue, PieceJoiner } from "./datagram_pieces.ts";
+import {
+  decodeValue,
+  encodeValue,
+  PieceJoiner,
+} from "../peers/datagram_pieces.ts";
 import type { KeyDirectory } from "./key_directory.ts";
-import type { Member } from "./members.ts";
+import type { Member } from "../members/members.ts";
 import type { PartitionTail } from "./partition_tail.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 
 type TableRequest = PeerMessage & { readonly kind: "table-request" };
 type TableMessage = PeerMessage & { readonly kind: "table" };
--- a/packages/gateway/src/table_requests_test.ts
+++ b/packages/gateway/src/views/table_requests_test.ts
@@ -8,9 +8,9 @@
 import { FakeStore } from "@lentilspur/ports/fake_store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { KeyDirectory } from "./key_directory.ts";
-import { createMember } from "./member_sample.ts";
+import { createMember } from "../members/member_sample.ts";
 import { PartitionTail } from "./partition_tail.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 import { TableRequests } from "./table_requests.ts";
 
 const PARTITION = { topic: "owners", part: 0 };
--- a/packages/gateway/src/view_relay.ts
+++ b/packages/gateway/src/views/view_relay.ts
@@ -24,12 +24,12 @@
   encodeValue,
   MAX_PIECE,
   PieceJoiner,
-} from "./datagram_pieces.ts";
-import type { Duties } from "./duties.ts";
+} from "../peers/datagram_pieces.ts";
+import type { Duties } from "../members/duties.ts";
 import type { KeyDirectory } from "./key_directory.ts";
-import type { Member } from "./members.ts";
+import type { Member } from "../members/members.ts";
 import type { PartitionTail, TailSlice } from "./partition_tail.ts";
-import type { PeerMessage } from "./peer_message.ts";
+import type { PeerMessage } from "../peers/peer_message.ts";
 
 type TargetsMessage = PeerMessage & { readonly kind: "targets" };
 type ConfigurationMessage = PeerMessage & { readonly kind: "configuration" };
--- a/packages/trials/src/measure/ownership_measurement.ts
+++ b/packages/trials/src/measure/ownership_measurement.ts
@@ -1,5 +1,5 @@
 /** How long keys are without an owner after a loss, in virtual time. */
-import { KeeperWorld } from "@lentilspur/gateway/keeper_world";
+import { KeeperWorld } from "@lentilspur/gateway/keeper/keeper_world";
 import type { MeasuredTable } from "./measured_table.ts";
 
 const TARGETS = ["a", "b", "c", "d"];
