refactor: break the two circles of imports

What a request on a connection is, and what instances tell of a target's limit, stand in modules of their own, which both sides of each circle read.

--- a/packages/gateway/src/peers/peer_message.ts
+++ b/packages/gateway/src/peers/peer_message.ts
@@ -5,7 +5,7 @@
 import type { Piece } from "./datagram_pieces.ts";
 import type { KeeperMessage } from "../keeper/keeper_peers.ts";
 import type { LoadCounts } from "./load_counts.ts";
-import type { LimitReport } from "../requests/target_limits.ts";
+import type { LimitReport } from "../requests/limit_report.ts";
 import type { TailSlice } from "../views/partition_tail.ts";
 
 /** First and last key, and the token under which they were granted. */
--- a/packages/gateway/src/peers/peer_message_check.ts
+++ b/packages/gateway/src/peers/peer_message_check.ts
@@ -3,7 +3,7 @@
 import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
 import type { Piece } from "./datagram_pieces.ts";
 import type { PeerMessage, PeerStanding } from "./peer_message.ts";
-import type { LimitReport } from "../requests/target_limits.ts";
+import type { LimitReport } from "../requests/limit_report.ts";
 
 export function isPeerMessage(
   message: PeerMessage | null,
--- a/packages/gateway/src/requests/target_limits.ts
+++ b/packages/gateway/src/requests/target_limits.ts
@@ -7,22 +7,13 @@
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
 import type { Member } from "../members/members.ts";
+import type { LimitReport } from "./limit_report.ts";
 import type { PeerMessage } from "../peers/peer_message.ts";
 import type { PeerOptions } from "../peers/peer_options.ts";
 import { splitReports } from "../peers/report_batches.ts";
 
 type LimitsMessage = PeerMessage & { readonly kind: "limits" };
 
-/** What instances tell each other of one target's limit. */
-export interface LimitReport {
-  /** Of `formatLife`. */
-  readonly life: string;
-  /** Requests a second; null where it names none any more. */
-  readonly perSecond: number | null;
-  /** Since it said so, in milliseconds. */
-  readonly ageMs: number;
-}
-
 export interface LimitEvent {
   readonly kind: "target-limit";
   readonly targetId: string;
--- a/packages/transport/src/answer_collector.ts
+++ b/packages/transport/src/answer_collector.ts
@@ -1,7 +1,7 @@
 /** Gathers one HTTP answer and tells a whole one from a cut one. */
 import type { Dispatcher } from "undici";
 import type { HeaderField } from "@lentilspur/ports/header_field";
-import type { HttpAnswer, HttpRequest, SendCause } from "./http_connection.ts";
+import type { HttpAnswer, HttpRequest, SendCause } from "./http_exchange.ts";
 
 export type Ending =
   | {
--- a/packages/transport/src/connection_pool.ts
+++ b/packages/transport/src/connection_pool.ts
@@ -5,13 +5,11 @@
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
-  type HttpAnswer,
   HttpConnection,
-  type HttpRequest,
   openConnection,
   type OpenFailure,
-  type SendFailure,
 } from "./http_connection.ts";
+import type { HttpAnswer, HttpRequest, SendFailure } from "./http_exchange.ts";
 
 export interface PoolOptions {
   readonly clock: Clock;
--- a/packages/transport/src/http_connection_test.ts
+++ b/packages/transport/src/http_connection_test.ts
@@ -2,7 +2,8 @@
 import { createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { SystemClock } from "@lentilspur/ports/system_clock";
-import { type HttpAnswer, openConnection } from "./http_connection.ts";
+import { openConnection } from "./http_connection.ts";
+import type { HttpAnswer } from "./http_exchange.ts";
 
 const HALF = "HTTP/1.1 200 OK\r\nx-echo: 1\r\n\r\nhalf of it";
 
--- a/packages/transport/src/session_pool.ts
+++ b/packages/transport/src/session_pool.ts
@@ -13,7 +13,7 @@
   type PoolFailure,
   type PoolOptions,
 } from "./connection_pool.ts";
-import type { HttpAnswer, HttpRequest } from "./http_connection.ts";
+import type { HttpAnswer, HttpRequest } from "./http_exchange.ts";
 
 export type SessionFailure =
   | PoolFailure
