fix(gateway): learn of starts that end an earlier keeper

Sight first: a keeper writes whom it waits for (`keeper-waits`). Traced by that: 59:14 to 59:29 the successor waited 63 s for two earlier keepers as "unknown", both of which had started again 5 s before.

Cause, twice the same: a later start proves that an earlier keeper has ended, and the successor did not know of it. (1) Of its own earlier start it learns by its own record, which it reads a minute later. (2) Others tell of their starts to whom they know; where all start at once, on other ports, nobody is told, and members are read once a minute.

Ruled out: claims that take turns (none came twice after the outage), orders that were lost (releases failed since their target had ended, as they should).

Now an earlier start of this very instance has ended by itself, and a keeper that waits for an unknown one reads the members, at most every 2 s. Nothing of the argument for sole ownership changes: both are the proof that was used before.

Tests, each failing before (no move within 30 s): an instance that starts again and cannot reach a holder; a successor that was not told of starts. The world of the tests knew all starts at once until now; it knows what was read now.

--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -80,6 +80,7 @@
         return;
       case "claimed":
       case "claim-failed":
+      case "waits":
       case "record-fault":
       case "pledges-asked":
       case "pledge-answered":
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -375,6 +375,7 @@
       listHeard: () => this.#duties.listSpeakers(),
       isCandidate: () => this.#duties.isCandidate(),
       sendPeer: (name, message) => this.#sendTo(name, message),
+      refreshMembers: () => this.#views.readMembers(),
       hasInstanceEnded: (claim) =>
         this.#members.hasEnded(claim.instance, claim.incarnation),
       observe: (event) => this.#report.observeKeeper(event),
--- a/packages/gateway/src/keeper/earlier_keepers.ts
+++ b/packages/gateway/src/keeper/earlier_keepers.ts
@@ -28,6 +28,15 @@
   endedSeenAtMs: number | undefined;
 }
 
+/** An earlier keeper whose grants may still be in force. */
+export interface AwaitedKeeper {
+  readonly instance: string;
+  readonly incarnation: string;
+  readonly term: number;
+  readonly kind: Predecessor["kind"];
+  readonly leftMs: number;
+}
+
 export interface EarlierKeepersOptions {
   readonly clock: Clock;
   readonly timing: KeeperTiming;
@@ -69,6 +78,20 @@
     }).map(toUnresolved);
   }
 
+  /** Those that are waited for, with what is known of each and for how long. */
+  describeUnresolved(): readonly AwaitedKeeper[] {
+    const { clock, timing } = this.#options;
+    const nowMs = clock.readMs();
+    return this.#keepers.flatMap((keeper) => {
+      const { kind, lastOrderAtMs } = this.#weighKeeper(keeper);
+      const leftMs = computeHoldEndMs(lastOrderAtMs, timing.holdMs) - nowMs;
+      const { instance, incarnation, term } = keeper;
+      return kind === "resigned" || leftMs <= 0
+        ? []
+        : [{ instance, incarnation, term, kind, leftMs: Math.round(leftMs) }];
+    });
+  }
+
   /** All of them, as a claim's record names them. */
   listAll(): readonly UnresolvedKeeper[] {
     return this.#keepers.map(toUnresolved);
@@ -104,10 +127,13 @@
     }));
   }
 
-  /** A later start of its instance is known, or it is an own earlier claim. */
+  /**
+   * It is an earlier claim or an earlier start of this very instance, or a later
+   * start of its instance is known.
+   */
   #hasEnded(keeper: KeeperClaim): boolean {
     const { claim, hasInstanceEnded } = this.#options;
-    return keeper.incarnation === claim.incarnation || hasInstanceEnded(keeper);
+    return keeper.instance === claim.instance || hasInstanceEnded(keeper);
   }
 
   #weighKeeper(keeper: EarlierKeeper): Predecessor {
--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -30,7 +30,7 @@
 } from "@lentilspur/ownership/keeper_standing";
 import type { KeeperTiming } from "@lentilspur/ownership/keeper_timing";
 import type { Holder } from "@lentilspur/ownership/key_table";
-import { EarlierKeepers } from "./earlier_keepers.ts";
+import { type AwaitedKeeper, EarlierKeepers } from "./earlier_keepers.ts";
 import {
   type KeeperMessage,
   KeeperPeers,
@@ -52,6 +52,12 @@
     readonly partition: Partition;
     readonly cause: string;
   }
+  | {
+    /** Earlier keepers that a keeper here waits for have changed. */
+    readonly kind: "waits";
+    readonly part: number;
+    readonly awaited: readonly AwaitedKeeper[];
+  }
   | KeeperShareEvent
   | { readonly kind: "record-fault"; readonly message: string }
   | KeeperPeersEvent
@@ -78,6 +84,8 @@
   readonly getTrustedSinceMs: () => number;
   readonly hasEnded: (holder: Holder) => boolean;
   readonly hasInstanceEnded: (claim: KeeperClaim) => boolean;
+  /** Later starts of instances may not be known here: reads the members. */
+  readonly refreshMembers: () => void;
   /** Whether an instance has been heard of just now. */
   readonly isHeard: (instance: string) => boolean;
   /**
@@ -108,6 +116,8 @@
 const ASK_AFTER_MS = 1_000;
 /** Datagrams that are to be answered go out again after this. */
 const RESEND_MS = 300;
+/** Between two reads of the members by a keeper that waits. */
+const REFRESH_MS = 2_000;
 /** The store has answered this instance within this; it joins every 0.5 s. */
 const STORE_CONTACT_MS = 1_200;
 /** So long a live predecessor has to hand over before it is replaced. */
@@ -122,7 +132,10 @@
   readonly #latest = new Map<number, KeyKeeper>();
   readonly #earlier = new Map<number, EarlierKeepers>();
   readonly #peers: KeeperPeers;
+  /** Whom the keeper of each partition waits for, as last told. */
+  readonly #awaited = new Map<number, string>();
   #sentAtMs = -Infinity;
+  #refreshedAtMs = -Infinity;
 
   constructor(options: KeeperServiceOptions) {
     this.#options = options;
@@ -237,12 +250,38 @@
           this.#listWitnesses(part),
         );
       }
+      this.#reportAwaited(part);
       for (const earlier of this.#earlier.get(part)!.listUnresolved()) {
         this.#peers.sendReplaced(earlier.instance, part, keeper.term);
       }
     }
   }
 
+  /** A later start of whoever is waited for would end the wait. */
+  #readMembers(): void {
+    const nowMs = this.#options.clock.readMs();
+    if (nowMs - this.#refreshedAtMs >= REFRESH_MS) {
+      this.#refreshedAtMs = nowMs;
+      this.#options.refreshMembers();
+    }
+  }
+
+  /** Says whom a keeper here waits for, where that has changed. */
+  #reportAwaited(part: number): void {
+    const awaited = this.#earlier.get(part)!.describeUnresolved();
+    if (awaited.some(({ kind }) => kind === "unknown")) {
+      this.#readMembers();
+    }
+    const names = awaited.map(({ incarnation, kind }) =>
+      `${incarnation} ${kind}`
+    )
+      .join();
+    if (names !== (this.#awaited.get(part) ?? "")) {
+      this.#awaited.set(part, names);
+      this.#options.observe({ kind: "waits", part, awaited });
+    }
+  }
+
   /** Everybody heard of now, and everybody that a record may name. */
   #listWitnesses(part: number): readonly string[] {
     const named = this.#keepers.get(part)?.listNamed() ?? [];
--- a/packages/gateway/src/keeper/keeper_service_test.ts
+++ b/packages/gateway/src/keeper/keeper_service_test.ts
@@ -111,6 +111,36 @@
   assert.deepEqual(world.holders.listOverlaps(), []);
 });
 
+test("an instance that starts again does not wait for its own earlier start", async () => {
+  const world = new KeeperWorld(["a", "b", "c"]);
+  world.start("one");
+  await world.clock.advance(6_000);
+  world.start("one");
+  world.setReach("one", "c", false);
+  world.setCandidates(["a", "b"]);
+  const movedMs = await waitForMove(world, { target: "c", mostMs: 30_000 });
+  assert.ok(movedMs <= 9_000, `moved after ${movedMs} ms`);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+  assert.deepEqual(world.holders.listStaleTokens(), []);
+});
+
+test("a successor learns of starts that it has not been told of", async () => {
+  // All instances are killed and start again while the store is away.
+  const { world, keeper } = await startThree();
+  const names = ["one", "two", "three"];
+  const others = names.filter((name) => name !== keeper);
+  names.forEach((name) => world.store.setMood(name, "silent"));
+  [...others, keeper].forEach((name) => world.start(name));
+  names.forEach((name) => world.setPeers(name, false));
+  names.forEach((name) => world.setReach(name, "c", false));
+  world.setCandidates(["a", "b"]);
+  await world.clock.advance(3_000);
+  others.forEach((name) => world.store.setMood(name, "serving"));
+  const movedMs = await waitForMove(world, { target: "c", mostMs: 30_000 });
+  assert.ok(movedMs <= 12_000, `moved after ${movedMs} ms`);
+  assert.deepEqual(world.holders.listOverlaps(), []);
+});
+
 test("keys are held through a store that is away for 40 s", async () => {
   // Nobody can reach the store, so nobody can claim: all let the keeper go on.
   const { world } = await startThree();
--- a/packages/gateway/src/keeper/keeper_world.ts
+++ b/packages/gateway/src/keeper/keeper_world.ts
@@ -17,6 +17,7 @@
 /** Targets write about once a second, and reads are a little later. */
 const ENTRY_LAG_MS = 1_200;
 const DATAGRAM_MS = 1;
+const READ_MS = 4;
 
 interface RunningInstance {
   readonly incarnation: string;
@@ -58,6 +59,9 @@
       apply: () => undefined,
       observe: () => undefined,
     });
+    // Its own record, and those of others that start later, come by a read.
+    const members = new Map(this.#incarnations);
+    members.delete(instance);
     const service = new KeeperService({
       clock: this.clock,
       store,
@@ -76,8 +80,11 @@
       getTail: () => tail,
       getTrustedSinceMs: () => -Infinity,
       hasEnded: (holder) => this.#gone.has(holder.id),
-      hasInstanceEnded: (claim) =>
-        this.#incarnations.get(claim.instance) !== claim.incarnation,
+      hasInstanceEnded: (claim) => {
+        const known = members.get(claim.instance);
+        return known !== undefined && known !== claim.incarnation;
+      },
+      refreshMembers: () => void this.#readMembers(members),
       isHeard: (name) => this.#hasPath(name, instance),
       listHeard: () => this.#listHeard(instance),
       isCandidate: () => true,
@@ -90,6 +97,13 @@
     void service.run(stop.signal);
   }
 
+  async #readMembers(members: Map<string, string>): Promise<void> {
+    await this.clock.sleep(READ_MS);
+    for (const [instance, incarnation] of this.#incarnations) {
+      members.set(instance, incarnation);
+    }
+  }
+
   /** The process ends at once; what it has sent may still arrive. */
   kill(instance: string): void {
     this.#instances.get(instance)?.stop.abort();
