--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -56,8 +56,8 @@
 /** Without a deadline from the caller, the route's own time is the limit. */
 const NO_DEADLINE_MS = 60_000;
 /**
- * A key without a usable owner is waited for this long: twice what a move takes.
- * A target that was lost leaves its keys without one for seconds.
+ * A key without a usable owner is waited for this long. A target that was lost
+ * leaves its keys without one for seconds.
  */
 const OWNER_WAIT_MS = 300;
 /** A key that is passing to another target is looked up again after this. */
@@ -66,8 +66,7 @@
 const USUAL_MOVE_MS = 200;
 /**
  * An answer that takes this many times what was expected is taken for lost,
- * where the request may be sent again: of the works that are measured here one
- * in 100 takes three to five times the average.
+ * where the request may be sent again. Works have long tails.
  */
 const LOST_FACTOR = 4;
 /** Below this an answer's way and a busy processor count for too much. */
--- a/packages/gateway/src/views/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -62,11 +62,9 @@
 /** A storm of changes every 60 ms is read in a few calls. */
 const CONFIGURATION_GAP_MS = 120;
 /**
- * A leaving target must be seen well within 2 s. Calls have a price: at 500 ms
- * these were a third of all. No read waits at the store for a record: what it
- * says is good from when it was sent, and after a wait of 1 s all those that it
- * is passed on to held it for too old and read themselves, 9 calls a second in
- * place of 1.3 with 20 instances.
+ * A leaving target must be seen well within 2 s. No read waits at the store for a
+ * record: what it says is good from when it was sent, so that those that it is
+ * passed on to would hold it for too old.
  */
 const TARGETS_GAP_MS = 750;
 /** The instance that reads for others is silent for one read: it is replaced. */
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -2,8 +2,8 @@
  * Which keys should change owners, from where the owners are and how busy each
  * key is.
  *
- * Load pattern: a target of 2 places does 15 to 35 lookups a second; a hot
- * spell asks for a hundred a second within one target's range. Keys that move
+ * Load pattern: a hot spell asks for several times what a target can do within
+ * one target's range. Keys that move
  * cost their share of all keys, and a hot spell is narrow: so the narrowest
  * stretch that carries the excess is moved, and what earns little stays.
  */
@@ -41,7 +41,7 @@
 
 /** Of a target with one place, the share that is to be free on average. */
 const CALM_MARGIN = 0.57;
-/** And only if it is this much busier than the average: twice what chance does. */
+/** And only if it is this much busier than the average. */
 const MIN_EXCESS = 1.15;
 /** A key that asks for less than this share of its owner is only busy. */
 const HOT_SHARE = 0.8;
@@ -56,7 +56,7 @@
  * evened out by whole ranges, and idle ranges are merged with their neighbours.
  */
 const MAX_RANGES_PER_TARGET = 10;
-/** Of all targets together: 530 renewals a second by one keeper. */
+/** Of all targets together: one keeper renews them all. */
 const MAX_RANGES = 400;
 
 export interface PlanOptions {
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -57,26 +57,19 @@
 type PlaceWaiter = Waiter<PlaceRequest, Settle>;
 
 /**
- * Requests sent to a target beyond its places. One keeps a place from standing
- * empty for the time of an answer and a next request on the way (3 to 6 ms of a
- * work of 40 to 160 ms), another for what is known late. In the simulation of 12
- * instances at 0.75 of what the targets can do, 94.8 % are in time with one and
- * 97.1 % with two.
+ * Requests sent to a target beyond its places: a place does not stand empty while
+ * an answer and the next request are on their way.
  */
 const SENT_AHEAD = 2;
 /**
  * Where nobody else could run it, the target's own queue may hold more: what
- * others have there is known late, and a place that stands empty meanwhile is
- * lost. On a busy day of 12 instances and 19 owners with one hot key after the
- * other, three, four and five leave 15.2, 11.5 and 9.8 % of requests refused, and
- * 1.4, 1.7 and 2.0 % failed. Beyond that the queue of 8 could overflow, and a
- * target that is full may never answer.
+ * others have there is known late. A target whose queue overflows may never
+ * answer.
  */
 const SENT_AHEAD_TO_OWNER = 5;
 /**
  * A target elsewhere must be better by this share of the work to be preferred:
- * bytes between data centres have a price, and a wait of one work keeps every
- * goal of today's routes (two to three works).
+ * bytes between data centres have a price.
  */
 const REMOTE_SHARE = 1.2;
 /** Where all targets are suspended or unknown, one is expected back after this. */
@@ -87,16 +80,9 @@
 const SILENT_OWNER_WAIT_MS = 250;
 /**
  * How much worse than it looks a target may be taken for: for each instance
- * beyond a dozen that chooses as well, and at most.
- *
- * Load pattern: 39 instances of a data centre choose among 17 targets, and hear
- * of each other's choices 150 ms later. Each takes the one that looks best, the
- * same for all: eleven requests go there before anybody knows, where two can run,
- * and others stand idle. A target that is full then may never answer. With chance
- * in the choice, as much as the other choices that are not known yet, they spread.
- * In the simulation of that, at two thirds of what the targets can do: 83 % in
- * time and 3 % refused without, 93 % and none with it. A dozen instances hear
- * within 40 ms; they gain nothing by it, and lose 2 % at 0.95 with a share of 0.3.
+ * beyond a dozen that chooses as well, and at most. Instances hear of each
+ * other's choices late; without chance all take the target that looks best, and
+ * overfill it before anybody knows.
  */
 const WELL_INFORMED = 12;
 const CHANCE_PER_INSTANCE = 1 / 40;
