--- a/packages/gateway/src/event_report.ts
+++ b/packages/gateway/src/event_report.ts
@@ -4,7 +4,7 @@
  * its cause.
  */
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
-import type { CatalogueEvent } from "./views/catalogue.ts";
+import type { CatalogueEvent } from "./views/catalogue_event.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { KeeperServiceEvent } from "./keeper/keeper_service.ts";
 import type { LineFields, LineLog, LineWeight } from "./line_log.ts";
--- a/packages/gateway/src/requests/owner_finder.ts
+++ b/packages/gateway/src/requests/owner_finder.ts
@@ -1,6 +1,7 @@
 /** Which target may run a request, where its service is keyed. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { Catalogue, WithdrawalReason } from "../views/catalogue.ts";
+import type { Catalogue } from "../views/catalogue.ts";
+import type { WithdrawalReason } from "../views/catalogue_event.ts";
 import type { KeyDirectory } from "../views/key_directory.ts";
 import { type Passage, setRefusal } from "./passage.ts";
 
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -15,7 +15,7 @@
 } from "@lentilspur/routing/crash_suspects";
 import { formatLife, type TargetLife } from "@lentilspur/routing/target_life";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
-import type { CatalogueEvent } from "../views/catalogue.ts";
+import type { CatalogueEvent } from "../views/catalogue_event.ts";
 import { getFingerprint, type Passage } from "./passage.ts";
 import type { PeerMessage } from "../peers/peer_message.ts";
 import type { PeerOptions } from "../peers/peer_options.ts";
--- a/packages/gateway/src/views/catalogue.ts
+++ b/packages/gateway/src/views/catalogue.ts
@@ -20,49 +20,9 @@
   RouteIndex,
 } from "@lentilspur/routing/route_index";
 import type { TargetLife } from "@lentilspur/routing/target_life";
+import type { CatalogueEvent, Withdrawal } from "./catalogue_event.ts";
 import { Evacuations } from "./evacuations.ts";
-
-export type CatalogueEvent =
-  | {
-    readonly kind: "configuration";
-    readonly version: number;
-    readonly routes: number;
-  }
-  | { readonly kind: "configuration-ignored"; readonly why: string }
-  | {
-    readonly kind: "target";
-    readonly targetId: string;
-    readonly service: string;
-    readonly state: "present" | "leaving" | "missing" | "gone";
-  }
-  | {
-    readonly kind: "target-ignored";
-    readonly targetId: string;
-    readonly why: string;
-  }
-  | {
-    /** A target is cold, as it says or as is presumed. */
-    readonly kind: "target-cold";
-    readonly targetId: string;
-    readonly service: string;
-    readonly forMs: number;
-  }
-  | {
-    readonly kind: "evacuation";
-    readonly dataCentre: string;
-    readonly state: "evacuated" | "restored";
-    /** That stand there, as far as known. */
-    readonly targets: number;
-  };
-
-/** Why a target gets no new work. */
-export type WithdrawalReason = "leaving" | "evacuated";
-
-export interface Withdrawal {
-  readonly reason: WithdrawalReason;
-  /** Since when this instance has known; own clock. */
-  readonly sinceMs: number;
-}
+import { TargetSightings } from "./target_sightings.ts";
 
 export interface CatalogueOptions {
   readonly decodeConfiguration: (text: string) => Result<RoutingTable, string>;
@@ -88,15 +48,6 @@
  * meantime; their entries tell within this.
  */
 const PRESUMED_COLD_MS = 2_000;
-/** Ids that are remembered: some days of a fleet with 4,600 restarts a day. */
-const MAX_REMEMBERED = 20_000;
-
-/** When a life of a target was seen here first. */
-interface Sighting {
-  readonly bornMs: number | undefined;
-  readonly atMs: number;
-}
-
 interface Entry {
   target: KnownTarget;
   /** Of its newest entry. */
@@ -113,8 +64,7 @@
   readonly #options: CatalogueOptions;
   readonly #targets = new Map<string, Entry>();
   readonly #evacuations = new Evacuations();
-  /** The newest life of each id. */
-  readonly #sightings = new Map<string, Sighting>();
+  readonly #sightings = new TargetSightings();
   #table: RoutingTable | undefined;
   #index = new RouteIndex([]);
   #targetsChanged = false;
@@ -314,17 +264,18 @@
    * life under the same id proves nothing of use either: what was sent to the
    * earlier one may have reached the later.
    */
-  hasEnded({ id, address, bornMs }: Assignee): boolean {
-    const seen = this.#sightings.get(id);
-    if (seen === undefined || seen.bornMs !== bornMs) {
+  hasEnded(life: Assignee): boolean {
+    const { id, address } = life;
+    const seenAtMs = this.#sightings.findLifeMs(life);
+    if (seenAtMs === undefined) {
       return false;
     }
     for (const { target } of this.#targets.values()) {
-      const otherAtMs = this.#sightings.get(target.id)?.atMs ?? -Infinity;
+      const otherAtMs = this.#sightings.getNewestMs(target.id);
       if (
         target.id !== id && target.address === address &&
         this.#table?.services.has(target.service) === true &&
-        otherAtMs > seen.atMs + SAME_READ_MS
+        otherAtMs > seenAtMs + SAME_READ_MS
       ) {
         return true;
       }
@@ -347,7 +298,7 @@
 
   /** Why an entry is older than what is known of its target; it is left out. */
   #findOldness({ id, bornMs, sequence }: RoutingTarget): string | undefined {
-    const seen = this.#sightings.get(id)?.bornMs;
+    const seen = this.#sightings.getBornMs(id);
     if (seen === undefined) {
       return undefined;
     }
@@ -381,7 +332,7 @@
       }
       return;
     }
-    this.#recordSighting(target, nowMs);
+    this.#sightings.record(target, nowMs);
     const isSameLife = known !== undefined &&
       known.target.bornMs === target.bornMs;
     // One that has said that it leaves does not come back in this life.
@@ -426,17 +377,6 @@
     return missing > all / 2;
   }
 
-  #recordSighting({ id, bornMs }: RoutingTarget, atMs: number): void {
-    const seen = this.#sightings.get(id);
-    if (seen === undefined || seen.bornMs !== bornMs) {
-      this.#sightings.delete(id);
-      this.#sightings.set(id, { bornMs, atMs });
-    }
-    if (this.#sightings.size > MAX_REMEMBERED) {
-      this.#sightings.delete(this.#sightings.keys().next().value!);
-    }
-  }
-
   #report(
     target: RoutingTarget,
     state: "present" | "leaving" | "missing" | "gone",
--- a/packages/gateway/src/views/catalogue_test.ts
+++ b/packages/gateway/src/views/catalogue_test.ts
@@ -5,11 +5,8 @@
   RoutingTable,
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
-import {
-  Catalogue,
-  type CatalogueEvent,
-  RETURN_GRACE_MS,
-} from "./catalogue.ts";
+import { Catalogue, RETURN_GRACE_MS } from "./catalogue.ts";
+import type { CatalogueEvent } from "./catalogue_event.ts";
 
 function createCatalogue() {
   const events: CatalogueEvent[] = [];
