--- a/packages/cli/src/commands/evacuate.ts
+++ b/packages/cli/src/commands/evacuate.ts
@@ -19,29 +19,32 @@
 });
 
 export function createEvacuateCommand(context: CommandContext) {
-  return command({
+  return createEvacuationCommand(context, {
     name: "evacuate",
     description:
       "Send nothing more to the targets of a data centre; their keys move to the others",
-    args: {
-      dataCentre: dataCentreArgument,
-      operator: operatorOption,
-      store: storeOption,
-    },
-    handler: ({ store, ...request }): Promise<ExitCode> =>
-      runWithStore(
-        context,
-        store,
-        (session) =>
-          writeEvacuation(context, session, { ...request, isEvacuated: true }),
-      ),
+    isEvacuated: true,
   });
 }
 
 export function createRestoreCommand(context: CommandContext) {
-  return command({
+  return createEvacuationCommand(context, {
     name: "restore",
     description: "Use the targets of an evacuated data centre again",
+    isEvacuated: false,
+  });
+}
+
+function createEvacuationCommand(
+  context: CommandContext,
+  { isEvacuated, ...texts }: {
+    readonly name: string;
+    readonly description: string;
+    readonly isEvacuated: boolean;
+  },
+) {
+  return command({
+    ...texts,
     args: {
       dataCentre: dataCentreArgument,
       operator: operatorOption,
@@ -52,7 +55,7 @@
         context,
         store,
         (session) =>
-          writeEvacuation(context, session, { ...request, isEvacuated: false }),
+          writeEvacuation(context, session, { ...request, isEvacuated }),
       ),
   });
 }
@@ -60,8 +63,9 @@
 async function writeEvacuation(
   context: CommandContext,
   session: StoreSession,
-  { dataCentre, operator, isEvacuated }: EvacuationRequest,
+  request: EvacuationRequest,
 ): Promise<ExitCode> {
+  const { dataCentre, isEvacuated } = request;
   if (session.evacuated.includes(dataCentre) === isEvacuated) {
     const state = isEvacuated ? "evacuated already" : "not evacuated";
     context.print(`Data centre ${dataCentre} is ${state}`);
@@ -80,11 +84,7 @@
     );
     return EXIT_CODES.refused;
   }
-  return await appendEvacuation(context, session, {
-    dataCentre,
-    operator,
-    isEvacuated,
-  });
+  return await appendEvacuation(context, session, request);
 }
 
 async function appendEvacuation(
--- a/packages/cli/src/evacuate_test.ts
+++ b/packages/cli/src/evacuate_test.ts
@@ -44,8 +44,7 @@
 });
 
 test("a publication goes on beside an evacuation", async () => {
-  // Both stand in one partition, and a publication is written on the condition
-  // that it has not grown.
+  // A publication is written only if its partition has not grown.
   const terminal = createTerminal();
   const { link } = terminal;
   terminal.link = {
