--- a/packages/gateway/src/peers/datagram_pieces.ts
+++ b/packages/gateway/src/peers/datagram_pieces.ts
@@ -16,13 +16,16 @@
  * six; told to read instead, 58 instances read the table at once, several times
  * a second: nine tenths of 156 calls a second.
  */
-export function encodeValue(value: unknown): readonly string[] | undefined {
+export function encodeValue(value: unknown): readonly Piece[] | undefined {
   const text = deflateRawSync(JSON.stringify(value)).toString("base64");
-  const pieces: string[] = [];
+  const texts: string[] = [];
   for (let start = 0; start < text.length; start += MAX_PIECE) {
-    pieces.push(text.slice(start, start + MAX_PIECE));
+    texts.push(text.slice(start, start + MAX_PIECE));
   }
-  return pieces.length > MAX_PIECES ? undefined : pieces;
+  const pieces = texts.length;
+  return pieces > MAX_PIECES
+    ? undefined
+    : texts.map((one, piece) => ({ text: one, piece, pieces }));
 }
 
 /** Undefined where the text is none that `encodeValue` gave. */
--- a/packages/gateway/src/peers/load_exchange.ts
+++ b/packages/gateway/src/peers/load_exchange.ts
@@ -16,7 +16,12 @@
  * counts of instances that have fallen silent fade.
  */
 import { sleepUntilTick } from "@lentilspur/ports/tick";
-import { decodeValue, encodeValue, PieceJoiner } from "./datagram_pieces.ts";
+import {
+  decodeValue,
+  encodeValue,
+  type Piece,
+  PieceJoiner,
+} from "./datagram_pieces.ts";
 import {
   type LoadCounts,
   mergeCounts,
@@ -217,18 +222,11 @@
     return mergeCounts(all);
   }
 
-  #sendPieces(to: readonly Member[], pieces: readonly string[]): void {
+  #sendPieces(to: readonly Member[], pieces: readonly Piece[]): void {
     const { instance: from, dataCentre, send } = this.#options;
-    for (const [piece, text] of pieces.entries()) {
-      send(to, {
-        kind: "gathered-load",
-        from,
-        dataCentre,
-        number: this.#sum,
-        text,
-        piece,
-        pieces: pieces.length,
-      });
+    const number = this.#sum;
+    for (const piece of pieces) {
+      send(to, { kind: "gathered-load", from, dataCentre, number, ...piece });
     }
   }
 
--- a/packages/gateway/src/views/table_requests.ts
+++ b/packages/gateway/src/views/table_requests.ts
@@ -124,11 +124,8 @@
       return;
     }
     const told: Told = { table: serializeTable(table), records: [claim] };
-    const texts = encodeValue(told) ?? [];
-    for (const [piece, text] of texts.entries()) {
-      const pieces = texts.length;
-      const message = { part, service, offset, text, piece, pieces };
-      send([to], { kind: "table", from, ...message });
+    for (const piece of encodeValue(told) ?? []) {
+      send([to], { kind: "table", from, part, service, offset, ...piece });
     }
   }
 }
--- a/packages/gateway/src/views/view_relay.ts
+++ b/packages/gateway/src/views/view_relay.ts
@@ -23,6 +23,7 @@
   decodeValue,
   encodeValue,
   MAX_PIECE,
+  type Piece,
   PieceJoiner,
 } from "../peers/datagram_pieces.ts";
 import type { Duties } from "../members/duties.ts";
@@ -108,11 +109,8 @@
     if (records.length === 0 || !duties.isReader()) {
       return;
     }
-    const texts = encodeValue({ base, records }) ?? [];
-    for (const [piece, text] of texts.entries()) {
-      const pieces = texts.length;
-      const message = { kind: "configuration", from, end, text, piece, pieces };
-      this.#sendToAll(message as ConfigurationMessage);
+    for (const piece of encodeValue({ base, records }) ?? []) {
+      this.#sendToAll({ kind: "configuration", from, end, ...piece });
     }
   }
 
@@ -137,12 +135,11 @@
     const { part, service, offset, before, after } = written;
     const since = this.#tableEnds.get(part) ?? offset;
     this.#tableEnds.set(part, offset + 1);
-    const texts = before === undefined
-      ? [UNTOLD]
-      : encodeValue(diffTables(before, after)) ?? [UNTOLD];
-    for (const [piece, text] of texts.entries()) {
-      const pieces = texts.length;
-      this.#sendOwners({ part, offset, since, service, text, piece, pieces });
+    const pieces = before === undefined
+      ? undefined
+      : encodeValue(diffTables(before, after));
+    for (const piece of pieces ?? [UNTOLD]) {
+      this.#sendOwners({ part, offset, since, service, ...piece });
     }
   }
 
@@ -167,8 +164,7 @@
   /** Tells every instance that this one keeps a partition from now on. */
   sendClaim(part: number, offset: number): void {
     this.#tableEnds.set(part, offset + 1);
-    const whole = { text: UNTOLD, piece: 0, pieces: 1 };
-    this.#sendOwners({ part, offset, since: offset, service: "", ...whole });
+    this.#sendOwners({ part, offset, since: offset, service: "", ...UNTOLD });
   }
 
   /**
@@ -263,7 +259,7 @@
 }
 
 /** Stands for what is to be read instead. */
-const UNTOLD = "";
+const UNTOLD: Piece = { text: "", piece: 0, pieces: 1 };
 
 /**
  * What was read, in pieces that fit into a datagram each; the next goes on where
