refactor(gateway): weigh awaited keepers once a round

The list for the log line repeated the one for the records, and both were worked out for each round of messages. Reading the members is asked for where the list is looked at, and no more by what reports it.

--- a/packages/gateway/src/keeper/earlier_keepers.ts
+++ b/packages/gateway/src/keeper/earlier_keepers.ts
@@ -70,25 +70,14 @@
 
   /** Those of which some grant may still be in force. */
   listUnresolved(): readonly UnresolvedKeeper[] {
-    const { clock, timing } = this.#options;
-    return this.#keepers.filter((keeper) => {
-      const { kind, lastOrderAtMs } = this.#weighKeeper(keeper);
-      return kind !== "resigned" &&
-        clock.readMs() < computeHoldEndMs(lastOrderAtMs, timing.holdMs);
-    }).map(toUnresolved);
+    return this.#listAwaited().map(({ keeper }) => toUnresolved(keeper));
   }
 
   /** Those that are waited for, with what is known of each and for how long. */
   describeUnresolved(): readonly AwaitedKeeper[] {
-    const { clock, timing } = this.#options;
-    const nowMs = clock.readMs();
-    return this.#keepers.flatMap((keeper) => {
-      const { kind, lastOrderAtMs } = this.#weighKeeper(keeper);
-      const leftMs = computeHoldEndMs(lastOrderAtMs, timing.holdMs) - nowMs;
+    return this.#listAwaited().map(({ keeper, kind, leftMs }) => {
       const { instance, incarnation, term } = keeper;
-      return kind === "resigned" || leftMs <= 0
-        ? []
-        : [{ instance, incarnation, term, kind, leftMs: Math.round(leftMs) }];
+      return { instance, incarnation, term, kind, leftMs: Math.round(leftMs) };
     });
   }
 
@@ -110,6 +99,16 @@
     };
   }
 
+  #listAwaited() {
+    const { clock, timing } = this.#options;
+    const nowMs = clock.readMs();
+    return this.#keepers.map((keeper) => {
+      const { kind, lastOrderAtMs } = this.#weighKeeper(keeper);
+      const leftMs = computeHoldEndMs(lastOrderAtMs, timing.holdMs) - nowMs;
+      return { keeper, kind, leftMs };
+    }).filter(({ kind, leftMs }) => kind !== "resigned" && leftMs > 0);
+  }
+
   #createKeepers(standing: Standing): readonly EarlierKeeper[] {
     const { claim, witnesses, unresolved, term, tables } = standing;
     const nowMs = this.#options.clock.readMs();
--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -250,9 +250,13 @@
           this.#listWitnesses(part),
         );
       }
-      this.#reportAwaited(part);
-      for (const earlier of this.#earlier.get(part)!.listUnresolved()) {
-        this.#peers.sendReplaced(earlier.instance, part, keeper.term);
+      const awaited = this.#earlier.get(part)!.describeUnresolved();
+      if (awaited.some(({ kind }) => kind === "unknown")) {
+        this.#readMembers();
+      }
+      this.#reportAwaited(part, awaited);
+      for (const { instance } of awaited) {
+        this.#peers.sendReplaced(instance, part, keeper.term);
       }
     }
   }
@@ -267,11 +271,7 @@
   }
 
   /** Says whom a keeper here waits for, where that has changed. */
-  #reportAwaited(part: number): void {
-    const awaited = this.#earlier.get(part)!.describeUnresolved();
-    if (awaited.some(({ kind }) => kind === "unknown")) {
-      this.#readMembers();
-    }
+  #reportAwaited(part: number, awaited: readonly AwaitedKeeper[]): void {
     const names = awaited.map(({ incarnation, kind }) =>
       `${incarnation} ${kind}`
     )
