--- a/packages/gateway/src/views/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -106,8 +106,6 @@
   readonly #members: PartitionTail;
   readonly #owners = new Map<number, PartitionTail>();
   readonly #signal: AbortSignal;
-  /** Up to where the configuration is said to go, while it may be on its way. */
-  #awaitedEnd = -1;
 
   constructor(options: StoreViewsOptions, signal: AbortSignal) {
     this.#options = options;
@@ -186,23 +184,23 @@
   applyConfigurationEnd(end: number, isNewest: boolean): void {
     const known = this.#configuration.end;
     if (end > known) {
-      void this.#waitForConfiguration(end);
+      const read = () => this.#configuration.scheduleRead();
+      void this.#readIfMissing(this.#configuration, end, read);
     } else if (end === known && isNewest) {
       this.#configuration.recordTold(this.#options.clock.readMs());
     }
   }
 
-  /** What has been passed on may be on its way still; then it is read. */
-  async #waitForConfiguration(end: number): Promise<void> {
-    if (end <= this.#awaitedEnd) {
-      return;
-    }
-    this.#awaitedEnd = end;
+  /** What has been passed on may be on its way still. */
+  async #readIfMissing(
+    tail: PartitionTail,
+    end: number,
+    read: () => void,
+  ): Promise<void> {
     await this.#options.clock.sleep(ARRIVAL_MS, this.#signal);
-    if (this.#configuration.end < end) {
-      this.#configuration.scheduleRead();
+    if (tail.end < end) {
+      read();
     }
-    this.#awaitedEnd = -1;
   }
 
   /** An instance is heard of that no record here names. */
@@ -220,12 +218,8 @@
       tail.recordTold(this.#options.clock.readMs());
       return;
     }
-    void this.#options.clock.sleep(ARRIVAL_MS, this.#signal)
-      .then(() => {
-        if (tail.end < end) {
-          this.#options.fetchTable(part, keeper, end);
-        }
-      });
+    const fetch = () => this.#options.fetchTable(part, keeper, end);
+    void this.#readIfMissing(tail, end, fetch);
   }
 
   /** A request did not find its owner where the table says. */
