--- a/packages/gateway/src/keeper/key_traffic.ts
+++ b/packages/gateway/src/keeper/key_traffic.ts
@@ -87,10 +87,9 @@
       const usualMs = this.#options.services.getUsualServiceMs(service.name) ??
         UNKNOWN_SERVICE_MS;
       const { catalogue } = this.#options;
-      const evacuated = new Set(catalogue.listEvacuated());
       const candidates = catalogue.listTargets(service.name)
         .filter((target) =>
-          !target.leaving && !evacuated.has(target.dataCentre)
+          !target.leaving && !catalogue.isEvacuated(target.dataCentre)
         )
         .map((target) => this.#createCandidate(target, usualMs));
       const rates = this.#getKeyLoad(service.name).listRates(nowMs);
--- a/packages/gateway/src/views/catalogue.ts
+++ b/packages/gateway/src/views/catalogue.ts
@@ -188,6 +188,10 @@
       .some(({ target }) => target.dataCentre === dataCentre);
   }
 
+  isEvacuated(dataCentre: string): boolean {
+    return this.#evacuations.getSinceMs(dataCentre) !== null;
+  }
+
   /** Data centres that are evacuated now. */
   listEvacuated(): readonly string[] {
     return this.#evacuations.list();
