--- a/packages/gateway/src/requests/cold_targets_test.ts
+++ b/packages/gateway/src/requests/cold_targets_test.ts
@@ -1,8 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { LAST_KEY } from "@lentilspur/ports/key_orders";
-import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import { countMostWithin } from "@lentilspur/ports/window_count";
+import { DOZEN, listInstances, sendLoad } from "./request_load.ts";
 import { RequestWorld, type RequestWorldOptions } from "./request_world.ts";
 
 const COLD_PER_SECOND = 5;
@@ -10,16 +9,9 @@
 const ALLOWED = 1.5 * COLD_PER_SECOND + 8;
 const COLD_MS = 8_000;
 
-function listInstances(count: number): readonly string[] {
-  return Array.from(
-    { length: count },
-    (_, index) => `${["bole", "kirkos", "yeka"][index % 3]}-${index}`,
-  );
-}
-
 function createColdWorld(options: Partial<RequestWorldOptions> = {}) {
   const world = new RequestWorld({
-    instances: listInstances(12),
+    instances: DOZEN,
     targets: 4,
     keyed: true,
     coldPerSecond: COLD_PER_SECOND,
@@ -29,33 +21,6 @@
   return world;
 }
 
-interface Tally {
-  answered: number;
-  failed: number;
-}
-
-/** Callers at all instances ask for all keys alike. */
-async function sendLoad(
-  world: RequestWorld,
-  { forMs, everyMs = 8, instances = 12 }: {
-    readonly forMs: number;
-    readonly everyMs?: number;
-    readonly instances?: number;
-  },
-): Promise<Tally> {
-  const names = listInstances(instances);
-  const random = new SeededRandom(7);
-  const tally = { answered: 0, failed: 0 };
-  for (let atMs = 0; atMs < forMs; atMs += everyMs) {
-    const instance = names[Math.floor(random.draw() * names.length)]!;
-    const key = Math.floor(random.draw() * LAST_KEY);
-    void world.send(instance, { key, path: `/files/${atMs}` })
-      .then(({ kind }) => tally[kind]++);
-    await world.clock.advance(everyMs);
-  }
-  return tally;
-}
-
 function listTimes(world: RequestWorld, id: string): readonly number[] {
   return world.arrivals.filter(({ targetId }) => targetId === id)
     .map(({ atMs }) => atMs);
@@ -89,16 +54,16 @@
     keyed: false,
     instances: listInstances(1),
   });
-  await sendLoad(world, { forMs: COLD_MS, instances: 1 });
+  await sendLoad(world, { forMs: COLD_MS, instances: listInstances(1) });
   assertHeld(world);
   assertUsed(world);
 });
 
 /** A third of the targets are back, cold or not; callers come as usual. */
 async function measureReturn(isCold: boolean) {
-  const instances = 60;
+  const instances = listInstances(60);
   const world = new RequestWorld({
-    instances: listInstances(instances),
+    instances,
     targets: 9,
     keyed: false,
     dataCentres: ["bole", "kirkos", "yeka"],
@@ -142,7 +107,7 @@
 test("a cold target's bound holds while half of the instances cannot ask", async () => {
   const world = createColdWorld();
   const decider = world.findDecider("t1");
-  const cutOff = new Set(listInstances(12).filter((_, nth) => nth % 2 === 0));
+  const cutOff = new Set(DOZEN.filter((_, nth) => nth % 2 === 0));
   world.isReached = (from, to) => to !== decider || !cutOff.has(from);
   await sendLoad(world, { forMs: COLD_MS });
   assertHeld(world);
--- a/packages/gateway/src/requests/target_limits_test.ts
+++ b/packages/gateway/src/requests/target_limits_test.ts
@@ -1,39 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { LAST_KEY } from "@lentilspur/ports/key_orders";
-import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import { countMostWithin } from "@lentilspur/ports/window_count";
+import { DOZEN, sendLoad } from "./request_load.ts";
 import { RequestWorld, type RequestWorldOptions } from "./request_world.ts";
 
-const INSTANCES = Array.from(
-  { length: 12 },
-  (_, index) => `${["bole", "kirkos", "yeka"][index % 3]}-${index}`,
-);
-const EVERY_MS = 8;
 const LIMIT_PER_SECOND = 2.4;
 /** From the first word of a limit until it has to be kept. */
 const STABLE_MS = 3_000;
 const WINDOW_MS = 4_000;
 
-interface Tally {
-  answered: number;
-  failed: number;
-}
-
-/** Callers at all instances ask for all keys alike. */
-async function sendLoad(world: RequestWorld, forMs: number): Promise<Tally> {
-  const random = new SeededRandom(7);
-  const tally = { answered: 0, failed: 0 };
-  for (let atMs = 0; atMs < forMs; atMs += EVERY_MS) {
-    const instance = INSTANCES[Math.floor(random.draw() * INSTANCES.length)]!;
-    const key = Math.floor(random.draw() * LAST_KEY);
-    void world.send(instance, { key, path: `/files/${atMs}` })
-      .then(({ kind }) => tally[kind]++);
-    await world.clock.advance(EVERY_MS);
-  }
-  return tally;
-}
-
 /** The most that reached a target in some window after a time. */
 function countMost(world: RequestWorld, id: string, afterMs: number): number {
   const times = world.arrivals
@@ -48,15 +23,15 @@
   perSecond = LIMIT_PER_SECOND,
 ): Promise<{ readonly world: RequestWorld; readonly namedMs: number }> {
   const world = new RequestWorld({
-    instances: INSTANCES,
+    instances: DOZEN,
     targets: 19,
     keyed: true,
     ...options,
   });
-  await sendLoad(world, 1_000);
+  await sendLoad(world, { forMs: 1_000 });
   world.setLimit("t1", perSecond);
   const namedMs = world.clock.readMs();
-  await sendLoad(world, STABLE_MS);
+  await sendLoad(world, { forMs: STABLE_MS });
   return { world, namedMs };
 }
 
@@ -76,7 +51,7 @@
   test(`a target ${kind} gets what it says that it takes`, async () => {
     const targets = keyed ? 19 : 4;
     const { world, namedMs } = await createLimited({ keyed, targets });
-    await sendLoad(world, 12_000);
+    await sendLoad(world, { forMs: 12_000 });
     assertHeld(world, namedMs);
   });
 }
@@ -87,7 +62,7 @@
   const lasted: number[] = [];
   for (let nth = 0; nth < 100; nth++) {
     const sentMs = world.clock.readMs();
-    void world.send(INSTANCES[nth % 12]!, { key: 1 }).then((answer) => {
+    void world.send(DOZEN[nth % 12]!, { key: 1 }).then((answer) => {
       if (answer.kind === "failed") {
         assert.equal(answer.failure, "overloaded");
         assert.ok(answer.retryAfterMs! > 0);
@@ -105,15 +80,15 @@
 
 test("what one target does not take goes to the others that may run it", async () => {
   const { world } = await createLimited({ keyed: false, targets: 12 });
-  const { answered, failed } = await sendLoad(world, 4_000);
+  const { answered, failed } = await sendLoad(world, { forMs: 4_000 });
   assert.ok(failed <= 0.01 * (answered + failed), `${failed} failed`);
 });
 
 test("a limit holds while its decider is lost, and datagrams are", async () => {
   const { world, namedMs } = await createLimited({ lostDatagrams: 0.05 });
-  for (const instance of INSTANCES) {
+  for (const instance of DOZEN) {
     world.silent.add(instance);
-    await sendLoad(world, 1_000);
+    await sendLoad(world, { forMs: 1_000 });
     world.silent.delete(instance);
   }
   assertHeld(world, namedMs);
@@ -123,18 +98,18 @@
   const perSecond = 10;
   const { world, namedMs } = await createLimited({ targets: 4 }, perSecond);
   const decider = world.findDecider("t1");
-  const cutOff = new Set(INSTANCES.filter((_, index) => index % 2 === 0));
+  const cutOff = new Set(DOZEN.filter((_, index) => index % 2 === 0));
   world.isReached = (from, to) => to !== decider || !cutOff.has(from);
-  await sendLoad(world, 10_000);
+  await sendLoad(world, { forMs: 10_000 });
   assertHeld(world, namedMs, perSecond);
 });
 
 test("a target that names no limit any more gets its whole share again", async () => {
   const { world } = await createLimited();
-  await sendLoad(world, 2_000);
+  await sendLoad(world, { forMs: 2_000 });
   world.setLimit("t1", undefined);
-  await sendLoad(world, 4_000);
+  await sendLoad(world, { forMs: 4_000 });
   const fromMs = world.clock.readMs();
-  await sendLoad(world, 4_000);
+  await sendLoad(world, { forMs: 4_000 });
   assert.ok(countMost(world, "t1", fromMs) > 2 * LIMIT_PER_SECOND * 4);
 });
