feat(gateway): log what the retry budget decided a retry from

Cause: the lines of a retry did not tell how many instances its budget was divided among, so the hypotheses on the retries beyond the budget could not be told apart. Change: send lines of retries and final lines of failed requests carry the decision (retries, first attempts, instances); lentilspur_retries_total counts retries by service and outcome.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -35,6 +35,9 @@
     switch (event.kind) {
       case "send":
         this.#metrics.sends.inc({ service, outcome });
+        if (event.attempt > 1) {
+          this.#metrics.retries.inc({ service, outcome });
+        }
         this.#metrics.placeWait.observe({ service }, event.waitedMs / 1_000);
         return;
       case "final":
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -56,6 +56,12 @@
     labelNames: ["service", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly retries = new Counter({
+    name: "lentilspur_retries_total",
+    help: "Sends after the first of their request, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.#registry],
+  });
   readonly storeCalls = new Counter({
     name: "lentilspur_store_calls_total",
     help: "Calls to the store, by call and outcome",
--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -76,6 +76,7 @@
     }
     // A request that could not be sent adds no load, so it needs no retry
     // budget. It still counts towards the route's `maxAttempts`.
+    context.retryClaim = undefined;
     if (!isUnreachable && !this.claimRetry(context)) {
       return { kind: "done", response: this.createFinalFailure(context) };
     }
@@ -217,7 +218,10 @@
 
   /** Takes a retry from the budget, if the route and the budget allow it. */
   claimRetry(context: RequestContext): boolean {
-    return context.sends < context.route.maxAttempts &&
-      this.#services.claimRetry(context.service);
+    if (context.sends >= context.route.maxAttempts) {
+      return false;
+    }
+    context.retryClaim = this.#services.claimRetry(context.service);
+    return context.retryClaim.kind === "granted";
   }
 }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -1,5 +1,6 @@
 /** Holds the state of a request while the router handles it. */
 import type { Route } from "@lentilspur/ports/routing_table";
+import type { RetryClaim } from "@lentilspur/routing/retry_budget";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { Admission } from "../entry/account_admission.ts";
 import type { CallerRequest, FinalResponse } from "../entry/caller_request.ts";
@@ -26,6 +27,11 @@
   ownerMissingSinceMs: number | null;
   /** Whether a target may have run the request. */
   mayHaveRun: boolean;
+  /**
+   * The decision of the retry budget on the next send; undefined if that send
+   * needs no budget.
+   */
+  retryClaim?: RetryClaim | undefined;
   /** Whether this is the trial of a quarantined request. */
   isTrial: boolean;
   /** Computed on first use. */
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -1,6 +1,7 @@
 /** Reports each send of a request and its final response. */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { RetryClaim } from "@lentilspur/routing/retry_budget";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
 import type { CallerRequest, FinalResponse } from "../entry/caller_request.ts";
 import type { OwnerLookup } from "./owner_finder.ts";
@@ -33,6 +34,8 @@
      * Requests per second that the target accepts from all instances together.
      */
     readonly limitPerSecond?: number;
+    /** How the retry budget allowed this send, if it is a retry. */
+    readonly retryClaim?: RetryClaim;
     /** Same for all retries by the caller; given if the outcome is unknown. */
     readonly fingerprint?: string;
   }
@@ -46,6 +49,8 @@
     readonly status?: number;
     readonly message?: string;
     readonly retryAfterMs?: number;
+    /** The last decision of the retry budget, if the request has failed. */
+    readonly retryClaim?: RetryClaim;
     readonly sends: number;
     readonly tookMs: number;
   };
@@ -93,6 +98,7 @@
       ...(outcome.kind === "unknown" || outcome.limitPerSecond === undefined
         ? {}
         : { limitPerSecond: outcome.limitPerSecond }),
+      ...describeClaim(context),
       ...(outcome.kind === "unknown"
         ? { fingerprint: getFingerprint(context) }
         : {}),
@@ -122,7 +128,14 @@
           ...(answer.retryAfterMs === undefined
             ? {}
             : { retryAfterMs: Math.round(answer.retryAfterMs) }),
+          ...(context === undefined ? {} : describeClaim(context)),
         }),
     });
   }
 }
+
+function describeClaim(
+  { retryClaim }: RequestContext,
+): { readonly retryClaim?: RetryClaim } {
+  return retryClaim === undefined ? {} : { retryClaim };
+}
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -5,6 +5,7 @@
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import {
   RetryBudget,
+  type RetryClaim,
   type RetryLimits,
 } from "@lentilspur/routing/retry_budget";
 import {
@@ -140,7 +141,7 @@
     }
   }
 
-  claimRetry(service: string): boolean {
+  claimRetry(service: string): RetryClaim {
     const { clock, countInstances } = this.#options;
     return this.#getRetryBudget(service).claimRetry(
       countInstances(),
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -16,6 +16,17 @@
   readonly windowMs: number;
 }
 
+/** A decision on a retry, with the figures that it was made from. */
+export interface RetryClaim {
+  readonly kind: "granted" | "refused";
+  /** Retries of this instance in the window, with this one if granted. */
+  readonly retries: number;
+  /** First attempts of this instance in the window. */
+  readonly firstAttempts: number;
+  /** Number of instances among which the reserve was divided. */
+  readonly instances: number;
+}
+
 /**
  * Each instance uses this fraction of its budget: instances count their sends
  * separately, so their sum needs a margin below the total.
@@ -41,17 +52,23 @@
   }
 
   /** Takes one retry from the budget; `instances` share the reserve. */
-  claimRetry(instances: number, nowMs: number): boolean {
+  claimRetry(instances: number, nowMs: number): RetryClaim {
     const oldest = nowMs - this.#limits.windowMs;
     this.#firstAttempts = removeBefore(this.#firstAttempts, oldest);
     this.#retries = removeBefore(this.#retries, oldest);
     const earned = this.#limits.ratio * this.#firstAttempts.length;
     const reserve = this.#limits.reserve / Math.max(1, instances);
-    if (this.#retries.length + 1 > BUDGET_FRACTION * (earned + reserve)) {
-      return false;
+    const isGranted =
+      this.#retries.length + 1 <= BUDGET_FRACTION * (earned + reserve);
+    if (isGranted) {
+      this.#retries.push(nowMs);
     }
-    this.#retries.push(nowMs);
-    return true;
+    return {
+      kind: isGranted ? "granted" : "refused",
+      retries: this.#retries.length,
+      firstAttempts: this.#firstAttempts.length,
+      instances,
+    };
   }
 }
 
--- a/packages/routing/src/retry_budget_test.ts
+++ b/packages/routing/src/retry_budget_test.ts
@@ -1,9 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RetryBudget } from "./retry_budget.ts";
+import { RetryBudget, type RetryClaim } from "./retry_budget.ts";
 
 const LIMITS = { ratio: 0.2, reserve: 64, windowMs: 10_000 };
 
+function isGranted({ kind }: RetryClaim): boolean {
+  return kind === "granted";
+}
+
 test("the retries of all instances together stay within the limit", () => {
   // Every target refuses and a dozen instances retry every request, so the load
   // doubles when capacity is lowest. The retries of all instances in a window
@@ -19,7 +23,7 @@
       const budget = budgets[index % instances]!;
       const nowMs = index * 8;
       budget.recordFirstAttempt(nowMs);
-      retries += budget.claimRetry(instances, nowMs) ? 1 : 0;
+      retries += isGranted(budget.claimRetry(instances, nowMs)) ? 1 : 0;
     }
     assert.ok(retries <= LIMITS.ratio * requests + LIMITS.reserve);
     assert.ok(retries > 0.05 * requests, `${retries} of ${requests}`);
@@ -28,9 +32,9 @@
 
 test("retries outside the window no longer count", () => {
   const budget = new RetryBudget({ ...LIMITS, ratio: 0, reserve: 2 });
-  assert.ok(budget.claimRetry(1, 0));
-  assert.ok(!budget.claimRetry(1, 5_000));
-  assert.ok(budget.claimRetry(1, 10_001));
+  assert.ok(isGranted(budget.claimRetry(1, 0)));
+  assert.ok(!isGranted(budget.claimRetry(1, 5_000)));
+  assert.ok(isGranted(budget.claimRetry(1, 10_001)));
 });
 
 test("new limits do not reset the window", () => {
@@ -40,7 +44,7 @@
   const budget = new RetryBudget(limits);
   const count = () =>
     Array.from({ length: 20 }, () => budget.claimRetry(1, 0))
-      .filter((isClaimed) => isClaimed).length;
+      .filter(isGranted).length;
   assert.equal(count(), 6);
   budget.setLimits({ ...limits, ratio: 0.1 });
   assert.equal(count(), 0);
