test(gateway): list the retries of instances that know no others

Callers of the keyed service were refused after each request had been sent to a target twice, and all instances together sent more retries than allowed.

The test plays this in virtual time: twelve instances that have read nobody's record, 125 requests a second, targets that refuse. The stand-in of targets learns to refuse at will.

--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -50,6 +50,8 @@
   readonly dataCentres?: readonly string[];
   /** Requests per second that a cold target accepts. */
   readonly coldPerSecond?: number;
+  /** Whether the instances have not read the records of the others yet. */
+  readonly membersUnread?: boolean;
   /** Share of the datagrams between instances that are lost. */
   readonly lostDatagrams?: number;
 }
@@ -228,7 +230,7 @@
       dataCentre: name,
       retryLimits: { ratio: 0.2, reserve: 64, windowMs: 10_000 },
       random: new SeededRandom(1),
-      countInstances: () => this.#options.instances.length,
+      countInstances: () => components.members.instanceCount,
       estimatePermitWaitMs: (target) =>
         components.rateLimiter.estimateWaitMs(target),
     });
@@ -273,9 +275,10 @@
   > {
     const { clock } = this;
     const self = createMember(name);
-    const all = this.#options.instances.map((instance) =>
-      createMember(instance)
-    );
+    const { instances, membersUnread = false } = this.#options;
+    const all = membersUnread
+      ? []
+      : instances.map((instance) => createMember(instance));
     const members = createMembers(self, all, clock.readMs());
     const duties = new Duties({
       clock,
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -47,6 +47,8 @@
   readonly observeRun?: (run: TargetRun) => void;
   /** Whether the target crashes soon after it starts to run a request. */
   readonly isFatal?: (request: TargetRequest) => boolean;
+  /** Whether the target refuses a request as if it had no room for it. */
+  readonly isRefused?: (request: TargetRequest) => boolean;
   /** Called after a crash, when the target runs nothing more. */
   readonly observeCrash?: () => void;
 }
@@ -188,16 +190,14 @@
   }
 
   async #runToEnd(request: TargetRequest): Promise<TargetReply> {
-    const { clock, keyed, workMs, isFatal } = this.#options;
+    const { clock, keyed, workMs, isFatal, isRefused } = this.#options;
     const { body, ...fields } = request;
     const { key } = fields;
     const token = keyed ? this.findToken(key) : 0;
     if (token === undefined) {
       return { kind: "not-owner" };
     }
-    if (
-      this.#running >= TARGET_PLACES && this.#waiting.length >= QUEUE_CAPACITY
-    ) {
+    if (this.#isFull() || isRefused?.(request) === true) {
       return { kind: "full" };
     }
     await this.#takePlace();
@@ -265,6 +265,11 @@
     return finished;
   }
 
+  #isFull(): boolean {
+    return this.#running >= TARGET_PLACES &&
+      this.#waiting.length >= QUEUE_CAPACITY;
+  }
+
   async #takePlace(): Promise<void> {
     if (this.#running >= TARGET_PLACES) {
       await new Promise<void>((resolve) => this.#waiting.push(resolve));
