test(gateway): list the futile retries to an owner that has just refused

In the record a request went to the owner of its key twice within 62 ms and was refused both times. A retry that cannot succeed uses the budget up for those that can, and one that waits for the key's new owner could succeed. Both tests fail: two sends to the same owner, and a request that fails although its key has a new owner 150 ms later.

--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -46,6 +46,11 @@
   message: "silent",
 };
 const FULL: SendOutcome = { kind: "not-run", cause: "full", message: "full" };
+const NOT_OWNER: SendOutcome = {
+  kind: "not-run",
+  cause: "not-owner",
+  message: "not owner",
+};
 const NO_CONNECTION: SendOutcome = {
   kind: "not-run",
   cause: "unreachable",
@@ -154,6 +159,15 @@
     });
   }
 
+  /** Assigns all keys to a target. */
+  setOwner(id: string, token: number): void {
+    const table = createKeyTable([{ id, address: `${id}:80` }], token);
+    this.directory.setTable("files", table, {
+      offset: token,
+      nowMs: this.clock.readMs(),
+    });
+  }
+
   setRoute(changes: Partial<Route>, keyed = false): void {
     this.#version++;
     this.catalogue.applyConfiguration(
@@ -424,3 +438,32 @@
   await fixture.send({ deadlineMs: 5_000 }, 3_000);
   assert.deepEqual(fixture.sent.map(({ signal }) => signal.aborted), [false]);
 });
+
+test(
+  "a request is not sent again to an owner that refused it while nothing has changed",
+  { todo: "the retry cannot succeed and uses the budget, see KNOWN-RED.txt" },
+  async () => {
+    const fixture = new RouterFixture(() => NOT_OWNER);
+    fixture.setRoute({ idempotent: true }, true);
+    fixture.setOwner("a", 1);
+    const failure = getFailure(await fixture.send({ key: 5 }));
+    assert.equal(failure, "owner-changing");
+    assert.equal(fixture.sent.length, 1);
+  },
+);
+
+test(
+  "a request that an owner refused goes to the owner that the key moves to meanwhile",
+  { todo: "the only retry goes to the old owner, see KNOWN-RED.txt" },
+  async () => {
+    const fixture = new RouterFixture(({ targetId }) =>
+      targetId === "a" ? NOT_OWNER : RESPONSE
+    );
+    fixture.setRoute({ idempotent: true }, true);
+    fixture.setOwner("a", 1);
+    void fixture.clock.sleep(150).then(() => fixture.setOwner("b", 2));
+    const response = await fixture.send({ key: 5 });
+    assert.equal(response?.kind, "answered");
+    assert.deepEqual(fixture.sent.map(({ targetId }) => targetId), ["a", "b"]);
+  },
+);
