fix(gateway): send a request again to a refusing owner only once something has changed

Callers saw 503 after two sends to the same owner of their key, 60 ms apart, both refused; in the time after a restart of all instances these were most of the retries, and they used up the budget of those that could succeed.

Cause: after a refusal for want of the key the request paused for 60 ms and went to the owner in the table again, whether or not the table had changed. Change: it waits up to 300 ms for another owner or another grant, as a key whose owner is not known does, and takes a retry from the budget only then. It stops waiting when too little time is left to run it. A 421 of a service without keys excludes the target, like any other refusal.

--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -21,12 +21,13 @@
 
 /** Delay after which the caller of a refused request may retry. */
 export const REFUSED_RETRY_MS = 100;
-/**
- * Delay after a target refused a request because it does not hold the key; the
- * owner is then looked up again. After any other refusal, the request goes to
- * another target at once.
- */
-const NOT_OWNER_PAUSE_MS = 60;
+/** The end of one send. */
+export interface SendResult {
+  readonly target: RoutingTarget;
+  /** Fencing token under which the target owns the key, if there is one. */
+  readonly token: number | undefined;
+  readonly outcome: SendOutcome;
+}
 
 export interface OutcomeHandlerOptions {
   readonly clock: Clock;
@@ -47,14 +48,15 @@
 
   handle(
     context: RequestContext,
-    target: RoutingTarget,
-    outcome: SendOutcome,
+    { target, token, outcome }: SendResult,
   ): AttemptResult {
     switch (outcome.kind) {
       case "answered":
         return { kind: "done", response: outcome };
       case "not-run":
-        return this.#handleNotRun(context, target, outcome);
+        return outcome.cause === "not-owner" && token !== undefined
+          ? this.#handleNotOwner(context, { target, token })
+          : this.#handleNotRun(context, target, outcome);
       case "unknown":
         return this.#handleUnknown(context, target, outcome);
     }
@@ -71,17 +73,36 @@
       isUnreachable ? "target-unreachable" : "target-refused",
       { message: outcome.message, retryAfterMs: REFUSED_RETRY_MS },
     );
-    if (outcome.cause !== "not-owner") {
-      context.excludedTargets.add(target.id);
-    }
+    context.excludedTargets.add(target.id);
     // A request that could not be sent adds no load, so it needs no retry
     // budget. It still counts towards the route's `maxAttempts`.
     context.retryClaim = undefined;
     if (!isUnreachable && !this.claimRetry(context)) {
       return { kind: "done", response: this.createFinalFailure(context) };
     }
-    const pauseMs = outcome.cause === "not-owner" ? NOT_OWNER_PAUSE_MS : 0;
-    return { kind: "again", pauseMs };
+    return { kind: "again", pauseMs: 0 };
+  }
+
+  /**
+   * Lets the request wait for another owner or grant of its key. It is sent
+   * again, within the retry budget, only if one becomes known.
+   */
+  #handleNotOwner(
+    context: RequestContext,
+    { target, token }: {
+      readonly target: RoutingTarget;
+      readonly token: number;
+    },
+  ): AttemptResult {
+    setRefusal(context, "target-refused", {
+      message: `Target "${target.id}" does not hold the key`,
+      retryAfterMs: REFUSED_RETRY_MS,
+    });
+    if (context.sends >= context.route.maxAttempts) {
+      return { kind: "done", response: this.createFinalFailure(context) };
+    }
+    context.refusingOwner = { targetId: target.id, token };
+    return { kind: "again", pauseMs: 0 };
   }
 
   #handleUnknown(
--- a/packages/gateway/src/requests/owner_finder.ts
+++ b/packages/gateway/src/requests/owner_finder.ts
@@ -77,6 +77,16 @@
       return { kind: "wait", isLongWait: reason === "evacuated" };
     }
     const { id: targetId, token } = lookup.owner;
+    if (
+      context.refusingOwner?.targetId === targetId &&
+      context.refusingOwner.token === token
+    ) {
+      setRefusal(context, "owner-changing", {
+        message: `Target "${targetId}" owns key ${key} but does not hold it`,
+        retryAfterMs: LONG_MOVE_RETRY_MS,
+      });
+      return { kind: "wait", isLongWait: false };
+    }
     return { kind: "found", targetId, token, ownersOffset: lookup.offset };
   }
 
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -25,6 +25,8 @@
   sends: number;
   /** Since when the key has had no usable owner; null if it has one. */
   ownerMissingSinceMs: number | null;
+  /** The owner that refused the last send because it does not hold the key. */
+  refusingOwner: RefusingOwner | null;
   /** Whether a target may have run the request. */
   mayHaveRun: boolean;
   /**
@@ -43,6 +45,13 @@
   lastRefusal: { failure: ErrorKind; message: string; retryAfterMs: number };
 }
 
+/** An owner of a key, by the table, that does not hold the key. */
+export interface RefusingOwner {
+  readonly targetId: string;
+  /** Fencing token of the grant by which it was the owner. */
+  readonly token: number;
+}
+
 export type AttemptResult =
   | { readonly kind: "done"; readonly response: FinalResponse }
   | { readonly kind: "again"; readonly pauseMs: number };
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -161,6 +161,7 @@
       excludedTargets: new Set(),
       sends: 0,
       ownerMissingSinceMs: null,
+      refusingOwner: null,
       mayHaveRun: false,
       isTrial: false,
       route,
@@ -253,6 +254,13 @@
       return this.#waitForOwner(context, owner.isLongWait);
     }
     context.ownerMissingSinceMs = null;
+    if (context.refusingOwner !== null) {
+      context.refusingOwner = null;
+      if (!this.#outcomes.claimRetry(context)) {
+        const response = this.#outcomes.createFinalFailure(context);
+        return { kind: "done", response };
+      }
+    }
     const decision = await this.#waitForPlace(context, owner.targetId);
     if (decision === undefined) {
       return { kind: "again", pauseMs: 0 };
@@ -312,7 +320,9 @@
     if (nowMs - context.ownerMissingSinceMs > TYPICAL_MOVE_MS) {
       this.#options.handleOwnerMiss(context.service);
     }
-    return !isLongWait &&
+    const serviceMs =
+      this.#options.services.getAverageServiceMs(context.service) ?? 0;
+    return !isLongWait && nowMs < context.deadlineAtMs - serviceMs &&
         nowMs - context.ownerMissingSinceMs < MAX_OWNER_WAIT_MS
       ? { kind: "again", pauseMs: OWNER_POLL_INTERVAL_MS }
       : {
@@ -419,7 +429,11 @@
       context.mayHaveRun = true;
       return { kind: "again", pauseMs: 0 };
     }
-    return this.#outcomes.handle(context, placed.target, outcome);
+    return this.#outcomes.handle(context, {
+      target: placed.target,
+      token: owner.token,
+      outcome,
+    });
   }
 
   /**
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -439,31 +439,37 @@
   assert.deepEqual(fixture.sent.map(({ signal }) => signal.aborted), [false]);
 });
 
-test(
-  "a request is not sent again to an owner that refused it while nothing has changed",
-  { todo: "the retry cannot succeed and uses the budget, see KNOWN-RED.txt" },
-  async () => {
-    const fixture = new RouterFixture(() => NOT_OWNER);
-    fixture.setRoute({ idempotent: true }, true);
-    fixture.setOwner("a", 1);
-    const failure = getFailure(await fixture.send({ key: 5 }));
-    assert.equal(failure, "owner-changing");
-    assert.equal(fixture.sent.length, 1);
-  },
-);
+test("a request is not sent again to an owner that refused it while nothing has changed", async () => {
+  const fixture = new RouterFixture(() => NOT_OWNER);
+  fixture.setRoute({ idempotent: true }, true);
+  fixture.setOwner("a", 1);
+  const failure = getFailure(await fixture.send({ key: 5 }));
+  assert.equal(failure, "owner-changing");
+  assert.equal(fixture.sent.length, 1);
+});
 
-test(
-  "a request that an owner refused goes to the owner that the key moves to meanwhile",
-  { todo: "the only retry goes to the old owner, see KNOWN-RED.txt" },
-  async () => {
-    const fixture = new RouterFixture(({ targetId }) =>
-      targetId === "a" ? NOT_OWNER : RESPONSE
-    );
-    fixture.setRoute({ idempotent: true }, true);
-    fixture.setOwner("a", 1);
-    void fixture.clock.sleep(150).then(() => fixture.setOwner("b", 2));
-    const response = await fixture.send({ key: 5 });
-    assert.equal(response?.kind, "answered");
-    assert.deepEqual(fixture.sent.map(({ targetId }) => targetId), ["a", "b"]);
-  },
-);
+test("a request that an owner refused goes to the owner that the key moves to meanwhile", async () => {
+  const fixture = new RouterFixture(({ targetId }) =>
+    targetId === "a" ? NOT_OWNER : RESPONSE
+  );
+  fixture.setRoute({ idempotent: true }, true);
+  fixture.setOwner("a", 1);
+  void fixture.clock.sleep(150).then(() => fixture.setOwner("b", 2));
+  const response = await fixture.send({ key: 5 });
+  assert.equal(response?.kind, "answered");
+  assert.deepEqual(fixture.sent.map(({ targetId }) => targetId), ["a", "b"]);
+});
+
+test("a request that an owner refused does not wait when too little time is left to run it", async () => {
+  const fixture = new RouterFixture(({ targetId }) =>
+    targetId === "a" ? NOT_OWNER : RESPONSE
+  );
+  fixture.setRoute({ idempotent: true }, true);
+  fixture.setOwner("b", 1);
+  await fixture.send({ key: 5 });
+  fixture.setOwner("a", 2);
+  const failure = getFailure(
+    await fixture.send({ key: 5, deadlineMs: 45 }, 39),
+  );
+  assert.equal(failure, "owner-changing");
+});
