feat(platform,gateway): read and log that a target says it leaves

Cause: no module read the header by which a target says in its responses that it leaves, so the lines could not tell whether a send came after such a response. The stand-ins of targets learn to say it. No decision uses it yet.

--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -34,6 +34,8 @@
      * Requests per second that the target accepts from all instances together.
      */
     readonly limitPerSecond?: number;
+    /** Set if the target reports that it is leaving. */
+    readonly isLeaving?: true;
     /** How the retry budget allowed this send, if it is a retry. */
     readonly retryClaim?: RetryClaim;
     /** Same for all retries by the caller; given if the outcome is unknown. */
@@ -98,6 +100,9 @@
       ...(outcome.kind === "unknown" || outcome.limitPerSecond === undefined
         ? {}
         : { limitPerSecond: outcome.limitPerSecond }),
+      ...(outcome.kind !== "unknown" && outcome.isLeaving === true
+        ? { isLeaving: true as const }
+        : {}),
       ...describeClaim(context),
       ...(outcome.kind === "unknown"
         ? { fingerprint: getFingerprint(context) }
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -16,6 +16,7 @@
 import type {
   OutgoingRequest,
   SendOutcome,
+  TargetReport,
 } from "@lentilspur/ports/request_sender";
 import type { Route, RoutingTable } from "@lentilspur/ports/routing_table";
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
@@ -106,6 +107,8 @@
   readonly #random = new SeededRandom(1);
   readonly #instances = new Map<string, SimulatedInstance>();
   readonly #targets = new Map<string, FakeTarget>();
+  /** Targets whose responses say that they leave. */
+  readonly leavingTargets = new Set<string>();
   /** Limits in requests per second that targets name in their responses. */
   readonly #limits = new Map<string, number>();
   #startedTargets = 0;
@@ -391,11 +394,18 @@
       .push({ instance, targetId, path, atMs: this.clock.readMs() });
     const reply = await target.run({ requestId, key, path, body: "" });
     await this.clock.sleep(NETWORK_DELAY_MS);
-    const limitPerSecond = this.#limits.get(targetId);
     const outcome = toOutcome(reply);
-    return outcome.kind === "unknown" || limitPerSecond === undefined
+    return outcome.kind === "unknown"
       ? outcome
-      : { ...outcome, limitPerSecond };
+      : { ...outcome, ...this.#createReport(targetId) };
+  }
+
+  #createReport(targetId: string): TargetReport {
+    const limitPerSecond = this.#limits.get(targetId);
+    return {
+      ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
+      ...(this.leavingTargets.has(targetId) ? { isLeaving: true } : {}),
+    };
   }
 
   #startTarget(): void {
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -41,6 +41,8 @@
    * reports a limit.
    */
   readonly limitPerSecond?: number;
+  /** Set if the target reports that it is leaving. */
+  readonly isLeaving?: true;
 }
 
 /** A target's response, as it is forwarded to the caller. */
