feat(platform,gateway): read and log that a target asks for a pause; list what it is sent

Cause: nothing read the Retry-After of a target's refusal, so the lines could not tell whether a send came within the pause it asked for. The stand-ins of targets learn to ask. No decision uses it yet.

--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -36,6 +36,8 @@
     readonly limitPerSecond?: number;
     /** Set if the target reports that it is leaving. */
     readonly isLeaving?: true;
+    /** How long the target asks this instance to send it no more requests. */
+    readonly backoffMs?: number;
     /** How the retry budget allowed this send, if it is a retry. */
     readonly retryClaim?: RetryClaim;
     /** Same for all retries by the caller; given if the outcome is unknown. */
@@ -103,6 +105,9 @@
       ...(outcome.kind !== "unknown" && outcome.isLeaving === true
         ? { isLeaving: true as const }
         : {}),
+      ...(outcome.kind === "unknown" || outcome.backoffMs === undefined
+        ? {}
+        : { backoffMs: outcome.backoffMs }),
       ...describeClaim(context),
       ...(outcome.kind === "unknown"
         ? { fingerprint: getFingerprint(context) }
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -109,6 +109,8 @@
   readonly #targets = new Map<string, FakeTarget>();
   /** Targets whose responses say that they leave. */
   readonly leavingTargets = new Set<string>();
+  /** Targets that refuse all requests and ask for a pause this long. */
+  readonly backoffsMs = new Map<string, number>();
   /** Limits in requests per second that targets name in their responses. */
   readonly #limits = new Map<string, number>();
   #startedTargets = 0;
@@ -397,12 +399,16 @@
     const outcome = toOutcome(reply);
     return outcome.kind === "unknown"
       ? outcome
-      : { ...outcome, ...this.#createReport(targetId) };
+      : { ...outcome, ...this.#createReport(targetId, reply) };
   }
 
-  #createReport(targetId: string): TargetReport {
+  #createReport(targetId: string, reply: TargetReply): TargetReport {
     const limitPerSecond = this.#limits.get(targetId);
+    const backoffMs = reply.kind === "full"
+      ? this.backoffsMs.get(targetId)
+      : undefined;
     return {
+      ...(backoffMs === undefined ? {} : { backoffMs }),
       ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
       ...(this.leavingTargets.has(targetId) ? { isLeaving: true } : {}),
     };
@@ -416,6 +422,7 @@
       service: SERVICE,
       keyed: false,
       workMs: 60,
+      isRefused: () => this.backoffsMs.has(id),
       ...this.#options.target,
       observeCrash: () => void this.#restartTarget(id),
     });
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -43,6 +43,11 @@
   readonly limitPerSecond?: number;
   /** Set if the target reports that it is leaving. */
   readonly isLeaving?: true;
+  /**
+   * How long the target asks this instance to send it no more requests, in
+   * milliseconds; given only with a refusal.
+   */
+  readonly backoffMs?: number;
 }
 
 /** A target's response, as it is forwarded to the caller. */
