feat(gateway): tell all instances that a target has said that it leaves

The keeper of keys is told by a target itself only when it happens to send a request there, every two or three seconds on the users' small deployments, while an owner that says it leaves gets its requests for 1.8 s more. The first instance that is told now reports it to all others, so that the keeper moves the keys while the owner still serves them. One datagram for each receiver and leaving target; what is already known is not reported again.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -28,6 +28,7 @@
 import { KeyTraffic } from "./keeper/key_traffic.ts";
 import { StructuredLogger } from "./structured_logger.ts";
 import { LoadExchange } from "./peers/load_exchange.ts";
+import { LeavingTargets } from "./requests/leaving_targets.ts";
 import { Members } from "./members/members.ts";
 import { publishMember } from "./members/member_publisher.ts";
 import { PeerDispatcher } from "./peers/peer_dispatcher.ts";
@@ -91,6 +92,7 @@
   readonly #views: StoreViews;
   readonly #quarantine: RequestQuarantine;
   readonly #limits: TargetLimits;
+  readonly #leaving: LeavingTargets;
   readonly #rateLimiter: TargetRateLimiter;
   readonly #router: RequestRouter;
   readonly #server: RequestServer;
@@ -150,6 +152,7 @@
     this.#views = this.#createViews();
     this.#quarantine = this.#createQuarantine();
     this.#limits = this.#createLimits();
+    this.#leaving = this.#createLeavingTargets();
     this.#rateLimiter = this.#createRateLimiter();
     this.#router = this.#createRouter();
     this.#server = this.#createServer();
@@ -173,6 +176,7 @@
       keepers: this.#keeperService,
       quarantine: this.#quarantine,
       limits: this.#limits,
+      leaving: this.#leaving,
       rateLimiter: this.#rateLimiter,
       tables: this.#tables,
       reportFault: (message) => this.#reporter.reportFault(message),
@@ -328,6 +332,17 @@
     });
   }
 
+  #createLeavingTargets(): LeavingTargets {
+    return new LeavingTargets({
+      ...this.#createPeerOptions(),
+      catalogue: this.#catalogue,
+      onWithdrawn: () => {
+        this.#services.update();
+        this.#keeperService.schedulePlans();
+      },
+    });
+  }
+
   #createRateLimiter(): TargetRateLimiter {
     const { clock } = this.#options;
     return new TargetRateLimiter({
@@ -348,6 +363,7 @@
       accounts: this.#accounts,
       quarantine: this.#quarantine,
       limits: this.#limits,
+      leaving: this.#leaving,
       rateLimiter: this.#rateLimiter,
       observeKey: (route, key) => this.#keyTraffic.observe(route, key),
       handleOwnerMiss: (service) =>
--- a/packages/gateway/src/peers/peer_dispatcher.ts
+++ b/packages/gateway/src/peers/peer_dispatcher.ts
@@ -7,6 +7,7 @@
 import type { KeeperService } from "../keeper/keeper_service.ts";
 import type { KeyTraffic } from "../keeper/key_traffic.ts";
 import type { LoadExchange } from "./load_exchange.ts";
+import type { LeavingTargets } from "../requests/leaving_targets.ts";
 import type { Members } from "../members/members.ts";
 import type { PeerMessage, PeerStatus } from "./peer_message.ts";
 import type { RequestQuarantine } from "../requests/request_quarantine.ts";
@@ -30,6 +31,7 @@
   readonly keepers: KeeperService;
   readonly quarantine: RequestQuarantine;
   readonly limits: TargetLimits;
+  readonly leaving: LeavingTargets;
   readonly rateLimiter: TargetRateLimiter;
   readonly tables: TableRequests;
   readonly reportFault: (message: string) => void;
@@ -44,7 +46,8 @@
 
   handle(message: PeerMessage): void {
     const { clock, members, loads, relay, keyTraffic, demands } = this.#options;
-    const { keepers, quarantine, limits, rateLimiter, tables } = this.#options;
+    const { keepers, quarantine, limits, leaving, rateLimiter, tables } =
+      this.#options;
     members.recordContact(message.from, clock.readMs());
     switch (message.kind) {
       case "load":
@@ -90,6 +93,9 @@
       case "limits":
         limits.apply(message);
         return;
+      case "leaving":
+        leaving.apply(message);
+        return;
       case "quota-request":
         rateLimiter.handleRequest(message);
         return;
--- a/packages/gateway/src/peers/peer_message.ts
+++ b/packages/gateway/src/peers/peer_message.ts
@@ -2,6 +2,7 @@
  * The messages that instances send each other in datagrams. All of them are
  * only hints.
  */
+import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
 import type { InstanceDemand } from "@lentilspur/routing/account_limiter";
 import type { PermitDecision } from "@lentilspur/routing/request_pacer";
 import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
@@ -145,6 +146,14 @@
     readonly dataCentre: string;
     readonly limits: readonly LimitReport[];
   }
+  | {
+    /** A target whose response said that it leaves. */
+    readonly kind: "leaving";
+    readonly from: string;
+    /** Data centre of the sender. */
+    readonly dataCentre: string;
+    readonly target: TargetIncarnation;
+  }
   | {
     /** Requests a permit for a target from the target's coordinator. */
     readonly kind: "quota-request";
--- a/packages/gateway/src/peers/peer_message_check.ts
+++ b/packages/gateway/src/peers/peer_message_check.ts
@@ -2,6 +2,7 @@
  * Checks that a decoded datagram is a complete message with fields of the right
  * types.
  */
+import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
 import type { PermitDecision } from "@lentilspur/routing/request_pacer";
 import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
 import type { Fragment } from "./datagram_fragments.ts";
@@ -57,6 +58,9 @@
     case "limits":
       return typeof message.dataCentre === "string" &&
         Array.isArray(message.limits) && message.limits.every(isLimit);
+    case "leaving":
+      return typeof message.dataCentre === "string" &&
+        isIncarnation(message.target);
     case "quota-request":
       return Number.isInteger(message.number) &&
         typeof message.life === "string" &&
@@ -108,6 +112,11 @@
     (limit.perSecond === null || Number.isFinite(limit.perSecond));
 }
 
+function isIncarnation(target: TargetIncarnation | null): boolean {
+  return typeof target?.id === "string" && target.id !== "" &&
+    (target.bornMs === undefined || Number.isFinite(target.bornMs));
+}
+
 function isDecision(decision: PermitDecision | null): boolean {
   if (decision === null || typeof decision !== "object") {
     return false;
--- a/packages/gateway/src/peers/peer_message_check_test.ts
+++ b/packages/gateway/src/peers/peer_message_check_test.ts
@@ -58,3 +58,13 @@
     assert.ok(!isAccepted(message));
   }
 });
+
+test("a report of a leaving target is accepted only if it names the target", () => {
+  const accepts = (target: unknown) =>
+    isAccepted({ kind: "leaving", ...FROM, target });
+  assert.ok(accepts({ id: "t1" }));
+  assert.ok(accepts({ id: "t1", bornMs: 5 }));
+  for (const target of [null, {}, { id: 7 }, { id: "t1", bornMs: "5" }]) {
+    assert.ok(!accepts(target));
+  }
+});
--- a/packages/gateway/src/requests/leaving_targets_test.ts
+++ b/packages/gateway/src/requests/leaving_targets_test.ts
@@ -50,3 +50,16 @@
   }
   return late;
 }
+
+test("an instance that is told that a target leaves tells all others", async () => {
+  const simulation = new RequestSimulation({
+    instances: TWELVE_INSTANCES,
+    targets: 1,
+    keyed: true,
+  });
+  simulation.leavingTargets.add("t1");
+  assert.deepEqual(simulation.listUnaware("t1"), TWELVE_INSTANCES);
+  void simulation.send(TWELVE_INSTANCES[5]!);
+  await simulation.clock.advance(200);
+  assert.deepEqual(simulation.listUnaware("t1"), []);
+});
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -30,6 +30,7 @@
   type RequestContext,
 } from "./request_context.ts";
 import { type RequestEvent, RequestReporter } from "./request_reporter.ts";
+import type { LeavingTargets } from "./leaving_targets.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
 import type { TargetLimits } from "./target_limits.ts";
@@ -43,6 +44,7 @@
   readonly accounts: AccountAdmission;
   readonly quarantine: RequestQuarantine;
   readonly limits: TargetLimits;
+  readonly leaving: LeavingTargets;
   readonly rateLimiter: TargetRateLimiter;
   /** Called when the known key owners of a service seem to be outdated. */
   readonly handleOwnerMiss: (service: string) => void;
@@ -372,8 +374,8 @@
     placed: PlaceDecision & { readonly kind: "placed" },
     owner: OwnerLookup & { readonly kind: "found" },
   ): Promise<AttemptResult> {
-    const { clock, sender, services, catalogue, quarantine, limits } =
-      this.#options;
+    const { clock, sender, services, catalogue, quarantine } = this.#options;
+    const { limits, leaving } = this.#options;
     const { request, route, service } = context;
     const sentAtMs = clock.readMs();
     const remainingMs = context.deadlineAtMs - sentAtMs;
@@ -409,12 +411,7 @@
       { sentAtMs, isOverdue: abortController.isOverdue() },
     );
     limits.recordOutcome(placed.target, outcome, sentAtMs);
-    if (
-      outcome.kind !== "unknown" && outcome.isLeaving === true &&
-      catalogue.recordReportedLeaving(placed.target, clock.readMs())
-    ) {
-      services.update();
-    }
+    leaving.recordOutcome(placed.target, outcome);
     quarantine.recordOutcome(context, {
       target: placed.target,
       outcome,
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -20,6 +20,7 @@
 import { Duties } from "../members/duties.ts";
 import { KeyDirectory } from "../views/key_directory.ts";
 import { createMember, createMembers } from "../members/member_fixtures.ts";
+import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
@@ -114,6 +115,11 @@
       findMember,
       getColdPerSecond: () => undefined,
     });
+    const leaving = new LeavingTargets({
+      ...shared,
+      catalogue: this.catalogue,
+      onWithdrawn: () => services.update(),
+    });
     this.#router = new RequestRouter({
       clock: this.clock,
       catalogue: this.catalogue,
@@ -122,6 +128,7 @@
       accounts: this.accounts,
       quarantine: this.quarantine,
       limits,
+      leaving,
       rateLimiter,
       observeKey: () => undefined,
       handleOwnerMiss: () => undefined,
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -35,6 +35,7 @@
   type QuarantineEvent,
   RequestQuarantine,
 } from "./request_quarantine.ts";
+import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
 import { RequestRouter } from "./request_router.ts";
@@ -73,6 +74,7 @@
   readonly duties: Duties;
   readonly quarantine: RequestQuarantine;
   readonly limits: TargetLimits;
+  readonly leaving: LeavingTargets;
   readonly rateLimiter: TargetRateLimiter;
   readonly router: RequestRouter;
 }
@@ -209,6 +211,13 @@
     }
   }
 
+  /** Lists the instances that give new work to a target. */
+  listUnaware(id: string): readonly string[] {
+    return [...this.#instances]
+      .filter(([, { catalogue }]) => !catalogue.isWithdrawn(id))
+      .map(([name]) => name);
+  }
+
   /** Finds the instance that grants the permits of a target. */
   findCoordinator(id: string): string {
     const [instance] = this.#instances.values();
@@ -256,6 +265,7 @@
       accounts: new AccountAdmission(clock),
       quarantine: components.quarantine,
       limits: components.limits,
+      leaving: components.leaving,
       rateLimiter: components.rateLimiter,
       observeKey: () => undefined,
       handleOwnerMiss: () => undefined,
@@ -284,7 +294,7 @@
     catalogue: Catalogue,
   ): Pick<
     SimulatedInstance,
-    "members" | "duties" | "quarantine" | "limits" | "rateLimiter"
+    "members" | "duties" | "quarantine" | "limits" | "leaving" | "rateLimiter"
   > {
     const { clock } = this;
     const self = createMember(name);
@@ -317,6 +327,11 @@
       findMember,
       observe: () => undefined,
     });
+    const leaving = new LeavingTargets({
+      ...shared,
+      catalogue,
+      onWithdrawn: () => this.#instances.get(name)?.services.update(),
+    });
     const rateLimiter = new TargetRateLimiter({
       ...shared,
       limits,
@@ -326,7 +341,7 @@
     });
     void quarantine.run(new AbortController().signal);
     void limits.run(new AbortController().signal);
-    return { members, duties, quarantine, limits, rateLimiter };
+    return { members, duties, quarantine, limits, leaving, rateLimiter };
   }
 
   async #forward(to: readonly Member[], message: PeerMessage): Promise<void> {
@@ -350,13 +365,15 @@
   }
 
   #apply(
-    { quarantine, limits, rateLimiter }: SimulatedInstance,
+    { quarantine, limits, leaving, rateLimiter }: SimulatedInstance,
     message: PeerMessage,
   ): void {
     if (message.kind === "suspects") {
       quarantine.apply(message);
     } else if (message.kind === "limits") {
       limits.apply(message);
+    } else if (message.kind === "leaving") {
+      leaving.apply(message);
     } else if (message.kind === "quota-request") {
       rateLimiter.handleRequest(message);
     } else if (message.kind === "quota") {
