--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -23,6 +23,7 @@
   "target-paused",
   "target-leaving",
   "target-limited",
+  "target-backing-off",
   "request-fatal",
   "store-silent",
   "store-refusing",
@@ -47,6 +48,9 @@
 const FATAL_INTERVAL_MS = 1_000;
 const LIMITS_PER_SECOND = [0.5, 2.5, 8];
 const RATE_LIMIT_DURATION_MS = 10_000;
+/** Pauses that a target asks for, and how long it goes on refusing. */
+const BACKOFFS_S = [0.2, 1.5, 4];
+const BACKOFF_DURATION_MS = 6_000;
 /**
  * Interval of extra requests for the service of a target whose rate is limited.
  */
@@ -83,6 +87,8 @@
         return await this.#failTarget(fault);
       case "target-limited":
         return await this.#setRateLimit();
+      case "target-backing-off":
+        return await this.#setBackoff();
       case "request-fatal":
         return await this.#sendFatalRequests();
       case "store-silent":
@@ -219,6 +225,23 @@
     return `${target.id} limited to ${perSecond} requests per second`;
   }
 
+  /** Lets a target refuse all requests and ask for a pause. */
+  async #setBackoff(): Promise<string> {
+    const target = this.#takeTarget();
+    if (target === undefined) {
+      return "skipped: no target is available";
+    }
+    const { processes } = this.#trial;
+    const seconds = this.#drawValue(BACKOFFS_S);
+    await processes.setTargetBackoff(target, seconds);
+    await sleep(BACKOFF_DURATION_MS);
+    if (!target.child.hasEnded) {
+      await processes.setTargetBackoff(target, null);
+    }
+    this.#inUse.delete(target.id);
+    return `${target.id} asked for pauses of ${seconds} s`;
+  }
+
   async #sendFatalRequests(): Promise<string> {
     if (this.#inUse.has("fatal")) {
       return "skipped: another fatal request is active";
--- a/packages/trials/src/start/deployment_processes.ts
+++ b/packages/trials/src/start/deployment_processes.ts
@@ -196,6 +196,17 @@
     await sendJson(`http://${address}/standin/limit`, { perSecond });
   }
 
+  /**
+   * Lets the target refuse requests and ask for a pause of this many seconds;
+   * null ends it.
+   */
+  async setTargetBackoff(
+    { address }: TargetProcess,
+    seconds: number | null,
+  ): Promise<void> {
+    await sendJson(`http://${address}/standin/backoff`, { seconds });
+  }
+
   /** Sets how the store handles calls from now on. */
   async setStoreFaultMode(faultMode: StoreFaultMode): Promise<void> {
     await sendJson(`http://${this.#storeAddress}/standin/mood`, {
