test(gateway): list the live owner that a late entry ends

After a restart of an instance, the entry of an ended target may be read after that of the target that runs at its address now. The running one then counts as ended, and its keys are granted to a third target while it holds them: two owners of one key, the gravest of the promises. The test plays this order of reads and fails.

--- a/packages/gateway/src/views/catalogue_test.ts
+++ b/packages/gateway/src/views/catalogue_test.ts
@@ -262,6 +262,18 @@
   assert.ok(!catalogue.hasEnded({ id: "a", address: ADDRESS, bornMs: 1 }));
 });
 
+test(
+  "an entry of an ended target that is read late does not end the live one at its address",
+  { todo: "the order of reads counts as that of starts, see KNOWN-RED.txt" },
+  () => {
+    const { catalogue } = createConfiguredCatalogue();
+    catalogue.applyTarget("new", formatTarget({ id: "new" }), NOW);
+    const late = { nowMs: 1_000, graceMs: 0 };
+    catalogue.applyTarget("old", formatTarget({ id: "old" }), late);
+    assert.ok(!catalogue.hasEnded({ id: "new", address: ADDRESS }));
+  },
+);
+
 test("an entry of an unknown service does not prove that a target ended", () => {
   // An entry of another writer names the address of a running target. If it
   // counted, the target's keys would be granted to another target while it
