refactor(gateway,routing): report a retry's claim as of its send; check withdrawals without lists

The lines of a send showed the budget's decision on its overdue response, made while it was under way. Whether a target is withdrawn is asked for each target at each update, so it allocates nothing now.

--- a/packages/gateway/src/members/members.ts
+++ b/packages/gateway/src/members/members.ts
@@ -47,9 +47,9 @@
   readonly #lastContacts = new Map<string, LastContact>();
   /** A hash of each instance's name. */
   readonly #nameHashes = new Map<string, number>();
+  #isRead = false;
   /** Computed on demand: at a start, 200 records arrive one after the other. */
   #peers: readonly Member[] | undefined;
-  #isRead = false;
   #ranked: readonly RankedInstance[] | undefined;
 
   constructor(self: RankedInstance) {
--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -22,6 +22,7 @@
 
 /** Delay after which the caller of a refused request may retry. */
 export const REFUSED_RETRY_MS = 100;
+
 /** The end of one send. */
 export interface SendResult {
   readonly target: RoutingTarget;
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -74,8 +74,9 @@
     readonly outcome: SendOutcome;
     readonly sentAtMs: number;
     readonly remainingMs: number;
+    readonly retryClaim: RetryClaim | undefined;
   }): void {
-    const { placed, owner, outcome, sentAtMs, remainingMs } = sent;
+    const { placed, owner, outcome, sentAtMs, remainingMs, retryClaim } = sent;
     const { request } = context;
     this.#observe({
       kind: "send",
@@ -108,7 +109,7 @@
       ...(outcome.kind === "unknown" || outcome.backoffMs === undefined
         ? {}
         : { backoffMs: outcome.backoffMs }),
-      ...describeClaim(context),
+      ...(retryClaim === undefined ? {} : { retryClaim }),
       ...(outcome.kind === "unknown"
         ? { fingerprint: getFingerprint(context) }
         : {}),
@@ -138,14 +139,10 @@
           ...(answer.retryAfterMs === undefined
             ? {}
             : { retryAfterMs: Math.round(answer.retryAfterMs) }),
-          ...(context === undefined ? {} : describeClaim(context)),
+          ...(context?.retryClaim === undefined
+            ? {}
+            : { retryClaim: context.retryClaim }),
         }),
     });
   }
 }
-
-function describeClaim(
-  { retryClaim }: RequestContext,
-): { readonly retryClaim?: RetryClaim } {
-  return retryClaim === undefined ? {} : { retryClaim };
-}
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -376,7 +376,7 @@
   ): Promise<AttemptResult> {
     const { clock, sender, services, catalogue, quarantine } = this.#options;
     const { limits, leaving } = this.#options;
-    const { request, route, service } = context;
+    const { request, route, service, retryClaim } = context;
     const sentAtMs = clock.readMs();
     const remainingMs = context.deadlineAtMs - sentAtMs;
     context.sends++;
@@ -430,6 +430,7 @@
       outcome,
       sentAtMs,
       remainingMs,
+      retryClaim,
     });
     if (abortController.isOverdue() && outcome.kind === "unknown") {
       // The retry was taken from the budget when this send was aborted.
--- a/packages/gateway/src/views/catalogue.ts
+++ b/packages/gateway/src/views/catalogue.ts
@@ -253,7 +253,11 @@
 
   /** Whether a target gets no new work. */
   isWithdrawn(id: string): boolean {
-    return this.listWithdrawals(id).length > 0;
+    const known = this.#targets.get(id);
+    return known !== undefined &&
+      (known.reportedLeavingSinceMs !== null ||
+        this.getLeavingSinceMs(id) !== null ||
+        this.isEvacuated(known.target.dataCentre));
   }
 
   /** Lists why and since when a target gets no new work. */
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -56,9 +56,7 @@
     this.#firstAttempts.push(nowMs);
   }
 
-  /**
-   * Takes one retry from the budget; `instances` share the reserve.
-   */
+  /** Takes one retry from the budget; `instances` share the reserve. */
   claimRetry(instances: number | null, nowMs: number): RetryClaim {
     const oldest = nowMs - this.#limits.windowMs;
     this.#firstAttempts = removeBefore(this.#firstAttempts, oldest);
