fix(gateway): remember that a target leaves while its entry is gone

A target whose entry expires, in an outage or a compaction, and returns would have got requests again. The new test failed (present again) and passes.

--- a/packages/gateway/src/requests/leaving_targets.ts
+++ b/packages/gateway/src/requests/leaving_targets.ts
@@ -1,8 +1,8 @@
 /**
  * Withdraws targets whose responses say that they leave, here and at all other
  * instances, so that the keeper moves their keys although their entries do not
- * say so yet. The instance that is told first reports it once; an instance
- * whose report is lost is told by the target's next response.
+ * say so yet. The instance that is told first reports it once; an instance that
+ * does not receive the report learns it from the target's next response.
  */
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
--- a/packages/gateway/src/views/catalogue.ts
+++ b/packages/gateway/src/views/catalogue.ts
@@ -19,7 +19,10 @@
   type RoutedRequest,
   RouteIndex,
 } from "@lentilspur/routing/route_index";
-import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
+import {
+  formatTargetIncarnation,
+  type TargetIncarnation,
+} from "@lentilspur/routing/target_incarnation";
 import type {
   CatalogueEvent,
   Withdrawal,
@@ -52,6 +55,9 @@
  */
 const PRESUMED_COLD_MS = 2_000;
 
+/** About a day of a fleet with 4,600 restarts a day. */
+const MAX_REPORTED_LEAVING = 5_000;
+
 /** What this instance knows of a target, also while its entry is missing. */
 interface TargetState {
   target: KnownTarget;
@@ -68,8 +74,6 @@
    * clock.
    */
   leavingSinceMs: number | null;
-  /** The same according to its responses. */
-  reportedLeavingSinceMs: number | null;
 }
 
 export class Catalogue {
@@ -78,6 +82,11 @@
   readonly #evacuations = new Evacuations();
   readonly #startTimes = new TargetStartTimes();
   readonly #replaced = new ReplacedTargets();
+  /**
+   * Since when each incarnation has been leaving according to its responses, by
+   * the local clock. Kept while its entry is gone, which may come back.
+   */
+  readonly #reportedLeavingSinceMs = new Map<string, number>();
   #table: RoutingTable | undefined;
   #index = new RouteIndex([]);
   #targetsChanged = false;
@@ -241,11 +250,15 @@
     const known = this.#targets.get(id);
     if (
       known === undefined || known.target.bornMs !== bornMs ||
-      known.reportedLeavingSinceMs !== null
+      this.#findReportedLeavingSinceMs(known.target) !== null
     ) {
       return false;
     }
-    known.reportedLeavingSinceMs = nowMs;
+    const since = this.#reportedLeavingSinceMs;
+    since.set(formatTargetIncarnation(known.target), nowMs);
+    if (since.size > MAX_REPORTED_LEAVING) {
+      since.delete(since.keys().next().value!);
+    }
     known.target = { ...known.target, leaving: true };
     this.#report(known.target, "reported-leaving");
     return true;
@@ -255,7 +268,7 @@
   isWithdrawn(id: string): boolean {
     const known = this.#targets.get(id);
     return known !== undefined &&
-      (known.reportedLeavingSinceMs !== null ||
+      (this.#findReportedLeavingSinceMs(known.target) !== null ||
         this.getLeavingSinceMs(id) !== null ||
         this.isEvacuated(known.target.dataCentre));
   }
@@ -268,7 +281,7 @@
     }
     const since: readonly (readonly [WithdrawalReason, number | null])[] = [
       ["leaving", this.getLeavingSinceMs(id)],
-      ["reported-leaving", known.reportedLeavingSinceMs],
+      ["reported-leaving", this.#findReportedLeavingSinceMs(known.target)],
       ["evacuated", this.#evacuations.getSinceMs(known.target.dataCentre)],
     ];
     return since.flatMap(([reason, sinceMs]) =>
@@ -397,7 +410,8 @@
       known.target.bornMs === target.bornMs;
     // An incarnation that has reported that it is leaving stays leaving.
     const leaving = target.leaving ||
-      (isSameIncarnation && known.target.leaving);
+      (isSameIncarnation && known.target.leaving) ||
+      this.#findReportedLeavingSinceMs(target) !== null;
     const since = isSameIncarnation ? known.leavingSinceMs : null;
     const coldUntilMs = isSameIncarnation
       ? known.target.coldUntilMs
@@ -408,9 +422,6 @@
       missingSinceMs: null,
       goneAtMs: null,
       leavingSinceMs: target.leaving ? since ?? nowMs : since,
-      reportedLeavingSinceMs: isSameIncarnation
-        ? known.reportedLeavingSinceMs
-        : null,
     };
     this.#targets.set(target.id, state);
     this.#report(target, leaving ? "leaving" : "present");
@@ -419,6 +430,14 @@
     }
   }
 
+  #findReportedLeavingSinceMs(incarnation: TargetIncarnation): number | null {
+    return this.#reportedLeavingSinceMs.size === 0
+      ? null
+      : this.#reportedLeavingSinceMs.get(
+        formatTargetIncarnation(incarnation),
+      ) ?? null;
+  }
+
   #setCold(known: TargetState, untilMs: number, nowMs: number): void {
     const { id: targetId, service, coldUntilMs } = known.target;
     known.target = {
--- a/packages/gateway/src/views/catalogue_test.ts
+++ b/packages/gateway/src/views/catalogue_test.ts
@@ -335,3 +335,20 @@
   catalogue.applyEvacuation("bole", false, 1_000);
   assert.ok(catalogue.getTarget("a")!.coldUntilMs > 2_500);
 });
+
+test("a target whose response said that it leaves stays withdrawn when its entry goes and returns", () => {
+  const { catalogue } = createConfiguredCatalogue();
+  catalogue.applyTarget("a", formatTarget(), NOW);
+  assert.ok(catalogue.recordReportedLeaving({ id: "a" }, 10));
+  catalogue.applyTarget("a", "", { nowMs: 20, graceMs: 0 });
+  catalogue.advance(30);
+  assert.equal(catalogue.getTarget("a"), undefined);
+  catalogue.applyTarget("a", formatTarget({ sequence: 9 }), {
+    nowMs: 40,
+    graceMs: 0,
+  });
+  assert.equal(catalogue.getTarget("a")?.leaving, true);
+  assert.deepEqual(catalogue.listWithdrawals("a"), [
+    { reason: "reported-leaving", sinceMs: 10 },
+  ]);
+});
