fix(routing): remember a target's pause while its entry is gone

A target whose entry expires and returns within its pause would have got requests again. Change: it is kept by incarnation. The new test failed (a second request) and passes.

--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -211,6 +211,12 @@
     }
   }
 
+  /** Removes the entry of a target and writes it again. */
+  restoreEntry(id: string): void {
+    this.#applyEntry(id, "");
+    this.#applyEntry(id, this.#createEntry(id));
+  }
+
   /** Lists the instances that give new work to a target. */
   listUnaware(id: string): readonly string[] {
     return [...this.#instances]
--- a/packages/gateway/src/requests/target_backoff_test.ts
+++ b/packages/gateway/src/requests/target_backoff_test.ts
@@ -79,3 +79,15 @@
   assert.equal((await sent).kind, "answered");
   assert.equal(simulation.arrivals.length, 2);
 });
+
+test("a target gets nothing in its pause when its entry goes and returns", async () => {
+  const simulation = createSimulation(true);
+  simulation.backoffsMs.set("t1", BACKOFF_MS);
+  const instance = TWELVE_INSTANCES[0]!;
+  void simulation.send(instance, { key: 1 });
+  await simulation.clock.advance(100);
+  simulation.restoreEntry("t1");
+  void simulation.send(instance, { key: 1 });
+  await simulation.clock.advance(100);
+  assert.equal(simulation.arrivals.length, 1);
+});
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -14,6 +14,7 @@
   KnownTarget,
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
+import { formatTargetIncarnation } from "./target_incarnation.ts";
 import { TargetLoad } from "./target_load.ts";
 import {
   getQueueKey,
@@ -99,6 +100,8 @@
 const INSTANCES_WITHOUT_RANDOMNESS = 12;
 const RANDOMNESS_PER_INSTANCE = 1 / 40;
 const MAX_RANDOMNESS = 1;
+/** More than the targets of a large service. */
+const MAX_BACKOFFS = 5_000;
 
 export interface ServicePlacesOptions {
   /** The data centre of this instance. */
@@ -118,6 +121,11 @@
   readonly #loads = new Map<string, TargetLoad>();
   readonly #queue = new WaitQueue<PlaceRequest, PlaceCallback>();
   #maxWaitingPerTarget = Infinity;
+  /**
+   * By incarnation: when the pause that it asked for ends. Kept while its entry
+   * is gone, which may come back.
+   */
+  readonly #backoffsUntilMs = new Map<string, number>();
   /** When the last pause that any target has asked for ends. */
   #backoffsEndMs = -Infinity;
 
@@ -160,7 +168,12 @@
         const previous = known?.target.bornMs === target.bornMs
           ? known
           : undefined;
-        this.#loads.set(target.id, new TargetLoad(target, previous));
+        const load = new TargetLoad(target, previous);
+        load.recordBackoff(
+          this.#backoffsUntilMs.get(formatTargetIncarnation(target)) ??
+            -Infinity,
+        );
+        this.#loads.set(target.id, load);
       }
     }
   }
@@ -172,8 +185,18 @@
 
   /** Records that a target asks this instance for a pause. */
   recordBackoff(targetId: string, backoffMs: number, nowMs: number): void {
-    this.#loads.get(targetId)?.recordBackoff(backoffMs, nowMs);
-    this.#backoffsEndMs = Math.max(this.#backoffsEndMs, nowMs + backoffMs);
+    const load = this.#loads.get(targetId);
+    if (load === undefined) {
+      return;
+    }
+    load.recordBackoff(nowMs + backoffMs);
+    const untilMs = nowMs + load.getBackoffMs(nowMs);
+    this.#backoffsEndMs = Math.max(this.#backoffsEndMs, untilMs);
+    this.#backoffsUntilMs.set(formatTargetIncarnation(load.target), untilMs);
+    if (this.#backoffsUntilMs.size > MAX_BACKOFFS) {
+      const [oldest] = this.#backoffsUntilMs.keys();
+      this.#backoffsUntilMs.delete(oldest!);
+    }
   }
 
   getLoad(targetId: string): TargetLoad | undefined {
--- a/packages/routing/src/target_load.ts
+++ b/packages/routing/src/target_load.ts
@@ -160,9 +160,9 @@
     );
   }
 
-  /** Records that the target asks this instance for a pause. */
-  recordBackoff(backoffMs: number, nowMs: number): void {
-    this.#backoffUntilMs = Math.max(this.#backoffUntilMs, nowMs + backoffMs);
+  /** Records until when the target wants no requests of this instance. */
+  recordBackoff(untilMs: number): void {
+    this.#backoffUntilMs = Math.max(this.#backoffUntilMs, untilMs);
   }
 
   /** How much longer the target wants no requests of this instance. */
