feat(gateway): report the era of the store

Cause: nothing tells that the store came back from an older copy; only an instance whose read happened to ask beyond the end says so, without an era.

Nothing is decided by it yet.

--- a/packages/cli/src/declared_instance.ts
+++ b/packages/cli/src/declared_instance.ts
@@ -24,8 +24,8 @@
     settings: gateway,
     clock,
     stream: process.stdout,
-    createAdapter: ({ observeStoreCall }) =>
-      createDeclaredAdapter(createAdapter(settings, clock, observeStoreCall), {
+    createAdapter: (tools) =>
+      createDeclaredAdapter(createAdapter(settings, clock, tools), {
         decodeConfiguration: decodePublishedRouting,
         parseMetadata: (headers) => parseRequestMetadata(headers, randomUUID),
       }),
--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -4,6 +4,7 @@
  * an operator can trace a request's outcome to its cause by the request id.
  */
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
+import type { StoreEraChange } from "@lentilspur/ports/store";
 import type { CatalogueEvent } from "./views/catalogue_event.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { KeeperServiceEvent } from "./keeper/keeper_service.ts";
@@ -63,6 +64,14 @@
     this.#logger.log(`store-${kind}`, "notable", fields);
   }
 
+  observeStoreEra({ era, previousEra }: StoreEraChange): void {
+    this.#logger.log("store-era", "notable", { era, previousEra });
+    this.#metrics.storeEra.set(era);
+    if (previousEra !== undefined) {
+      this.#metrics.storeRestores.inc();
+    }
+  }
+
   observeQuarantine(event: QuarantineEvent): void {
     this.#metrics.suspicions.inc({ event: event.kind });
     this.#log(`request-${event.kind}`, event);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -68,6 +68,16 @@
     labelNames: ["call", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly storeEra = new Gauge({
+    name: "lentilspur_store_era",
+    help: "Era of the store, which rises when it comes back from an older copy",
+    registers: [this.#registry],
+  });
+  readonly storeRestores = new Counter({
+    name: "lentilspur_store_restores_total",
+    help: "Times that the store came back from an older copy, since the start",
+    registers: [this.#registry],
+  });
   readonly orders = new Counter({
     name: "lentilspur_key_orders_total",
     help: "Grants, renewals and releases of keys, by outcome",
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -127,6 +127,7 @@
     this.#adapter = options.createAdapter({
       observeStoreCall: (call, outcome) =>
         this.#metrics.storeCalls.inc({ call, outcome }),
+      observeStoreEra: (change) => this.#reporter.observeStoreEra(change),
     });
     this.#drainMs = settings.drainMs;
     this.#catalogue = this.#createCatalogue();
--- a/packages/gateway/src/instance_options.ts
+++ b/packages/gateway/src/instance_options.ts
@@ -8,7 +8,7 @@
   RoutingTable,
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
-import type { Store } from "@lentilspur/ports/store";
+import type { Store, StoreEraChange } from "@lentilspur/ports/store";
 import type { RequestMetadata } from "./entry/caller_request.ts";
 import type {
   ResolvedGatewaySettings,
@@ -34,9 +34,13 @@
   readonly settings: ResolvedGatewaySettings;
   readonly clock: Clock;
   readonly stream: NodeJS.WritableStream;
-  readonly createAdapter: (tools: {
-    readonly observeStoreCall: (call: string, outcome: string) => void;
-  }) => InstanceAdapter;
+  readonly createAdapter: (tools: AdapterTools) => InstanceAdapter;
+}
+
+/** What an adapter reports to its instance. */
+export interface AdapterTools {
+  readonly observeStoreCall: (call: string, outcome: string) => void;
+  readonly observeStoreEra: (change: StoreEraChange) => void;
 }
 
 /** The ports of one instance that are in use. */
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -76,6 +76,16 @@
   readonly parts: readonly number[];
 }
 
+/**
+ * The store was restored from an older copy: records that were acknowledged in
+ * an earlier era may be gone.
+ */
+export interface StoreEraChange {
+  readonly era: number;
+  /** Undefined for the first era that this process sees. */
+  readonly previousEra: number | undefined;
+}
+
 export interface Store {
   /** Returns the offset of the appended record. */
   append(request: AppendRequest): Promise<Result<number, StoreFailure>>;
