--- a/packages/ports/src/fake_store.ts
+++ b/packages/ports/src/fake_store.ts
@@ -128,7 +128,7 @@
         Math.min(this.#firstRetained.get(name) ?? 0, list.length),
       );
       if (rewrittenNames.includes(name)) {
-        lost.forEach(({ key, value }) => this.#push(list, key, value));
+        lost.forEach(({ key, value }) => this.#appendRecord(list, key, value));
       }
     }
     for (const group of this.#groups.values()) {
@@ -185,10 +185,10 @@
     if (request.at !== undefined && request.at !== list.length) {
       return Err({ kind: "conflict", end: list.length });
     }
-    return Ok(this.#push(list, request.key, request.value));
+    return Ok(this.#appendRecord(list, request.key, request.value));
   }
 
-  #push(list: StoredRecord[], key: string, value: string): number {
+  #appendRecord(list: StoredRecord[], key: string, value: string): number {
     const offset = list.length;
     list.push({ offset, key, value, appendedAtMs: this.#clock.readMs() });
     return offset;
