fix(ports,platform): let offsets rise when the store comes back from a copy

Cause: tokens, terms and the ends of views are offsets, and offsets went back with the store. Every comparison of two of them, also between instances, took them for an order of time.

Change: the client of the store returns offsets that contain the era, so a later record has a higher offset, also as a token and as a term. An append on the condition of an earlier era is a conflict, one carried out in a later era has an unknown outcome, a read from an earlier era fails as restored, and a response of an earlier era counts for nothing. Views then read the newest records. Both stand-ins of the store know eras.

--- a/packages/cli/src/store_session.ts
+++ b/packages/cli/src/store_session.ts
@@ -157,6 +157,7 @@
     case "conflict":
       return `Another record was written first; the partition now ends at offset ${failure.end}`;
     case "expired":
+    case "restored":
       return "The records asked for have expired; try again";
     case "refused":
     case "unavailable":
--- a/packages/gateway/src/keeper/store_restore_test.ts
+++ b/packages/gateway/src/keeper/store_restore_test.ts
@@ -35,7 +35,6 @@
 
 test(
   "a successor that knows only the copy waits for the holds of lost records",
-  { todo: "KNOWN-RED.txt" },
   async () => {
     const simulation = await startWithRecentMoves();
     simulation.restoreStore({ copyAgeMs: 5_000, awayMs: 800 });
--- a/packages/gateway/src/views/partition_view.ts
+++ b/packages/gateway/src/views/partition_view.ts
@@ -2,9 +2,9 @@
  * Follows one partition of the store and keeps the newest record of each key.
  *
  * Copes with the ways in which a store fails its readers. The store may be
- * down, slow or refusing this instance. It may have dropped its history, so
- * that missed changes are found only by comparing the newest records with the
- * known ones. A response may belong to a call sent long ago, so the state
+ * down, slow or refusing this instance. It may have dropped its history, or come
+ * back from an older copy, so that missed changes are found only by comparing
+ * the newest records with the known ones. A response may belong to a call sent long ago, so the state
  * counts as confirmed from the time at which the call was sent.
  */
 import type { Result } from "@lentilspur/outcomes/result";
@@ -16,6 +16,11 @@
   StoreReadResult,
   StoreRecord,
 } from "@lentilspur/ports/store";
+import {
+  getEra,
+  getIndex,
+  isOfEarlierEra,
+} from "@lentilspur/ports/store_offset";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
 import { ReadWatchdog } from "./read_watchdog.ts";
 
@@ -32,6 +37,14 @@
     readonly afterMs: number;
   }
   | { readonly kind: "history-lost"; readonly partition: Partition }
+  | {
+    /** The store came back from an older copy; its newest records were read. */
+    readonly kind: "restored";
+    readonly partition: Partition;
+    readonly era: number;
+    /** Known keys without a record, or with an older one. */
+    readonly lostKeys: number;
+  }
   | {
     /** A read was abandoned because newer records exist; a new read starts. */
     readonly kind: "read-abandoned";
@@ -126,6 +139,8 @@
   #wake: (() => void) | undefined;
   #isScheduled = false;
   #isAbandoned = false;
+  /** Whether the store was restored, so that reads cannot continue at `#end`. */
+  #isOutdated = false;
 
   constructor(options: PartitionViewOptions) {
     this.#options = options;
@@ -277,9 +292,7 @@
     this.#stallTimeoutMs = MIN_STALL_TIMEOUT_MS;
     this.#recordStoreResponse(sentAtMs);
     if (base === NEWEST) {
-      this.#mergeSnapshot(read.val.records);
-      this.#end = Math.max(this.#end, read.val.end);
-      this.#options.onSnapshot?.();
+      this.#applySnapshot(read.val);
     } else {
       this.#applyRead(base, read.val.records, sentAtMs);
     }
@@ -295,7 +308,9 @@
   #chooseStart(): number | typeof NEWEST {
     const readsNewest = this.#options.isNewestOnly === true &&
       this.#hasLastReadFailed();
-    return !this.isLoaded || readsNewest ? NEWEST : this.#end;
+    return !this.isLoaded || this.#isOutdated || readsNewest
+      ? NEWEST
+      : this.#end;
   }
 
   /** Whether the last read failed or was abandoned. */
@@ -366,6 +381,10 @@
       this.#end = -1;
       return 0;
     }
+    if (failure.kind === "restored") {
+      this.#isOutdated = true;
+      return 0;
+    }
     if (this.#lostAtMs === null) {
       this.#lostAtMs = clock.readMs();
       const message = "message" in failure ? failure.message : failure.kind;
@@ -391,6 +410,20 @@
     }
   }
 
+  #applySnapshot({ records, end }: StoreReadResult): void {
+    const isRestored = this.isLoaded && isOfEarlierEra(this.#end, end);
+    this.#isOutdated = false;
+    this.#end = Math.max(this.#end, end);
+    if (isRestored) {
+      this.#regainedAtMs = this.#options.clock.readMs();
+      const { partition, observe } = this.#options;
+      const lostKeys = countLostKeys(this.#newestRecords, records);
+      observe({ kind: "restored", partition, era: getEra(end), lostKeys });
+    }
+    this.#mergeSnapshot(records);
+    this.#options.onSnapshot?.();
+  }
+
   /**
    * Applies the newest record of each key. Known keys without one were deleted
    * while this instance was not reading, and are removed.
@@ -419,3 +452,16 @@
     this.#options.apply(record);
   }
 }
+
+/** Counts the known keys that have no record any more, or only an older one. */
+function countLostKeys(
+  known: ReadonlyMap<string, StoreRecord>,
+  records: readonly StoreRecord[],
+): number {
+  const indexes = new Map(
+    records.map(({ key, offset }) => [key, getIndex(offset)]),
+  );
+  return [...known.values()].filter(({ key, offset }) =>
+    (indexes.get(key) ?? -1) < getIndex(offset)
+  ).length;
+}
--- a/packages/gateway/src/views/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Partition, Store } from "@lentilspur/ports/store";
+import { getEra } from "@lentilspur/ports/store_offset";
 import {
   KEEPER_KEY,
   TABLE_PREFIX,
@@ -348,11 +349,31 @@
       partition: { topic, part },
       getPollingPolicy,
       apply: ({ key, value, offset }) => apply(key, value, offset),
-      observe,
+      observe: (event) => {
+        observe(event);
+        if (event.kind === "restored") {
+          this.#scheduleReadsInEra(event.era);
+        }
+      },
       ...extraOptions,
     });
   }
 
+  /** Reads what was last read in an earlier era of the store. */
+  #scheduleReadsInEra(era: number): void {
+    const views = [
+      this.#configuration,
+      this.#targets,
+      this.#members,
+      ...this.#owners.values(),
+    ];
+    for (const view of views) {
+      if (getEra(view.end) < era) {
+        view.scheduleRead();
+      }
+    }
+  }
+
   #applyOperatorRecord(key: string, value: string): void {
     const { storeLayout, catalogue, onConfiguration } = this.#options;
     const { key: configurationKey, evacuationPrefix } =
--- a/packages/ports/src/fake_store.ts
+++ b/packages/ports/src/fake_store.ts
@@ -4,6 +4,8 @@
  */
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "./clock.ts";
+import { FakeStoreClient, type IndexedStore } from "./fake_store_client.ts";
+import { encodeOffset } from "./store_offset.ts";
 import type {
   AppendRequest,
   GroupAssignment,
@@ -78,6 +80,25 @@
 
   /** Creates a client through which one caller uses the store. */
   createClient(caller: string): Store {
+    const client = new FakeStoreClient(
+      this.createIndexedClient(caller),
+      () => this.#era,
+    );
+    // Tests replace single calls, which they cannot do with methods of a class.
+    return {
+      get era() {
+        return client.era;
+      },
+      append: (request) => client.append(request),
+      read: (request) => client.read(request),
+      readNewest: (partition, options) => client.readNewest(partition, options),
+      join: (request) => client.join(request),
+      leave: (group, member) => client.leave(group, member),
+    };
+  }
+
+  /** As `createClient`, with the indexes that the store itself uses. */
+  createIndexedClient(caller: string): IndexedStore {
     return {
       append: (request) => this.#append(caller, request),
       read: (request) => this.#read(caller, request),
@@ -150,11 +171,17 @@
 
   /** Appends a record as a caller outside the test. */
   write(partition: Partition, key: string, value: string): number {
-    return this.#apply({ partition, key, value }).unwrap();
+    const index = this.#apply({ partition, key, value }).unwrap();
+    return encodeOffset(this.#era, index);
   }
 
   listRecords(partition: Partition): readonly StoreRecord[] {
-    return this.#getRecords(formatPartition(partition));
+    return this.#getRecords(formatPartition(partition))
+      .map(({ offset, key, value }) => ({
+        offset: encodeOffset(this.#era, offset),
+        key,
+        value,
+      }));
   }
 
   async #append(
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -2,6 +2,10 @@
  * Interface of a store of keyed records in partitions, with linearizable
  * conditional appends. The newest record of each key is kept forever; older
  * ones expire.
+ *
+ * The store may be restored from an older copy, which starts a new era: records
+ * that it has acknowledged since the copy are gone. Offsets include the era
+ * (`store_offset.ts`) and so never go back.
  */
 import type { Result } from "@lentilspur/outcomes/result";
 
@@ -28,6 +32,11 @@
   | { readonly kind: "conflict"; readonly end: number }
   /** The requested records have expired. */
   | { readonly kind: "expired" }
+  /**
+   * The offset is from an earlier era: the records from there on may be gone,
+   * and others may have been written.
+   */
+  | { readonly kind: "restored" }
   /** The call had no effect; a later one may succeed. */
   | { readonly kind: "refused"; readonly message: string }
   /**
@@ -39,7 +48,10 @@
   readonly partition: Partition;
   readonly key: string;
   readonly value: string;
-  /** Appends only if the partition ends at this offset. */
+  /**
+   * Appends only if the partition ends at this offset, and the store is still in
+   * the era of the offset.
+   */
   readonly at?: number;
 }
 
@@ -87,6 +99,8 @@
 }
 
 export interface Store {
+  /** The latest era that a response has shown; 0 before the first one. */
+  readonly era: number;
   /** Returns the offset of the appended record. */
   append(request: AppendRequest): Promise<Result<number, StoreFailure>>;
   read(request: ReadRequest): Promise<Result<StoreReadResult, StoreFailure>>;
