fix(ownership,gateway): wait for keepers and moves that a restore may have lost

Callers saw requests refused, and two targets began requests on the same keys: after a restore, a claimant knows only the copy. It granted keys to the owners named there at once, while the holds of moves ran on whose records are lost, or while a keeper went on whose claim is lost.

To bound this, a keeper is settled once the store has confirmed it 12 s after its claim; one that is not acts without the store for 6 s, or longer only with pledges from all instances that are known; and pledges count only once a takeover is complete and confirmed. While its predecessor may be running, a keeper gives keys to new owners only within 0.8 s after a confirmation, so that a predecessor that goes on after a restore has lost no key. Witnesses are asked until the record that leaves them out is settled. Other instances let the keeper claim first.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -423,6 +423,8 @@
       isAlive: (name) => this.#members.isAlive(name, clock.readMs()),
       listGlobalHeartbeatSenders: () =>
         this.#duties.listGlobalHeartbeatSenders(),
+      listInstances: () =>
+        this.#members.listPeers().map(({ instance: name }) => name),
       isCandidate: () => this.#duties.isCandidate(),
       sendToPeer: (name, message) => this.#sendToPeer(name, message),
       scheduleMembersRead: () => this.#views.scheduleMembersRead(),
--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -17,6 +17,7 @@
   type GrantedRange,
   type KeeperEvent,
   KeyKeeper,
+  type PledgeScope,
   type PredecessorState,
 } from "@lentilspur/ownership/key_keeper";
 import type { ServiceSnapshot } from "@lentilspur/ownership/table_planner";
@@ -26,6 +27,7 @@
   type KeeperClaim,
 } from "@lentilspur/ownership/keeper_records";
 import {
+  isClaimOfPresentEra,
   parseClaim,
   parsePartitionState,
   type PartitionState,
@@ -113,6 +115,8 @@
    * certain, which is after `maxAuthorityMs` at the latest.
    */
   readonly listGlobalHeartbeatSenders: () => readonly KeeperClaim[];
+  /** All other instances with a record, by name. */
+  readonly listInstances: () => readonly string[];
   /** Whether this instance is a keeper candidate. */
   readonly isCandidate: () => boolean;
   readonly sendToPeer: (instance: string, message: KeeperMessage) => void;
@@ -141,6 +145,12 @@
 const PLEDGE_REQUEST_AFTER_MS = 1_000;
 /** Interval at which datagrams are sent again until they are answered. */
 const RESEND_INTERVAL_MS = 300;
+/**
+ * Every so many requests for pledges go to all instances, not to the witnesses
+ * only: often enough for a pledge of 6 s, and 200 datagrams a second for 300
+ * instances.
+ */
+const SENDS_PER_FULL_REQUEST = 5;
 /** Interval between reads of the members by a keeper that waits. */
 const REFRESH_INTERVAL_MS = 2_000;
 /**
@@ -168,7 +178,10 @@
    * The predecessors that each partition's keeper waits for, as last reported.
    */
   readonly #reportedUnresolved = new Map<number, string>();
+  #era = 0;
+  #eraSeenAtMs = -Infinity;
   #lastSentAtMs = -Infinity;
+  #sendCount = 0;
   #lastRefreshedAtMs = -Infinity;
 
   constructor(options: KeeperServiceOptions) {
@@ -247,6 +260,7 @@
     while (!signal.aborted) {
       this.#stopReplaced();
       this.#sendPending();
+      void this.eraSeenAtMs;
       for (const [part, sinceMs] of this.#assignment.listAssigned()) {
         void this.#claimIfDue(part, sinceMs);
       }
@@ -256,6 +270,16 @@
     this.stop();
   }
 
+  /** When this instance first saw the store's present era; own clock. */
+  get eraSeenAtMs(): number {
+    const { store, clock } = this.#options;
+    if (store.era !== this.#era) {
+      this.#era = store.era;
+      this.#eraSeenAtMs = clock.readMs();
+    }
+    return this.#eraSeenAtMs;
+  }
+
   #isStoreReachable(): boolean {
     const { clock, getView } = this.#options;
     const confirmedTimes = [
@@ -288,13 +312,14 @@
       return;
     }
     this.#lastSentAtMs = nowMs;
+    this.#sendCount++;
     for (const [part, keeper] of this.#keepers) {
       if (nowMs - keeper.confirmedAtMs > PLEDGE_REQUEST_AFTER_MS) {
-        this.#exchange.sendPledgeRequests(
-          part,
-          keeper.term,
-          this.#listPledgeWitnesses(part),
-        );
+        const scope = this.#sendCount % SENDS_PER_FULL_REQUEST === 0
+          ? "all-instances"
+          : "witnesses";
+        const pledgers = this.#listPledgers(part, scope);
+        this.#exchange.sendPledgeRequests(part, keeper.term, pledgers);
       }
       const unresolved = this.#predecessors.get(part)!.describeUnresolved();
       if (unresolved.some(({ kind }) => kind === "unknown")) {
@@ -341,12 +366,13 @@
    * The instances whose pledges a keeper needs: all live heartbeat senders, and
    * all that its records may name as witnesses.
    */
-  #listPledgeWitnesses(part: number): readonly string[] {
+  #listPledgers(part: number, scope: PledgeScope): readonly string[] {
     const namedWitnesses = this.#keepers.get(part)?.listNamedWitnesses() ?? [];
     return [
       ...new Set([
         ...this.#listHeartbeatSenders(),
         ...namedWitnesses.map(parseInstance),
+        ...(scope === "witnesses" ? [] : this.#options.listInstances()),
       ]),
     ];
   }
@@ -412,7 +438,13 @@
     }
     const isHandingOver = this.#hasActiveClaim(view) &&
       this.#isKeeperAlive(part) && !this.#isKeeperWithoutStore(part);
-    if (isHandingOver && clock.readMs() - sinceMs < HANDOVER_TIMEOUT_MS) {
+    const nowMs = clock.readMs();
+    // After a restore of the store, its keeper may claim again.
+    const startedAtMs = this.#isClaimOutdated(view)
+      ? this.eraSeenAtMs
+      : sinceMs;
+    const mayWait = isHandingOver || this.#isClaimOutdated(view);
+    if (mayWait && nowMs - startedAtMs < HANDOVER_TIMEOUT_MS) {
       return;
     }
     this.#claiming.add(part);
@@ -452,6 +484,11 @@
     }
     const { records, end: at } = read.val;
     const state = parsePartitionState(records, at);
+    if (this.#hasMissedClaim(view, state)) {
+      // The keeper has claimed again after a restore of the store.
+      view.scheduleRead();
+      return;
+    }
     for (const message of state.faults) {
       observe({ kind: "record-fault", message });
     }
@@ -483,14 +520,26 @@
     this.#startKeeper({ part, term, view, state, predecessors, sentAtMs });
   }
 
+  /** Whether the store was restored since the newest claim that is known. */
+  #isClaimOutdated(view: PartitionView): boolean {
+    return getEra(findTerm(view) ?? 0) < this.#options.store.era;
+  }
+
+  /** Whether a keeper has claimed in the present era, which the view lacks. */
+  #hasMissedClaim(view: PartitionView, state: PartitionState): boolean {
+    return state.term !== findTerm(view) && getEra(state.end) > 0 &&
+      isClaimOfPresentEra(state) && state.claim?.resigned !== true;
+  }
+
   #createPredecessorTracker(
     part: number,
     state: PartitionState,
   ): PredecessorTracker {
     const { clock, timing, claim, hasInstanceEnded } = this.#options;
     const exchange = this.#exchange;
+    const { eraSeenAtMs } = this;
     return new PredecessorTracker(
-      { clock, timing, claim, exchange, hasInstanceEnded },
+      { clock, timing, claim, exchange, hasInstanceEnded, eraSeenAtMs },
       part,
       state,
     );
@@ -533,8 +582,8 @@
         this.#options.listGlobalHeartbeatSenders().map(formatIncarnation)
           .toSorted(),
       listUnresolved: () => predecessors.listUnresolved(),
-      hasPledges: () =>
-        this.#exchange.hasPledges(part, this.#listPledgeWitnesses(part)),
+      hasPledges: (from) =>
+        this.#exchange.hasPledges(part, this.#listPledgers(part, from)),
       getConfirmedAtMs: () =>
         getEra(view.end) === getEra(keeper.term)
           ? view.storeConfirmedAtMs
--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -92,6 +92,8 @@
       scheduleMembersRead: () => void this.#readMembers(members),
       isAlive: (name) => this.#hasPath(name, instance),
       listGlobalHeartbeatSenders: () => this.#listAlive(instance),
+      listInstances: () =>
+        [...this.#incarnations.keys()].filter((name) => name !== instance),
       isCandidate: () => true,
       sendToPeer: (name, message) => this.#sendToPeer(instance, name, message),
       observe: (event) => this.events.push(event),
--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -7,22 +7,37 @@
  * such predecessors, if each was lost before it learned whether the one before
  * it had stopped. The records of the partition name them, and the one that may
  * act the longest determines how long the successor waits.
+ *
+ * After a restore of the store, keepers may act whose claims are lost, and the
+ * tables may lack the last moves. All of them are waited for together, as one
+ * predecessor without a name.
  */
 import { computeHoldEndMs } from "@lentilspur/ownership/hold_tracker";
 import {
   formatIncarnation,
   type KeeperClaim,
+  LOST_KEEPERS,
   type UnresolvedKeeper,
 } from "@lentilspur/ownership/keeper_records";
-import type { PartitionState } from "@lentilspur/ownership/partition_state";
+import {
+  isClaimOfPresentEra,
+  type PartitionState,
+} from "@lentilspur/ownership/partition_state";
 import type { KeeperTiming } from "@lentilspur/ownership/keeper_timing";
 import type { PredecessorState } from "@lentilspur/ownership/key_keeper";
 import type { Clock } from "@lentilspur/ports/clock";
+import {
+  encodeOffset,
+  getEra,
+  isOfEarlierEra,
+} from "@lentilspur/ports/store_offset";
 import type { KeeperExchange } from "./keeper_exchange.ts";
 
 /** A predecessor, and what this instance knew of it when it claimed. */
 interface TrackedPredecessor extends UnresolvedKeeper {
   readonly resigned: boolean;
+  /** Whether the records of its last moves may have been lost. */
+  readonly isOfEarlierEra: boolean;
   /**
    * When this instance learned that the store accepted its claim; own clock.
    */
@@ -31,6 +46,8 @@
   endedSeenAtMs: number | undefined;
 }
 
+type KeeperState = Pick<PredecessorState, "kind" | "lastOrderAtMs">;
+
 /** A predecessor that may have sent orders whose holds are still in force. */
 export interface UnresolvedPredecessor {
   readonly instance: string;
@@ -47,6 +64,8 @@
   readonly claim: KeeperClaim;
   readonly exchange: KeeperExchange;
   readonly hasInstanceEnded: (claim: KeeperClaim) => boolean;
+  /** When this instance first saw the store's present era; own clock. */
+  readonly eraSeenAtMs: number;
 }
 
 export class PredecessorTracker {
@@ -119,9 +138,26 @@
         -Infinity,
         ...states.map(({ lastOrderAtMs }) => lastOrderAtMs),
       ),
+      unknownOwnersUntilMs: this.#computeUnknownOwnersUntilMs(),
     };
   }
 
+  /**
+   * When the holds end that a keeper of an earlier era may have granted, and
+   * whose records may be lost.
+   */
+  #computeUnknownOwnersUntilMs(): number {
+    const ends = this.#predecessors
+      .filter(({ isOfEarlierEra, resigned }) => isOfEarlierEra && !resigned)
+      .map((keeper) =>
+        computeHoldEndMs(
+          this.#computeKeeperState(keeper).lastOrderAtMs,
+          this.#options.timing.holdMs,
+        )
+      );
+    return Math.max(-Infinity, ...ends);
+  }
+
   #listUnresolvedStates() {
     const { clock, timing } = this.#options;
     const nowMs = clock.readMs();
@@ -133,23 +169,14 @@
   }
 
   #createPredecessors(state: PartitionState): readonly TrackedPredecessor[] {
-    const { claim, witnesses, unresolved, term, tables } = state;
     const nowMs = this.#options.clock.readMs();
-    if (term === undefined && tables.size === 0) {
-      return [];
-    }
-    // A keeper whose record cannot be read may be any instance. The empty name
-    // matches no message and no restart, so its waiting time runs in full.
-    const lastClaim = claim ?? { instance: "", incarnation: "" };
-    const predecessors = [
-      { ...lastClaim, witnesses, term: term ?? -1 },
-      ...unresolved,
-    ];
-    return predecessors.map((predecessor) => ({
-      ...toUnresolved(predecessor),
-      resigned: "resigned" in predecessor && predecessor.resigned === true,
+    return listNamedKeepers(state).map((keeper) => ({
+      ...toUnresolved(keeper),
+      resigned: "resigned" in keeper && keeper.resigned === true,
+      isOfEarlierEra: keeper.incarnation === LOST_KEEPERS ||
+        isOfEarlierEra(keeper.term, state.end),
       claimedAtMs: nowMs,
-      endedSeenAtMs: this.#hasEnded(predecessor) ? nowMs : undefined,
+      endedSeenAtMs: this.#hasEnded(keeper) ? nowMs : undefined,
     }));
   }
 
@@ -163,7 +190,7 @@
     return keeper.instance === claim.instance || hasInstanceEnded(keeper);
   }
 
-  #computeKeeperState(keeper: TrackedPredecessor): PredecessorState {
+  #computeKeeperState(keeper: TrackedPredecessor): KeeperState {
     const { clock, exchange } = this.#options;
     if (keeper.resigned) {
       return { kind: "resigned", lastOrderAtMs: keeper.claimedAtMs };
@@ -194,9 +221,12 @@
    * `maxAuthorityMs`.
    */
   #computeLatestOrderMs(
-    { claimedAtMs, witnesses }: TrackedPredecessor,
+    { claimedAtMs, witnesses, incarnation }: TrackedPredecessor,
   ): number {
-    const { timing, claim, exchange } = this.#options;
+    const { timing, claim, exchange, eraSeenAtMs } = this.#options;
+    if (incarnation === LOST_KEEPERS) {
+      return eraSeenAtMs + timing.unsettledAuthorityMs;
+    }
     return witnesses.includes(formatIncarnation(claim))
       ? Math.max(
         claimedAtMs + timing.authorityMs,
@@ -206,6 +236,30 @@
   }
 }
 
+/** The keepers that the records name, and those that they may lack. */
+function listNamedKeepers(state: PartitionState): readonly UnresolvedKeeper[] {
+  const { claim, witnesses, unresolved, term, tables, end } = state;
+  // A keeper whose record cannot be read may be any instance. The empty name
+  // matches no message and no restart, so its waiting time runs in full.
+  const lastClaim = claim ?? { instance: "", incarnation: "" };
+  const named = term === undefined && tables.size === 0
+    ? []
+    : [{ ...lastClaim, witnesses, term: term ?? -1 }, ...unresolved];
+  if (isClaimOfPresentEra(state)) {
+    return named;
+  }
+  const lost = {
+    instance: "",
+    incarnation: LOST_KEEPERS,
+    term: encodeOffset(getEra(end), 0),
+    witnesses: [],
+  };
+  return [
+    ...named.filter(({ incarnation }) => incarnation !== LOST_KEEPERS),
+    lost,
+  ];
+}
+
 /** From least to most certain that the keeper has stopped. */
 const KINDS_LEAST_CERTAIN_FIRST = ["unknown", "ended", "resigned"] as const;
 
--- a/packages/gateway/src/keeper/store_restore_test.ts
+++ b/packages/gateway/src/keeper/store_restore_test.ts
@@ -46,7 +46,6 @@
 
 test(
   "a successor waits for a keeper whose claim is lost and that cannot know it",
-  { todo: "KNOWN-RED.txt" },
   async () => {
     const simulation = await startWithRecentMoves(["one", "two"]);
     const killed = simulation.findKeeper()!;
--- a/packages/ownership/src/keeper_records.ts
+++ b/packages/ownership/src/keeper_records.ts
@@ -43,6 +43,13 @@
   readonly witnesses: readonly string[];
 }
 
+/**
+ * Incarnation of an unresolved keeper that stands for all keepers whose claims
+ * may have been lost when the store was restored, at the start of the era of its
+ * term. It belongs to no instance.
+ */
+export const LOST_KEEPERS = "lost-keepers";
+
 /**
  * The witnesses of a keeper. Without the store, the keeper acts only while each
  * of them has pledged to wait before taking over, so a witness can tell for how
--- a/packages/ownership/src/keeper_timing.ts
+++ b/packages/ownership/src/keeper_timing.ts
@@ -40,6 +40,25 @@
    * keys during a store outage.
    */
   readonly pledgeMs: number;
+  /**
+   * The longest time without the store for a keeper that is not settled, unless
+   * every known instance has given a pledge: if the store is restored, its claim
+   * may be lost, and other instances, which cannot know of it, wait for this time
+   * and a hold.
+   */
+  readonly unsettledAuthorityMs: number;
+  /**
+   * A claim and a record of witnesses are settled once the store has confirmed
+   * the keeper this long after it accepted them. Longer than the age of the
+   * copies that a store is restored from.
+   */
+  readonly settledAfterMs: number;
+  /**
+   * How recently the store must have confirmed a keeper that gives keys to new
+   * owners while its predecessor may be running. If the store is restored to a
+   * state before its claim, its predecessor may go on, and counts on this time.
+   */
+  readonly confirmedForMoveMs: number;
   /**
    * A keeper never acts without the store for longer than this, which is also
    * the longest store outage that it bridges. A successor that is not recorded
@@ -66,6 +85,9 @@
   retryDelayMs: 250,
   authorityMs: 2_000,
   pledgeMs: 6_000,
+  unsettledAuthorityMs: 6_000,
+  settledAfterMs: 12_000,
+  confirmedForMoveMs: 800,
   maxAuthorityMs: 60_000,
   unresponsiveAfterMs: 1_200,
   distributeAfterMs: 1_000,
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -58,8 +58,17 @@
   readonly kind: "none" | "resigned" | "ended" | "unknown";
   /** The previous keeper sends no order after this time; local clock. */
   readonly lastOrderAtMs: number;
+  /**
+   * Until then, targets may hold keys without any record that names them as
+   * owners, because the record was lost in a restore of the store; local clock,
+   * -Infinity if the records are complete.
+   */
+  readonly unknownOwnersUntilMs: number;
 }
 
+/** Which instances have to pledge: the witnesses, or all that are known. */
+export type PledgeScope = "witnesses" | "all-instances";
+
 type StopReason = "replaced" | "no-authority" | "asked";
 
 export type KeeperEvent =
@@ -116,10 +125,8 @@
   readonly listWitnessesToRecord: () => readonly string[];
   /** Earlier keepers that may still act. */
   readonly listUnresolved: () => readonly UnresolvedKeeper[];
-  /**
-   * Whether every witness has pledged to let this keeper act without the store.
-   */
-  readonly hasPledges: () => boolean;
+  /** Whether others have pledged to let this keeper act without the store. */
+  readonly hasPledges: (from: PledgeScope) => boolean;
   /**
    * When a read last showed that there is no newer claim, in the store's era of
    * the keeper's term; local clock.
@@ -197,16 +204,23 @@
   readonly #lostTables = new Set<string>();
   #term: number;
   #endOffset: number;
+  /** When the claim that the store accepted was sent; local clock. */
+  #claimedAtMs: number;
   #lastContactAtMs: number;
   /** JSON text of the newest record of witnesses that the store accepted. */
   #lastWitnessesRecord = "";
-  /** Incarnations that the newest record of witnesses may list. */
-  #possiblyRecordedWitnesses: ReadonlySet<string> = new Set();
+  /**
+   * Incarnations that a record of witnesses may list which is the newest one now
+   * or after a restore of the store, each with the time at which a confirmation
+   * ends this; local clock, Infinity while the newest record may list it.
+   */
+  readonly #recordedWitnesses = new Map<string, number>();
   #nextWitnessesAtMs = 0;
   #nextAppendAtMs = -Infinity;
   #nextSettledAtMs = -Infinity;
   #nextPlanAtMs = 0;
   #nextRegainAtMs = 0;
+  #releasesRequiredUntilMs = -Infinity;
   #nextClaimAtMs = 0;
 
   constructor(options: KeyKeeperOptions) {
@@ -214,6 +228,7 @@
     this.#planner = new TablePlanner(options.clock, options.timing);
     this.#term = options.term;
     this.#endOffset = options.term + 1;
+    this.#claimedAtMs = options.claimSentAtMs;
     this.#lastContactAtMs = options.claimSentAtMs;
     for (const [service, table] of options.tables) {
       this.#setTable(service, table);
@@ -337,22 +352,45 @@
       return false;
     }
     const ageMs = clock.readMs() - confirmedAtMs;
-    return ageMs < timing.authorityMs ||
-      (ageMs < timing.maxAuthorityMs && hasPledges());
+    if (ageMs < timing.authorityMs) {
+      return true;
+    }
+    return ageMs < timing.maxAuthorityMs && this.#hasTakenOver() &&
+      (this.#isSettled() || ageMs < timing.unsettledAuthorityMs
+        ? hasPledges("witnesses")
+        : hasPledges("all-instances"));
   }
 
   /**
-   * Whether no successor can have given keys of this keeper to other targets.
-   * One that claimed after the last confirmation waits until this keeper has
-   * stopped acting, and then for its holds.
+   * Whether the store has confirmed this keeper since no predecessor can act any
+   * more. Before that, a restore of the store may let a predecessor go on that
+   * this keeper has replaced.
+   */
+  #hasTakenOver(): boolean {
+    const { isClean, untilMs } = this.#describeInherited();
+    return isClean || this.confirmedAtMs >= untilMs;
+  }
+
+  /** Whether the claim is in every copy that the store is restored from. */
+  #isSettled(): boolean {
+    const { settledAfterMs } = this.#options.timing;
+    return this.confirmedAtMs - this.#claimedAtMs >= settledAfterMs;
+  }
+
+  /**
+   * Whether no successor can have moved keys of this keeper in an earlier era,
+   * except for those of ended targets. One that claimed after the last
+   * confirmation waits for a hold after each release, and then gives keys to new
+   * owners only if the store has just confirmed it.
    */
   #isSoleKeeper(): boolean {
     const { clock, timing, getTrustedSinceMs } = this.#options;
     const { confirmedAtMs } = this;
-    const holdEndMs = computeHoldEndMs(confirmedAtMs, timing.holdMs);
+    const soleUntilMs = computeHoldEndMs(confirmedAtMs, timing.holdMs) -
+      timing.confirmedForMoveMs;
     return this.#mayAct() ||
       (!this.hasStopped && confirmedAtMs >= getTrustedSinceMs() &&
-        clock.readMs() < holdEndMs);
+        clock.readMs() < soleUntilMs);
   }
 
   /** Claims again after the store was restored, or stops. */
@@ -390,7 +428,9 @@
     const previousTerm = this.#term;
     this.#term = appended.val;
     this.#endOffset = appended.val + 1;
+    this.#claimedAtMs = sentAtMs;
     this.#lastContactAtMs = sentAtMs;
+    this.#releasesRequiredUntilMs = this.#computeUnknownHoldsEndMs();
     this.#lastWitnessesRecord = "";
     this.#nextWitnessesAtMs = 0;
     for (const service of this.#tables.keys()) {
@@ -405,6 +445,17 @@
     this.#options.onClaimedAgain?.(this.#term);
   }
 
+  /**
+   * When the holds end that an unknown successor may have granted in the last
+   * era, on keys of ended targets.
+   */
+  #computeUnknownHoldsEndMs(): number {
+    const { clock, timing } = this.#options;
+    const lastGrantAtMs = clock.readMs() + timing.confirmedForMoveMs +
+      timing.orderTimeoutMs;
+    return computeHoldEndMs(lastGrantAtMs, timing.holdMs);
+  }
+
   /** Writes the tables that the store lost. */
   async #writeLostTables(): Promise<void> {
     for (const service of [...this.#lostTables]) {
@@ -448,6 +499,9 @@
       inheritedToken: term,
       inheritedRanges: this.#options.tables.get(service)?.ranges ?? [],
       getInherited: () => this.#describeInherited(),
+      isConfirmed: () =>
+        clock.readMs() - this.confirmedAtMs < timing.confirmedForMoveMs,
+      getReleasesRequiredUntilMs: () => this.#releasesRequiredUntilMs,
       report: (report) => observe({ kind: "order", service, ...report }),
       onGranted: (range) => this.#options.onGranted?.({ service, range }),
       onSuperseded: () => void this.#restoreFromStore(),
@@ -457,10 +511,12 @@
   /** Grants of earlier keepers that may still be in force. */
   #describeInherited(): InheritedGrants {
     const { timing, getPredecessor } = this.#options;
-    const { kind, lastOrderAtMs } = getPredecessor();
+    const { kind, lastOrderAtMs, unknownOwnersUntilMs } = getPredecessor();
     return {
       untilMs: computeHoldEndMs(lastOrderAtMs, timing.holdMs),
       isClean: kind === "resigned" || kind === "none",
+      isPredecessorActive: kind === "unknown",
+      unknownOwnersUntilMs,
     };
   }
 
@@ -478,6 +534,9 @@
   async #plan(): Promise<void> {
     for (const snapshot of this.#options.listServiceSnapshots()) {
       const { service } = snapshot;
+      if (!this.#tables.has(service) && this.#mayTableExist()) {
+        continue;
+      }
       const plan = this.#planner.plan(snapshot, {
         table: this.#tables.get(service),
         reconciler: this.#reconcilers.get(service),
@@ -490,6 +549,14 @@
     }
   }
 
+  /** Whether an unknown keeper may have written a table that is lost. */
+  #mayTableExist(): boolean {
+    return this.#options.clock.readMs() < Math.max(
+      this.#releasesRequiredUntilMs,
+      this.#describeInherited().unknownOwnersUntilMs,
+    );
+  }
+
   async #writeTable(
     service: string,
     next: KeyTable,
@@ -532,13 +599,27 @@
     }
     // Until the store has confirmed the append, either record may be the
     // newest.
-    this.#possiblyRecordedWitnesses = new Set([
-      ...this.#possiblyRecordedWitnesses,
-      ...instances,
-    ]);
+    instances.forEach((name) => this.#recordedWitnesses.set(name, Infinity));
     if (await this.#append(WITNESSES_KEY, text)) {
       this.#lastWitnessesRecord = text;
-      this.#possiblyRecordedWitnesses = new Set(instances);
+      this.#expireWitnesses(instances);
+    }
+  }
+
+  /** Lets the witnesses expire that the newest record does not list. */
+  #expireWitnesses(listed: readonly string[]): void {
+    const { clock, timing } = this.#options;
+    const settledAtMs = clock.readMs() + timing.settledAfterMs;
+    for (const [name, expiresAtMs] of this.#recordedWitnesses) {
+      if (listed.includes(name)) {
+        continue;
+      }
+      if (expiresAtMs <= this.confirmedAtMs) {
+        this.#recordedWitnesses.delete(name);
+      } else {
+        const earliestMs = Math.min(expiresAtMs, settledAtMs);
+        this.#recordedWitnesses.set(name, earliestMs);
+      }
     }
   }
 
@@ -546,7 +627,9 @@
    * Incarnations that a successor may find recorded as this keeper's witnesses.
    */
   listNamedWitnesses(): readonly string[] {
-    return [...this.#possiblyRecordedWitnesses];
+    return [...this.#recordedWitnesses]
+      .filter(([, expiresAtMs]) => expiresAtMs > this.confirmedAtMs)
+      .map(([name]) => name);
   }
 
   /** Records which ranges have been granted to their new owners. */
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -52,7 +52,11 @@
     const kind = options.predecessor ?? "none";
     const waitMs = kind === "unknown" ? DEFAULT_KEEPER_TIMING.authorityMs : 0;
     const lastOrderAtMs = this.clock.readMs() + waitMs;
-    const predecessor = { kind, lastOrderAtMs };
+    const predecessor = {
+      kind,
+      lastOrderAtMs,
+      unknownOwnersUntilMs: -Infinity,
+    };
     const keeperOptions: KeyKeeperOptions = {
       clock: this.clock,
       store: this.store.createClient(instance),
--- a/packages/ownership/src/partition_state.ts
+++ b/packages/ownership/src/partition_state.ts
@@ -1,5 +1,6 @@
 /** Parses the records of one partition of the ownership table. */
 import type { StoreRecord } from "@lentilspur/ports/store";
+import { getEra } from "@lentilspur/ports/store_offset";
 import {
   KEEPER_KEY,
   type KeeperClaim,
@@ -24,6 +25,14 @@
   readonly faults: readonly string[];
 }
 
+/**
+ * Whether the newest claim was made in the store's present era. If it was not,
+ * later claims and tables may have been lost in a restore of the store.
+ */
+export function isClaimOfPresentEra({ claim, end }: PartitionState): boolean {
+  return getEra(claim?.term ?? 0) === getEra(end);
+}
+
 export function parsePartitionState(
   records: readonly StoreRecord[],
   end: number,
--- a/packages/ownership/src/table_reconciler.ts
+++ b/packages/ownership/src/table_reconciler.ts
@@ -20,7 +20,13 @@
   type GrantRecord,
   HoldTracker,
 } from "./hold_tracker.ts";
-import type { Assignee, Holder, KeyTable, OwnedRange } from "./key_table.ts";
+import {
+  type Assignee,
+  type Holder,
+  isSameEndpoint,
+  type KeyTable,
+  type OwnedRange,
+} from "./key_table.ts";
 import type { KeeperTiming } from "./keeper_timing.ts";
 
 export type OrderReport = {
@@ -40,6 +46,13 @@
   readonly untilMs: number;
   /** Whether no grant of an earlier keeper can still take effect. */
   readonly isClean: boolean;
+  /**
+   * Whether an earlier keeper may still be running, so that the store may be
+   * restored to a state in which it was not replaced.
+   */
+  readonly isPredecessorActive: boolean;
+  /** As in `PredecessorState`. */
+  readonly unknownOwnersUntilMs: number;
 }
 
 export interface TableReconcilerOptions {
@@ -55,6 +68,14 @@
   /** Ranges with the holders that earlier keepers may have granted them to. */
   readonly inheritedRanges: readonly OwnedRange[];
   readonly getInherited: () => InheritedGrants;
+  /** Whether the store has just confirmed this keeper. */
+  readonly isConfirmed: () => boolean;
+  /**
+   * Until then, only a release proves that a former holder's keys are free: an
+   * unknown keeper may have given those of an ended target to another one; local
+   * clock.
+   */
+  readonly getReleasesRequiredUntilMs: () => number;
   readonly report: (report: OrderReport) => void;
   /** Called with each range in transfer that its new owner has been granted. */
   readonly onGranted: (range: OwnedRange) => void;
@@ -180,15 +201,39 @@
       void this.#run(state, () => this.#grant(state, "renew"));
       return;
     }
+    if (nowMs < this.#options.getInherited().unknownOwnersUntilMs) {
+      return;
+    }
     const pending = state.range.former
       .find((holder) => !this.#hasNoHold(state, holder, nowMs));
     if (pending === undefined) {
-      void this.#run(state, () => this.#grant(state, "grant"));
+      if (this.#mayGrant(state.range, nowMs)) {
+        void this.#run(state, () => this.#grant(state, "grant"));
+      }
     } else if (!state.released.has(pending.id)) {
       void this.#run(state, () => this.#release(state, pending));
     }
   }
 
+  /**
+   * While an earlier keeper may be running, new owners get keys only shortly
+   * after the store has confirmed this keeper. If the store is restored to a
+   * state before its claim, the earlier keeper goes on without knowing of them.
+   */
+  #mayGrant(range: OwnedRange, nowMs: number): boolean {
+    const { getInherited, isConfirmed } = this.#options;
+    const { isPredecessorActive, untilMs } = getInherited();
+    return !isPredecessorActive || nowMs >= untilMs || isConfirmed() ||
+      this.#isInheritedOwner(range);
+  }
+
+  #isInheritedOwner(range: OwnedRange): boolean {
+    const inherited = this.#options.inheritedRanges
+      .filter((one) => hasOverlap(one, range));
+    return inherited.length > 0 &&
+      inherited.every(({ owner }) => isSameEndpoint(owner, range.owner));
+  }
+
   /**
    * Sends one order at a time per range, and none unless this keeper may act.
    */
@@ -219,6 +264,9 @@
   /** Whether the former holder can no longer hold any key of the range. */
   #hasNoHold(state: RangeState, holder: Holder, nowMs: number): boolean {
     const { range } = state;
+    if (nowMs < this.#options.getReleasesRequiredUntilMs()) {
+      return this.#isReleased(state, holder, nowMs);
+    }
     if (
       this.#ended.has(formatIncarnationKey(holder)) ||
       this.#options.hasEnded(holder)
@@ -228,9 +276,18 @@
     if (nowMs >= this.#computeHoldEndMs(holder, range)) {
       return true;
     }
+    return this.#isReleased(state, holder, nowMs);
+  }
+
+  /**
+   * Whether the former holder has released the range, and no earlier grant can
+   * take effect any more.
+   */
+  #isReleased(state: RangeState, holder: Holder, nowMs: number): boolean {
     const releasedAtMs = state.released.get(holder.id);
     return releasedAtMs !== undefined &&
-      nowMs >= this.#computePendingGrantsEndMs(holder, range, releasedAtMs);
+      nowMs >=
+        this.#computePendingGrantsEndMs(holder, state.range, releasedAtMs);
   }
 
   #computeHoldEndMs(holder: Holder, range: OwnedRange): number {
