fix(platform): take a read beyond the end after a restore for what it is

The 410 of a store that was restored said that the records had expired. A view then started anew, took all that was missing in the copy for removed, and the instance was not ready until it had read.

Change: a read that failed while its response shows a new era fails as restored.

--- a/packages/ports/src/fake_store_client.ts
+++ b/packages/ports/src/fake_store_client.ts
@@ -66,12 +66,10 @@
     const read = this.#record(
       await this.#store.read({ ...request, from: getIndex(from) }),
     );
-    if (!read.ok) {
-      return read;
+    if (getEra(from) !== this.#era) {
+      return Err({ kind: "restored" });
     }
-    return getEra(from) === this.#era
-      ? Ok(this.#toOffsets(read.val))
-      : Err({ kind: "restored" });
+    return read.ok ? Ok(this.#toOffsets(read.val)) : read;
   }
 
   async readNewest(
