fix(gateway): route by the newest table while a restored store shows an older one

After a restore, an instance read the table of the copy and sent requests to former owners, which refused them, until the keeper had written again.

Change: a table whose highest token is lower than that of the known one is older, whatever its offset, and is ignored. Since instances may then know a table that the store has lost, the first table that a keeper writes in a new era reaches them as a whole, not as a difference.

--- a/packages/gateway/src/views/key_directory.ts
+++ b/packages/gateway/src/views/key_directory.ts
@@ -3,6 +3,7 @@
  * store or a peer.
  */
 import {
+  findHighestToken,
   findRange,
   type Holder,
   type KeyTable,
@@ -35,6 +36,7 @@
   readonly table: KeyTable;
   /** Offset of the record that holds the table, used as the table's version. */
   readonly offset: number;
+  readonly highestToken: number;
 }
 
 export class KeyDirectory {
@@ -65,13 +67,22 @@
     return undefined;
   }
 
-  /** Sets a table that has been parsed already. */
+  /**
+   * Sets a table that has been parsed already, unless it is older than the known
+   * one: the store may have come back from an older copy, while the targets keep
+   * what they were granted.
+   */
   setTable(
     service: string,
     table: KeyTable,
     options: { readonly offset: number; readonly nowMs: number },
   ): void {
-    this.#tables.set(service, { table, offset: options.offset });
+    const highestToken = findHighestToken(table);
+    if (highestToken < (this.#tables.get(service)?.highestToken ?? -Infinity)) {
+      return;
+    }
+    const { offset } = options;
+    this.#tables.set(service, { table, offset, highestToken });
     this.#recordMoves(service, table, options.nowMs);
   }
 
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -202,6 +202,11 @@
   readonly #planner: TablePlanner;
   /** Services whose tables the store lacks or has in an older form. */
   readonly #lostTables = new Set<string>();
+  /**
+   * Services whose next table goes to other instances as a whole: they may know
+   * a table that the store has lost, and not the one that this keeper found.
+   */
+  readonly #unsharedTables = new Set<string>();
   #term: number;
   #endOffset: number;
   /** When the claim that the store accepted was sent; local clock. */
@@ -230,8 +235,12 @@
     this.#endOffset = options.term + 1;
     this.#claimedAtMs = options.claimSentAtMs;
     this.#lastContactAtMs = options.claimSentAtMs;
+    const { unknownOwnersUntilMs } = options.getPredecessor();
     for (const [service, table] of options.tables) {
       this.#setTable(service, table);
+      if (unknownOwnersUntilMs > -Infinity) {
+        this.#unsharedTables.add(service);
+      }
     }
   }
 
@@ -656,16 +665,16 @@
   }
 
   async #appendTable(service: string, after: KeyTable): Promise<boolean> {
-    // Other instances may lack a table that the store has lost.
-    const before = this.#lostTables.has(service)
-      ? undefined
-      : this.#tables.get(service);
+    const isUnshared = this.#lostTables.has(service) ||
+      this.#unsharedTables.has(service);
+    const before = isUnshared ? undefined : this.#tables.get(service);
     const offset = this.#endOffset;
     const key = formatTableKey(service);
     if (!await this.#append(key, serializeTable(after))) {
       return false;
     }
     this.#lostTables.delete(service);
+    this.#unsharedTables.delete(service);
     this.#nextSettledAtMs = this.#options.clock.readMs() + SETTLE_INTERVAL_MS;
     this.#setTable(service, after);
     this.#reconcilers.get(service)!.advance();
