fix(gateway): keep evacuations that a restored store lacks until they are written again

An evacuation ordered within the age of the copy is missing after a restore until the operator writes it again. Instances took it for ended and sent requests into the evacuated data centre.

Change: keys of the configuration's partition that are missing after a restore are removed only if they still are 2.5 s later, as entries of targets are. The version in force stayed already, and now has a test.

--- a/packages/gateway/src/views/partition_view.ts
+++ b/packages/gateway/src/views/partition_view.ts
@@ -61,6 +61,12 @@
   readonly getPollingPolicy: () => PollingPolicy;
   /** Whether only the newest record of a key is needed; defaults to false. */
   readonly isNewestOnly?: boolean;
+  /**
+   * Keys that are missing after a restore of the store are removed only if they
+   * are still missing after this time, in which their writers write them again;
+   * defaults to 0.
+   */
+  readonly restoreGraceMs?: number;
   /** Called for each record in order; an empty value removes the key. */
   readonly apply: (record: StoreRecord) => void;
   readonly observe: (event: PartitionViewEvent) => void;
@@ -141,6 +147,8 @@
   #isAbandoned = false;
   /** Whether the store was restored, so that reads cannot continue at `#end`. */
   #isOutdated = false;
+  /** When missing keys are removed after a restore; Infinity if none is. */
+  #removesMissingAtMs = Infinity;
 
   constructor(options: PartitionViewOptions) {
     this.#options = options;
@@ -258,7 +266,10 @@
       !signal.aborted && !this.#isScheduled && !this.hasLostStore &&
       this.isLoaded
     ) {
-      const dueAtMs = this.currentAsOfMs + getPollingPolicy().peerDataTtlMs;
+      const dueAtMs = Math.min(
+        this.currentAsOfMs + getPollingPolicy().peerDataTtlMs,
+        this.#removesMissingAtMs,
+      );
       const leftMs = dueAtMs - clock.readMs();
       if (leftMs <= 0) {
         return;
@@ -308,7 +319,8 @@
   #chooseStart(): number | typeof NEWEST {
     const readsNewest = this.#options.isNewestOnly === true &&
       this.#hasLastReadFailed();
-    return !this.isLoaded || this.#isOutdated || readsNewest
+    const mayRemove = this.#options.clock.readMs() >= this.#removesMissingAtMs;
+    return !this.isLoaded || this.#isOutdated || readsNewest || mayRemove
       ? NEWEST
       : this.#end;
   }
@@ -414,27 +426,35 @@
     const isRestored = this.isLoaded && isOfEarlierEra(this.#end, end);
     this.#isOutdated = false;
     this.#end = Math.max(this.#end, end);
+    const nowMs = this.#options.clock.readMs();
     if (isRestored) {
-      this.#regainedAtMs = this.#options.clock.readMs();
-      const { partition, observe } = this.#options;
+      this.#regainedAtMs = nowMs;
+      const { partition, observe, restoreGraceMs = 0 } = this.#options;
+      this.#removesMissingAtMs = nowMs + restoreGraceMs;
       const lostKeys = countLostKeys(this.#newestRecords, records);
       observe({ kind: "restored", partition, era: getEra(end), lostKeys });
     }
-    this.#mergeSnapshot(records);
+    const isInGrace = this.#removesMissingAtMs !== Infinity &&
+      nowMs < this.#removesMissingAtMs;
+    if (!isInGrace) {
+      this.#removesMissingAtMs = Infinity;
+      this.#removeMissing(records);
+    }
+    this.#applyNewer(records);
     this.#options.onSnapshot?.();
   }
 
-  /**
-   * Applies the newest record of each key. Known keys without one were deleted
-   * while this instance was not reading, and are removed.
-   */
-  #mergeSnapshot(records: readonly StoreRecord[]): void {
+  /** Removes known keys that were deleted while this instance did not read. */
+  #removeMissing(records: readonly StoreRecord[]): void {
     const presentKeys = new Set(records.map((record) => record.key));
     for (const known of [...this.#newestRecords.values()]) {
       if (!presentKeys.has(known.key)) {
         this.#applyRecord({ ...known, value: "" });
       }
     }
+  }
+
+  #applyNewer(records: readonly StoreRecord[]): void {
     for (const record of records) {
       const known = this.#newestRecords.get(record.key);
       if (known === undefined || known.offset < record.offset) {
--- a/packages/gateway/src/views/partition_view_test.ts
+++ b/packages/gateway/src/views/partition_view_test.ts
@@ -11,7 +11,10 @@
 const LARGE_RECORD_BYTES = 216_000;
 
 /** `changeClient` may wrap the store client to inject failures. */
-function startView(changeClient = (client: Store): Store => client) {
+function startView(
+  changeClient = (client: Store): Store => client,
+  restoreGraceMs = 0,
+) {
   const clock = new VirtualClock();
   const store = new FakeStore(clock);
   const applied: StoreRecord[] = [];
@@ -28,6 +31,7 @@
       peerDataTtlMs: policy.peerDataTtlMs,
       maxBackoffMs: 400,
     }),
+    restoreGraceMs,
     apply: (record) => applied.push(record),
     observe: (event) => events.push(event),
   });
@@ -191,3 +195,38 @@
   assert.equal(applied.at(-1)?.value, "2");
   assert.equal(reads, 1);
 });
+
+test("records that replace lost ones up to the same end are read after a restore", async () => {
+  const { clock, store, applied, events, view } = startView();
+  await clock.advance(5_000);
+  store.write(PARTITION, "b", "lost");
+  await clock.advance(1_000);
+  store.restore({ copyAgeMs: 3_000 });
+  store.write(PARTITION, "c", "1");
+  await clock.advance(3_000);
+  assert.deepEqual(applied.map(({ key, value }) => key + value), [
+    "a1",
+    "blost",
+    "b",
+    "a1",
+    "c1",
+  ]);
+  const restored = events.find(({ kind }) => kind === "restored");
+  assert.ok(restored?.kind === "restored" && restored.lostKeys === 1);
+  assert.equal(view.getRecord("c")?.offset, view.end - 1);
+});
+
+test("a key that its writer writes again after a restore is never removed", async () => {
+  const { clock, store, applied } = startView(undefined, 2_500);
+  await clock.advance(5_000);
+  store.write(PARTITION, "rewritten", "1");
+  store.write(PARTITION, "lost", "1");
+  await clock.advance(1_000);
+  store.restore({ copyAgeMs: 3_000 });
+  await clock.advance(2_000);
+  store.write(PARTITION, "rewritten", "1");
+  await clock.advance(3_000);
+  const removed = applied.filter(({ value }) => value === "")
+    .map(({ key }) => key);
+  assert.deepEqual(removed, ["lost"]);
+});
--- a/packages/gateway/src/views/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -160,6 +160,7 @@
       (key, value) => this.#applyOperatorRecord(key, value),
       {
         isNewestOnly: true,
+        restoreGraceMs: EXPIRED_ENTRY_GRACE_MS,
         onRead: (batch) => this.#options.onConfigurationRead(batch),
       },
     );
@@ -358,7 +359,7 @@
     apply: (key: string, value: string, offset: number) => void,
     extraOptions: Pick<
       PartitionViewOptions,
-      "isNewestOnly" | "onRead" | "onSnapshot"
+      "isNewestOnly" | "restoreGraceMs" | "onRead" | "onSnapshot"
     > = {},
   ): PartitionView {
     const { clock, store, observe } = this.#options;
--- a/packages/gateway/src/views/store_views_test.ts
+++ b/packages/gateway/src/views/store_views_test.ts
@@ -12,6 +12,7 @@
   RoutingTable,
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
+import { encodeOffset } from "@lentilspur/ports/store_offset";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Catalogue } from "./catalogue.ts";
 import { Duties } from "../members/duties.ts";
@@ -200,6 +201,15 @@
     this.#configurationEnd++;
   }
 
+  /** Lets the store come back from an older copy, as peers soon report. */
+  restoreStore(copyAgeMs: number): void {
+    this.store.restore({ copyAgeMs });
+    this.#configurationEnd = encodeOffset(
+      this.store.era,
+      this.store.listRecords(STORE_LAYOUT.configuration).length,
+    );
+  }
+
   get evacuated(): readonly string[] {
     return this.#catalogue.listEvacuated();
   }
@@ -434,3 +444,21 @@
   await simulation.clock.advance(3_000);
   assert.equal(simulation.instanceCount, 12);
 });
+
+test("configuration and evacuations in force are kept while a restored store lacks them", async () => {
+  const simulation = new StoreViewsSimulation();
+  await simulation.advance(5_000, { ownersEnd: 0 });
+  simulation.version = 2;
+  simulation.write();
+  simulation.writeEvacuation("kirkos", true);
+  await simulation.advance(1_000, { ownersEnd: 0 });
+  simulation.restoreStore(3_000);
+  await simulation.advance(2_000, { ownersEnd: 0 });
+  assert.equal(simulation.inForce, 2);
+  assert.deepEqual(simulation.evacuated, ["kirkos"]);
+  simulation.write();
+  simulation.writeEvacuation("kirkos", true);
+  await simulation.advance(3_000, { ownersEnd: 0 });
+  assert.equal(simulation.inForce, 2);
+  assert.deepEqual(simulation.evacuated, ["kirkos"]);
+});
