fix(ownership): write the tables before a keeper claims again

A seeded search in virtual time found two holders of all keys: a keeper that had claimed again was asked to hand over before it had written its tables. Its successor saw a claim of the new era, took the partition without a table for complete, and distributed all keys anew.

Change: the tables go first, then the claim; each append is conditional on the one before. 'npm run fuzz' ran neither test, since its path was wrong.

--- a/packages/gateway/src/keeper/keeper_fuzz_test.ts
+++ b/packages/gateway/src/keeper/keeper_fuzz_test.ts
@@ -7,92 +7,9 @@
   runStep,
   type SimulationStep,
 } from "./keeper_simulation_steps.ts";
+import { stepArbitrary } from "./keeper_step_arbitraries.ts";
 import { KeeperSimulation } from "./keeper_simulation.ts";
 
-const instanceArbitrary = fc.constantFrom(...KEEPER_INSTANCES);
-const targetArbitrary = fc.constantFrom(...KEEPER_TARGETS);
-
-const stepArbitrary: fc.Arbitrary<SimulationStep> = fc.oneof(
-  {
-    weight: 6,
-    arbitrary: fc.record({
-      kind: fc.constant("wait" as const),
-      ms: fc.integer({ min: 20, max: 6_000 }),
-    }),
-  },
-  {
-    weight: 3,
-    arbitrary: fc.record({
-      kind: fc.constantFrom(
-        "kill" as const,
-        "start" as const,
-        "leave" as const,
-      ),
-      instance: instanceArbitrary,
-    }),
-  },
-  {
-    weight: 3,
-    arbitrary: fc.record({
-      kind: fc.constant("store" as const),
-      instance: instanceArbitrary,
-      mood: fc.constantFrom(
-        "serving" as const,
-        "refusing" as const,
-        "silent" as const,
-        "losing-answers" as const,
-      ),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constant("peers" as const),
-      instance: instanceArbitrary,
-      reaches: fc.boolean(),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constant("target" as const),
-      target: targetArbitrary,
-      mood: fc.constantFrom(
-        "answering" as const,
-        "unreachable" as const,
-        "late" as const,
-      ),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constant("reach" as const),
-      instance: instanceArbitrary,
-      target: targetArbitrary,
-      reaches: fc.boolean(),
-    }),
-  },
-  {
-    weight: 3,
-    arbitrary: fc.record({
-      kind: fc.constantFrom(
-        "kill-target" as const,
-        "restart-target" as const,
-        "restart-target" as const,
-      ),
-      target: targetArbitrary,
-    }),
-  },
-  {
-    weight: 3,
-    arbitrary: fc.record({
-      kind: fc.constant("candidates" as const),
-      targets: fc.subarray([...KEEPER_TARGETS], { minLength: 1 }),
-    }),
-  },
-);
-
 /** Runs the steps and returns every violation of sole ownership as text. */
 async function runSimulation(
   steps: readonly SimulationStep[],
--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -257,6 +257,15 @@
     });
   }
 
+  isRunning(instance: string): boolean {
+    return this.#instances.has(instance);
+  }
+
+  /** Whether the target was killed for good. */
+  hasEnded(target: string): boolean {
+    return this.#endedTargets.has(target);
+  }
+
   /** The instance that keeps the keys now, if any. */
   findKeeper(): string | undefined {
     for (const [name, { service }] of this.#instances) {
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -311,18 +311,21 @@
     this.stop("asked");
     await clock.sleep(timing.orderTimeoutMs);
     if (this.isClean) {
-      await this.#append(KEEPER_KEY, this.#serializeClaim({ resigned: true }));
+      const value = this.#serializeClaim({
+        term: this.#endOffset,
+        resigned: true,
+      });
+      await this.#append(KEEPER_KEY, value);
     }
   }
 
-  /** The record of a claim that is appended next. */
   #serializeClaim(
-    { resigned }: Required<Pick<KeeperClaim, "resigned">>,
+    { term, resigned }: Required<Pick<KeeperClaim, "term" | "resigned">>,
   ): string {
     const { claim, listUnresolved } = this.#options;
     const record: KeeperClaim = {
       ...claim,
-      term: this.#endOffset,
+      term,
       ...(resigned ? { resigned } : {}),
       unresolved: listUnresolved(),
     };
@@ -415,43 +418,52 @@
   }
 
   /**
-   * Claims the partition again at its end. On failure the next iteration of the
-   * main loop reads the partition first.
+   * Writes the tables again at the end of the partition, and then claims it: a
+   * claim in the new era tells a successor that the tables are complete. On
+   * failure the next iteration of the main loop reads the partition first.
    */
   async #claimAgain(end: number): Promise<void> {
-    const { clock, store, partition, observe } = this.#options;
     if (!this.#isSoleKeeper()) {
       this.stop("no-authority");
       return;
     }
-    const previousEnd = this.#endOffset;
-    this.#endOffset = end;
-    const value = this.#serializeClaim({ resigned: false });
-    const sentAtMs = clock.readMs();
-    const appended = await store
-      .append({ partition, key: KEEPER_KEY, value, at: end });
-    if (!appended.ok) {
-      this.#endOffset = previousEnd;
-      return;
+    let offset = end;
+    for (const [service, table] of this.#tables) {
+      const value = serializeTable(table);
+      const key = formatTableKey(service);
+      if (!await this.#appendAt(offset, key, value)) {
+        return;
+      }
+      offset++;
+    }
+    const sentAtMs = this.#options.clock.readMs();
+    const value = this.#serializeClaim({ term: offset, resigned: false });
+    if (await this.#appendAt(offset, KEEPER_KEY, value)) {
+      this.#startTerm(offset, sentAtMs);
     }
+  }
+
+  async #appendAt(at: number, key: string, value: string): Promise<boolean> {
+    const { store, partition, onAppended } = this.#options;
+    const appended = await store.append({ partition, key, value, at });
+    if (appended.ok) {
+      onAppended?.({ offset: appended.val, key, value });
+    }
+    return appended.ok;
+  }
+
+  #startTerm(term: number, claimSentAtMs: number): void {
     const previousTerm = this.#term;
-    this.#term = appended.val;
-    this.#endOffset = appended.val + 1;
-    this.#claimedAtMs = sentAtMs;
-    this.#lastContactAtMs = sentAtMs;
+    this.#term = term;
+    this.#endOffset = term + 1;
+    this.#claimedAtMs = claimSentAtMs;
+    this.#lastContactAtMs = claimSentAtMs;
     this.#releasesRequiredUntilMs = this.#computeUnknownHoldsEndMs();
     this.#lastWitnessesRecord = "";
     this.#nextWitnessesAtMs = 0;
-    for (const service of this.#tables.keys()) {
-      this.#lostTables.add(service);
-    }
-    observe({ kind: "claimed-again", term: this.#term, previousTerm });
-    this.#options.onAppended?.({
-      offset: appended.val,
-      key: KEEPER_KEY,
-      value,
-    });
-    this.#options.onClaimedAgain?.(this.#term);
+    this.#lostTables.clear();
+    this.#options.observe({ kind: "claimed-again", term, previousTerm });
+    this.#options.onClaimedAgain?.(term);
   }
 
   /**
--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -19,5 +19,6 @@
 runTool("node", [
   "--test",
   "--test-reporter=spec",
-  "packages/gateway/dist/keeper_fuzz_test.js",
+  "packages/gateway/dist/keeper/keeper_fuzz_test.js",
+  "packages/gateway/dist/keeper/store_restore_fuzz_test.js",
 ]);
