fix(gateway): do not wait a minute for a keeper that no record names after a restore

The seeded search found keys unserved for more than 15 s: the copy had no claim, a keeper had written its tables again but could not claim, and its successor took the tables for those of a keeper whose claim is unreadable. It waited 63 s.

Change: in a new era, a partition without a claim has lost keepers only, which are waited for together.

--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -242,22 +242,19 @@
   // A keeper whose record cannot be read may be any instance. The empty name
   // matches no message and no restart, so its waiting time runs in full.
   const lastClaim = claim ?? { instance: "", incarnation: "" };
-  const named = term === undefined && tables.size === 0
-    ? []
-    : [{ ...lastClaim, witnesses, term: term ?? -1 }, ...unresolved];
-  if (isClaimOfPresentEra(state)) {
-    return named;
+  const last = { ...lastClaim, witnesses, term: term ?? -1 };
+  const others = unresolved
+    .filter(({ incarnation }) => incarnation !== LOST_KEEPERS);
+  if (!isClaimOfPresentEra(state)) {
+    const lost = {
+      instance: "",
+      incarnation: LOST_KEEPERS,
+      term: encodeOffset(getEra(end), 0),
+      witnesses: [],
+    };
+    return term === undefined ? [lost] : [last, ...others, lost];
   }
-  const lost = {
-    instance: "",
-    incarnation: LOST_KEEPERS,
-    term: encodeOffset(getEra(end), 0),
-    witnesses: [],
-  };
-  return [
-    ...named.filter(({ incarnation }) => incarnation !== LOST_KEEPERS),
-    lost,
-  ];
+  return term === undefined && tables.size === 0 ? [] : [last, ...unresolved];
 }
 
 /** From least to most certain that the keeper has stopped. */
--- a/packages/gateway/src/keeper/store_restore_fuzz_test.ts
+++ b/packages/gateway/src/keeper/store_restore_fuzz_test.ts
@@ -93,3 +93,16 @@
     [],
   );
 });
+
+test("counterexample: tables without a claim after a restore delay no successor for a minute", async () => {
+  assert.deepEqual(
+    await runSimulation([
+      { kind: "restore-store", copyAgeMs: 9_786, awayMs: 537 },
+      { kind: "wait", ms: 907 },
+      { kind: "store", instance: "one", mood: "losing-answers" },
+      { kind: "target", target: "d", mood: "late" },
+      { kind: "wait", ms: 9_098 },
+    ]),
+    [],
+  );
+});
