test(trials): let the soak restore the store from older copies

The soak restores it, also twice in a row, lets appends take effect late, and lets instances join. Grants to a target that was paused or whose link failed do not count, since they may be taken late.

--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -36,6 +36,18 @@
   readonly answerDigest?: string;
 }
 
+/** A change of the keys that a target holds. */
+export interface HoldChange extends KeyRange {
+  readonly kind: "granted" | "released";
+  readonly target: string;
+  readonly service: string;
+  readonly token: number;
+  /** By the target's own clock. */
+  readonly atMs: number;
+  /** When the hold expires; for a release, the same as `atMs`. */
+  readonly untilMs: number;
+}
+
 export interface FakeTargetOptions {
   readonly clock: Clock;
   readonly id: string;
@@ -45,6 +57,7 @@
   readonly workMs: number;
   /** Called when a run starts and when it ends. */
   readonly observeRun?: (run: TargetRun) => void;
+  readonly observeHold?: (change: HoldChange) => void;
   /** Whether the target crashes soon after it starts to run a request. */
   readonly isFatal?: (request: TargetRequest) => boolean;
   /** Whether the target refuses a request as if it had no room for it. */
@@ -101,6 +114,8 @@
   readonly #waiting: (() => void)[] = [];
   readonly #runningRequests = new Set<RunningRequest>();
   #holds: Hold[] = [];
+  /** The highest token that each range was granted or released under. */
+  #seenTokens: (KeyRange & { readonly token: number })[] = [];
   #running = 0;
   #runs = 0;
   readonly #crash = new AbortController();
@@ -132,18 +147,20 @@
     return { running: this.#running, waiting: this.#waiting.length };
   }
 
-  /** Returns false if a hold on one of the keys has a higher token. */
+  /** Returns false if a higher token was seen on one of the keys. */
   applyGrant(
     range: KeyRange,
     { token, holdMs }: { readonly token: number; readonly holdMs: number },
   ): boolean {
-    const others = this.#holds.filter((hold) => hasOverlap(hold, range));
-    if (others.some((hold) => hold.token > token)) {
+    const others = this.#seenTokens.filter((seen) => hasOverlap(seen, range));
+    if (others.some((seen) => seen.token > token)) {
       return false;
     }
+    this.#recordToken(range, token);
     this.#removeHolds(range);
     const untilMs = this.#options.clock.readMs() + holdMs;
     this.#holds.push({ ...range, token, untilMs });
+    this.#reportHold("granted", range, { token, untilMs });
     for (const running of this.#listRunning(range)) {
       running.effectiveUntilMs = Math.max(running.effectiveUntilMs, untilMs);
     }
@@ -154,8 +171,11 @@
    * Removes the holds of a range, so that no new request for it starts.
    * Resolves when the requests running on these keys have ended.
    */
-  async applyRelease(range: KeyRange): Promise<void> {
+  async applyRelease(range: KeyRange, token: number): Promise<void> {
+    this.#recordToken(range, token);
     this.#removeHolds(range);
+    const untilMs = this.#options.clock.readMs();
+    this.#reportHold("released", range, { token, untilMs });
     const affected = this.#listRunning(range);
     for (const running of affected) {
       running.effectiveUntilMs = Infinity;
@@ -163,6 +183,23 @@
     await Promise.all(affected.map(({ ended }) => ended));
   }
 
+  #recordToken({ from, to }: KeyRange, token: number): void {
+    const kept = this.#seenTokens.flatMap((seen) =>
+      seen.token > token ? [seen] : splitRange(seen, { from, to })
+    );
+    this.#seenTokens = [...kept, { from, to, token }];
+  }
+
+  #reportHold(
+    kind: HoldChange["kind"],
+    { from, to }: KeyRange,
+    { token, untilMs }: Pick<HoldChange, "token" | "untilMs">,
+  ): void {
+    const { id: target, service, clock, observeHold } = this.#options;
+    const atMs = clock.readMs();
+    observeHold?.({ kind, target, service, from, to, token, atMs, untilMs });
+  }
+
   /** Removes a range from the holds; the rest of each hold stays. */
   #removeHolds(range: KeyRange): void {
     this.#holds = this.#holds.flatMap((hold) => splitRange(hold, range));
--- a/packages/ports/src/fake_target_test.ts
+++ b/packages/ports/src/fake_target_test.ts
@@ -46,7 +46,9 @@
   const running = send(target, 10);
   await clock.advance(20);
   let isReleased = false;
-  void target.applyRelease({ from: 0, to: 49 }).then(() => isReleased = true);
+  void target.applyRelease({ from: 0, to: 49 }, 6).then(() =>
+    isReleased = true
+  );
   await clock.advance(20);
   assert.equal(isReleased, false);
   assert.deepEqual([target.findToken(10), target.findToken(60)], [
@@ -97,3 +99,11 @@
   assert.equal(crashes, 1);
   assert.deepEqual(target.ran, ["r1", "r2"]);
 });
+
+test("after a release, a grant under a lower token is refused", async () => {
+  const { target } = createTarget();
+  target.applyGrant(RANGE, { token: 10, holdMs: 1_000 });
+  await target.applyRelease(RANGE, 20);
+  assert.ok(!target.applyGrant(RANGE, { token: 15, holdMs: 1_000 }));
+  assert.ok(target.applyGrant(RANGE, { token: 20, holdMs: 1_000 }));
+});
--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -28,6 +28,10 @@
   "store-silent",
   "store-refusing",
   "store-losing-answers",
+  "store-late",
+  "store-restored",
+  "store-restored-again",
+  "instance-joined",
   "store-link-silent",
   "store-link-deaf",
   "store-link-resetting",
@@ -43,6 +47,13 @@
 const PAUSES_MS = [300, 1_500, 3_500, 7_000];
 const RESTART_DELAYS_MS = [100, 800, 2_500];
 const OUTAGES_MS = [500, 2_500, 6_000];
+const RESTORE_AWAY_MS = [200, 900, 2_400];
+const COPY_AGES_MS = [100, 2_000, 5_000, 10_000];
+/** Time after a restore of the store before the next one. */
+const RESTORE_PAUSES_MS = [300, 4_000];
+const JOINED_MS = [3_000, 9_000];
+/** Orders that a disturbance holds up arrive within this time after it. */
+const HELD_UP_MS = 1_000;
 /** A fatal request is sent this many times, `FATAL_INTERVAL_MS` apart. */
 const FATAL_REPEATS = 40;
 const FATAL_INTERVAL_MS = 1_000;
@@ -97,6 +108,14 @@
         return await this.#failStore("refusing");
       case "store-losing-answers":
         return await this.#failStore("losing-answers");
+      case "store-late":
+        return await this.#failStore("late");
+      case "store-restored":
+        return await this.#restoreStore(1);
+      case "store-restored-again":
+        return await this.#restoreStore(2);
+      case "instance-joined":
+        return await this.#addInstance();
       case "store-link-silent":
         return await this.#failLink("instance", "silent");
       case "store-link-deaf":
@@ -181,9 +200,11 @@
         await processes.startTarget(target);
         break;
       case "target-paused":
-        target.child.send("SIGSTOP");
-        await sleep(this.#drawValue(PAUSES_MS));
-        target.child.send("SIGCONT");
+        await this.#recordDisturbance(target.id, async () => {
+          target.child.send("SIGSTOP");
+          await sleep(this.#drawValue(PAUSES_MS));
+          target.child.send("SIGCONT");
+        });
         break;
       case "target-leaving":
         await processes.startTarget({
@@ -286,6 +307,49 @@
     return `${durationMs} ms`;
   }
 
+  /** The store is away for a moment and comes back from an older copy. */
+  async #restoreStore(times: number): Promise<string> {
+    if (this.#inUse.has("store")) {
+      return "skipped: the store already fails";
+    }
+    this.#inUse.add("store");
+    const { processes } = this.#trial;
+    const fromMs = readMonotonicMs();
+    const restores: string[] = [];
+    for (let count = 0; count < times; count++) {
+      const awayMs = this.#drawValue(RESTORE_AWAY_MS);
+      const copyAgeMs = this.#drawValue(COPY_AGES_MS);
+      await processes.setStoreFaultMode("silent");
+      await sleep(awayMs);
+      await processes.restoreStore(copyAgeMs);
+      await processes.setStoreFaultMode("serving");
+      restores.push(`away ${awayMs} ms, copy ${copyAgeMs} ms old`);
+      await sleep(this.#drawValue(RESTORE_PAUSES_MS));
+    }
+    this.#recordStoreOutage(fromMs);
+    this.#inUse.delete("store");
+    return restores.join("; ");
+  }
+
+  /** Starts an instance under a new name, and stops it again later. */
+  async #addInstance(): Promise<string> {
+    const { processes } = this.#trial;
+    if (this.#inUse.has("joined")) {
+      return "skipped: an instance has joined already";
+    }
+    this.#inUse.add("joined");
+    const instance = await processes.startInstance();
+    this.#inUse.add(instance.name);
+    await sleep(this.#drawValue(JOINED_MS));
+    await this.#trial.checkPlannedStop(
+      instance,
+      ({ outcome, entry }) => outcome === "none" && entry === instance.address,
+    );
+    this.#inUse.delete(instance.name);
+    this.#inUse.delete("joined");
+    return instance.name;
+  }
+
   async #failLink(
     kind: "instance" | "target",
     faultMode: LinkFaultMode,
@@ -300,15 +364,28 @@
       return "skipped: no link is available";
     }
     const fromMs = readMonotonicMs();
-    link.setFaultMode(faultMode);
-    await sleep(this.#drawValue(OUTAGES_MS));
-    link.setFaultMode("passing");
+    await this.#recordDisturbance(name, async () => {
+      link.setFaultMode(faultMode);
+      await sleep(this.#drawValue(OUTAGES_MS));
+      link.setFaultMode("passing");
+    });
     if (kind === "instance") {
       this.#recordStoreOutage(fromMs);
     }
     return name;
   }
 
+  /** Records that orders to a target may be held up during a fault. */
+  async #recordDisturbance(
+    target: string,
+    inject: () => Promise<void>,
+  ): Promise<void> {
+    const fromMs = readMonotonicMs();
+    await inject();
+    const toMs = readMonotonicMs() + HELD_UP_MS;
+    this.#trial.targetDisturbances.push({ target, fromMs, toMs });
+  }
+
   #recordStoreOutage(fromMs: number): void {
     this.#trial.storeOutages.push({ fromMs, toMs: readMonotonicMs() });
   }
--- a/packages/trials/src/standins/standin_cli.ts
+++ b/packages/trials/src/standins/standin_cli.ts
@@ -11,6 +11,7 @@
 import { StoreServer } from "@lentilspur/platform/standins/store_server";
 import { TargetServer } from "@lentilspur/platform/standins/target_server";
 import { FATAL_PARAMETER } from "../traffic/fatal_request.ts";
+import type { HoldChange, TargetRun } from "@lentilspur/ports/fake_target";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import {
   binary,
@@ -107,11 +108,8 @@
       observeCrash: () => process.exit(CRASH_EXIT_CODE),
       writeEntry: (key, value) =>
         void client.append({ partition: TARGETS_PARTITION, key, value }),
-      observeRun: (run) => {
-        if (historyFile !== undefined) {
-          appendFileSync(historyFile, `${JSON.stringify(run)}\n`);
-        }
-      },
+      observeRun: (run) => appendLine(historyFile, run),
+      observeHold: (change) => appendLine(historyFile, change),
     });
     await target.open(port);
     printListening(target.address);
@@ -123,6 +121,15 @@
   },
 });
 
+function appendLine(
+  historyFile: string | undefined,
+  line: TargetRun | HoldChange,
+): void {
+  if (historyFile !== undefined) {
+    appendFileSync(historyFile, `${JSON.stringify(line)}\n`);
+  }
+}
+
 const LAST_APPEND_MS = 100;
 const CRASH_EXIT_CODE = 70;
 
--- a/packages/trials/src/start/deployment_processes.ts
+++ b/packages/trials/src/start/deployment_processes.ts
@@ -214,6 +214,13 @@
     });
   }
 
+  /** Lets the store come back from a copy of this age. */
+  async restoreStore(copyAgeMs: number): Promise<void> {
+    await sendJson(`http://${this.#storeAddress}/standin/restore`, {
+      copyAgeMs,
+    });
+  }
+
   /**
    * Kills a target's process with SIGKILL, so that it cannot stop gracefully.
    */
--- a/packages/trials/src/start/trial.ts
+++ b/packages/trials/src/start/trial.ts
@@ -13,6 +13,7 @@
 import type { CallerRecord } from "../traffic/caller_record.ts";
 import type { Deployment } from "../traffic/deployment.ts";
 import type { LeavingTarget, StoreOutage } from "../traffic/violations.ts";
+import type { HolderDisturbance } from "../traffic/key_holds.ts";
 import type { RateLimitPeriod } from "../traffic/target_limit.ts";
 import { TrafficGenerator } from "../traffic/traffic_generator.ts";
 import { Balancer } from "./balancer.ts";
@@ -61,6 +62,7 @@
   /** Periods in which the store, or a link to it, was made to fail. */
   readonly storeOutages: StoreOutage[] = [];
   readonly rateLimits: RateLimitPeriod[] = [];
+  readonly targetDisturbances: HolderDisturbance[] = [];
   readonly failedChecks: string[] = [];
   readonly #options: TrialOptions;
   readonly #stopController = new AbortController();
@@ -123,6 +125,7 @@
       storeOutages: this.storeOutages,
       rateLimits: this.rateLimits,
       targetExits: this.processes.targetExits,
+      targetDisturbances: this.targetDisturbances,
       instanceLogFiles: this.processes.instanceLogFiles,
       failedChecks: this.failedChecks,
     });
--- a/packages/trials/src/start/trial_report.ts
+++ b/packages/trials/src/start/trial_report.ts
@@ -3,7 +3,7 @@
  * records and instances' log lines.
  */
 import { existsSync, readFileSync } from "node:fs";
-import type { TargetRun } from "@lentilspur/ports/fake_target";
+import type { HoldChange, TargetRun } from "@lentilspur/ports/fake_target";
 import { type AuditReport, checkPromises } from "@lentilspur/proof/audit";
 import { type LogLine, parseLines } from "@lentilspur/proof/log_line";
 import type { CallerRecord } from "../traffic/caller_record.ts";
@@ -15,6 +15,7 @@
   type Violation,
 } from "../traffic/violations.ts";
 import { groupBy } from "../traffic/group_by.ts";
+import type { HolderDisturbance } from "../traffic/key_holds.ts";
 import type { RateLimitPeriod } from "../traffic/target_limit.ts";
 import type { TargetExit } from "./deployment_processes.ts";
 
@@ -49,6 +50,7 @@
   readonly storeOutages: readonly StoreOutage[];
   readonly rateLimits: readonly RateLimitPeriod[];
   readonly targetExits: readonly TargetExit[];
+  readonly targetDisturbances: readonly HolderDisturbance[];
   readonly instanceLogFiles: readonly string[];
   readonly failedChecks: readonly string[];
 }
@@ -61,7 +63,8 @@
     rateLimits,
     instanceLogFiles,
   } = results;
-  const runs = loadRuns(results.historyFile, results.targetExits);
+  const history = loadHistory(results.historyFile);
+  const runs = listRuns(history.runs, results.targetExits);
   const parsed = parseLines(
     instanceLogFiles.map((file) => readFileSync(file, "utf8")),
   );
@@ -87,6 +90,11 @@
       leavingTargets,
       storeOutages,
       rateLimits,
+      holds: {
+        changes: history.holdChanges,
+        exits: results.targetExits,
+        disturbances: results.targetDisturbances,
+      },
     }),
     failedChecks: results.failedChecks,
   };
@@ -97,18 +105,32 @@
     .reduce((sum, line) => sum + Number(line["changes"] ?? 0), 0);
 }
 
+interface TargetHistory {
+  readonly runs: readonly TargetRun[];
+  readonly holdChanges: readonly HoldChange[];
+}
+
+/** Loads what the targets recorded, one JSON object per line. */
+function loadHistory(file: string): TargetHistory {
+  const text = existsSync(file) ? readFileSync(file, "utf8") : "";
+  const lines = text.split("\n").filter((line) => line !== "")
+    .map((line) => JSON.parse(line) as TargetRun | HoldChange);
+  return {
+    runs: lines.flatMap((line) => "kind" in line ? [] : [line]),
+    holdChanges: lines.flatMap((line) => "kind" in line ? [line] : []),
+  };
+}
+
 /**
- * Loads the runs from the targets' history. The last line of each run counts; a
- * run without an end ended when its target's process did.
+ * The last record of each run counts; a run without an end ended when its
+ * target's process did.
  */
-function loadRuns(
-  file: string,
+function listRuns(
+  records: readonly TargetRun[],
   targetExits: readonly TargetExit[],
 ): readonly TargetRun[] {
-  const text = existsSync(file) ? readFileSync(file, "utf8") : "";
   const runs = new Map<string, TargetRun>();
-  for (const line of text.split("\n").filter((each) => each !== "")) {
-    const run = JSON.parse(line) as TargetRun;
+  for (const run of records) {
     runs.set(`${run.target} ${run.sequence}`, run);
   }
   return [...runs.values()].map((run) => {
--- a/packages/trials/src/traffic/violations.ts
+++ b/packages/trials/src/traffic/violations.ts
@@ -7,6 +7,7 @@
 import type { CallerRecord } from "./caller_record.ts";
 import { listUnquarantinedRequests } from "./fatal_request.ts";
 import { groupBy } from "./group_by.ts";
+import { type HoldObservations, listHoldViolations } from "./key_holds.ts";
 import { listExceededLimits, type RateLimitPeriod } from "./target_limit.ts";
 
 export interface Violation {
@@ -15,6 +16,7 @@
     | "not-run-is-true"
     | "own-answer"
     | "sole-owner"
+    | "sole-holder"
     | "leaving-target"
     | "fatal-request"
     | "target-limit";
@@ -40,6 +42,7 @@
   /** Outages of the store or of the links to the store. */
   readonly storeOutages?: readonly StoreOutage[];
   readonly rateLimits?: readonly RateLimitPeriod[];
+  readonly holds?: HoldObservations;
 }
 
 /**
@@ -70,6 +73,7 @@
     ),
     ...checkFatalRequests(runs),
     ...checkRateLimits(observations.runs, observations.rateLimits ?? []),
+    ...checkHolds(observations.holds),
   ];
 }
 
@@ -138,6 +142,15 @@
   });
 }
 
+function checkHolds(holds: HoldObservations | undefined): readonly Violation[] {
+  return holds === undefined
+    ? []
+    : listHoldViolations(holds).map((message) => ({
+      promise: "sole-holder",
+      message,
+    }));
+}
+
 /** Checks that no two targets run requests for one key at the same time. */
 function checkSoleOwner(runs: readonly TargetRun[]): readonly Violation[] {
   const runsByKey = groupBy(runs, (run) => `${run.service} ${run.key}`);
