--- a/packages/trials/src/traffic/key_holds.ts
+++ b/packages/trials/src/traffic/key_holds.ts
@@ -40,7 +40,7 @@
   observations: HoldObservations,
 ): readonly string[] {
   const changes = observations.changes
-    .filter((change) => !wasHeldUp(change, observations.disturbances))
+    .filter((change) => !isHeldUp(change, observations.disturbances))
     .toSorted((left, right) => left.atMs - right.atMs);
   return [...groupBy(changes, ({ service }) => service).values()]
     .flatMap((ofService) => {
@@ -50,7 +50,7 @@
 }
 
 /** A grant that was held up is applied late, which its sender allows for. */
-function wasHeldUp(
+function isHeldUp(
   { kind, target, atMs }: HoldChange,
   disturbances: readonly HolderDisturbance[],
 ): boolean {
