--- a/packages/trials/src/soak/soak_cli.ts
+++ b/packages/trials/src/soak/soak_cli.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { binary, command, number, oneOf, option, run } from "cmd-ts";
+import { binary, command, number, oneOf, option, run, type Type } from "cmd-ts";
 import { hashToUint32 } from "@lentilspur/gateway/members/stable_hash";
 import { Trial } from "../start/trial.ts";
 import {
@@ -21,7 +21,7 @@
 import { readMonotonicMs } from "../traffic/caller.ts";
 import { ABAY, SAUTIBA } from "../traffic/deployment.ts";
 import { TrafficRandom } from "../traffic/traffic_random.ts";
-import { FaultInjector, SOAK_FAULTS } from "./soak_faults.ts";
+import { FaultInjector, SOAK_FAULTS, type SoakFault } from "./soak_faults.ts";
 
 /** Mean time from the start of one fault to the start of the next. */
 const FAULT_INTERVAL_MS = 1_500;
@@ -34,8 +34,16 @@
   readonly seed: number;
   readonly seconds: number;
   readonly deployment: "abay" | "sautiba";
+  readonly faults: readonly SoakFault[];
 }
 
+const FaultList: Type<string, readonly SoakFault[]> = {
+  from: async (text) =>
+    await Promise.all(
+      text.split(",").map((name) => oneOf(SOAK_FAULTS).from(name)),
+    ),
+};
+
 const soakCommand = command({
   name: "soak",
   description: "Run the real programs and inject faults from outside",
@@ -47,12 +55,18 @@
       type: oneOf(["abay", "sautiba"] as const),
       defaultValue: () => "abay" as const,
     }),
+    faults: option({
+      long: "faults",
+      type: FaultList,
+      description: "Faults to draw from, separated by commas; all by default",
+      defaultValue: () => SOAK_FAULTS,
+    }),
   },
   handler: runSoak,
 });
 
 async function runSoak(
-  { seed, seconds, deployment }: SoakArguments,
+  { seed, seconds, deployment, faults }: SoakArguments,
 ): Promise<void> {
   const directory = mkdtempSync(join(tmpdir(), `lentilspur-soak-${seed}-`));
   const trial = new Trial({
@@ -64,7 +78,7 @@
   });
   try {
     await trial.start();
-    await runFaults(trial, seed, seconds * 1_000);
+    await runFaults(trial, { seed, durationMs: seconds * 1_000, faults });
     await trial.checkRecovery(RECOVERY_TIMEOUT_MS);
     const report = await trial.stopAndReport();
     print(renderReport(report));
@@ -82,8 +96,11 @@
 
 async function runFaults(
   trial: Trial,
-  seed: number,
-  durationMs: number,
+  { seed, durationMs, faults }: {
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly faults: readonly SoakFault[];
+  },
 ): Promise<void> {
   const injector = new FaultInjector(trial, createRandom("details", seed));
   // Callers draw from another generator: how often they draw depends on the
@@ -93,7 +110,7 @@
   const running: Promise<void>[] = [];
   while (readMonotonicMs() - startedAtMs < durationMs) {
     await sleep(random.drawExponential(FAULT_INTERVAL_MS));
-    const fault = SOAK_FAULTS[random.drawIndex(SOAK_FAULTS.length)]!;
+    const fault = faults[random.drawIndex(faults.length)]!;
     const atMs = Math.round(readMonotonicMs() - startedAtMs);
     const inject = async (): Promise<void> => {
       const description = await injector.inject(fault);
