fix(gateway): wait for the handover of a keeper that has reached the store again

Cause: a keeper that had asked for a pledge within 1.5 s passed for cut off from the store, although it had claimed since.

Change: a request for a pledge counts only if the keeper has not claimed since.

Evidence: the new test failed before (predecessor unknown, now resigned).

--- a/packages/gateway/src/keeper/keeper_exchange.ts
+++ b/packages/gateway/src/keeper/keeper_exchange.ts
@@ -117,6 +117,13 @@
   readonly atMs: number;
 }
 
+export interface RequestedPledge {
+  /** Term of the keeper that asked. */
+  readonly term: number;
+  /** Own clock. */
+  readonly atMs: number;
+}
+
 interface PledgeRequest {
   readonly number: number;
   readonly sentAtMs: number;
@@ -141,7 +148,8 @@
   #lastNumber = 0;
   /** As a witness: until when this instance lets a partition's keeper act. */
   readonly #pledgedUntilMs = new Map<number, number>();
-  readonly #pledgeRequestedAtMs = new Map<number, number>();
+  /** The last pledge request for each partition. */
+  readonly #requestedPledges = new Map<number, RequestedPledge>();
   /** The last answer by partition, to log only answers that differ. */
   readonly #lastAnswers = new Map<number, string>();
   /** As a successor: stop notices by partition and incarnation. */
@@ -190,9 +198,9 @@
     return this.#pledgedUntilMs.get(part) ?? -Infinity;
   }
 
-  /** When a keeper without the store last asked for a pledge; own clock. */
-  getPledgeRequestedAtMs(part: number): number {
-    return this.#pledgeRequestedAtMs.get(part) ?? -Infinity;
+  /** The last request of a keeper without the store for a pledge. */
+  findRequestedPledge(part: number): RequestedPledge | undefined {
+    return this.#requestedPledges.get(part);
   }
 
   /**
@@ -304,7 +312,7 @@
     } = this.#options;
     const { part, term, number, from } = message;
     const nowMs = clock.readMs();
-    this.#pledgeRequestedAtMs.set(part, nowMs);
+    this.#requestedPledges.set(part, { term, atMs: nowMs });
     const isGiven = !isStoreReachable() && getNewestTerm(part) <= term;
     if (isGiven) {
       this.#pledgedUntilMs.set(part, nowMs + pledgeMs);
--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -440,7 +440,7 @@
       return;
     }
     const isHandingOver = this.#hasActiveClaim(view) &&
-      this.#isKeeperAlive(part) && !this.#isKeeperWithoutStore(part);
+      this.#isKeeperAlive(part) && !this.#isKeeperWithoutStore(part, view);
     const nowMs = clock.readMs();
     // After a restore of the store, its keeper may claim again.
     const startedAtMs = this.#isClaimOutdated(view)
@@ -457,11 +457,14 @@
 
   /**
    * Whether the keeper has asked for a pledge recently, which means that it
-   * cannot reach the store and so will write no resignation.
+   * cannot reach the store and so will write no resignation. A request from
+   * before its latest claim means nothing.
    */
-  #isKeeperWithoutStore(part: number): boolean {
-    const requestedAtMs = this.#exchange.getPledgeRequestedAtMs(part);
-    return this.#options.clock.readMs() - requestedAtMs < HANDOVER_TIMEOUT_MS;
+  #isKeeperWithoutStore(part: number, view: PartitionView): boolean {
+    const requested = this.#exchange.findRequestedPledge(part);
+    return requested !== undefined &&
+      requested.term >= (findTerm(view) ?? -1) &&
+      this.#options.clock.readMs() - requested.atMs < HANDOVER_TIMEOUT_MS;
   }
 
   /**
--- a/packages/gateway/src/keeper/keeper_simulation_steps.ts
+++ b/packages/gateway/src/keeper/keeper_simulation_steps.ts
@@ -45,6 +45,10 @@
     readonly copyAgeMs: number;
     readonly awayMs: number;
   }
+  | {
+    /** The store assigns the partitions to other instances. */
+    readonly kind: "reassign";
+  }
   | { readonly kind: "candidates"; readonly targets: readonly string[] };
 
 export async function runStep(
@@ -89,6 +93,9 @@
     case "restore-store":
       simulation.restoreStore(step);
       return;
+    case "reassign":
+      simulation.store.moveParts();
+      return;
     case "candidates":
       simulation.setCandidates(step.targets);
       return;
--- a/packages/gateway/src/keeper/keeper_step_arbitraries.ts
+++ b/packages/gateway/src/keeper/keeper_step_arbitraries.ts
@@ -109,4 +109,5 @@
   { weight: 24, arbitrary: stepArbitrary },
   { weight: 6, arbitrary: restoreArbitrary },
   { weight: 2, arbitrary: lateStoreArbitrary },
+  { weight: 2, arbitrary: fc.constant({ kind: "reassign" as const }) },
 );
--- a/packages/gateway/src/keeper/store_restore_test.ts
+++ b/packages/gateway/src/keeper/store_restore_test.ts
@@ -89,3 +89,15 @@
   assert.ok(!holders.includes("c") && !holders.includes(undefined));
   assert.deepEqual(listViolations(simulation), []);
 });
+
+test("a keeper that has claimed again after an outage is not replaced without a handover", async () => {
+  const simulation = await startWithRecentMoves(["one", "two", "three"]);
+  simulation.restoreStore({ copyAgeMs: 5_000, awayMs: 2_300 });
+  await simulation.clock.advance(3_200);
+  simulation.store.moveParts();
+  const before = simulation.events.length;
+  await simulation.clock.advance(10_000);
+  const claims = simulation.events.slice(before)
+    .flatMap((event) => event.kind === "claimed" ? [event.predecessor] : []);
+  assert.deepEqual(claims, ["resigned"]);
+});
--- a/packages/ports/src/fake_store.ts
+++ b/packages/ports/src/fake_store.ts
@@ -127,6 +127,19 @@
     this.#firstRetained.set(name, this.#getRecords(name).length);
   }
 
+  /** Assigns all partitions to other members of their groups. */
+  moveParts(): void {
+    for (const group of this.#groups.values()) {
+      const [first] = group.members;
+      if (first !== undefined) {
+        const [name, member] = first;
+        group.members.delete(name);
+        group.members.set(name, member);
+        this.#assignParts(group);
+      }
+    }
+  }
+
   /** How often the store has been restored. */
   get era(): number {
     return this.#era;
