test(gateway): search for two owners where entries of ended targets are read late

The keeper simulation replaces a target's process by another one at its address, lets instances read the former one's entry later, and lets the store assign partitions anew; proof of an end is an instance's own, from an order or a request that another process refused.

--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -14,11 +14,13 @@
 import { MemberPublisher } from "../members/member_publisher.ts";
 import { Members, serializeMember } from "../members/members.ts";
 import { PartitionView } from "../views/partition_view.ts";
+import { ReplacedTargets } from "../views/replaced_targets.ts";
 
 export const OWNERS_PARTITION = { topic: "owners", part: 0 };
 const SERVICE = "files";
 /** Targets write about once a second, and reads come a little later. */
 const ENTRY_LAG_MS = 1_200;
+const LATE_ENTRY_MS = 3_000;
 const DATAGRAM_DELAY_MS = 1;
 
 const MEMBERS_PARTITION = { topic: "members", part: 0 };
@@ -30,6 +32,10 @@
 }
 
 interface RunningInstance {
+  /** Former processes whose entries this instance has read late. */
+  readonly lateEntries: Set<string>;
+  /** What this instance has proof of. */
+  readonly replaced: ReplacedTargets;
   readonly incarnation: string;
   readonly stop: AbortController;
   readonly service: KeeperService;
@@ -45,6 +51,12 @@
   readonly #names = new Set<string>();
   readonly #unreachable = new Set<string>();
   readonly #endedTargets = new Set<string>();
+  /** The newest process at the address of each target that was replaced. */
+  readonly #currentProcesses = new Map<string, string>();
+  /** The address of each process that has replaced another one. */
+  readonly #addresses = new Map<string, string>();
+  /** Processes that were replaced at an address, by the name of their target. */
+  readonly #formerProcesses = new Map<string, string>();
   /** Instances whose datagrams are lost in both directions. */
   readonly #disconnected = new Set<string>();
   readonly #bornMs = new Map<string, number>();
@@ -74,6 +86,8 @@
       apply: () => undefined,
       observe: () => undefined,
     });
+    const lateEntries = new Set<string>();
+    const replaced = new ReplacedTargets();
     const membership = this.#startMembership(instance, incarnation, stop);
     const { members } = membership;
     const service = new KeeperService({
@@ -89,12 +103,14 @@
       minMemberTtlMs: 1_000,
       listServiceSnapshots: () => [{
         service: SERVICE,
-        candidates: this.#candidates.map((id) => this.#createCandidate(id)),
+        candidates: [...this.#candidates, ...lateEntries]
+          .map((id) => this.#createCandidate(id)),
         rates: [],
       }],
       getView: () => view,
       getTrustedSinceMs: () => -Infinity,
-      hasEnded: (holder) => this.#endedTargets.has(holder.id),
+      hasEnded: (holder) =>
+        this.#endedTargets.has(holder.id) || replaced.has(holder),
       hasInstanceEnded: (claim) => members.hasEnded(claim),
       scheduleMembersRead: () => membership.view.scheduleRead(),
       isAlive: (name) => this.#hasPath(name, instance),
@@ -105,7 +121,13 @@
       observe: (event) => this.events.push(event),
     });
     this.#names.add(instance);
-    this.#instances.set(instance, { incarnation, stop, service });
+    this.#instances.set(instance, {
+      incarnation,
+      stop,
+      service,
+      lateEntries,
+      replaced,
+    });
     void view.run(stop.signal);
     void service.run(stop.signal);
   }
@@ -189,7 +211,9 @@
   }
 
   setCandidates(candidates: readonly string[]): void {
-    this.#candidates = candidates.filter((id) => !this.#endedTargets.has(id));
+    this.#candidates = candidates
+      .map((id) => this.#currentProcesses.get(id) ?? id)
+      .filter((id) => !this.#endedTargets.has(id));
     for (const { service } of this.#instances.values()) {
       service.schedulePlans();
     }
@@ -199,17 +223,68 @@
    * Ends the target's process. All instances know at once that it has ended, as
    * if another target had been seen at its address.
    */
-  killTarget(id: string): void {
+  killTarget(target: string): void {
+    const id = this.#currentProcesses.get(target) ?? target;
     this.holders.kill(id);
     this.#endedTargets.add(id);
     this.setCandidates(this.#candidates);
   }
 
+  /**
+   * Ends the target's process and starts another one under a new id at its
+   * address. No instance has proof of the end; the new entry is read after
+   * `ENTRY_LAG_MS`.
+   */
+  startReplacement(id: string): void {
+    const former = this.#currentProcesses.get(id) ?? id;
+    if (this.#endedTargets.has(former)) {
+      return;
+    }
+    const current = `${id}.${this.#addresses.size + 1}`;
+    this.holders.killReplaced(former);
+    this.#formerProcesses.set(id, former);
+    this.#currentProcesses.set(id, current);
+    this.#addresses.set(current, id);
+    this.#bornMs.set(current, this.clock.readMs());
+    void this.clock.sleep(ENTRY_LAG_MS).then(() => {
+      const others = this.#candidates.filter((one) => one !== former);
+      this.setCandidates([...others, current]);
+    });
+  }
+
+  /**
+   * Lets an instance read the entry of the target's former process, which the
+   * store has delivered late; it expires after `LATE_ENTRY_MS`.
+   */
+  readLateEntry(instance: string, target: string): void {
+    const former = this.#formerProcesses.get(target);
+    const running = this.#instances.get(instance);
+    if (former === undefined || running === undefined) {
+      return;
+    }
+    running.lateEntries.add(former);
+    running.service.schedulePlans();
+    void this.clock.sleep(LATE_ENTRY_MS).then(() => {
+      running.lateEntries.delete(former);
+      running.service.schedulePlans();
+    });
+  }
+
+  /** Sends a request to the former process, which another one refuses. */
+  sendToFormerProcess(instance: string, target: string): void {
+    const former = this.#formerProcesses.get(target);
+    if (former !== undefined) {
+      const bornMs = this.#bornMs.get(former) ?? 0;
+      this.#instances.get(instance)?.replaced.record({ id: former, bornMs });
+    }
+  }
+
   /**
    * Restarts the target's process under the same id. The target's entry shows
    * this only after `ENTRY_LAG_MS`.
    */
-  restartTarget(id: string): void {
+  restartTarget(target: string): void {
+    const id = this.#currentProcesses.get(target) ?? target;
     if (this.#endedTargets.has(id)) {
       return;
     }
@@ -263,7 +338,7 @@
 
   /** Whether the target was killed for good. */
   hasEnded(target: string): boolean {
-    return this.#endedTargets.has(target);
+    return this.#endedTargets.has(this.#currentProcesses.get(target) ?? target);
   }
 
   /** The instance that keeps the keys now, if any. */
@@ -279,7 +354,7 @@
   #createCandidate(id: string): OwnerCandidate {
     return {
       id,
-      address: `${id}:80`,
+      address: `${this.#addresses.get(id) ?? id}:80`,
       bornMs: this.#bornMs.get(id) ?? 0,
       places: 2,
       serviceMs: 50,
--- a/packages/gateway/src/keeper/keeper_simulation_steps.ts
+++ b/packages/gateway/src/keeper/keeper_simulation_steps.ts
@@ -45,6 +45,17 @@
     readonly copyAgeMs: number;
     readonly awayMs: number;
   }
+  | {
+    /** Another process starts at the address of the target, which ends. */
+    readonly kind: "replace-target";
+    readonly target: string;
+  }
+  | {
+    /** An instance reads the former process's entry, or sends it a request. */
+    readonly kind: "late-entry" | "request-to-former";
+    readonly instance: string;
+    readonly target: string;
+  }
   | {
     /** The store assigns the partitions to other instances. */
     readonly kind: "reassign";
@@ -93,6 +104,15 @@
     case "restore-store":
       simulation.restoreStore(step);
       return;
+    case "replace-target":
+      simulation.startReplacement(step.target);
+      return;
+    case "late-entry":
+      simulation.readLateEntry(step.instance, step.target);
+      return;
+    case "request-to-former":
+      simulation.sendToFormerProcess(step.instance, step.target);
+      return;
     case "reassign":
       simulation.store.moveParts();
       return;
--- a/packages/gateway/src/keeper/keeper_step_arbitraries.ts
+++ b/packages/gateway/src/keeper/keeper_step_arbitraries.ts
@@ -104,10 +104,61 @@
   mood: fc.constant("late" as const),
 });
 
-/** All steps, with a restore of the store in every fifth. */
+/** Targets that end and are replaced at their addresses, and late entries. */
+const replacementArbitrary: fc.Arbitrary<SimulationStep> = fc.oneof(
+  fc.record({
+    kind: fc.constant("replace-target" as const),
+    target: targetArbitrary,
+  }),
+  fc.record({
+    kind: fc.constantFrom("late-entry" as const, "request-to-former" as const),
+    instance: instanceArbitrary,
+    target: targetArbitrary,
+  }),
+);
+
+/** All steps, with a restore of the store in every sixth. */
 export const restoreStepArbitrary: fc.Arbitrary<SimulationStep> = fc.oneof(
   { weight: 24, arbitrary: stepArbitrary },
   { weight: 6, arbitrary: restoreArbitrary },
   { weight: 2, arbitrary: lateStoreArbitrary },
+  { weight: 5, arbitrary: replacementArbitrary },
   { weight: 2, arbitrary: fc.constant({ kind: "reassign" as const }) },
 );
+
+/**
+ * A target ends and another process starts at its address; later the entry of
+ * the former one is read late, and keys move while both are known.
+ */
+const lateEntryEpisode: fc.Arbitrary<readonly SimulationStep[]> = fc.tuple(
+  targetArbitrary,
+  fc.integer({ min: 1_000, max: 7_000 }),
+  fc.integer({ min: 20, max: 2_500 }),
+  fc.subarray([...KEEPER_INSTANCES], { minLength: 1 }),
+  fc.oneof(
+    fc.subarray([...KEEPER_TARGETS], { minLength: 1 })
+      .map((targets): SimulationStep => ({ kind: "candidates", targets })),
+    stepArbitrary,
+  ),
+).map(([target, agedMs, delayMs, instances, next]) => [
+  { kind: "replace-target", target },
+  { kind: "wait", ms: agedMs },
+  ...instances.map((instance) => ({
+    kind: "late-entry" as const,
+    instance,
+    target,
+  })),
+  { kind: "wait", ms: delayMs },
+  next,
+]);
+
+/** Steps among which entries of former processes are read late. */
+export const lateEntryStepsArbitrary: fc.Arbitrary<readonly SimulationStep[]> =
+  fc.array(
+    fc.oneof(
+      lateEntryEpisode,
+      stepArbitrary.map((step) => [step]),
+      replacementArbitrary.map((step) => [step]),
+    ),
+    { maxLength: 12 },
+  ).map((steps) => steps.flat());
--- a/packages/ports/src/fake_key_holders.ts
+++ b/packages/ports/src/fake_key_holders.ts
@@ -59,6 +59,8 @@
   readonly #faultModes = new Map<string, HolderFaultMode>();
   readonly #seenTokens = new Map<string, (KeyRange & { token: number })[]>();
   readonly #ended = new Set<string>();
+  /** Ended targets at whose addresses other processes run. */
+  readonly #replaced = new Set<string>();
   readonly #incarnations = new Map<string, number>();
   #lateGrantDelayMs = 6_000;
 
@@ -138,6 +140,12 @@
     this.#closeAllHolds(targetId);
   }
 
+  /** Ends the target process; another one runs at its address from now on. */
+  killReplaced(targetId: string): void {
+    this.kill(targetId);
+    this.#replaced.add(targetId);
+  }
+
   #closeAllHolds(targetId: string): void {
     const nowMs = this.#clock.readMs();
     for (const interval of this.holdIntervals) {
@@ -194,6 +202,9 @@
     order: GrantOrder,
     canReach: (targetId: string) => boolean,
   ): Promise<OrderOutcome> {
+    if (this.#replaced.has(to.id) && canReach(to.id)) {
+      return await this.#refuseAsReplaced();
+    }
     const mode = this.#getFaultMode(to.id);
     if (mode === "unconnectable") {
       return await this.#failConnection();
@@ -259,6 +270,9 @@
     order: ReleaseOrder,
     canReach: (targetId: string) => boolean,
   ): Promise<OrderOutcome> {
+    if (this.#replaced.has(from.id) && canReach(from.id)) {
+      return await this.#refuseAsReplaced();
+    }
     const mode = this.#getFaultMode(from.id);
     if (mode === "unconnectable") {
       return await this.#failConnection();
@@ -276,6 +290,11 @@
     return { kind: "done", handover: `handover-${from.id}` };
   }
 
+  async #refuseAsReplaced(): Promise<OrderOutcome> {
+    await this.#clock.sleep(LATENCY_MS);
+    return { kind: "replaced" };
+  }
+
   async #failConnection(): Promise<OrderOutcome> {
     await this.#clock.sleep(CONNECT_TIMEOUT_MS);
     return { kind: "unsent", message: "No connection to the target" };
