--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -11,8 +11,11 @@
 import type { KeeperMessage } from "./keeper_exchange.ts";
 import { KeeperService, type KeeperServiceEvent } from "./keeper_service.ts";
 import { createMember } from "../members/member_fixtures.ts";
-import { MemberPublisher } from "../members/member_publisher.ts";
-import { Members, serializeMember } from "../members/members.ts";
+import { serializeMember } from "../members/members.ts";
+import {
+  MEMBERS_PARTITION,
+  startMembership,
+} from "../members/membership_simulation.ts";
 import { PartitionView } from "../views/partition_view.ts";
 import { ReplacedTargets } from "../views/replaced_targets.ts";
 
@@ -23,13 +26,7 @@
 const LATE_ENTRY_MS = 3_000;
 const DATAGRAM_DELAY_MS = 1;
 
-const MEMBERS_PARTITION = { topic: "members", part: 0 };
-
-interface Membership {
-  readonly members: Members;
-  readonly view: PartitionView;
-  readonly publisher: MemberPublisher;
-}
+const MEMBERS_READ_INTERVAL_MS = 1_000;
 
 interface RunningInstance {
   /** Former processes whose entries this instance has read late. */
@@ -88,7 +85,13 @@
     });
     const lateEntries = new Set<string>();
     const replaced = new ReplacedTargets();
-    const membership = this.#startMembership(instance, incarnation, stop);
+    const membership = startMembership({
+      clock: this.clock,
+      store,
+      member: createMember(instance, { incarnation }),
+      readIntervalMs: MEMBERS_READ_INTERVAL_MS,
+      signal: stop.signal,
+    });
     const { members } = membership;
     const service = new KeeperService({
       clock: this.clock,
@@ -132,47 +135,6 @@
     void service.run(stop.signal);
   }
 
-  #startMembership(
-    instance: string,
-    incarnation: string,
-    { signal }: AbortController,
-  ): Membership {
-    const { clock } = this;
-    const member = createMember(instance, { incarnation });
-    const members = new Members(member);
-    const store = this.store.createClient(instance);
-    const view: PartitionView = new PartitionView({
-      clock,
-      store,
-      partition: MEMBERS_PARTITION,
-      getPollingPolicy: () => ({
-        pollDelayMs: 500,
-        waitMs: 0,
-        peerDataTtlMs: 1_000,
-        maxBackoffMs: 1_600,
-      }),
-      apply: ({ key, value, offset }) =>
-        members.apply(key, value, { offset, nowMs: clock.readMs() }),
-      onSnapshot: () => {
-        const ownRecord = view.getRecord(instance)?.value;
-        publisher.handleSnapshot({ end: view.end, ownRecord });
-      },
-      observe: () => undefined,
-    });
-    const publisher = new MemberPublisher({
-      clock,
-      store,
-      partition: MEMBERS_PARTITION,
-      member,
-      onWritten: () => view.scheduleRead(),
-      announce: () => undefined,
-      reportFault: () => undefined,
-      signal,
-    });
-    void view.run(signal);
-    return { members, view, publisher };
-  }
-
   /**
    * Writes an instance's member record, as if the store had served it for just
    * these calls.
--- a/packages/gateway/src/members/member_discovery_test.ts
+++ b/packages/gateway/src/members/member_discovery_test.ts
@@ -1,14 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FakeStore } from "@lentilspur/ports/fake_store";
-import type { Partition } from "@lentilspur/ports/store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { PartitionView } from "../views/partition_view.ts";
 import { createMember } from "./member_fixtures.ts";
-import { MemberPublisher } from "./member_publisher.ts";
-import { Members } from "./members.ts";
+import type { Members } from "./members.ts";
+import { startMembership } from "./membership_simulation.ts";
 
-const PARTITION: Partition = { topic: "members", part: 0 };
 const INSTANCES = 40;
 /** A slow store accepts an append long after it has answered a read. */
 const APPEND_DELAY_MS = 300;
@@ -22,29 +19,8 @@
   const byName = new Map<string, Members>();
   for (let index = 0; index < INSTANCES; index++) {
     const member = createMember(`bole-${index}`);
-    const members = new Members(member);
-    byName.set(member.instance, members);
     const client = store.createClient(member.instance);
-    const view: PartitionView = new PartitionView({
-      clock,
-      store: client,
-      partition: PARTITION,
-      getPollingPolicy: () => ({
-        pollDelayMs: 500,
-        waitMs: 0,
-        peerDataTtlMs: 60_000,
-        maxBackoffMs: 1_600,
-      }),
-      apply: ({ key, value, offset }) =>
-        members.apply(key, value, { offset, nowMs: clock.readMs() }),
-      onSnapshot: () => {
-        members.markRead();
-        const ownRecord = view.getRecord(member.instance)?.value;
-        publisher.handleSnapshot({ end: view.end, ownRecord });
-      },
-      observe: () => undefined,
-    });
-    const publisher = new MemberPublisher({
+    const { members } = startMembership({
       clock,
       store: {
         ...client,
@@ -53,19 +29,18 @@
           return await client.append(request);
         },
       },
-      partition: PARTITION,
       member,
-      onWritten: () => view.scheduleRead(),
-      announce: (offset, record) => {
-        for (const { instance } of members.listPeers()) {
+      readIntervalMs: 60_000,
+      signal,
+      reportFault: assert.fail,
+      announce: (known, { offset, text }) => {
+        for (const { instance } of known.listPeers()) {
           byName.get(instance)!
-            .apply(member.instance, record, { offset, nowMs: clock.readMs() });
+            .apply(member.instance, text, { offset, nowMs: clock.readMs() });
         }
       },
-      reportFault: assert.fail,
-      signal,
     });
-    void view.run(signal);
+    byName.set(member.instance, members);
   }
   return [...byName.values()];
 }
--- a/packages/gateway/src/members/member_restore_test.ts
+++ b/packages/gateway/src/members/member_restore_test.ts
@@ -1,14 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FakeStore } from "@lentilspur/ports/fake_store";
-import type { Partition } from "@lentilspur/ports/store";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { PartitionView } from "../views/partition_view.ts";
 import { createMember } from "./member_fixtures.ts";
-import { MemberPublisher } from "./member_publisher.ts";
 import { type Member, Members, serializeMember } from "./members.ts";
-
-const PARTITION: Partition = { topic: "members", part: 0 };
+import { startMembership } from "./membership_simulation.ts";
 
 /** Instances that publish their records; a restarted one has a new process. */
 class MemberSimulation {
@@ -16,40 +12,13 @@
   readonly store = new FakeStore(this.clock);
 
   start(member: Member): Members {
-    const { clock, store } = this;
-    const members = new Members(member);
-    const client = store.createClient(member.instance);
-    const { signal } = new AbortController();
-    const view: PartitionView = new PartitionView({
-      clock,
-      store: client,
-      partition: PARTITION,
-      getPollingPolicy: () => ({
-        pollDelayMs: 500,
-        waitMs: 0,
-        peerDataTtlMs: 1_000,
-        maxBackoffMs: 1_600,
-      }),
-      apply: ({ key, value, offset }) =>
-        members.apply(key, value, { offset, nowMs: clock.readMs() }),
-      onSnapshot: () => {
-        members.markRead();
-        const ownRecord = view.getRecord(member.instance)?.value;
-        publisher.handleSnapshot({ end: view.end, ownRecord });
-      },
-      observe: () => undefined,
-    });
-    const publisher = new MemberPublisher({
-      clock,
-      store: client,
-      partition: PARTITION,
+    const { members } = startMembership({
+      clock: this.clock,
+      store: this.store.createClient(member.instance),
       member,
-      onWritten: () => view.scheduleRead(),
-      announce: () => undefined,
-      reportFault: () => undefined,
-      signal,
+      readIntervalMs: 1_000,
+      signal: new AbortController().signal,
     });
-    void view.run(signal);
     return members;
   }
 }
