fix(ownership): grant keys anew whose tokens a lost keeper has exceeded

Found by reading: a keeper that goes on after a restore may have had a successor whose claim is lost, and which granted keys to their owners again under higher tokens. Targets then refuse the renewals of the keeper for good, and instances that know the successor's table ignore the keeper's and apply its differences to the wrong table.

Change: a range whose renewal was refused gets a token of the keeper's new term. Tables are sent whole until one has such a token.

--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -262,7 +262,7 @@
     while (!signal.aborted) {
       this.#stopReplaced();
       this.#sendPending();
-      void this.eraSeenAtMs;
+      this.#recordEra();
       for (const [part, sinceMs] of this.#assignment.listAssigned()) {
         void this.#claimIfDue(part, sinceMs);
       }
@@ -272,14 +272,13 @@
     this.stop();
   }
 
-  /** When this instance first saw the store's present era; own clock. */
-  get eraSeenAtMs(): number {
+  /** Records since when this instance has seen the store's present era. */
+  #recordEra(): void {
     const { store, clock } = this.#options;
     if (store.era !== this.#era) {
       this.#era = store.era;
       this.#eraSeenAtMs = clock.readMs();
     }
-    return this.#eraSeenAtMs;
   }
 
   #isStoreReachable(): boolean {
@@ -444,7 +443,7 @@
     const nowMs = clock.readMs();
     // After a restore of the store, its keeper may claim again.
     const startedAtMs = this.#isClaimOutdated(view)
-      ? this.eraSeenAtMs
+      ? this.#eraSeenAtMs
       : sinceMs;
     const mayWait = isHandingOver || this.#isClaimOutdated(view);
     if (mayWait && nowMs - startedAtMs < HANDOVER_TIMEOUT_MS) {
@@ -550,7 +549,8 @@
   ): PredecessorTracker {
     const { clock, timing, claim, hasInstanceEnded } = this.#options;
     const exchange = this.#exchange;
-    const { eraSeenAtMs } = this;
+    this.#recordEra();
+    const eraSeenAtMs = this.#eraSeenAtMs;
     return new PredecessorTracker(
       { clock, timing, claim, exchange, hasInstanceEnded, eraSeenAtMs },
       part,
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -203,8 +203,9 @@
   /** Services whose tables the store lacks or has in an older form. */
   readonly #lostTables = new Set<string>();
   /**
-   * Services whose next table goes to other instances as a whole: they may know
-   * a table that the store has lost, and not the one that this keeper found.
+   * Services whose tables go to other instances as a whole until one has a token
+   * of this term: they may know a table that the store has lost, and not the one
+   * that this keeper has.
    */
   readonly #unsharedTables = new Set<string>();
   #term: number;
@@ -462,6 +463,9 @@
     this.#lastWitnessesRecord = "";
     this.#nextWitnessesAtMs = 0;
     this.#lostTables.clear();
+    for (const service of this.#tables.keys()) {
+      this.#unsharedTables.add(service);
+    }
     this.#options.observe({ kind: "claimed-again", term, previousTerm });
     this.#options.onClaimedAgain?.(term);
   }
@@ -518,6 +522,7 @@
       mayAct: () => this.#mayAct(),
       hasEnded,
       inheritedToken: term,
+      getTerm: () => this.#term,
       inheritedRanges: this.#options.tables.get(service)?.ranges ?? [],
       getInherited: () => this.#describeInherited(),
       isConfirmed: () =>
@@ -686,7 +691,9 @@
       return false;
     }
     this.#lostTables.delete(service);
-    this.#unsharedTables.delete(service);
+    if (findHighestToken(after) > this.#term) {
+      this.#unsharedTables.delete(service);
+    }
     this.#nextSettledAtMs = this.#options.clock.readMs() + SETTLE_INTERVAL_MS;
     this.#setTable(service, after);
     this.#reconcilers.get(service)!.advance();
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -466,3 +466,16 @@
   assert.equal(owners.filter((owner) => owner === "c").length, 6);
   assert.deepEqual(simulation.holders.listOverlaps(), []);
 });
+
+test("keys whose token a lost keeper has exceeded are granted again under a new one", async () => {
+  const simulation = new KeyKeeperSimulation();
+  simulation.startKeeper("one");
+  await simulation.clock.advance(500);
+  const lostKeeper = simulation.holders.createClient();
+  const target = { id: "a", address: "a:80" };
+  const order = { from: 0, to: 100, token: 1_000, holdMs: 100 };
+  void lostKeeper.grant(target, order, lostKeeper.getSession(target));
+  simulation.store.restore({ copyAgeMs: 0 });
+  await simulation.clock.advance(5_000);
+  assert.equal(simulation.holders.findHolder(5), "a");
+});
--- a/packages/ownership/src/table_reconciler.ts
+++ b/packages/ownership/src/table_reconciler.ts
@@ -65,6 +65,8 @@
   readonly hasEnded: (holder: Holder) => boolean;
   /** Tokens up to this one were issued by earlier keepers. */
   readonly inheritedToken: number;
+  /** The keeper's term, which rises after a restore of the store. */
+  readonly getTerm: () => number;
   /** Ranges with the holders that earlier keepers may have granted them to. */
   readonly inheritedRanges: readonly OwnedRange[];
   readonly getInherited: () => InheritedGrants;
@@ -87,6 +89,8 @@
 interface RangeState {
   range: OwnedRange;
   granted: boolean;
+  /** Whether the owner has seen a higher token. */
+  isSuperseded: boolean;
   orderInFlight: boolean;
   nextOrderAtMs: number;
   /** When each former holder answered its release, by target id. */
@@ -187,8 +191,14 @@
     }
   }
 
-  #hasStaleToken({ range, session }: RangeState): boolean {
-    return range.owner.token <= this.#options.inheritedToken ||
+  /**
+   * A token that a keeper of an earlier era has exceeded, and whose claim is
+   * lost, is replaced by one of the present term.
+   */
+  #hasStaleToken({ range, session, isSuperseded }: RangeState): boolean {
+    const { token } = range.owner;
+    return token <= this.#options.inheritedToken ||
+      (isSuperseded && token < this.#options.getTerm()) ||
       (session !== undefined &&
         session !== this.#options.orders.getSession(toReceiver(range.owner)));
   }
@@ -353,6 +363,7 @@
     }, state.session);
     this.#recordOutcome(range.owner, outcome);
     recordGrantOutcome(record, outcome, clock.readMs());
+    state.isSuperseded ||= outcome.kind === "superseded";
     if (outcome.kind === "done") {
       this.#recordGranted(state);
     } else {
@@ -450,6 +461,7 @@
   return {
     range,
     granted,
+    isSuperseded: false,
     orderInFlight: false,
     nextOrderAtMs: granted ? previous.nextOrderAtMs : -Infinity,
     released: previous === undefined
