fix(gateway): succeed a keeper whose claim the view has passed over

Cause: after a restore, a claimant waits for its view to read a claim that a fresh read has shown. Tables from peers can advance a view past that claim, so it never did; and a keeper answered requests for tables with an older claim, since its own one was not in its view.

Evidence: the new test failed before (no holders after 15 s) and passes.

--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -182,6 +182,11 @@
   readonly #reportedUnresolved = new Map<number, string>();
   #era = 0;
   #eraSeenAtMs = -Infinity;
+  /** Claims in the store that the views lack, by partition. */
+  readonly #missedClaims = new Map<
+    number,
+    { readonly term: number; readonly sinceMs: number }
+  >();
   #lastSentAtMs = -Infinity;
   #sendCount = 0;
   #lastRefreshedAtMs = -Infinity;
@@ -490,8 +495,7 @@
     }
     const { records, end: at } = read.val;
     const state = parsePartitionState(records, at);
-    if (this.#hasMissedClaim(view, state)) {
-      // The keeper has claimed again after a restore of the store.
+    if (this.#mayHandOver(part, view, state)) {
       view.scheduleRead();
       return;
     }
@@ -500,16 +504,14 @@
     }
     const predecessors = this.#createPredecessorTracker(part, state);
     const sentAtMs = clock.readMs();
-    const appended = await store.append({
-      partition,
-      key: KEEPER_KEY,
-      value: JSON.stringify({
-        ...claim,
-        term: at,
-        unresolved: predecessors.listAll(),
-      }),
-      at,
-    });
+    const record: KeeperClaim = {
+      ...claim,
+      term: at,
+      unresolved: predecessors.listAll(),
+    };
+    const value = JSON.stringify(record);
+    const appended = await store
+      .append({ partition, key: KEEPER_KEY, value, at });
     if (!appended.ok) {
       observe({ kind: "claim-failed", partition, cause: appended.val.kind });
       return;
@@ -522,6 +524,7 @@
     this.#predecessors.set(part, predecessors);
     const predecessor = predecessors.computeState().kind;
     observe({ kind: "claimed", partition, term, predecessor });
+    this.#options.onAppended?.(part, { offset: term, key: KEEPER_KEY, value });
     this.#options.onClaim?.(part, term);
     this.#startKeeper({ part, term, view, state, predecessors, sentAtMs });
   }
@@ -537,10 +540,27 @@
     return getEra(findTerm(view) ?? 0) < this.#options.store.era;
   }
 
-  /** Whether a keeper has claimed in the present era, which the view lacks. */
-  #hasMissedClaim(view: PartitionView, state: PartitionState): boolean {
-    return state.term !== findTerm(view) && getEra(state.end) > 0 &&
-      isClaimOfPresentEra(state) && state.claim?.resigned !== true;
+  /**
+   * Whether a keeper has claimed again after a restore of the store, and has had
+   * no time yet to hand over: the view lacks its claim.
+   */
+  #mayHandOver(
+    part: number,
+    view: PartitionView,
+    state: PartitionState,
+  ): boolean {
+    const { term } = state;
+    const isMissed = term !== undefined && term !== findTerm(view) &&
+      getEra(state.end) > 0 && isClaimOfPresentEra(state) &&
+      state.claim?.resigned !== true;
+    if (!isMissed) {
+      return false;
+    }
+    const nowMs = this.#options.clock.readMs();
+    const known = this.#missedClaims.get(part);
+    const missed = known?.term === term ? known : { term, sinceMs: nowMs };
+    this.#missedClaims.set(part, missed);
+    return nowMs - missed.sinceMs < HANDOVER_TIMEOUT_MS;
   }
 
   #createPredecessorTracker(
--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -4,6 +4,7 @@
  */
 import { FakeKeyHolders } from "@lentilspur/ports/fake_key_holders";
 import { FakeStore, type RestoreOptions } from "@lentilspur/ports/fake_store";
+import { encodeOffset } from "@lentilspur/ports/store_offset";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { DEFAULT_KEEPER_TIMING } from "@lentilspur/ownership/keeper_timing";
 import type { OwnerCandidate } from "@lentilspur/ownership/owner_load";
@@ -33,6 +34,7 @@
   readonly lateEntries: Set<string>;
   /** What this instance has proof of. */
   readonly replaced: ReplacedTargets;
+  readonly view: PartitionView;
   readonly incarnation: string;
   readonly stop: AbortController;
   readonly service: KeeperService;
@@ -130,6 +132,7 @@
       service,
       lateEntries,
       replaced,
+      view,
     });
     void view.run(stop.signal);
     void service.run(stop.signal);
@@ -294,6 +297,19 @@
     });
   }
 
+  /** Lets an instance's view pass all records, as tables from peers can. */
+  advanceView(instance: string): void {
+    const { view } = this.#instances.get(instance)!;
+    const { length } = this.store.listRecords(OWNERS_PARTITION);
+    view.applyBatch({
+      base: view.end,
+      end: encodeOffset(this.store.era, length),
+      ageMs: 0,
+      sinceOutageMs: null,
+      records: [],
+    });
+  }
+
   isRunning(instance: string): boolean {
     return this.#instances.has(instance);
   }
--- a/packages/gateway/src/keeper/store_restore_test.ts
+++ b/packages/gateway/src/keeper/store_restore_test.ts
@@ -101,3 +101,20 @@
     .flatMap((event) => event.kind === "claimed" ? [event.predecessor] : []);
   assert.deepEqual(claims, ["resigned"]);
 });
+
+test("an instance that has not read the keeper's new claim can still succeed it", async () => {
+  const simulation = await startWithRecentMoves(["one", "two"]);
+  simulation.restoreStore({ copyAgeMs: 5_000 });
+  await simulation.clock.advance(5_000);
+  const keeper = simulation.findKeeper()!;
+  const successor = keeper === "one" ? "two" : "one";
+  simulation.store.setFaultMode(successor, "silent");
+  simulation.start(keeper);
+  await simulation.clock.advance(4_000);
+  simulation.advanceView(successor);
+  simulation.store.setFaultMode(successor, "serving");
+  simulation.kill(keeper);
+  await simulation.clock.advance(15_000);
+  assert.ok(!listKeyHolders(simulation).includes(undefined));
+  assert.deepEqual(listViolations(simulation), []);
+});
