fix(gateway): name no keeper that has resigned in a claim

The next claim found it there, and waited 63 s for a process that had gone.

Change: a claim names only predecessors that have not resigned.

Evidence: the new test failed before (predecessor unknown, now ended).

--- a/packages/gateway/src/keeper/keeper_service_test.ts
+++ b/packages/gateway/src/keeper/keeper_service_test.ts
@@ -243,3 +243,19 @@
   assert.notEqual(simulation.findKeeper(), keeper);
   assert.deepEqual(simulation.holders.listOverlaps(), []);
 });
+
+test("a keeper that has resigned is not waited for by a claimant whose first claim got no answer", async () => {
+  const simulation = new KeeperSimulation(["a", "b"]);
+  simulation.start("one");
+  await simulation.clock.advance(3_000);
+  void simulation.leave("one");
+  await simulation.clock.advance(1_000);
+  simulation.store.setFaultMode("two", "losing-answers");
+  simulation.start("two");
+  await simulation.clock.advance(4_000);
+  simulation.store.setFaultMode("two", "serving");
+  await simulation.clock.advance(3_000);
+  const claims = simulation.events
+    .flatMap((event) => event.kind === "claimed" ? [event.predecessor] : []);
+  assert.deepEqual(claims, ["none", "ended"]);
+});
--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -116,9 +116,14 @@
     });
   }
 
-  /** All predecessors, as the record of a claim names them. */
+  /**
+   * All predecessors that may act, as the record of a claim names them. One that
+   * has resigned does not: if this claim gets no answer, the next one would find
+   * it here without its resignation.
+   */
   listAll(): readonly UnresolvedKeeper[] {
-    return this.#predecessors.map(toUnresolved);
+    return this.#predecessors.filter(({ resigned }) => !resigned)
+      .map(toUnresolved);
   }
 
   /**
