--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -65,7 +65,7 @@
   }
 
   observeStoreEra({ era, previousEra }: StoreEraChange): void {
-    this.#logger.log("store-era", "notable", { era, previousEra });
+    this.#logger.log("era-changed", "notable", { era, previousEra });
     this.#metrics.storeEra.set(era);
     if (previousEra !== undefined) {
       this.#metrics.storeRestores.inc();
