feat(gateway): report which targets an instance cannot reach

Failed orders and sends looked the same whether a target or the path to it had failed. Evidence of requests and orders is now collected by target; lines path-lost, paths and path-loss-proved, a gauge and a counter show it. Nothing is decided by it yet.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -14,6 +14,7 @@
   StructuredLogger,
 } from "./structured_logger.ts";
 import type { QuarantineEvent } from "./requests/request_quarantine.ts";
+import type { PathEvent } from "@lentilspur/routing/target_paths";
 import type { LimitEvent } from "./requests/target_limits.ts";
 import type { PartitionViewEvent } from "./views/partition_view.ts";
 import type { RequestEvent } from "./requests/request_reporter.ts";
@@ -77,6 +78,12 @@
     this.#log(`request-${event.kind}`, event);
   }
 
+  observePath(event: PathEvent): void {
+    const label = event.kind === "paths" ? event.state : event.kind;
+    this.#metrics.pathEvents.inc({ event: label });
+    this.#log(event.kind, event);
+  }
+
   observeLimit(event: LimitEvent): void {
     const { kind, ...fields } = event;
     this.#logger.log(kind, "notable", fields);
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -14,6 +14,7 @@
   droppedLines: 0,
   quarantined: 0,
   limited: 0,
+  lostPaths: 0,
   evacuated: 0,
 };
 const PARTITION = { topic: "owners", part: 3 };
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -24,6 +24,7 @@
   readonly droppedLines: number;
   readonly quarantined: number;
   readonly limited: number;
+  readonly lostPaths: number;
   readonly evacuated: number;
 }
 
@@ -100,6 +101,14 @@
     registers: [this.#registry],
   });
 
+  readonly pathEvents = new Counter({
+    name: "lentilspur_path_events_total",
+    help:
+      "Paths to targets lost, proved lost and regained, and times isolated from all targets or working again",
+    labelNames: ["event"] as const,
+    registers: [this.#registry],
+  });
+
   constructor(readGauges: () => GatewayGauges) {
     this.#addGauge(
       "lentilspur_waiting_requests",
@@ -136,6 +145,11 @@
       "Data centres whose targets get no new work",
       () => readGauges().evacuated,
     );
+    this.#addGauge(
+      "lentilspur_lost_paths",
+      "Targets that this instance cannot reach",
+      () => readGauges().lostPaths,
+    );
     this.#addGauge(
       "lentilspur_limited_targets",
       "Targets that set a limit on their requests per second",
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -38,6 +38,7 @@
 import { RequestQuarantine } from "./requests/request_quarantine.ts";
 import { RequestRouter } from "./requests/request_router.ts";
 import { RequestServer } from "./entry/request_server.ts";
+import { PathMonitor } from "./paths/path_monitor.ts";
 import { ServiceRegistry } from "./requests/service_registry.ts";
 import { choosePartition } from "./keeper/service_partition.ts";
 import { MonitoringServer } from "./entry/monitoring_server.ts";
@@ -94,6 +95,7 @@
   readonly #limits: TargetLimits;
   readonly #leaving: LeavingTargets;
   readonly #rateLimiter: TargetRateLimiter;
+  readonly #paths: PathMonitor;
   readonly #router: RequestRouter;
   readonly #server: RequestServer;
   readonly #keeperService: KeeperService;
@@ -157,6 +159,7 @@
     this.#limits = this.#createLimits();
     this.#leaving = this.#createLeavingTargets();
     this.#rateLimiter = this.#createRateLimiter();
+    this.#paths = this.#createPathMonitor();
     this.#router = this.#createRouter();
     this.#server = this.#createServer();
     this.#keeperService = this.#createKeeperService();
@@ -358,6 +361,15 @@
     });
   }
 
+  #createPathMonitor(): PathMonitor {
+    return new PathMonitor({
+      clock: this.#options.clock,
+      findTarget: (id) => this.#catalogue.getTarget(id),
+      listTargets: () => this.#catalogue.listAllTargets(),
+      observe: (event) => this.#reporter.observePath(event),
+    });
+  }
+
   #createRouter(): RequestRouter {
     return new RequestRouter({
       clock: this.#options.clock,
@@ -369,6 +381,7 @@
       limits: this.#limits,
       leaving: this.#leaving,
       rateLimiter: this.#rateLimiter,
+      paths: this.#paths,
       observeKey: (route, key) => this.#keyTraffic.observe(route, key),
       handleOwnerMiss: (service) =>
         this.#views.handleOwnerMiss(this.#choosePartition(service)),
@@ -413,7 +426,7 @@
     return new KeeperService({
       clock,
       store: this.#adapter.store,
-      orders: this.#adapter.orders,
+      orders: this.#paths.observeOrders(this.#adapter.orders),
       timing: resolveKeeperTiming(settings.maxHoldMs),
       claim: { instance: settings.instance, incarnation: this.#incarnation },
       getStartNumber: () => this.#publisher?.startNumber,
@@ -565,6 +578,7 @@
         this.#keeperService.schedulePlans();
       }
       this.#rateLimiter.expire();
+      this.#paths.advance();
       this.#status.logReadinessChange();
       this.#status.logDutyChange();
       await sleepUntilTick(clock, CATALOGUE_TICK_MS, signal);
@@ -588,6 +602,8 @@
       countWaitingRequests: () => this.#services.waiting,
       countQuarantinedRequests: () => this.#quarantine.countQuarantined(),
       countLimitedTargets: () => this.#limits.count,
+      countLostPaths: () => this.#paths.paths.listLost().length,
+      isIsolated: () => this.#paths.paths.isIsolated,
     });
   }
 
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -23,6 +23,10 @@
   readonly countWaitingRequests: () => number;
   readonly countQuarantinedRequests: () => number;
   readonly countLimitedTargets: () => number;
+  /** Targets that this instance cannot reach. */
+  readonly countLostPaths: () => number;
+  /** Whether this instance reaches no target. */
+  readonly isIsolated: () => boolean;
 }
 
 /** Served on the same port as readiness. */
@@ -87,6 +91,7 @@
       countWaitingRequests,
       countQuarantinedRequests,
       countLimitedTargets,
+      countLostPaths,
     } = this.#options;
     return {
       waiting: countWaitingRequests(),
@@ -96,13 +101,16 @@
       droppedLines: logger.droppedCount,
       quarantined: countQuarantinedRequests(),
       limited: countLimitedTargets(),
+      lostPaths: countLostPaths(),
       evacuated: catalogue.listEvacuated().length,
     };
   }
 
   #answerStatus(): MonitoringResponse {
     const { settings, incarnation, clock, catalogue } = this.#options;
-    const { isReady, countOpenRequests, listDuties } = this.#options;
+    const { isReady, countOpenRequests, listDuties, countLostPaths } =
+      this.#options;
+    const { isIsolated } = this.#options;
     const status = {
       instance: settings.instance,
       incarnation,
@@ -114,6 +122,8 @@
       openRequests: countOpenRequests(),
       duties: listDuties(),
       evacuated: catalogue.listEvacuated(),
+      lostPaths: countLostPaths(),
+      isIsolated: isIsolated(),
     };
     return {
       status: 200,
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -34,6 +34,7 @@
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
 import type { TargetLimits } from "./target_limits.ts";
+import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { TargetRateLimiter } from "./target_rate_limiter.ts";
 
 export interface RequestRouterOptions {
@@ -46,6 +47,7 @@
   readonly limits: TargetLimits;
   readonly leaving: LeavingTargets;
   readonly rateLimiter: TargetRateLimiter;
+  readonly paths: PathMonitor;
   /** Called when the known key owners of a service seem to be outdated. */
   readonly handleOwnerMiss: (service: string) => void;
   /** Called for each admitted request that has a key. */
@@ -403,6 +405,10 @@
       signal: abortController.signal,
     });
     abortController.stop();
+    this.#options.paths.recordOutcome(placed.target, outcome, {
+      sentAtMs,
+      isOverdue: abortController.isOverdue(),
+    });
     services.recordOutcome(
       service,
       placed,
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -20,6 +20,7 @@
 import { Duties } from "../members/duties.ts";
 import { KeyDirectory } from "../views/key_directory.ts";
 import { createMember, createMembers } from "../members/member_fixtures.ts";
+import { PathMonitor } from "../paths/path_monitor.ts";
 import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
@@ -130,6 +131,12 @@
       limits,
       leaving,
       rateLimiter,
+      paths: new PathMonitor({
+        clock: this.clock,
+        findTarget: (id) => this.catalogue.getTarget(id),
+        listTargets: () => this.catalogue.listAllTargets(),
+        observe: () => undefined,
+      }),
       observeKey: () => undefined,
       handleOwnerMiss: () => undefined,
       sender: {
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -35,6 +35,7 @@
   type QuarantineEvent,
   RequestQuarantine,
 } from "./request_quarantine.ts";
+import { PathMonitor } from "../paths/path_monitor.ts";
 import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
@@ -76,6 +77,7 @@
   readonly limits: TargetLimits;
   readonly leaving: LeavingTargets;
   readonly rateLimiter: TargetRateLimiter;
+  readonly paths: PathMonitor;
   readonly router: RequestRouter;
 }
 
@@ -251,6 +253,12 @@
   ): SimulatedInstance {
     const { clock } = this;
     const components = this.#createPeerComponents(name, catalogue);
+    const paths = new PathMonitor({
+      clock,
+      findTarget: (id) => catalogue.getTarget(id),
+      listTargets: () => catalogue.listAllTargets(),
+      observe: () => undefined,
+    });
     const services = new ServiceRegistry({
       clock,
       catalogue,
@@ -273,6 +281,7 @@
       limits: components.limits,
       leaving: components.leaving,
       rateLimiter: components.rateLimiter,
+      paths,
       observeKey: () => undefined,
       handleOwnerMiss: () => undefined,
       sender: { send: (request) => this.#sendToTarget(name, request) },
@@ -280,7 +289,7 @@
       isStopping: () => false,
       observe: () => undefined,
     });
-    return { ...components, catalogue, directory, services, router };
+    return { ...components, catalogue, directory, services, paths, router };
   }
 
   #createCatalogue(name: string): Catalogue {
--- a/packages/gateway/src/views/catalogue.ts
+++ b/packages/gateway/src/views/catalogue.ts
@@ -320,6 +320,11 @@
     );
   }
 
+  /** Lists the targets of all services. */
+  listAllTargets(): readonly KnownTarget[] {
+    return [...this.#targets.values()].map(({ target }) => target);
+  }
+
   listTargets(service: string): readonly KnownTarget[] {
     const targets: KnownTarget[] = [];
     for (const { target } of this.#targets.values()) {
