--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -36,6 +36,11 @@
   RequestQuarantine,
 } from "./request_quarantine.ts";
 import { PathMonitor } from "../paths/path_monitor.ts";
+import {
+  type PathMode,
+  SimulatedPath,
+  type Transfer,
+} from "./simulated_path.ts";
 import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
@@ -55,6 +60,8 @@
   readonly coldPerSecond?: number;
   /** Whether the instances have not read the records of the others yet. */
   readonly membersUnread?: boolean;
+  /** After this long targets close an idle connection. */
+  readonly idleTimeoutMs?: number;
   /** Share of the datagrams between instances that are lost. */
   readonly lostDatagrams?: number;
 }
@@ -63,6 +70,7 @@
 export interface Arrival {
   readonly instance: string;
   readonly targetId: string;
+  readonly requestId: string;
   readonly path: string;
   readonly atMs: number;
 }
@@ -89,6 +97,7 @@
 const MAX_DATAGRAM_BYTES = 1_400;
 const HEARTBEAT_INTERVAL_MS = 500;
 const CONNECT_TIMEOUT_MS = 250;
+const IDLE_TIMEOUT_MS = 4_000;
 /**
  * Times after a crash at which the keys have moved, the entry is gone and the
  * target is back.
@@ -111,6 +120,8 @@
   readonly #random = new SeededRandom(1);
   readonly #instances = new Map<string, SimulatedInstance>();
   readonly #targets = new Map<string, FakeTarget>();
+  /** By instance and target. */
+  readonly #paths = new Map<string, SimulatedPath>();
   /** Targets whose responses say that they leave. */
   readonly leavingTargets = new Set<string>();
   /** Targets that refuse all requests and ask for a pause this long. */
@@ -213,6 +224,19 @@
     }
   }
 
+  /** Sets the state of the paths from an instance to some or all targets. */
+  setPaths(
+    instance: string,
+    mode: PathMode,
+    targets: readonly string[] = this.listTargets(),
+  ): void {
+    targets.forEach((id) => this.#getPath(instance, id).setMode(mode));
+  }
+
+  listTargets(): readonly string[] {
+    return [...this.#targets.keys()];
+  }
+
   /** Removes the entry of a target and writes it again. */
   restoreEntry(id: string): void {
     this.#applyEntry(id, "");
@@ -234,6 +258,17 @@
     )[0]!;
   }
 
+  /** Counts how often targets have run each request, by its id. */
+  countRuns(): ReadonlyMap<string, number> {
+    const runs = new Map<string, number>();
+    for (const target of this.#targets.values()) {
+      for (const requestId of target.ran) {
+        runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+      }
+    }
+    return runs;
+  }
+
   /** Counts the requests for a path that reached a target after a time. */
   countArrivals(path: string, afterMs = -Infinity): number {
     return this.arrivals
@@ -413,27 +448,89 @@
     instance: string,
     request: OutgoingRequest,
   ): Promise<SendOutcome> {
-    const { targetId, path, requestId, key = 0 } = request;
-    await this.clock.sleep(NETWORK_DELAY_MS);
-    const target = this.#targets.get(targetId);
+    const target = this.#targets.get(request.targetId);
+    const path = this.#getPath(instance, request.targetId);
     if (target === undefined || target.hasCrashed) {
       await this.clock.sleep(CONNECT_TIMEOUT_MS);
+    }
+    if (target === undefined || target.hasCrashed || !await path.open()) {
       return {
         kind: "not-run",
         cause: "unreachable",
         message: "No connection",
       };
     }
-    this.arrivals
-      .push({ instance, targetId, path, atMs: this.clock.readMs() });
-    const reply = await target.run({ requestId, key, path, body: "" });
-    await this.clock.sleep(NETWORK_DELAY_MS);
+    const sending = new AbortController();
+    const end = () => sending.abort();
+    request.signal.addEventListener("abort", end, { once: true });
+    void this.clock.sleep(request.timeoutMs, sending.signal).then(end);
+    const outcome = await this.#sendOnConnection(instance, request, {
+      target,
+      path,
+      sending: sending.signal,
+    });
+    path.close({ isKept: outcome.kind !== "unknown" });
+    request.signal.removeEventListener("abort", end);
+    end();
+    return outcome;
+  }
+
+  /** Sends a request on an open connection and waits for its response. */
+  async #sendOnConnection(
+    instance: string,
+    request: OutgoingRequest,
+    { target, path, sending }: {
+      readonly target: FakeTarget;
+      readonly path: SimulatedPath;
+      /** Aborts when the instance gives up. */
+      readonly sending: AbortSignal;
+    },
+  ): Promise<SendOutcome> {
+    const { targetId, path: requestPath, requestId, key = 0 } = request;
+    const sent = await path.transfer(sending);
+    if (sent !== "passed") {
+      return createUnknownOutcome(request, sent);
+    }
+    this.arrivals.push({
+      instance,
+      targetId,
+      requestId,
+      path: requestPath,
+      atMs: this.clock.readMs(),
+    });
+    const reply = await Promise.race([
+      target.run({ requestId, key, path: requestPath, body: "" }),
+      waitForAbort(sending).then(() => "aborted" as const),
+      path.waitForReset(sending).then(() => "reset" as const),
+    ]);
+    if (typeof reply === "string") {
+      return createUnknownOutcome(request, sending.aborted ? "aborted" : reply);
+    }
+    const received = await path.transfer(sending);
+    if (received !== "passed") {
+      return createUnknownOutcome(request, received);
+    }
     const outcome = toOutcome(reply);
     return outcome.kind === "unknown"
       ? outcome
       : { ...outcome, ...this.#createReport(targetId, reply) };
   }
 
+  #getPath(instance: string, targetId: string): SimulatedPath {
+    const name = `${instance} ${targetId}`;
+    let path = this.#paths.get(name);
+    if (path === undefined) {
+      path = new SimulatedPath({
+        clock: this.clock,
+        delayMs: NETWORK_DELAY_MS,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        idleTimeoutMs: this.#options.idleTimeoutMs ?? IDLE_TIMEOUT_MS,
+      });
+      this.#paths.set(name, path);
+    }
+    return path;
+  }
+
   #createReport(targetId: string, reply: TargetReply): TargetReport {
     const limitPerSecond = this.#limits.get(targetId);
     const backoffMs = reply.kind === "full"
@@ -531,6 +628,24 @@
   }
 }
 
+function createUnknownOutcome(
+  request: OutgoingRequest,
+  transfer: Exclude<Transfer, "passed">,
+): SendOutcome {
+  const cause = transfer === "reset"
+    ? "reset"
+    : request.signal.aborted
+    ? "cancelled"
+    : "silent";
+  return { kind: "unknown", cause, message: cause };
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) =>
+    signal.addEventListener("abort", () => resolve(), { once: true })
+  );
+}
+
 function toOutcome(reply: TargetReply): SendOutcome {
   switch (reply.kind) {
     case "ran":
