--- /dev/null
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -0,0 +1,288 @@
+/**
+ * Carries out one attempt of a request from this instance: waits for a place
+ * and a permit at a target that may run the request, sends it once, and records
+ * what the outcome says about the target.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import type {
+  RequestSender,
+  SendOutcome,
+} from "@lentilspur/ports/request_sender";
+import type { RoutingTarget } from "@lentilspur/ports/routing_table";
+import type { PermitDecision } from "@lentilspur/routing/request_pacer";
+import type { PlaceDecision } from "@lentilspur/routing/service_places";
+import type { Catalogue } from "../views/catalogue.ts";
+import type { PathMonitor } from "../paths/path_monitor.ts";
+import { computeLatestStart } from "./latest_start.ts";
+import type { LeavingTargets } from "./leaving_targets.ts";
+import type { OwnerFinder, OwnerLookup } from "./owner_finder.ts";
+import type { RequestContext } from "./request_context.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
+import type { RequestReporter } from "./request_reporter.ts";
+import { SendAbortController } from "./send_abort_controller.ts";
+import type { ServiceRegistry } from "./service_registry.ts";
+import type { TargetLimits } from "./target_limits.ts";
+import type { TargetRateLimiter } from "./target_rate_limiter.ts";
+
+export interface AttemptRunnerOptions {
+  readonly clock: Clock;
+  readonly catalogue: Catalogue;
+  readonly services: ServiceRegistry;
+  readonly quarantine: RequestQuarantine;
+  readonly limits: TargetLimits;
+  readonly leaving: LeavingTargets;
+  readonly rateLimiter: TargetRateLimiter;
+  readonly paths: PathMonitor;
+  /** Called when the known key owners of a service seem to be outdated. */
+  readonly handleOwnerMiss: (service: string) => void;
+  readonly sender: RequestSender;
+  /**
+   * Whether this instance is shutting down; it then aborts no overdue sends.
+   */
+  readonly isStopping: () => boolean;
+}
+
+/** The components of a router that its attempts use. */
+export interface AttemptTools {
+  readonly ownerFinder: OwnerFinder;
+  readonly reporter: RequestReporter;
+  /** Takes a retry from the budget, if the route and the budget allow it. */
+  readonly claimRetry: (context: RequestContext) => boolean;
+}
+
+export type Attempt =
+  | {
+    readonly kind: "sent";
+    readonly target: RoutingTarget;
+    readonly outcome: SendOutcome;
+    /**
+     * Whether the send was aborted because its response was overdue; a retry
+     * has been taken from the budget for this.
+     */
+    readonly isOverdue: boolean;
+  }
+  | {
+    readonly kind: "no-place";
+    readonly decision: PlaceDecision & { readonly kind: "refused" };
+  }
+  | {
+    readonly kind: "over-limit";
+    readonly target: RoutingTarget;
+    readonly retryAfterMs: number;
+  }
+  /** Nothing was sent; the target has to be chosen anew. */
+  | { readonly kind: "outdated" };
+
+type Placed = PlaceDecision & { readonly kind: "placed" };
+type FoundOwner = OwnerLookup & { readonly kind: "found" };
+
+/**
+ * A response that takes this many times the expected time counts as lost if the
+ * request may be sent again. Processing times have long tails.
+ */
+const OVERDUE_FACTOR = 4;
+/**
+ * No response is overdue earlier, since latency and a busy CPU delay it too.
+ */
+const MIN_OVERDUE_MS = 200;
+
+export class AttemptRunner {
+  readonly #options: AttemptRunnerOptions;
+  readonly #tools: AttemptTools;
+
+  constructor(options: AttemptRunnerOptions, tools: AttemptTools) {
+    this.#options = options;
+    this.#tools = tools;
+  }
+
+  async run(context: RequestContext, owner: FoundOwner): Promise<Attempt> {
+    const decision = await this.#waitForPlace(context, owner.targetId);
+    if (decision === undefined) {
+      return { kind: "outdated" };
+    }
+    if (decision.kind === "refused") {
+      return { kind: "no-place", decision };
+    }
+    const permit = await this.#waitForPermit(context, decision.target);
+    if (
+      permit.kind === "granted" &&
+      !this.#isOutdated(context, decision.target, owner.targetId)
+    ) {
+      return await this.#send(context, decision, owner);
+    }
+    this.#options.services.releasePlace(
+      context.service,
+      decision.target.id,
+      context.request.requestId,
+    );
+    return permit.kind === "granted" ? { kind: "outdated" } : {
+      kind: "over-limit",
+      target: decision.target,
+      retryAfterMs: permit.retryAfterMs,
+    };
+  }
+
+  #waitForPlace(
+    context: RequestContext,
+    owner: string | undefined,
+  ): Promise<PlaceDecision | undefined> {
+    const { request, route, admission, service } = context;
+    const { services } = this.#options;
+    const serviceMs = services.getAverageServiceMs(service) ?? 0;
+    return services.waitForPlace(service, {
+      requestId: request.requestId,
+      priority: route.priority,
+      arrivedAtMs: request.arrivedAtMs,
+      latestStartMs: computeLatestStart(context, serviceMs),
+      ...(owner === undefined ? {} : { owner }),
+      excluded: context.excludedTargets,
+      ...(admission.kind === "admitted" ? { share: admission.share } : {}),
+    }, request.signal);
+  }
+
+  /**
+   * Waits for a permit if the target has a rate limit, which all instances
+   * share.
+   */
+  async #waitForPermit(
+    context: RequestContext,
+    target: RoutingTarget,
+  ): Promise<PermitDecision> {
+    const { clock, rateLimiter, services } = this.#options;
+    if (rateLimiter.getLimitPerSecond(target) === undefined) {
+      return { kind: "granted", waitMs: 0 };
+    }
+    const serviceMs = services.getAverageServiceMs(context.service) ?? 0;
+    const latestStartMs = computeLatestStart(context, serviceMs);
+    const maxWaitMs = Math.max(0, latestStartMs - clock.readMs());
+    const permit = await rateLimiter.claim(target, maxWaitMs);
+    if (permit.kind === "granted" && permit.waitMs > 0) {
+      await clock.sleep(permit.waitMs, context.request.signal);
+    }
+    return permit;
+  }
+
+  /**
+   * Whether the choice of the target became invalid while the request waited.
+   */
+  #isOutdated(
+    context: RequestContext,
+    target: RoutingTarget,
+    owner: string | undefined,
+  ): boolean {
+    const { catalogue, quarantine, services } = this.#options;
+    const currentOwner = this.#tools.ownerFinder.find(context);
+    return context.request.signal.aborted ||
+      (owner === undefined && catalogue.isWithdrawn(target.id)) ||
+      services.isBackedOff(context.service, target.id) ||
+      quarantine.isQuarantined(context) ||
+      catalogue.routingTable?.version !== context.version ||
+      currentOwner.kind === "wait" || currentOwner.targetId !== owner;
+  }
+
+  async #send(
+    context: RequestContext,
+    placed: Placed,
+    owner: FoundOwner,
+  ): Promise<Attempt & { readonly kind: "sent" }> {
+    const { clock, sender, services, catalogue } = this.#options;
+    const { request, route, service, retryClaim } = context;
+    const { target } = placed;
+    const sentAtMs = clock.readMs();
+    const remainingMs = context.deadlineAtMs - sentAtMs;
+    context.sends++;
+    services.recordSend(service, context.sends > 1);
+    const abortController = this.#watchResponse(context, target);
+    const outcome = await sender.send({
+      targetId: target.id,
+      address: target.address,
+      maxConnections:
+        catalogue.routingTable?.services.get(service)?.maxConnections ??
+          1,
+      requestId: request.requestId,
+      ...(context.key === undefined ? {} : { key: context.key }),
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      ...(route.maxAnswerBytes === undefined
+        ? {}
+        : { maxAnswerBytes: route.maxAnswerBytes }),
+      remainingMs,
+      timeoutMs: remainingMs,
+      idempotent: route.idempotent,
+      signal: abortController.signal,
+    });
+    abortController.stop();
+    const isOverdue = abortController.isOverdue();
+    this.#recordOutcome(context, placed, { outcome, sentAtMs, isOverdue });
+    this.#tools.reporter.reportSend(context, {
+      placed,
+      owner,
+      outcome,
+      sentAtMs,
+      remainingMs,
+      retryClaim,
+    });
+    return {
+      kind: "sent",
+      target,
+      outcome,
+      isOverdue: isOverdue && outcome.kind === "unknown",
+    };
+  }
+
+  #recordOutcome(context: RequestContext, placed: Placed, sent: {
+    readonly outcome: SendOutcome;
+    readonly sentAtMs: number;
+    readonly isOverdue: boolean;
+  }): void {
+    const { services, catalogue, quarantine, limits, leaving, paths } =
+      this.#options;
+    const { service, request } = context;
+    const { target } = placed;
+    const { outcome, sentAtMs } = sent;
+    paths.recordOutcome(target, outcome, sent);
+    services.recordOutcome(service, placed, request.requestId, outcome, sent);
+    limits.recordOutcome(target, outcome, sentAtMs);
+    leaving.recordOutcome(target, outcome);
+    if (outcome.kind === "not-run" && outcome.cause === "replaced") {
+      catalogue.recordReplaced(target);
+    }
+    quarantine.recordOutcome(context, { target, ...sent });
+    if (outcome.kind === "not-run" && outcome.cause === "not-owner") {
+      this.#options.handleOwnerMiss(service);
+    }
+  }
+
+  /**
+   * Aborts a send whose response is overdue, if the request may be sent again
+   * and the retry budget allows it at that moment; otherwise the send goes on.
+   * Failure case: targets lose 3% to 40% of their responses, and the caller of
+   * an idempotent request whose response is lost would wait until the deadline.
+   */
+  #watchResponse(
+    context: RequestContext,
+    target: RoutingTarget,
+  ): SendAbortController {
+    const { clock, services, isStopping } = this.#options;
+    const { request, route, sends, service } = context;
+    const abortController = new SendAbortController(request.signal);
+    if (
+      !route.idempotent || sends >= route.maxAttempts || context.isTrial
+    ) {
+      return abortController;
+    }
+    const expectedMs = services.estimateResponseMs(service, target.id);
+    const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
+    void clock.sleep(overdueMs, abortController.signal).then(() => {
+      if (
+        !abortController.signal.aborted && !isStopping() &&
+        this.#tools.claimRetry(context)
+      ) {
+        abortController.cancelOverdue();
+      }
+    });
+    return abortController;
+  }
+}
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -8,20 +8,18 @@
  * configuration has changed, so that a request that waited is never sent by an
  * outdated configuration.
  */
-import type { Clock } from "@lentilspur/ports/clock";
-import type { RequestSender } from "@lentilspur/ports/request_sender";
-import type { Route, RoutingTarget } from "@lentilspur/ports/routing_table";
+import type { Route } from "@lentilspur/ports/routing_table";
 import type { MatchedRoute } from "@lentilspur/routing/route_index";
-import type { PlaceDecision } from "@lentilspur/routing/service_places";
 import type { AccountAdmission } from "../entry/account_admission.ts";
 import type { CallerRequest, FinalResponse } from "../entry/caller_request.ts";
-import type { Catalogue } from "../views/catalogue.ts";
 import type { WithdrawalReason } from "../views/catalogue_event.ts";
 import type { KeyDirectory } from "../views/key_directory.ts";
-import { SendAbortController } from "./send_abort_controller.ts";
+import {
+  type Attempt,
+  AttemptRunner,
+  type AttemptRunnerOptions,
+} from "./attempt_runner.ts";
 import { OutcomeHandler, REFUSED_RETRY_MS } from "./outcome_handler.ts";
-import type { PermitDecision } from "@lentilspur/routing/request_pacer";
-import { computeLatestStart } from "./latest_start.ts";
 import { hashPathKey } from "./path_key.ts";
 import { OwnerFinder, type OwnerLookup } from "./owner_finder.ts";
 import {
@@ -30,35 +28,14 @@
   type RequestContext,
 } from "./request_context.ts";
 import { type RequestEvent, RequestReporter } from "./request_reporter.ts";
-import type { LeavingTargets } from "./leaving_targets.ts";
-import type { RequestQuarantine } from "./request_quarantine.ts";
-import type { ServiceRegistry } from "./service_registry.ts";
-import type { TargetLimits } from "./target_limits.ts";
-import type { PathMonitor } from "../paths/path_monitor.ts";
-import type { TargetRateLimiter } from "./target_rate_limiter.ts";
 
-export interface RequestRouterOptions {
-  readonly clock: Clock;
-  readonly catalogue: Catalogue;
+export interface RequestRouterOptions extends AttemptRunnerOptions {
   readonly directory: KeyDirectory;
-  readonly services: ServiceRegistry;
   readonly accounts: AccountAdmission;
-  readonly quarantine: RequestQuarantine;
-  readonly limits: TargetLimits;
-  readonly leaving: LeavingTargets;
-  readonly rateLimiter: TargetRateLimiter;
-  readonly paths: PathMonitor;
-  /** Called when the known key owners of a service seem to be outdated. */
-  readonly handleOwnerMiss: (service: string) => void;
   /** Called for each admitted request that has a key. */
   readonly observeKey: (route: Route, key: number) => void;
-  readonly sender: RequestSender;
   /** How long after its withdrawal an owner may still be sent requests. */
   readonly getWithdrawalGraceMs: (reason: WithdrawalReason) => number;
-  /**
-   * Whether this instance is shutting down; it then aborts no overdue sends.
-   */
-  readonly isStopping: () => boolean;
   readonly observe: (event: RequestEvent) => void;
 }
 
@@ -81,27 +58,23 @@
  * the move may be over and its notice lost.
  */
 const TYPICAL_MOVE_MS = 200;
-/**
- * A response that takes this many times the expected time counts as lost if the
- * request may be sent again. Processing times have long tails.
- */
-const OVERDUE_FACTOR = 4;
-/**
- * No response is overdue earlier, since latency and a busy CPU delay it too.
- */
-const MIN_OVERDUE_MS = 200;
-
 export class RequestRouter {
   readonly #options: RequestRouterOptions;
   readonly #ownerFinder: OwnerFinder;
   readonly #reporter: RequestReporter;
   readonly #outcomes: OutcomeHandler;
+  readonly #runner: AttemptRunner;
 
   constructor(options: RequestRouterOptions) {
     this.#options = options;
     this.#ownerFinder = new OwnerFinder(options);
     this.#reporter = new RequestReporter(options.clock, options.observe);
     this.#outcomes = new OutcomeHandler(options);
+    this.#runner = new AttemptRunner(options, {
+      ownerFinder: this.#ownerFinder,
+      reporter: this.#reporter,
+      claimRetry: (context) => this.#outcomes.claimRetry(context),
+    });
   }
 
   async handle(request: CallerRequest): Promise<FinalResponse> {
@@ -265,57 +238,41 @@
         return { kind: "done", response };
       }
     }
-    const decision = await this.#waitForPlace(context, owner.targetId);
-    if (decision === undefined) {
-      return { kind: "again", pauseMs: 0 };
-    }
-    if (decision.kind === "refused") {
-      return {
-        kind: "done",
-        response: this.#outcomes.createNoPlaceResponse(context, decision),
-      };
-    }
-    const permit = await this.#waitForPermit(context, decision.target);
-    if (
-      permit.kind === "granted" &&
-      !this.#isOutdated(context, decision.target, owner.targetId)
-    ) {
-      return await this.#send(context, decision, owner);
-    }
-    this.#options.services.releasePlace(
-      context.service,
-      decision.target.id,
-      context.request.requestId,
-    );
-    return permit.kind === "granted"
-      ? { kind: "again", pauseMs: 0 }
-      : this.#outcomes.handleOverLimit(context, {
-        target: decision.target,
-        retryAfterMs: permit.retryAfterMs,
-        isOwner: owner.targetId !== undefined,
-      });
+    const attempt = await this.#runner.run(context, owner);
+    return this.#handleAttempt(context, owner, attempt);
   }
 
-  /**
-   * Waits for a permit if the target has a rate limit, which all instances
-   * share.
-   */
-  async #waitForPermit(
+  #handleAttempt(
     context: RequestContext,
-    target: RoutingTarget,
-  ): Promise<PermitDecision> {
-    const { clock, rateLimiter, services } = this.#options;
-    if (rateLimiter.getLimitPerSecond(target) === undefined) {
-      return { kind: "granted", waitMs: 0 };
-    }
-    const serviceMs = services.getAverageServiceMs(context.service) ?? 0;
-    const latestStartMs = computeLatestStart(context, serviceMs);
-    const maxWaitMs = Math.max(0, latestStartMs - clock.readMs());
-    const permit = await rateLimiter.claim(target, maxWaitMs);
-    if (permit.kind === "granted" && permit.waitMs > 0) {
-      await clock.sleep(permit.waitMs, context.request.signal);
+    owner: OwnerLookup & { readonly kind: "found" },
+    attempt: Attempt,
+  ): AttemptResult {
+    switch (attempt.kind) {
+      case "outdated":
+        return { kind: "again", pauseMs: 0 };
+      case "no-place":
+        return {
+          kind: "done",
+          response: this.#outcomes
+            .createNoPlaceResponse(context, attempt.decision),
+        };
+      case "over-limit":
+        return this.#outcomes.handleOverLimit(context, {
+          target: attempt.target,
+          retryAfterMs: attempt.retryAfterMs,
+          isOwner: owner.targetId !== undefined,
+        });
+      case "sent": {
+        const { target, outcome, isOverdue } = attempt;
+        if (isOverdue) {
+          // The retry was taken from the budget when this send was aborted.
+          context.mayHaveRun = true;
+          return { kind: "again", pauseMs: 0 };
+        }
+        return this.#outcomes
+          .handle(context, { target, token: owner.token, outcome });
+      }
     }
-    return permit;
   }
 
   #waitForOwner(context: RequestContext, isLongWait: boolean): AttemptResult {
@@ -334,150 +291,4 @@
         response: this.#outcomes.createFinalFailure(context),
       };
   }
-
-  /**
-   * Whether the choice of the target became invalid while the request waited.
-   */
-  #isOutdated(
-    context: RequestContext,
-    target: RoutingTarget,
-    owner: string | undefined,
-  ): boolean {
-    const { catalogue, quarantine, services } = this.#options;
-    const currentOwner = this.#ownerFinder.find(context);
-    return context.request.signal.aborted ||
-      (owner === undefined && catalogue.isWithdrawn(target.id)) ||
-      services.isBackedOff(context.service, target.id) ||
-      quarantine.isQuarantined(context) ||
-      catalogue.routingTable?.version !== context.version ||
-      currentOwner.kind === "wait" || currentOwner.targetId !== owner;
-  }
-
-  #waitForPlace(
-    context: RequestContext,
-    owner: string | undefined,
-  ): Promise<PlaceDecision | undefined> {
-    const { request, route, admission, service } = context;
-    const { services } = this.#options;
-    const serviceMs = services.getAverageServiceMs(service) ?? 0;
-    return services.waitForPlace(service, {
-      requestId: request.requestId,
-      priority: route.priority,
-      arrivedAtMs: request.arrivedAtMs,
-      latestStartMs: computeLatestStart(context, serviceMs),
-      ...(owner === undefined ? {} : { owner }),
-      excluded: context.excludedTargets,
-      ...(admission.kind === "admitted" ? { share: admission.share } : {}),
-    }, request.signal);
-  }
-
-  async #send(
-    context: RequestContext,
-    placed: PlaceDecision & { readonly kind: "placed" },
-    owner: OwnerLookup & { readonly kind: "found" },
-  ): Promise<AttemptResult> {
-    const { clock, sender, services, catalogue, quarantine } = this.#options;
-    const { limits, leaving } = this.#options;
-    const { request, route, service, retryClaim } = context;
-    const sentAtMs = clock.readMs();
-    const remainingMs = context.deadlineAtMs - sentAtMs;
-    context.sends++;
-    services.recordSend(service, context.sends > 1);
-    const abortController = this.#watchResponse(context, placed);
-    const outcome = await sender.send({
-      targetId: placed.target.id,
-      address: placed.target.address,
-      maxConnections:
-        catalogue.routingTable?.services.get(service)?.maxConnections ??
-          1,
-      requestId: request.requestId,
-      ...(context.key === undefined ? {} : { key: context.key }),
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body: request.body,
-      ...(route.maxAnswerBytes === undefined
-        ? {}
-        : { maxAnswerBytes: route.maxAnswerBytes }),
-      remainingMs,
-      timeoutMs: remainingMs,
-      idempotent: route.idempotent,
-      signal: abortController.signal,
-    });
-    abortController.stop();
-    this.#options.paths.recordOutcome(placed.target, outcome, {
-      sentAtMs,
-      isOverdue: abortController.isOverdue(),
-    });
-    services.recordOutcome(
-      service,
-      placed,
-      request.requestId,
-      outcome,
-      { sentAtMs, isOverdue: abortController.isOverdue() },
-    );
-    limits.recordOutcome(placed.target, outcome, sentAtMs);
-    leaving.recordOutcome(placed.target, outcome);
-    if (outcome.kind === "not-run" && outcome.cause === "replaced") {
-      catalogue.recordReplaced(placed.target);
-    }
-    quarantine.recordOutcome(context, {
-      target: placed.target,
-      outcome,
-      sentAtMs,
-      isOverdue: abortController.isOverdue(),
-    });
-    if (outcome.kind === "not-run" && outcome.cause === "not-owner") {
-      this.#options.handleOwnerMiss(service);
-    }
-    this.#reporter.reportSend(context, {
-      placed,
-      owner,
-      outcome,
-      sentAtMs,
-      remainingMs,
-      retryClaim,
-    });
-    if (abortController.isOverdue() && outcome.kind === "unknown") {
-      // The retry was taken from the budget when this send was aborted.
-      context.mayHaveRun = true;
-      return { kind: "again", pauseMs: 0 };
-    }
-    return this.#outcomes.handle(context, {
-      target: placed.target,
-      token: owner.token,
-      outcome,
-    });
-  }
-
-  /**
-   * Aborts a send whose response is overdue, if the request may be sent again
-   * and the retry budget allows it at that moment; otherwise the send goes on.
-   * Failure case: targets lose 3% to 40% of their responses, and the caller of
-   * an idempotent request whose response is lost would wait until the deadline.
-   */
-  #watchResponse(
-    context: RequestContext,
-    placed: PlaceDecision & { readonly kind: "placed" },
-  ): SendAbortController {
-    const { clock, services } = this.#options;
-    const { request, route, sends, service } = context;
-    const abortController = new SendAbortController(request.signal);
-    if (
-      !route.idempotent || sends >= route.maxAttempts || context.isTrial
-    ) {
-      return abortController;
-    }
-    const expectedMs = services.estimateResponseMs(service, placed.target.id);
-    const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
-    void clock.sleep(overdueMs, abortController.signal).then(() => {
-      if (
-        !abortController.signal.aborted && !this.#options.isStopping() &&
-        this.#outcomes.claimRetry(context)
-      ) {
-        abortController.cancelOverdue();
-      }
-    });
-    return abortController;
-  }
 }
