test(trials): let the soak cut instances from targets

Instances connect to targets from addresses of their own (--source-address), so the links before targets tell them apart. One instance, several, a data centre, all but one or all lose their paths, once or in series: silently, by resets, or with new connections refused. Where no other fault is active, their callers must be served 0.95 as often as those of the others from 3 s on.

--- a/packages/cli/src/setting_table.ts
+++ b/packages/cli/src/setting_table.ts
@@ -21,6 +21,9 @@
   readonly fallback?: string;
 }
 
+/** Lets the system choose the local address of a connection. */
+export const ANY_ADDRESS = "0.0.0.0";
+
 const anyDuration = createDurationSchema({ min: 1, max: 24 * 3_600_000 });
 
 function createDurationSetting(
@@ -55,6 +58,12 @@
     description: "Address of all listeners, as callers and peers reach it",
     fallback: "127.0.0.1",
   },
+  sourceAddress: {
+    schema: hostSchema,
+    description:
+      "Local address of connections to targets, on hosts with several addresses; 0.0.0.0 lets the system choose",
+    fallback: ANY_ADDRESS,
+  },
   port: {
     schema: portSchema,
     description: "Port for callers; 0 picks a free one",
@@ -62,7 +71,8 @@
   },
   peerPort: {
     schema: portSchema,
-    description: "Port for the other instances, UDP; 0 picks a free one",
+    description:
+      "Port for the other instances, UDP and TCP; 0 picks a free one for each",
     fallback: "8081",
   },
   statusPort: {
--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -7,6 +7,7 @@
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import { MIN_GRACE_PERIOD_MS } from "@lentilspur/gateway/entry/graceful_shutdown";
 import {
+  ANY_ADDRESS,
   getFlagName,
   getVariableName,
   listSettingNames,
@@ -31,6 +32,8 @@
   readonly storeAddress: string;
   /** Number of partitions of each store topic. */
   readonly topicParts: number;
+  /** Local address of connections to targets, if it is set. */
+  readonly sourceAddress?: string;
 }
 
 /** On failure, returns a sentence for each fault. */
@@ -136,5 +139,8 @@
     }),
     storeAddress: values.store,
     topicParts: values.storeParts,
+    ...(values.sourceAddress === ANY_ADDRESS
+      ? {}
+      : { sourceAddress: values.sourceAddress }),
   });
 }
--- a/packages/proof/src/audit_test.ts
+++ b/packages/proof/src/audit_test.ts
@@ -97,6 +97,27 @@
   );
 });
 
+test("does not find a response whose send line another instance has dropped", () => {
+  assert.deepEqual(
+    listPromises([
+      makeSend("r1", { outcome: "not-run", cause: "unreachable" }),
+      makeFinal("r1", { sends: 2 }),
+    ]),
+    [],
+  );
+});
+
+test("finds a response that none of all sends of the request returned", () => {
+  assert.deepEqual(
+    listPromises([
+      makeSend("r1", { outcome: "not-run", cause: "full" }),
+      makeSend("r1", { outcome: "not-run", cause: "unreachable" }),
+      makeFinal("r1", { sends: 2 }),
+    ]),
+    ["own-answer"],
+  );
+});
+
 test("finds a response that no send of the request returned", () => {
   assert.deepEqual(
     listPromises([
--- a/packages/proof/src/explain.ts
+++ b/packages/proof/src/explain.ts
@@ -24,6 +24,7 @@
   "reload",
   "ready",
   "clock-jump",
+  "paths",
   "configuration",
   "store-lost",
   "store-regained",
--- a/packages/proof/src/log_line.ts
+++ b/packages/proof/src/log_line.ts
@@ -39,6 +39,8 @@
   status: z.int().optional(),
   message: z.string().optional(),
   retryAfterMs: z.number().optional(),
+  /** Number of sends, including those by other instances. */
+  sends: z.int().optional(),
   tookMs: z.number().optional(),
 });
 
--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -6,9 +6,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { StoreFaultMode } from "@lentilspur/ports/fake_store";
 import type { Trial } from "../start/trial.ts";
-import type {
-  InstanceProcess,
-  TargetProcess,
+import {
+  getSourceAddress,
+  type InstanceProcess,
+  type TargetProcess,
 } from "../start/deployment_processes.ts";
 import { readMonotonicMs } from "../traffic/caller.ts";
 import type { TrafficRandom } from "../traffic/traffic_random.ts";
@@ -32,6 +33,9 @@
   "store-restored",
   "store-restored-again",
   "instance-joined",
+  "paths-silent",
+  "paths-resetting",
+  "paths-refusing-new",
   "store-link-silent",
   "store-link-deaf",
   "store-link-resetting",
@@ -66,9 +70,30 @@
  * Interval of extra requests for the service of a target whose rate is limited.
  */
 const EXTRA_REQUEST_INTERVAL_MS = 40;
+/** How many instances lose their paths, how often, how long, and how far apart. */
+const PATH_LOSS_EXTENTS = [
+  "one",
+  "several",
+  "data-centre",
+  "all-but-one",
+  "all",
+] as const;
+const PATH_LOSS_COUNTS = [1, 1, 3];
+const PATH_LOSSES_MS = [300, 1_500, 6_000, 12_000];
+const PATH_PAUSES_MS = [200, 1_500];
 /** A target is stopped this long after it announced that it leaves. */
 const LEAVING_MS = 6_000;
 
+/** A fault counts as active for this long after its end. */
+const QUIET_MS = 3_000;
+/** Begins the description of a fault that was not injected. */
+const SKIPPED = "skipped";
+
+interface FaultPeriod {
+  readonly fromMs: number;
+  toMs: number;
+}
+
 export class FaultInjector {
   readonly #trial: Trial;
   readonly #random: TrafficRandom;
@@ -77,6 +102,8 @@
    */
   readonly #inUse = new Set<string>();
   #fatalRequestCount = 0;
+  /** When each fault was active. */
+  readonly #periods = new Set<FaultPeriod>();
 
   constructor(trial: Trial, random: TrafficRandom) {
     this.#trial = trial;
@@ -85,6 +112,17 @@
 
   /** Injects a fault and reverts it; returns a description of what was done. */
   async inject(fault: SoakFault): Promise<string> {
+    const period = { fromMs: readMonotonicMs(), toMs: Infinity };
+    this.#periods.add(period);
+    const description = await this.#injectFault(fault);
+    period.toMs = readMonotonicMs();
+    if (description.startsWith(SKIPPED)) {
+      this.#periods.delete(period);
+    }
+    return description;
+  }
+
+  async #injectFault(fault: SoakFault): Promise<string> {
     switch (fault) {
       case "instance-killed":
       case "instance-paused":
@@ -116,6 +154,12 @@
         return await this.#restoreStore(2);
       case "instance-joined":
         return await this.#addInstance();
+      case "paths-silent":
+        return await this.#failPaths("silent");
+      case "paths-resetting":
+        return await this.#failPaths("resetting");
+      case "paths-refusing-new":
+        return await this.#failPaths("refusing-new");
       case "store-link-silent":
         return await this.#failLink("instance", "silent");
       case "store-link-deaf":
@@ -350,6 +394,84 @@
     return instance.name;
   }
 
+  /**
+   * Some instances lose their paths to all targets, once or several times. If
+   * no other fault is active meanwhile, their callers must be served nearly as
+   * often as those of the others.
+   */
+  async #failPaths(faultMode: LinkFaultMode): Promise<string> {
+    if (this.#inUse.has("paths")) {
+      return "skipped: paths are lost already";
+    }
+    this.#inUse.add("paths");
+    const names = this.#drawInstances();
+    const lengths: number[] = [];
+    const times = this.#drawValue(PATH_LOSS_COUNTS);
+    for (let count = 0; count < times; count++) {
+      const fromMs = readMonotonicMs();
+      this.#setPaths(names, faultMode);
+      lengths.push(this.#drawValue(PATH_LOSSES_MS));
+      await sleep(lengths.at(-1));
+      this.#setPaths(names, undefined);
+      const toMs = readMonotonicMs();
+      this.#recordHeldUpOrders(fromMs, toMs);
+      if (this.#countFaults(fromMs, toMs) === 1) {
+        await this.#trial.checkServedAlike(names, { fromMs, toMs });
+      }
+      await sleep(this.#drawValue(PATH_PAUSES_MS));
+    }
+    this.#inUse.delete("paths");
+    return `${names.join(", ")} for ${lengths.join(", ")} ms`;
+  }
+
+  /** Counts the faults that were active in a period. */
+  #countFaults(fromMs: number, toMs: number): number {
+    return [...this.#periods].filter((period) =>
+      period.fromMs < toMs && period.toMs > fromMs - QUIET_MS
+    ).length;
+  }
+
+  /** Draws one instance, several, a data centre, all but one, or all. */
+  #drawInstances(): readonly string[] {
+    const { processes } = this.#trial;
+    const names = processes.instances.map(({ name }) => name);
+    const [first = "", ...others] = names
+      .toSorted(() => this.#random.draw() - 0.5);
+    switch (this.#drawValue(PATH_LOSS_EXTENTS)) {
+      case "one":
+        return [first];
+      case "several":
+        return [first, ...others.slice(0, 1)];
+      case "data-centre":
+        return names.filter((name) =>
+          processes.getDataCentre(name) === processes.getDataCentre(first)
+        );
+      case "all-but-one":
+        return others;
+      case "all":
+        return names;
+    }
+  }
+
+  #setPaths(
+    instances: readonly string[],
+    faultMode: LinkFaultMode | undefined,
+  ): void {
+    const { links, targets } = this.#trial.processes;
+    for (const { id } of targets) {
+      for (const name of instances) {
+        links.get(id)?.setSourceMode(getSourceAddress(name), faultMode);
+      }
+    }
+  }
+
+  #recordHeldUpOrders(fromMs: number, toMs: number): void {
+    const { processes, targetDisturbances } = this.#trial;
+    for (const { id: target } of processes.targets) {
+      targetDisturbances.push({ target, fromMs, toMs: toMs + HELD_UP_MS });
+    }
+  }
+
   async #failLink(
     kind: "instance" | "target",
     faultMode: LinkFaultMode,
@@ -408,7 +530,7 @@
     return chosen;
   }
 
-  #drawValue(values: readonly number[]): number {
+  #drawValue<Value>(values: readonly Value[]): Value {
     return values[this.#random.drawIndex(values.length)]!;
   }
 }
--- a/packages/trials/src/start/deployment_processes.ts
+++ b/packages/trials/src/start/deployment_processes.ts
@@ -139,16 +139,15 @@
   async startInstance(
     name = `instance-${++this.#startedInstanceCount}`,
   ): Promise<InstanceProcess> {
-    const { dataCentres } = this.#options.deployment;
-    const index = Number(name.split("-")[1]) - 1;
     const child = this.#createChild(name, [
       LENTILSPUR_CLI_FILE,
       "serve",
       ...["--instance-name", name],
-      ...["--data-centre", dataCentres[index % dataCentres.length]!],
+      ...["--data-centre", this.getDataCentre(name)],
       ...["--port", "0", "--peer-port", "0"],
       ...["--status-port", "0", "--metrics-port", "0"],
       ...["--store", await this.#openLink(name, this.#storeAddress)],
+      ...["--source-address", getSourceAddress(name)],
     ]);
     const address = await child.waitForOutput(
       /answers callers on ([^,\s]+),/,
@@ -167,6 +166,12 @@
     return instance;
   }
 
+  getDataCentre(instance: string): string {
+    const { dataCentres } = this.#options.deployment;
+    const index = Number(instance.split("-")[1]) - 1;
+    return dataCentres[index % dataCentres.length]!;
+  }
+
   /** Runs one `lentilspur` command and returns its exit code. */
   async runCommand(args: readonly string[]): Promise<number | null> {
     const child = this.#createChild("command", [
@@ -314,6 +319,11 @@
   await child.stop(FORCED_STOP_TIMEOUT_MS);
 }
 
+/** The address that an instance's connections to targets come from. */
+export function getSourceAddress(instance: string): string {
+  return `127.0.1.${instance.split("-")[1]}`;
+}
+
 function waitForListening(child: Child): Promise<string> {
   return child.waitForOutput(/"listening":"([^"]+)"/, START_TIMEOUT_MS);
 }
--- a/packages/trials/src/start/trial.ts
+++ b/packages/trials/src/start/trial.ts
@@ -50,6 +50,10 @@
 const LEAVING_MS = 6_000;
 /** Time with the new instance before the next step. */
 const REPLACEMENT_MS = 7_000;
+/** After this, instances without paths have to serve their callers. */
+const PATHS_LOST_SETTLED_MS = 3_000;
+/** They serve at least this often, relative to the others. */
+const SERVED_ALIKE_SHARE = 0.95;
 /** Time for responses in flight to reach the callers' records. */
 const RESPONSE_DELAY_MS = 500;
 
@@ -207,6 +211,37 @@
     }
   }
 
+  /**
+   * Checks that callers of instances without paths to targets were served
+   * nearly as often as those of the others.
+   */
+  async checkServedAlike(
+    names: readonly string[],
+    { fromMs, toMs }: StoreOutage,
+  ): Promise<void> {
+    await sleep(RESPONSE_DELAY_MS);
+    const { instances } = this.processes;
+    const addresses = instances.filter(({ name }) => names.includes(name))
+      .map(({ address }) => address);
+    const tries = this.traffic.records.filter(({ sentAtMs }) =>
+      sentAtMs >= fromMs + PATHS_LOST_SETTLED_MS && sentAtMs < toMs
+    );
+    const count = (isOwn: boolean, onlyServed: boolean): number =>
+      tries.filter(({ entry, outcome }) =>
+        addresses.includes(entry) === isOwn &&
+        (!onlyServed || outcome === "ran")
+      ).length;
+    const own = count(true, true) / count(true, false);
+    const other = count(false, true) / count(false, false);
+    if (own < SERVED_ALIKE_SHARE * other) {
+      this.failedChecks.push(
+        `${names.join(", ")}, without paths to targets, served ${
+          own.toFixed(3)
+        } of their requests, the others ${other.toFixed(3)}`,
+      );
+    }
+  }
+
   /**
    * Writes the callers' records next to the logs, to help find causes of
    * failures.
