fix(routing,gateway): forward requests that would wait for the few targets that are reached

Instances that had lost their paths to most targets of a service sent all requests to the few that were left, and refused what these had no room for, while others were idle. A request that would wait while a quarter of the paths or more are lost now goes to another instance.

A connection that cannot be opened now counts as evidence also where the target responds on an old one.

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -118,6 +118,7 @@
       refusingOwner: forwarded.refusingOwner,
       mayHaveRun: false,
       isTrial: forwarded.isTrial,
+      isForwardDue: false,
       origin: forwarded.from,
       route,
       service,
--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -52,10 +52,12 @@
 const LONG_PROBE_INTERVAL_MS = 500;
 const LONG_LOSS_MS = 3_000;
 /**
- * Targets that are probed while no target responds, in addition to those whose
- * paths are known to be lost.
+ * Targets that are probed at random in addition to those whose paths are known
+ * to be lost, while no target responds or several paths are lost: others may be
+ * lost as well, and each would cost a request the time of a failed connection.
  */
 const RANDOM_PROBES = 2;
+const MIN_CORRELATED_LOSSES = 2;
 
 export class PathMonitor {
   readonly paths: TargetPaths;
@@ -152,7 +154,8 @@
         this.#startProbe(target, intervalMs);
       }
     }
-    if (this.paths.isDoubtful) {
+    const lostCount = this.paths.listLost().length;
+    if (this.paths.isDoubtful || lostCount >= MIN_CORRELATED_LOSSES) {
       const targets = listTargets();
       for (
         let count = 0;
@@ -199,7 +202,7 @@
         break;
       case "failed":
         this.#maxProbes = MAX_PROBES;
-        if (!this.#hasRespondedSince(target, sentAtMs)) {
+        if (this.#isEvidence(target, outcome.failure, sentAtMs)) {
           this.paths.recordProbeFailure(target, outcome.failure, {
             sentAtMs,
             nowMs,
@@ -210,9 +213,18 @@
     this.#startProbes();
   }
 
-  #hasRespondedSince(target: TargetIncarnation, sinceMs: number): boolean {
+  /**
+   * Whether a failure says something about the path: a target that has responded
+   * since the send began is reached, unless new connections to it fail.
+   */
+  #isEvidence(
+    target: TargetIncarnation,
+    failure: PathFailure,
+    sentAtMs: number,
+  ): boolean {
     const key = formatTargetIncarnation(target);
-    return (this.#respondedAtMs.get(key) ?? -Infinity) >= sinceMs;
+    return failure === "no-connection" ||
+      (this.#respondedAtMs.get(key) ?? -Infinity) < sentAtMs;
   }
 
   #record(
@@ -227,7 +239,7 @@
         this.paths.recordResponse(nowMs);
         return;
       case "failure":
-        if (!this.#hasRespondedSince(target, sentAtMs)) {
+        if (this.#isEvidence(target, evidence.failure, sentAtMs)) {
           this.#recordFailure(target, evidence.failure, { sentAtMs, nowMs });
         }
         return;
--- a/packages/gateway/src/requests/path_loss_test.ts
+++ b/packages/gateway/src/requests/path_loss_test.ts
@@ -23,3 +23,22 @@
   }
   assert.deepEqual(faults, []);
 });
+
+test("instances that reach few of the targets do not overload these while others are idle", async () => {
+  const faults: string[] = [];
+  for (const mode of LOST_MODES) {
+    for (const keyed of [true, false]) {
+      faults.push(
+        ...await runPathLoss({
+          mode,
+          keyed,
+          idempotent: false,
+          isolated: ["i1", "i2", "i3", "i4"],
+          lostTargets: ["t1", "t2", "t3", "t4", "t5", "t6"],
+          workMs: 200,
+        }),
+      );
+    }
+  }
+  assert.deepEqual(faults, []);
+});
--- a/packages/gateway/src/requests/path_loss_trial.ts
+++ b/packages/gateway/src/requests/path_loss_trial.ts
@@ -14,6 +14,10 @@
   readonly idempotent: boolean;
   /** Instances without paths; the others are the rest of `INSTANCES`. */
   readonly isolated: readonly string[];
+  /** Targets that they do not reach; all by default. */
+  readonly lostTargets?: readonly string[];
+  /** How long a target works on a request. */
+  readonly workMs?: number;
 }
 
 /** The first attempt of one caller. */
@@ -27,6 +31,7 @@
 
 export const INSTANCES = ["i1", "i2", "i3", "i4", "i5", "i6"] as const;
 const TARGETS = 8;
+const WORK_MS = 60;
 /** Interval of the requests at each instance. */
 const REQUEST_INTERVAL_MS = 130;
 const WARM_UP_MS = 3_000;
@@ -54,6 +59,8 @@
     keyed,
     route: { idempotent },
     idleTimeoutMs: IDLE_TIMEOUT_MS,
+    exchangesLoads: true,
+    target: { workMs: trial.workMs ?? WORK_MS },
   });
   const { clock } = simulation;
   const tries: FirstTry[] = [];
@@ -63,7 +70,9 @@
     void runCallers(simulation, { instance, startMs, endMs, tries });
   }
   await clock.advance(WARM_UP_MS);
-  isolated.forEach((instance) => simulation.setPaths(instance, mode));
+  for (const instance of isolated) {
+    simulation.setPaths(instance, mode, trial.lostTargets);
+  }
   const lostAtMs = clock.readMs();
   await clock.advance(LOST_MS);
   isolated.forEach((instance) => simulation.setPaths(instance, "working"));
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -40,6 +40,8 @@
   retryClaim?: RetryClaim | undefined;
   /** Whether this is the trial of a quarantined request. */
   isTrial: boolean;
+  /** Whether another instance may have room that this one cannot use. */
+  isForwardDue: boolean;
   /** The instance that has forwarded the request to this one, if any. */
   readonly origin: string | null;
   /** Computed on first use. */
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -195,6 +195,7 @@
       mayHaveRun: false,
       isTrial: false,
       origin: null,
+      isForwardDue: false,
       route,
       service,
       version,
@@ -316,6 +317,10 @@
     const { clock, catalogue, forwarder } = this.#options;
     const { paths } = this.#options.paths;
     const hasPeer = forwarder.hasPeer(context);
+    if (context.isForwardDue && hasPeer) {
+      context.isForwardDue = false;
+      return { kind: "forward" };
+    }
     if (!paths.hasLosses) {
       return { kind: "direct", refusesLostPaths: hasPeer };
     }
@@ -377,6 +382,7 @@
         return { kind: "again", pauseMs: 0 };
       case "no-place":
         if (attempt.decision.reason === "path-lost") {
+          context.isForwardDue = true;
           return { kind: "again", pauseMs: 0 };
         }
         return {
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -65,6 +65,8 @@
   readonly coldPerSecond?: number;
   /** Whether the instances have not read the records of the others yet. */
   readonly membersUnread?: boolean;
+  /** Whether the instances tell each other their loads. */
+  readonly exchangesLoads?: boolean;
   /** After this long targets close an idle connection. */
   readonly idleTimeoutMs?: number;
   /** Share of the datagrams between instances that are lost. */
@@ -106,6 +108,7 @@
 const PROBE_TIMEOUT_MS = 600;
 const MAX_DATAGRAM_BYTES = 1_400;
 const HEARTBEAT_INTERVAL_MS = 500;
+const LOAD_INTERVAL_MS = 40;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_TIMEOUT_MS = 4_000;
 /**
@@ -155,6 +158,9 @@
     }
     this.#assignKeys();
     void this.#runHeartbeats();
+    if (options.exchangesLoads === true) {
+      void this.#runLoadExchange();
+    }
   }
 
   /** Restarts an instance; it keeps only its catalogue and key directory. */
@@ -475,6 +481,20 @@
     }
   }
 
+  async #runLoadExchange(): Promise<void> {
+    for (;;) {
+      await this.clock.sleep(LOAD_INTERVAL_MS);
+      for (const [name, { services: reporting }] of this.#instances) {
+        const counts = reporting.countOwnLoad();
+        for (const [other, { services }] of this.#instances) {
+          if (other !== name) {
+            services.applyPeerCounts(name, counts);
+          }
+        }
+      }
+    }
+  }
+
   async #runHeartbeats(): Promise<void> {
     for (;;) {
       for (const { members } of this.#instances.values()) {
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -30,8 +30,8 @@
   /** Targets on which this request has failed already. */
   readonly excluded: ReadonlySet<string>;
   /**
-   * Whether the request is refused at once if the paths to all targets that may
-   * run it are lost.
+   * Whether the request is refused at once if it would have to wait while the
+   * paths to many targets that may run it are lost.
    */
   readonly refusesLostPaths?: boolean;
 }
@@ -45,7 +45,10 @@
   | "waited-too-long"
   /** The only target that may run the request does not respond. */
   | "owner-silent"
-  /** The paths to all targets that may run the request are lost. */
+  /**
+   * No target that is reached has room, and the paths to many that may run the
+   * request are lost.
+   */
   | "path-lost"
   /** All targets that may run the request want a pause that is too long. */
   | "backed-off";
@@ -107,6 +110,11 @@
 const INSTANCES_WITHOUT_RANDOMNESS = 12;
 const RANDOMNESS_PER_INSTANCE = 1 / 40;
 const MAX_RANDOMNESS = 1;
+/**
+ * With paths to this share of a service's targets lost, a request does not wait
+ * for those that are left.
+ */
+const MIN_LOST_SHARE = 0.25;
 /** More than the targets of a large service. */
 const MAX_BACKOFFS = 5_000;
 
@@ -301,7 +309,7 @@
       load.recordSent(request.requestId, nowMs);
       return { kind: "placed", target: load.target, occupancy, waitedMs };
     }
-    if (request.refusesLostPaths === true && this.#hasNoPath(request)) {
+    if (this.#mayBeSentElsewhere(request)) {
       const retryAfterMs = NO_TARGET_RETRY_MS;
       return { kind: "refused", reason: "path-lost", retryAfterMs };
     }
@@ -378,8 +386,14 @@
       !this.#options.isPathLost(load.target);
   }
 
-  /** Whether the paths to all targets that may run the request are lost. */
-  #hasNoPath(request: PlaceRequest): boolean {
+  /**
+   * Whether the paths to so many of the targets that may run the request are
+   * lost that others may have room which this instance cannot use.
+   */
+  #mayBeSentElsewhere(request: PlaceRequest): boolean {
+    if (request.refusesLostPaths !== true) {
+      return false;
+    }
     const { isPathLost } = this.#options;
     const targets = [...this.#loads.values()]
       .map(({ target }) => target)
@@ -388,7 +402,8 @@
           ? !leaving && !request.excluded.has(id)
           : id === request.owner
       );
-    return targets.length > 0 && targets.every(isPathLost);
+    const lost = targets.filter(isPathLost);
+    return lost.length > 0 && lost.length >= MIN_LOST_SHARE * targets.length;
   }
 
   #computeRandomness(): number {
@@ -436,6 +451,13 @@
       return backedOff;
     }
     const waitMs = this.#estimateWaitMs(request, nowMs);
+    if (waitMs > MIN_RETRY_MS && this.#mayBeSentElsewhere(request)) {
+      return {
+        kind: "refused",
+        reason: "path-lost",
+        retryAfterMs: NO_TARGET_RETRY_MS,
+      };
+    }
     return nowMs + waitMs > request.latestStartMs ||
         this.#queue.countAhead(request, nowMs) >=
           this.#computeMaxWaiting(request)
