fix(gateway): take a target for crashed only if no instance reaches it

Three such reports quarantine a request at all instances.

Where a path is lost, two other instances are asked whether they reach the target; each probes it once. Only if none does, unanswered sends count as crashes. The answer also proves a lost path, so a keeper that loses some of its paths hands over without traffic of its own.

The test fails on (crash of a living target reported).

--- a/packages/gateway/src/forwarding/forwarded_request.ts
+++ b/packages/gateway/src/forwarding/forwarded_request.ts
@@ -69,8 +69,42 @@
   /** The request was not sent. */
   | { readonly kind: "unable"; readonly reason: UnableReason };
 
+/** Asks a peer whether it reaches a target. */
+export interface ReachQuery {
+  /** Name and incarnation of the instance that asks. */
+  readonly from: string;
+  readonly incarnation: string;
+  readonly targetId: string;
+}
+
+export type ReachAnswer =
+  | "reached"
+  | "unreached"
+  /** The peer does not know the target, or has lost all of its own paths. */
+  | "unknown";
+
+const REACH_ANSWERS: readonly string[] = [
+  "reached",
+  "unreached",
+  "unknown",
+] satisfies readonly ReachAnswer[];
 const NEWLINE = 10;
 
+/** Undefined if the text is no complete query. */
+export function parseReachQuery(text: string): ReachQuery | undefined {
+  const query = parseObject<ReachQuery>(text);
+  return typeof query?.from === "string" &&
+      typeof query.incarnation === "string" &&
+      typeof query.targetId === "string"
+    ? query as ReachQuery
+    : undefined;
+}
+
+/** An answer that is not valid counts as `unknown`. */
+export function parseReachAnswer(text: string): ReachAnswer {
+  return REACH_ANSWERS.includes(text) ? text as ReachAnswer : "unknown";
+}
+
 export function encodeForwardedRequest(
   { body, ...fields }: ForwardedRequest,
 ): Uint8Array {
@@ -115,14 +149,19 @@
   bytes: Uint8Array,
 ): { readonly fields: Partial<Fields>; readonly body: Uint8Array } | undefined {
   const end = bytes.indexOf(NEWLINE);
+  const text = Buffer.from(bytes.subarray(0, end)).toString("utf8");
+  const fields = parseObject<Fields>(text);
+  return fields === undefined
+    ? undefined
+    : { fields, body: bytes.subarray(end + 1) };
+}
+
+function parseObject<Fields>(text: string): Partial<Fields> | undefined {
   try {
-    const text = Buffer.from(bytes.subarray(0, end)).toString("utf8");
-    const fields: unknown = JSON.parse(text);
-    return typeof fields === "object" && fields !== null
-      ? { fields, body: bytes.subarray(end + 1) }
-      : undefined;
+    const value: unknown = JSON.parse(text);
+    return typeof value === "object" && value !== null ? value : undefined;
   } catch {
-    // Not JSON; the caller reports the message as malformed.
+    // Not JSON; the caller treats the message as malformed.
     return undefined;
   }
 }
--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -14,6 +14,9 @@
   encodeForwardedRequest,
   type ForwardedRequest,
   type ForwardReply,
+  parseReachAnswer,
+  type ReachAnswer,
+  type ReachQuery,
 } from "./forwarded_request.ts";
 
 export type HopResult =
@@ -34,10 +37,13 @@
     request: ForwardedRequest,
     signal: AbortSignal,
   ): Promise<HopResult>;
+  /** Asks a peer whether it reaches a target. Never rejects. */
+  fetchReachability(peer: Member, query: ReachQuery): Promise<ReachAnswer>;
 }
 
-/** Path of forwarded requests on the peers' port. */
+/** Paths of forwarded requests and of queries on the peers' port. */
 export const FORWARD_PATH = "/forward";
+export const REACH_PATH = "/reach";
 /** Instances are reached within some milliseconds, or not at all. */
 const CONNECT_TIMEOUT_MS = 250;
 /** Below the time after which a peer closes an idle connection. */
@@ -47,6 +53,9 @@
 const MAX_REPLY_BYTES = 17 * 1024 * 1024;
 /** A peer has the result of a request no later than this after its deadline. */
 const REPLY_MARGIN_MS = 50;
+/** Longer than the probe that the peer makes. */
+const REACH_TIMEOUT_MS = 1_200;
+const MAX_REACH_BYTES = 64;
 const OK_STATUS = 200;
 
 export class HttpForwardingClient implements ForwardingClient {
@@ -84,6 +93,22 @@
     };
   }
 
+  async fetchReachability(
+    peer: Member,
+    query: ReachQuery,
+  ): Promise<ReachAnswer> {
+    const sent = await this.#getPool(`${peer.host}:${peer.forwardPort}`).send({
+      method: "POST",
+      path: REACH_PATH,
+      body: Buffer.from(JSON.stringify(query)),
+      timeoutMs: REACH_TIMEOUT_MS,
+      maxResponseBytes: MAX_REACH_BYTES,
+    });
+    return sent.ok
+      ? parseReachAnswer(Buffer.from(sent.val.body).toString("utf8"))
+      : "unknown";
+  }
+
   close(): void {
     this.#pools.forEach((pool) => pool.close());
   }
--- a/packages/gateway/src/forwarding/forwarding_server.ts
+++ b/packages/gateway/src/forwarding/forwarding_server.ts
@@ -6,15 +6,18 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { buffer as readBody } from "node:stream/consumers";
+import { buffer as readBody, text as readText } from "node:stream/consumers";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
   decodeForwardedRequest,
   encodeForwardReply,
   type ForwardedRequest,
   type ForwardReply,
+  parseReachQuery,
+  type ReachAnswer,
+  type ReachQuery,
 } from "./forwarded_request.ts";
-import { FORWARD_PATH } from "./forwarding_client.ts";
+import { FORWARD_PATH, REACH_PATH } from "./forwarding_client.ts";
 
 export interface ForwardingServerOptions {
   readonly clock: Clock;
@@ -26,6 +29,7 @@
     request: ForwardedRequest,
     options: { readonly receivedAtMs: number; readonly signal: AbortSignal },
   ) => Promise<ForwardReply>;
+  readonly answerReach: (query: ReachQuery) => Promise<ReachAnswer>;
   readonly reportFault: (message: string) => void;
 }
 
@@ -72,11 +76,32 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, handle, readStallMs, reportFault } = this.#options;
-    if (message.url !== FORWARD_PATH) {
-      response.writeHead(NOT_FOUND).end();
-      return;
+    switch (message.url) {
+      case FORWARD_PATH:
+        return await this.#handleRequest(message, response);
+      case REACH_PATH:
+        return await this.#handleReach(message, response);
+      case undefined:
+      default:
+        response.writeHead(NOT_FOUND).end();
     }
+  }
+
+  async #handleReach(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const query = parseReachQuery(await readText(message).catch(() => ""));
+    response.end(
+      query === undefined ? "unknown" : await this.#options.answerReach(query),
+    );
+  }
+
+  async #handleRequest(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { clock, handle, readStallMs, reportFault } = this.#options;
     // A request that is read after a stall may have arrived at its beginning.
     const receivedAtMs = clock.readMs() - readStallMs();
     const controller = new AbortController();
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -18,6 +18,7 @@
 import { HttpForwardingClient } from "./forwarding/forwarding_client.ts";
 import { ForwardingPeers } from "./forwarding/forwarding_peers.ts";
 import { ForwardingServer } from "./forwarding/forwarding_server.ts";
+import { PathChecker } from "./forwarding/path_checker.ts";
 import { RequestForwarder } from "./forwarding/request_forwarder.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type {
@@ -101,6 +102,8 @@
   readonly #rateLimiter: TargetRateLimiter;
   readonly #paths: PathMonitor;
   readonly #forwardingClient: HttpForwardingClient;
+  readonly #forwardingPeers: ForwardingPeers;
+  readonly #pathChecker: PathChecker;
   readonly #forwardingServer: ForwardingServer;
   readonly #router: RequestRouter;
   readonly #server: RequestServer;
@@ -169,6 +172,18 @@
     this.#rateLimiter = this.#createRateLimiter();
     this.#paths = this.#createPathMonitor();
     this.#forwardingClient = new HttpForwardingClient(clock);
+    this.#forwardingPeers = new ForwardingPeers({
+      clock,
+      random: new SeededRandom(randomInt(MAX_SEED)),
+      dataCentre,
+      members: this.#members,
+    });
+    this.#pathChecker = new PathChecker({
+      instance,
+      incarnation: this.#incarnation,
+      client: this.#forwardingClient,
+      peers: this.#forwardingPeers,
+    });
     this.#router = this.#createRouter();
     this.#server = this.#createServer();
     this.#forwardingServer = this.#createForwardingServer();
@@ -384,6 +399,8 @@
       listTargets: () => this.#catalogue.listAllTargets(),
       findHealthPath: (service) =>
         this.#catalogue.routingTable?.services.get(service)?.healthPath,
+      checkElsewhere: (target) => this.#pathChecker.check(target),
+      onDown: (target) => this.#quarantine.handleTargetDown(target),
       onRegained: (target) => this.#services.recordReachable(target),
       observe: (event) => this.#reporter.observePath(event),
     });
@@ -420,12 +437,7 @@
       instance: settings.instance,
       incarnation: this.#incarnation,
       client: this.#forwardingClient,
-      peers: new ForwardingPeers({
-        clock,
-        random: new SeededRandom(randomInt(MAX_SEED)),
-        dataCentre: settings.dataCentre,
-        members: this.#members,
-      }),
+      peers: this.#forwardingPeers,
       paths: this.#paths,
       services: this.#services,
       findTarget: (id) => this.#catalogue.getTarget(id),
@@ -441,6 +453,10 @@
       readStallMs: () => this.#services.readStallMs(),
       handle: (request, options) =>
         this.#router.handleForwarded(request, options),
+      answerReach: ({ from, incarnation, targetId }) =>
+        this.#members.get(from)?.incarnation === incarnation
+          ? this.#paths.answerReach(targetId)
+          : Promise.resolve("unknown"),
       reportFault: (message) => this.#reporter.reportFault(message),
     });
   }
--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import type { ProbeOutcome } from "@lentilspur/ports/target_prober";
 import { hasExcessiveLosses } from "../paths/path_losses.ts";
+import type { PathCheck } from "../forwarding/path_checker.ts";
 import { PathMonitor } from "../paths/path_monitor.ts";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { DEFAULT_KEEPER_TIMING } from "@lentilspur/ownership/keeper_timing";
@@ -107,7 +108,7 @@
       !stop.signal.aborted && !this.#unreachable.has(`${instance}>${target}`)
     );
     const paths = this.#createPathMonitor(instance);
-    void this.#runPathMonitor(instance, paths, stop.signal);
+    void this.#runPathMonitor(paths, stop.signal);
     const service = new KeeperService({
       clock: this.clock,
       store,
@@ -161,29 +162,32 @@
       findTarget: (id) => listTargets().find((target) => target.id === id),
       listTargets,
       findHealthPath: () => undefined,
+      checkElsewhere: (target) => this.#checkPath(instance, target),
+      onDown: () => undefined,
       onRegained: () => undefined,
       observe: () => undefined,
     });
   }
 
-  /**
-   * Requests that are forwarded to other instances prove that these reach a
-   * target.
-   */
-  async #runPathMonitor(
+  async #checkPath(
     instance: string,
+    { id }: RoutingTarget,
+  ): Promise<PathCheck> {
+    await this.clock.sleep(DATAGRAM_DELAY_MS);
+    for (const name of this.#instances.keys()) {
+      if (name !== instance && this.#isReached(name, id)) {
+        return { kind: "reached", peer: name };
+      }
+    }
+    return { kind: "unreached" };
+  }
+
+  async #runPathMonitor(
     monitor: PathMonitor,
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted) {
       monitor.advance();
-      for (const { target } of monitor.paths.listLost()) {
-        for (const name of this.#instances.keys()) {
-          if (name !== instance && this.#isReached(name, target.id)) {
-            monitor.paths.recordReachedElsewhere(target, name);
-          }
-        }
-      }
       await this.clock.sleep(PATH_TICK_MS, signal);
     }
   }
--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -14,6 +14,8 @@
 } from "@lentilspur/ports/key_orders";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
 import { PathLosses } from "./path_losses.ts";
+import type { ReachAnswer } from "../forwarding/forwarded_request.ts";
+import type { PathCheck } from "../forwarding/path_checker.ts";
 import type { TargetProber } from "@lentilspur/ports/target_prober";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import {
@@ -37,6 +39,10 @@
   readonly listTargets: () => readonly RoutingTarget[];
   /** Path of the health checks of a service, if it has one. */
   readonly findHealthPath: (service: string) => string | undefined;
+  /** Asks other instances whether they reach a target. */
+  readonly checkElsewhere: (target: RoutingTarget) => Promise<PathCheck>;
+  /** Called when other instances do not reach a target either. */
+  readonly onDown: (target: RoutingTarget) => void;
   /** Called when a target has responded on a new connection. */
   readonly onRegained: (target: RoutingTarget) => void;
   readonly observe: (event: PathEvent) => void;
@@ -51,6 +57,8 @@
 /** The same once its path has been lost for `LONG_LOSS_MS`. */
 const LONG_PROBE_INTERVAL_MS = 500;
 const LONG_LOSS_MS = 3_000;
+/** Interval at which others are asked about a target, until one reaches it. */
+const CHECK_ELSEWHERE_INTERVAL_MS = 500;
 /**
  * Targets that are probed at random in addition to those whose paths are known
  * to be lost, while no target responds or several paths are lost: others may be
@@ -67,6 +75,8 @@
   /** When each target last responded, by incarnation. */
   readonly #respondedAtMs = new Map<string, number>();
   readonly #losses = new PathLosses();
+  /** When others were last asked about each target, by incarnation. */
+  readonly #askedAtMs = new Map<string, number>();
   #runningProbes = 0;
   #maxProbes = MAX_PROBES;
 
@@ -130,7 +140,8 @@
 
   #removeUnknown(targets: readonly RoutingTarget[]): void {
     const known = new Set(targets.map(formatTargetIncarnation));
-    for (const times of [this.#probedAtMs, this.#respondedAtMs]) {
+    const all = [this.#probedAtMs, this.#respondedAtMs, this.#askedAtMs];
+    for (const times of all) {
       for (const key of times.keys()) {
         if (!known.has(key)) {
           times.delete(key);
@@ -145,8 +156,12 @@
     }
     const { findTarget, listTargets, clock } = this.#options;
     const nowMs = clock.readMs();
-    for (const { target: { id }, sinceMs } of this.paths.listLost()) {
+    for (const { target: { id }, ...lost } of this.paths.listLost()) {
+      const { sinceMs, isReachedElsewhere } = lost;
       const target = findTarget(id);
+      if (target !== undefined && !isReachedElsewhere) {
+        this.#startCheck(target, nowMs);
+      }
       const intervalMs = nowMs - sinceMs < LONG_LOSS_MS
         ? PROBE_INTERVAL_MS
         : LONG_PROBE_INTERVAL_MS;
@@ -168,6 +183,45 @@
     }
   }
 
+  #startCheck(target: RoutingTarget, nowMs: number): void {
+    const key = formatTargetIncarnation(target);
+    const sinceMs = nowMs - (this.#askedAtMs.get(key) ?? -Infinity);
+    if (sinceMs >= CHECK_ELSEWHERE_INTERVAL_MS) {
+      this.#askedAtMs.set(key, nowMs);
+      void this.#checkElsewhere(target);
+    }
+  }
+
+  async #checkElsewhere(target: RoutingTarget): Promise<void> {
+    const { clock, checkElsewhere, onDown } = this.#options;
+    const check = await checkElsewhere(target);
+    if (this.paths.findLost(target) === undefined) {
+      return;
+    }
+    switch (check.kind) {
+      case "reached":
+        this.paths.recordReachedElsewhere(target, check.peer);
+        return;
+      case "unreached":
+        this.paths.recordUnreachedElsewhere(target, clock.readMs());
+        onDown(target);
+        return;
+      case "unknown":
+        return;
+    }
+  }
+
+  /** Answers another instance that does not reach a target. */
+  async answerReach(targetId: string): Promise<ReachAnswer> {
+    const { prober, findTarget, findHealthPath } = this.#options;
+    const target = findTarget(targetId);
+    if (target === undefined || this.paths.isDoubtful) {
+      return "unknown";
+    }
+    const { kind } = await prober.probe(target, findHealthPath(target.service));
+    return kind === "answered" ? "reached" : "unreached";
+  }
+
   /** Probes a target, unless this was done within the interval. */
   #startProbe(target: RoutingTarget, intervalMs: number): void {
     const key = formatTargetIncarnation(target);
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -133,11 +133,9 @@
         }
         return;
       case "not-run":
-        if (outcome.cause === "unreachable") {
-          this.#recordCrashes(
-            this.#unansweredSends.takeUnreachable(target.id, nowMs),
-          );
-        } else if (outcome.cause !== "replaced") {
+        if (
+          outcome.cause !== "unreachable" && outcome.cause !== "replaced"
+        ) {
           this.#unansweredSends.recordAnswered(target.id, sentAtMs);
         }
         return;
@@ -155,6 +153,17 @@
     }
   }
 
+  /**
+   * Records a crash if no instance reaches the target: that this one does not
+   * may be due to its own path.
+   */
+  handleTargetDown(target: TargetIncarnation): void {
+    const nowMs = this.#options.clock.readMs();
+    this.#recordCrashes(
+      this.#unansweredSends.takeUnreachable(target.id, nowMs),
+    );
+  }
+
   /**
    * Records a crash if the event shows that a target has ended: its entry is
    * gone or names another incarnation.
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -163,3 +163,14 @@
   }
   assert.equal(simulation.events.length, 0);
 });
+
+test("a target that one instance does not reach is not reported to have crashed", async () => {
+  const simulation = createSimulation(false, { idleTimeoutMs: 200 });
+  const sending = sendHarmless(simulation, { everyMs: 4, forMs: 5_000 });
+  const lost = simulation.listTargets().slice(0, 8);
+  void simulation.clock.sleep(1_000).then(() =>
+    simulation.setPaths("bole-1", "resetting", lost)
+  );
+  await sending;
+  assert.deepEqual(simulation.events, []);
+});
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -135,6 +135,8 @@
       findTarget: (id) => this.catalogue.getTarget(id),
       listTargets: () => this.catalogue.listAllTargets(),
       findHealthPath: () => undefined,
+      checkElsewhere: () => Promise.resolve({ kind: "unknown" }),
+      onDown: () => undefined,
       onRegained: () => undefined,
       observe: () => undefined,
     });
@@ -144,6 +146,7 @@
       incarnation: self.incarnation,
       client: {
         forward: () => Promise.resolve({ kind: "unreached", message: "none" }),
+        fetchReachability: () => Promise.resolve("unknown"),
       },
       peers: new ForwardingPeers({
         clock: this.clock,
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -42,9 +42,16 @@
   type Transfer,
 } from "./simulated_path.ts";
 import type { ProbeOutcome } from "@lentilspur/ports/target_prober";
-import type { ForwardedRequest } from "../forwarding/forwarded_request.ts";
-import type { HopResult } from "../forwarding/forwarding_client.ts";
+import type {
+  ForwardedRequest,
+  ReachAnswer,
+} from "../forwarding/forwarded_request.ts";
+import type {
+  ForwardingClient,
+  HopResult,
+} from "../forwarding/forwarding_client.ts";
 import { ForwardingPeers } from "../forwarding/forwarding_peers.ts";
+import { PathChecker } from "../forwarding/path_checker.ts";
 import { RequestForwarder } from "../forwarding/request_forwarder.ts";
 import { LeavingTargets } from "./leaving_targets.ts";
 import { TargetLimits } from "./target_limits.ts";
@@ -311,6 +318,8 @@
       findTarget: (id) => catalogue.getTarget(id),
       listTargets: () => catalogue.listAllTargets(),
       findHealthPath: () => undefined,
+      checkElsewhere: (target) => checker.check(target),
+      onDown: (target) => components.quarantine.handleTargetDown(target),
       onRegained: (target) => services.recordReachable(target),
       observe: () => undefined,
     });
@@ -327,20 +336,25 @@
       isPathLost: (target) => paths.paths.isLost(target),
     });
     void services.run(new AbortController().signal);
+    const client: ForwardingClient = {
+      forward: (peer, request, signal) =>
+        this.#forwardRequest(peer, request, signal),
+      fetchReachability: (peer, { targetId }) =>
+        this.#fetchReachability(peer, targetId),
+    };
+    const peers = new ForwardingPeers({
+      clock,
+      random: new SeededRandom(4),
+      dataCentre: components.self.dataCentre,
+      members: components.members,
+    });
+    const sender = { instance: name, incarnation: components.self.incarnation };
+    const checker = new PathChecker({ ...sender, client, peers });
     const forwarder = new RequestForwarder({
+      ...sender,
       clock,
-      instance: name,
-      incarnation: components.self.incarnation,
-      client: {
-        forward: (peer, request, signal) =>
-          this.#forwardRequest(peer, request, signal),
-      },
-      peers: new ForwardingPeers({
-        clock,
-        random: new SeededRandom(4),
-        dataCentre: components.self.dataCentre,
-        members: components.members,
-      }),
+      client,
+      peers,
       paths,
       services,
       findTarget: (id) => catalogue.getTarget(id),
@@ -539,6 +553,17 @@
       : { kind: "failed", failure: passed === "reset" ? "reset" : "silent" };
   }
 
+  async #fetchReachability(
+    peer: Member,
+    targetId: string,
+  ): Promise<ReachAnswer> {
+    await this.clock.sleep(2 * HOP_DELAY_MS);
+    const instance = this.#instances.get(peer.instance);
+    return instance === undefined || this.disconnected.has(peer.instance)
+      ? "unknown"
+      : await instance.paths.answerReach(targetId);
+  }
+
   /** Forwards a request to a peer, which may be disconnected or ended. */
   async #forwardRequest(
     peer: Member,
