fix(gateway): take no lost path for a slow or busy target

An instance whose paths were lost counted hanging sends as requests at the targets and told the others, which then avoided these targets, and recorded the time until it gave up as their service time, which it tells keepers. Sends over lost or doubtful paths now count neither as load nor as speed.

--- a/packages/gateway/src/requests/path_loss_test.ts
+++ b/packages/gateway/src/requests/path_loss_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { runPathLoss } from "./path_loss_trial.ts";
+import { RequestSimulation } from "./request_simulation.ts";
 import type { PathMode } from "./simulated_path.ts";
 
 const LOST_MODES = [
@@ -42,3 +43,41 @@
   }
   assert.deepEqual(faults, []);
 });
+
+/** Sends requests at one instance, 30 ms apart. */
+async function sendSteadily(
+  simulation: RequestSimulation,
+  forMs: number,
+): Promise<void> {
+  for (let spentMs = 0; spentMs < forMs; spentMs += 30) {
+    void simulation.send("i1", { path: `/files/${spentMs}` });
+    await simulation.clock.advance(30);
+  }
+}
+
+function createSimulation(): RequestSimulation {
+  return new RequestSimulation({
+    instances: ["i1", "i2", "i3"],
+    targets: 8,
+    keyed: false,
+    route: { idempotent: false },
+  });
+}
+
+test("an instance reports no requests at targets that these have not reached", async () => {
+  const simulation = createSimulation();
+  await sendSteadily(simulation, 1_000);
+  simulation.setPaths("i1", "silent");
+  await sendSteadily(simulation, 900);
+  assert.deepEqual(simulation.describeLoad("i1").running, {});
+});
+
+test("sends over lost paths do not make targets look slow", async () => {
+  const simulation = createSimulation();
+  await sendSteadily(simulation, 1_000);
+  simulation.setPaths("i1", "silent");
+  await sendSteadily(simulation, 3_000);
+  const slow = Object.entries(simulation.describeLoad("i1").serviceMs)
+    .filter(([, serviceMs]) => serviceMs > 100);
+  assert.deepEqual(slow, []);
+});
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -281,6 +281,16 @@
     )[0]!;
   }
 
+  /** Lists what an instance tells others of its requests and of the targets. */
+  describeLoad(instance: string): {
+    readonly running: Readonly<Record<string, number>>;
+    readonly serviceMs: Readonly<Record<string, number>>;
+  } {
+    const { services } = this.#instances.get(instance)!;
+    const { running } = services.countOwnLoad();
+    return { running, serviceMs: services.listServiceMs(SERVICE) };
+  }
+
   /** Counts how often targets have run each request, by its id. */
   countRuns(): ReadonlyMap<string, number> {
     const runs = new Map<string, number>();
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -184,6 +184,13 @@
     const places = this.#getPlaces(service);
     const load = places.getLoad(placed.target.id);
     load?.recordEnded(requestId);
+    // A lost path says nothing about the speed or the failures of the target.
+    const isFailure = outcome.kind === "unknown" ||
+      (outcome.kind === "not-run" && outcome.cause === "unreachable");
+    if (isFailure && this.#options.isPathLost(placed.target)) {
+      places.dispatchQueued(nowMs);
+      return;
+    }
     switch (outcome.kind) {
       case "answered":
         load?.recordResponse(nowMs - sentAtMs, placed.occupancy);
@@ -249,11 +256,13 @@
   }
 
   countOwnLoad(): LoadCounts {
+    const { isPathLost } = this.#options;
     const running: Record<string, number> = {};
     const waiting: Record<string, LoadCounts["waiting"][string]> = {};
     for (const [service, places] of this.#places) {
       for (const load of places.listLoads()) {
-        if (load.ownCount > 0) {
+        // Sends over a lost path may hang here without having reached the target.
+        if (load.ownCount > 0 && !isPathLost(load.target)) {
           running[load.target.id] = load.ownCount;
         }
       }
