fix(platform,ownership): take no used up connection pool for an unreachable target

All connections of this instance in use, or an idle one that the target had closed, were reported like a connection that cannot be opened: the target was suspended for 0.25 to 2 s, and lost its keys after 1.2 s of such orders. They are now told apart and say nothing about the path.

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -4,6 +4,7 @@
  * again.
  */
 import type { Clock } from "@lentilspur/ports/clock";
+import { isUnsent } from "@lentilspur/ports/request_sender";
 import type { Member } from "../members/members.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { Attempt, AttemptRunner } from "../requests/attempt_runner.ts";
@@ -192,8 +193,7 @@
       case "sent": {
         const { target, outcome, isOverdue } = attempt;
         if (
-          owner.targetId === undefined && outcome.kind === "not-run" &&
-          outcome.cause === "unreachable"
+          owner.targetId === undefined && isUnsent(outcome)
         ) {
           context.excludedTargets.add(target.id);
           return undefined;
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -4,7 +4,7 @@
  * `maxAttempts` and the deadline stay with this instance.
  */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import { isUnsent, type SendOutcome } from "@lentilspur/ports/request_sender";
 import { findPathEvidence } from "@lentilspur/routing/target_paths";
 import type { Member } from "../members/members.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
@@ -99,7 +99,7 @@
           excludedPeers.delete(peer.instance);
           return result;
         case "sent":
-          if (!isUnreachable(result.outcome)) {
+          if (!isUnsent(result.outcome)) {
             excludedPeers.delete(peer.instance);
             return result;
           }
@@ -178,7 +178,7 @@
   ): void {
     const { services, findTarget, paths } = this.#options;
     const isSent = result.kind === "lost" ||
-      (result.kind === "sent" && !isUnreachable(result.outcome));
+      (result.kind === "sent" && !isUnsent(result.outcome));
     if (isSent) {
       context.sends++;
       services.recordSend(context.service, context.sends > 1);
@@ -228,7 +228,3 @@
     return abortController;
   }
 }
-
-function isUnreachable(outcome: SendOutcome): boolean {
-  return outcome.kind === "not-run" && outcome.cause === "unreachable";
-}
--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -327,7 +327,9 @@
     case "replaced":
       return { kind: "response" };
     case "unsent":
-      return { kind: "failure", failure: "no-connection" };
+      return outcome.isUnreachable
+        ? { kind: "failure", failure: "no-connection" }
+        : undefined;
     case "unanswered":
       return { kind: "failure", failure: "silent" };
     case "session-over":
--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -4,7 +4,7 @@
  * or if its route is idempotent.
  */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import { isUnsent, type SendOutcome } from "@lentilspur/ports/request_sender";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
 import type { SuspectDecision } from "@lentilspur/routing/crash_suspects";
@@ -78,7 +78,7 @@
     },
   ): AttemptResult {
     const backoffMs = token === undefined ? 0 : outcome.backoffMs ?? 0;
-    const isUnreachable = outcome.cause === "unreachable";
+    const isUnreachable = isUnsent(outcome);
     context.unreachableSends += isUnreachable ? 1 : 0;
     setRefusal(
       context,
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -25,7 +25,7 @@
   readonly excludedPeers: Set<string>;
   /** Number of sends, including those that could not connect. */
   sends: number;
-  /** Number of sends that could not connect, so that no target ran them. */
+  /** Number of sends of which nothing left this instance. */
   unreachableSends: number;
   /** Since when the key has had no usable owner; null if it has one. */
   ownerMissingSinceMs: number | null;
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -8,6 +8,7 @@
  */
 import {
   isSuccessful,
+  isUnsent,
   type SendOutcome,
 } from "@lentilspur/ports/request_sender";
 import {
@@ -133,9 +134,7 @@
         }
         return;
       case "not-run":
-        if (
-          outcome.cause !== "unreachable" && outcome.cause !== "replaced"
-        ) {
+        if (!isUnsent(outcome) && outcome.cause !== "replaced") {
           this.#unansweredSends.recordAnswered(target.id, sentAtMs);
         }
         return;
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -198,7 +198,7 @@
       case "not-run":
         if (outcome.cause === "unreachable" || outcome.cause === "replaced") {
           load?.recordUnresponsive(nowMs);
-        } else if (outcome.cause === "full") {
+        } else if (outcome.cause === "full" || outcome.cause === "not-sent") {
           load?.recordFailure(nowMs);
         }
         break;
--- a/packages/ownership/src/table_reconciler.ts
+++ b/packages/ownership/src/table_reconciler.ts
@@ -415,15 +415,23 @@
       case "session-over":
         return;
       case "unsent":
+        if (outcome.isUnreachable) {
+          this.#recordFailure(incarnationKey, nowMs);
+        }
+        return;
       case "unanswered":
-        this.#failureStreaks.set(incarnationKey, {
-          sinceMs: this.#failureStreaks.get(incarnationKey)?.sinceMs ?? nowMs,
-          lastMs: nowMs,
-        });
+        this.#recordFailure(incarnationKey, nowMs);
         return;
     }
   }
 
+  #recordFailure(incarnationKey: string, nowMs: number): void {
+    this.#failureStreaks.set(incarnationKey, {
+      sinceMs: this.#failureStreaks.get(incarnationKey)?.sinceMs ?? nowMs,
+      lastMs: nowMs,
+    });
+  }
+
   #reportOrder(
     order: OrderReport["order"],
     state: RangeState,
--- a/packages/ports/src/fake_key_holders.ts
+++ b/packages/ports/src/fake_key_holders.ts
@@ -304,7 +304,11 @@
 
   async #failConnection(): Promise<OrderOutcome> {
     await this.#clock.sleep(CONNECT_TIMEOUT_MS);
-    return { kind: "unsent", message: "No connection to the target" };
+    return {
+      kind: "unsent",
+      message: "No connection to the target",
+      isUnreachable: true,
+    };
   }
 
   async #failOrder(): Promise<OrderOutcome> {
--- a/packages/ports/src/key_orders.ts
+++ b/packages/ports/src/key_orders.ts
@@ -58,7 +58,12 @@
   /** Another process responds at the address: the target process has ended. */
   | { readonly kind: "replaced" }
   /** No byte of the order was sent. */
-  | { readonly kind: "unsent"; readonly message: string }
+  | {
+    readonly kind: "unsent";
+    readonly message: string;
+    /** Whether a new connection failed, which the target may be the cause of. */
+    readonly isUnreachable: boolean;
+  }
   /**
    * No byte of the order was sent: another incarnation may be at the address.
    */
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -67,14 +67,20 @@
   /** The complete response of the target, to be forwarded unchanged. */
   | (TargetResponse & TargetReport & { readonly kind: "answered" })
   /**
-   * The request is proved not to have run, and never will: none of it was sent
-   * (`unreachable`), the target refused it, usually for lack of room (`full`),
+   * The request is proved not to have run, and never will: no connection to the
+   * target could be opened (`unreachable`), none was free or one was lost before
+   * any of it was sent (`not-sent`), the target refused it, usually for lack of room (`full`),
    * or does not hold its key (`not-owner`), or another process responds at the
    * address (`replaced`).
    */
   | (TargetReport & {
     readonly kind: "not-run";
-    readonly cause: "unreachable" | "full" | "not-owner" | "replaced";
+    readonly cause:
+      | "unreachable"
+      | "not-sent"
+      | "full"
+      | "not-owner"
+      | "replaced";
     readonly message: string;
   })
   /**
@@ -89,6 +95,12 @@
     readonly message: string;
   };
 
+/** Whether none of the request has left this instance. */
+export function isUnsent(outcome: SendOutcome): boolean {
+  return outcome.kind === "not-run" &&
+    (outcome.cause === "unreachable" || outcome.cause === "not-sent");
+}
+
 /** Whether the target ran the request without failing. */
 export function isSuccessful(outcome: SendOutcome): boolean {
   return outcome.kind === "answered" && outcome.status < FIRST_FAILED_STATUS;
--- a/packages/routing/src/target_paths.ts
+++ b/packages/routing/src/target_paths.ts
@@ -281,6 +281,8 @@
     case "not-run":
       return outcome.cause === "unreachable"
         ? { kind: "failure", failure: "no-connection" }
+        : outcome.cause === "not-sent"
+        ? undefined
         : { kind: "response" };
     case "unknown":
       switch (outcome.cause) {
--- a/packages/transport/src/connection_pool.ts
+++ b/packages/transport/src/connection_pool.ts
@@ -110,7 +110,7 @@
     if (this.#connections >= this.#options.maxConnections) {
       const limit = this.#options.maxConnections;
       const message = `All ${limit} connections to ${this.#address} are in use`;
-      return Err({ kind: "unreachable", message });
+      return Err({ kind: "exhausted", message });
     }
     this.#connections++;
     const { connectTimeoutMs, clock, sourceAddress } = this.#options;
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -19,8 +19,11 @@
 import { ResponseTimeout } from "./response_timeout.ts";
 
 export interface OpenFailure {
-  /** `refused`: no process listens there. `unreachable`: any other failure. */
-  readonly kind: "refused" | "unreachable";
+  /**
+   * `refused`: no process listens there. `exhausted`: the pool has no free
+   * connection. `unreachable`: any other failure.
+   */
+  readonly kind: "refused" | "exhausted" | "unreachable";
   readonly message: string;
 }
 
