perf(gateway): choose forwarding peers and ways without lists of all instances and targets

At 12,000 instances and 3,000 targets, each forwarded request would have filtered both lists, and each tick of the path monitor built two sets of all targets. Peers are listed once in 100 ms; the monitor looks at targets only while a path is lost.

--- a/packages/gateway/src/forwarding/forwarding_peers.ts
+++ b/packages/gateway/src/forwarding/forwarding_peers.ts
@@ -16,6 +16,8 @@
 
 /** A peer that has just failed or refused gets no requests for this long. */
 const PAUSE_MS = 1_000;
+/** How long a list of the peers is kept; there may be thousands. */
+const LIST_TTL_MS = 100;
 
 export class ForwardingPeers {
   readonly #options: ForwardingPeersOptions;
@@ -23,6 +25,8 @@
   readonly #pausedUntilMs = new Map<string, number>();
   /** Requests that have been forwarded to each peer and not been answered. */
   readonly #open = new Map<string, number>();
+  #byKind: readonly (readonly Member[])[] = [];
+  #listedAtMs = -Infinity;
 
   constructor(options: ForwardingPeersOptions) {
     this.#options = options;
@@ -31,28 +35,58 @@
   /** Whether there is a peer, other than the excluded ones. */
   hasPeer(excluded: ReadonlySet<string>): boolean {
     const nowMs = this.#options.clock.readMs();
-    return this.#options.members.listPeers()
-      .some((peer) => this.#isUsable(peer, excluded, nowMs));
+    return this.#listByKind(nowMs).some((peers) =>
+      peers.some((peer) => this.#isUsable(peer, excluded, nowMs))
+    );
   }
 
   /** Chooses the less busy one of two random peers of the best kind. */
   choose(excluded: ReadonlySet<string>): Member | undefined {
-    const { clock, dataCentre, members } = this.#options;
-    const nowMs = clock.readMs();
-    const usable = members.listPeers()
-      .filter((peer) => this.#isUsable(peer, excluded, nowMs));
-    const isAlive = ({ instance }: Member) => members.isAlive(instance, nowMs);
-    const isLocal = (peer: Member) => peer.dataCentre === dataCentre;
-    const kinds = [
-      (peer: Member) => isLocal(peer) && isAlive(peer),
-      (peer: Member) => !isLocal(peer) && isAlive(peer),
-      isLocal,
-      () => true,
-    ];
-    for (const isOfKind of kinds) {
-      const peers = usable.filter(isOfKind);
-      if (peers.length > 0) {
-        return this.#chooseLessBusy(this.#draw(peers), this.#draw(peers));
+    const nowMs = this.#options.clock.readMs();
+    for (const peers of this.#listByKind(nowMs)) {
+      const first = this.#drawUsable(peers, excluded, nowMs);
+      const second = this.#drawUsable(peers, excluded, nowMs);
+      if (first !== undefined && second !== undefined) {
+        return this.#chooseLessBusy(first, second);
+      }
+    }
+    return undefined;
+  }
+
+  /** Lists the peers that accept requests, those of the best kind first. */
+  #listByKind(nowMs: number): readonly (readonly Member[])[] {
+    if (nowMs - this.#listedAtMs >= LIST_TTL_MS) {
+      this.#listedAtMs = nowMs;
+      this.#byKind = this.#createKinds(nowMs);
+    }
+    return this.#byKind;
+  }
+
+  #createKinds(nowMs: number): readonly (readonly Member[])[] {
+    const { dataCentre, members } = this.#options;
+    const kinds: [Member[], Member[], Member[]] = [[], [], []];
+    for (const peer of members.listPeers()) {
+      if (peer.forwardPort === undefined) {
+        continue;
+      }
+      const isLocal = peer.dataCentre === dataCentre;
+      const isAlive = members.isAlive(peer.instance, nowMs);
+      kinds[isAlive ? isLocal ? 0 : 1 : 2].push(peer);
+    }
+    return kinds;
+  }
+
+  /** Draws a usable peer, beginning the search at a random one. */
+  #drawUsable(
+    peers: readonly Member[],
+    excluded: ReadonlySet<string>,
+    nowMs: number,
+  ): Member | undefined {
+    const start = Math.floor(this.#options.random.draw() * peers.length);
+    for (let count = 0; count < peers.length; count++) {
+      const peer = peers[(start + count) % peers.length]!;
+      if (this.#isUsable(peer, excluded, nowMs)) {
+        return peer;
       }
     }
     return undefined;
@@ -77,11 +111,11 @@
   }
 
   #isUsable(
-    { instance, forwardPort }: Member,
+    { instance }: Member,
     excluded: ReadonlySet<string>,
     nowMs: number,
   ): boolean {
-    return forwardPort !== undefined && !excluded.has(instance) &&
+    return !excluded.has(instance) &&
       !this.#options.members.isIsolated(instance) &&
       nowMs >= (this.#pausedUntilMs.get(instance) ?? -Infinity);
   }
@@ -92,10 +126,6 @@
       : first;
   }
 
-  #draw(peers: readonly Member[]): Member {
-    return peers[Math.floor(this.#options.random.draw() * peers.length)]!;
-  }
-
   #countOpen(instance: string): number {
     return this.#open.get(instance) ?? 0;
   }
--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -59,6 +59,8 @@
 const LONG_LOSS_MS = 3_000;
 /** Interval at which others are asked about a target, until one reaches it. */
 const CHECK_ELSEWHERE_INTERVAL_MS = 500;
+/** Interval at which what is kept of unknown targets is removed. */
+const CLEAN_UP_INTERVAL_MS = 5_000;
 /**
  * Targets that are probed at random in addition to those whose paths are known
  * to be lost, while no target responds or several paths are lost: others may be
@@ -77,6 +79,7 @@
   readonly #losses = new PathLosses();
   /** When others were last asked about each target, by incarnation. */
   readonly #askedAtMs = new Map<string, number>();
+  #cleanedUpAtMs = -Infinity;
   #runningProbes = 0;
   #maxProbes = MAX_PROBES;
 
@@ -131,10 +134,19 @@
   /** Must be called at short intervals. */
   advance(): void {
     const { clock, listTargets } = this.#options;
+    const nowMs = clock.readMs();
+    const isCleanUpDue = nowMs - this.#cleanedUpAtMs >= CLEAN_UP_INTERVAL_MS;
+    if (!this.paths.hasLosses && !isCleanUpDue) {
+      this.#losses.observe(this.paths, 0, nowMs);
+      return;
+    }
     const targets = listTargets();
-    this.paths.advance(targets, clock.readMs());
-    this.#losses.observe(this.paths, targets.length, clock.readMs());
-    this.#removeUnknown(targets);
+    this.paths.advance(targets, nowMs);
+    this.#losses.observe(this.paths, targets.length, nowMs);
+    if (isCleanUpDue) {
+      this.#cleanedUpAtMs = nowMs;
+      this.#removeUnknown(targets);
+    }
     this.#startProbes();
   }
 
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -324,16 +324,12 @@
     if (!paths.hasLosses) {
       return { kind: "direct", refusesLostPaths: hasPeer };
     }
-    const targets = catalogue.listForNewWork(context.service)
-      .filter(({ id, leaving }) =>
-        owner === undefined
-          ? !leaving && !context.excludedTargets.has(id)
-          : id === owner
-      );
-    const nowMs = clock.readMs();
-    const isLost = targets.length > 0 &&
-      targets.every((target) => paths.isLost(target));
-    const isDown = targets.every((target) => paths.isDown(target, nowMs));
+    const target = owner === undefined ? undefined : catalogue.getTarget(owner);
+    const isLost = target === undefined
+      ? paths.isDoubtful
+      : paths.isLost(target);
+    const isDown = target !== undefined &&
+      paths.isDown(target, clock.readMs());
     if (isLost && hasPeer && !isDown) {
       return { kind: "forward" };
     }
