--- /dev/null
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -0,0 +1,127 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { SystemClock } from "@lentilspur/ports/system_clock";
+import { createMember } from "../members/member_fixtures.ts";
+import type { Member } from "../members/members.ts";
+import type { ForwardedRequest, ForwardReply } from "./forwarded_request.ts";
+import { type HopResult, HttpForwardingClient } from "./forwarding_client.ts";
+import { ForwardingServer } from "./forwarding_server.ts";
+
+const REQUEST: ForwardedRequest = {
+  from: "i1",
+  incarnation: "1",
+  requestId: "r1",
+  method: "POST",
+  host: "files.example",
+  path: "/files/é?x=1",
+  headers: [{ name: "x-text", value: "é" }],
+  key: 7,
+  service: "files",
+  remainingMs: 5_000,
+  elapsedMs: 3,
+  sends: 0,
+  excludedTargets: ["t1"],
+  refusingOwner: { targetId: "t2", token: 4 },
+  isTrial: false,
+  body: Buffer.from("line 1\nline 2"),
+};
+
+function createPeer(port: number): Member {
+  return createMember("i2", { host: "127.0.0.1", forwardPort: port });
+}
+
+interface Handled {
+  readonly request: ForwardedRequest;
+  readonly signal: AbortSignal;
+}
+
+/** Forwards one request to a server that replies by `handle`. */
+async function forward(
+  handle: (handled: Handled) => Promise<ForwardReply>,
+  signal = new AbortController().signal,
+): Promise<HopResult> {
+  const server = new ForwardingServer({
+    clock: new SystemClock(),
+    host: "127.0.0.1",
+    port: 0,
+    readStallMs: () => 0,
+    handle: (request, options) => handle({ request, signal: options.signal }),
+    answerReach: () => Promise.resolve("reached"),
+    reportFault: () => undefined,
+  });
+  await server.open();
+  const client = new HttpForwardingClient(new SystemClock());
+  const result = await client
+    .forward(createPeer(server.port), REQUEST, signal);
+  client.close();
+  server.close();
+  return result;
+}
+
+test("a forwarded request and its response arrive unchanged", async () => {
+  const received: ForwardedRequest[] = [];
+  const reply: ForwardReply = {
+    kind: "sent",
+    targetId: "t3",
+    token: 9,
+    isOverdue: false,
+    outcome: {
+      kind: "answered",
+      status: 204,
+      headers: [{ name: "x-signature", value: "s" }],
+      body: Buffer.from("a\n\u0000b"),
+      isSelfDelimited: true,
+      load: { running: 1, waiting: 0 },
+    },
+  };
+  const result = await forward(({ request }) => {
+    received.push({ ...request, body: Buffer.from(request.body) });
+    return Promise.resolve(reply);
+  });
+  assert.deepEqual(received, [REQUEST]);
+  assert.ok(result.kind === "sent" && result.outcome.kind === "answered");
+  assert.equal(Buffer.from(result.outcome.body).toString(), "a\n\u0000b");
+  assert.deepEqual({ ...result.outcome, body: undefined }, {
+    ...reply.outcome,
+    body: undefined,
+  });
+});
+
+test("a peer that cannot be connected to has not received the request", async () => {
+  const client = new HttpForwardingClient(new SystemClock());
+  const { kind } = await client
+    .forward(createPeer(1), REQUEST, new AbortController().signal);
+  assert.equal(kind, "unreached");
+});
+
+test("a request whose peer ends before it replies may have run", async () => {
+  const server = createServer((socket) =>
+    socket.on("data", () => socket.resetAndDestroy())
+  );
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpForwardingClient(new SystemClock());
+  const result = await client
+    .forward(createPeer(port), REQUEST, new AbortController().signal);
+  server.close();
+  assert.equal(result.kind, "lost");
+});
+
+test("a peer learns that the instance which forwarded a request has given up", async () => {
+  const caller = new AbortController();
+  let peerSignal: AbortSignal | undefined;
+  const result = await forward(({ signal }) => {
+    peerSignal = signal;
+    caller.abort();
+    return new Promise((resolve) =>
+      signal.addEventListener(
+        "abort",
+        () => resolve({ kind: "unable", reason: "stopping" }),
+      )
+    );
+  }, caller.signal);
+  assert.equal(result.kind === "lost" && result.cause, "cancelled");
+  assert.ok(peerSignal !== undefined);
+});
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -44,6 +44,7 @@
 import type { ProbeOutcome } from "@lentilspur/ports/target_prober";
 import type {
   ForwardedRequest,
+  ForwardReply,
   ReachAnswer,
 } from "../forwarding/forwarded_request.ts";
 import type {
@@ -204,6 +205,37 @@
     });
   }
 
+  /** Forwards a request to an instance, as if another one had received it. */
+  forwardTo(
+    instance: string,
+    changes: Partial<ForwardedRequest> & { readonly receivedAtMs?: number } =
+      {},
+  ): Promise<ForwardReply> {
+    const { receivedAtMs = this.clock.readMs(), ...fields } = changes;
+    const { incarnation, instance: from } = createMember(
+      this.#options.instances[0]!,
+    );
+    return this.#instances.get(instance)!.router.handleForwarded({
+      from,
+      incarnation,
+      requestId: `r${++this.#sentRequests}`,
+      method: "GET",
+      host: HOST,
+      path: "/files/1",
+      headers: [],
+      key: 1,
+      service: SERVICE,
+      remainingMs: 1_000,
+      elapsedMs: 0,
+      sends: 0,
+      excludedTargets: [],
+      refusingOwner: null,
+      isTrial: false,
+      body: new Uint8Array(0),
+      ...fields,
+    }, { receivedAtMs, signal: new AbortController().signal });
+  }
+
   /**
    * Lets a target announce that it leaves, then end before it answers its
    * requests.
