fix(gateway): check the path to a target while its response is overdue

A request that may run once only is not aborted before its deadline, so an instance with such traffic learnt of silent connections only when new ones failed. A target that takes twice the expected time, 0.2 s at least, is now probed on a new connection, unless it has responded since.

--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -101,6 +101,17 @@
     this.#record(target, findPathEvidence(outcome, isOverdue), sentAtMs);
   }
 
+  /**
+   * Probes a target whose response to a send is overdue. The send may still be
+   * answered, so it is no evidence itself.
+   */
+  checkOverdue(target: TargetIncarnation, sentAtMs: number): void {
+    const known = this.#options.findTarget(target.id);
+    if (known !== undefined && this.#isEvidence(target, "silent", sentAtMs)) {
+      this.#startProbe(known, LONG_PROBE_INTERVAL_MS);
+    }
+  }
+
   /** Wraps a sender of orders so that their outcomes are recorded. */
   observeOrders(orders: KeyOrderSender): KeyOrderSender {
     const record = async (
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -89,6 +89,8 @@
  * request may be sent again. Processing times have long tails.
  */
 const OVERDUE_FACTOR = 4;
+/** After this many times the expected time the path to the target is checked. */
+const CHECK_FACTOR = 2;
 /**
  * No response is overdue earlier, since latency and a busy CPU delay it too.
  */
@@ -273,8 +275,9 @@
   }
 
   /**
-   * Aborts a send whose response is overdue, if the request may be sent again
-   * and the retry budget allows it at that moment; otherwise the send goes on.
+   * Checks the path to a target whose response is overdue, and aborts the send
+   * if the request may be sent again and the retry budget allows it at that
+   * moment; otherwise the send goes on.
    * Failure case: targets lose 3% to 40% of their responses, and the caller of
    * an idempotent request whose response is lost would wait until the deadline.
    */
@@ -282,25 +285,37 @@
     context: RequestContext,
     target: RoutingTarget,
   ): SendAbortController {
-    const { clock, services, isStopping } = this.#options;
-    const { request, route, service } = context;
-    const abortController = new SendAbortController(request.signal);
+    const abortController = new SendAbortController(context.request.signal);
+    void this.#handleOverdue(context, target, abortController);
+    return abortController;
+  }
+
+  async #handleOverdue(
+    context: RequestContext,
+    target: RoutingTarget,
+    abortController: SendAbortController,
+  ): Promise<void> {
+    const { clock, services, isStopping, paths } = this.#options;
+    const { signal } = abortController;
+    const { route, service } = context;
+    const mayRetry = route.idempotent && !context.isTrial &&
+      countRuns(context) < route.maxAttempts;
+    const sentAtMs = clock.readMs();
+    const expectedMs = services.estimateResponseMs(service, target.id);
+    const checkMs = Math.max(MIN_OVERDUE_MS, CHECK_FACTOR * expectedMs);
+    const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
+    await clock.sleep(checkMs, signal);
+    if (!signal.aborted) {
+      paths.checkOverdue(target, sentAtMs);
+    }
+    if (!mayRetry || signal.aborted) {
+      return;
+    }
+    await clock.sleep(overdueMs - checkMs, signal);
     if (
-      !route.idempotent || countRuns(context) >= route.maxAttempts ||
-      context.isTrial
+      !signal.aborted && !isStopping() && this.#tools.claimRetry(context)
     ) {
-      return abortController;
+      abortController.cancelOverdue();
     }
-    const expectedMs = services.estimateResponseMs(service, target.id);
-    const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
-    void clock.sleep(overdueMs, abortController.signal).then(() => {
-      if (
-        !abortController.signal.aborted && !isStopping() &&
-        this.#tools.claimRetry(context)
-      ) {
-        abortController.cancelOverdue();
-      }
-    });
-    return abortController;
   }
 }
--- a/packages/gateway/src/requests/path_loss_test.ts
+++ b/packages/gateway/src/requests/path_loss_test.ts
@@ -44,6 +44,19 @@
   assert.deepEqual(faults, []);
 });
 
+test("silent connections are found before many non-idempotent requests are lost on them", async () => {
+  assert.deepEqual(
+    await runPathLoss({
+      mode: "silent",
+      keyed: false,
+      idempotent: false,
+      isolated: ["i1", "i4"],
+      idleTimeoutMs: 4_000,
+    }),
+    [],
+  );
+});
+
 /** Sends requests at one instance, 30 ms apart. */
 async function sendSteadily(
   simulation: RequestSimulation,
--- a/packages/gateway/src/requests/path_loss_trial.ts
+++ b/packages/gateway/src/requests/path_loss_trial.ts
@@ -16,6 +16,8 @@
   readonly isolated: readonly string[];
   /** Targets that they do not reach; all by default. */
   readonly lostTargets?: readonly string[];
+  /** After this long targets close an idle connection. */
+  readonly idleTimeoutMs?: number;
   /** How long a target works on a request. */
   readonly workMs?: number;
 }
@@ -58,7 +60,7 @@
     targets: TARGETS,
     keyed,
     route: { idempotent },
-    idleTimeoutMs: IDLE_TIMEOUT_MS,
+    idleTimeoutMs: trial.idleTimeoutMs ?? IDLE_TIMEOUT_MS,
     exchangesLoads: true,
     target: { workMs: trial.workMs ?? WORK_MS },
   });
