fix(gateway): keep candidates where all eligible instances have lost paths

Only the twelve heartbeat senders may become candidates, but they were compared with all instances: with paths lost at all twelve, nobody would have kept keys, though the twelve reach some targets. They are now compared with each other. Its test failed before (no candidate).

--- a/packages/gateway/src/members/duties.ts
+++ b/packages/gateway/src/members/duties.ts
@@ -268,7 +268,9 @@
     const globalHeartbeatSenders = alive.slice(0, GLOBAL_HEARTBEAT_SENDERS);
     const sendsToAllDataCentres =
       rankedBefore.length < GLOBAL_HEARTBEAT_SENDERS;
-    const unfit = this.#listUnfit(withStore);
+    const unfit = this.#listUnfit(
+      globalHeartbeatSenders.filter((instance) => withStore.includes(instance)),
+    );
     const candidates = listNames(
       chooseCandidates(
         globalHeartbeatSenders.filter((instance) => !unfit.has(instance)),
@@ -290,16 +292,19 @@
     };
   }
 
-  /** Lists the instances that have lost far more paths than the best one. */
+  /**
+   * Lists the instances that have lost far more paths than the best of them,
+   * which may so become candidates.
+   */
   #listUnfit(
-    withStore: readonly RankedInstance[],
+    eligible: readonly RankedInstance[],
   ): ReadonlySet<RankedInstance> {
     const losses = new Map(
-      withStore.map((instance) => [instance, this.#countLostPaths(instance)]),
+      eligible.map((instance) => [instance, this.#countLostPaths(instance)]),
     );
     const counts = [...losses.values()];
     return new Set(
-      withStore.filter((instance) =>
+      eligible.filter((instance) =>
         hasExcessiveLosses(losses.get(instance)!, counts)
       ),
     );
--- a/packages/gateway/src/members/duties_test.ts
+++ b/packages/gateway/src/members/duties_test.ts
@@ -16,6 +16,8 @@
   readonly duties = new Map<string, Duties>();
   readonly lost = new Set<string>();
   readonly silent = new Set<string>();
+  /** Paths that each instance has lost. */
+  readonly lostPaths = new Map<string, number>();
   readonly #members = new Map<string, Members>();
 
   constructor(instances: readonly Member[]) {
@@ -30,7 +32,7 @@
           self,
           members,
           hasLostStore: () => this.lost.has(self.instance),
-          countLostPaths: () => 0,
+          countLostPaths: () => this.lostPaths.get(self.instance) ?? 0,
         }),
       );
     }
@@ -45,7 +47,10 @@
         ) {
           members.recordStatus(
             name,
-            { hasLostStore: this.lost.has(name) },
+            {
+              hasLostStore: this.lost.has(name),
+              lostPaths: this.lostPaths.get(name) ?? 0,
+            },
             this.clock.readMs(),
           );
         }
@@ -157,3 +162,25 @@
     .toSorted();
   assert.deepEqual(ranks, [0, 1, 2, 3, 4, 5]);
 });
+
+test("an instance that has lost paths to targets is no candidate beside others that have not", async () => {
+  const fleet = new Fleet(createInstances(12));
+  await fleet.advance(SILENT_MS);
+  const [first, second] = fleet.list((duties) => duties.isCandidate());
+  fleet.lostPaths.set(first!, 9);
+  fleet.lostPaths.set(second!, 1);
+  await fleet.advance(SILENT_MS);
+  const candidates = fleet.list((duties) => duties.isCandidate());
+  assert.equal(candidates.includes(first!), false);
+  assert.equal(candidates.includes(second!), true);
+  assert.deepEqual(fleet.list((duties) => duties.isUnfit()), [first]);
+});
+
+test("the instances that reach the most targets stay candidates if all have lost paths", async () => {
+  const fleet = new Fleet(createInstances(60));
+  await fleet.advance(SILENT_MS);
+  const before = fleet.list((duties) => duties.isHeartbeatSender());
+  before.forEach((name) => fleet.lostPaths.set(name, 9));
+  await fleet.advance(SILENT_MS);
+  assert.notDeepEqual(fleet.list((duties) => duties.isCandidate()), []);
+});
