fix(gateway): leave a forwarding peer out for one request only where it misses one owner

A peer that had lost its path to the owner of one key was left out for all requests for a second. Where each instance has lost other targets, all peers could be left out at once. Read, not seen in a run: the added test passes without the change as well.

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -70,7 +70,7 @@
       return { kind: "unable", reason: "stopping" };
     }
     if (paths.paths.isDoubtful) {
-      return { kind: "unable", reason: "path-lost" };
+      return { kind: "unable", reason: "isolated" };
     }
     const context = this.#createContext(forwarded, { receivedAtMs, signal });
     return context === undefined
--- a/packages/gateway/src/forwarding/forwarded_requests_test.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests_test.ts
@@ -59,6 +59,6 @@
   simulation.setPaths("i2", "resetting");
   await forward(simulation);
   const [reply, arrivals] = await forward(simulation);
-  assert.deepEqual(reply, { kind: "unable", reason: "path-lost" });
+  assert.deepEqual(reply, { kind: "unable", reason: "isolated" });
   assert.equal(arrivals, 0);
 });
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -14,7 +14,11 @@
 import { SendAbortController } from "../requests/send_abort_controller.ts";
 import type { ServiceRegistry } from "../requests/service_registry.ts";
 import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
-import type { ForwardedRequest, ForwardReply } from "./forwarded_request.ts";
+import type {
+  ForwardedRequest,
+  ForwardReply,
+  UnableReason,
+} from "./forwarded_request.ts";
 import type { ForwardingClient, HopResult } from "./forwarding_client.ts";
 import type { ForwardingPeers } from "./forwarding_peers.ts";
 
@@ -89,9 +93,13 @@
       const result = await this.#forwardTo(peer, context, { owner, tools });
       switch (result.kind) {
         case "unreached":
-        case "unable":
           this.#options.peers.markUnusable(peer);
           continue;
+        case "unable":
+          if (isUnableInGeneral(result.reason, owner)) {
+            this.#options.peers.markUnusable(peer);
+          }
+          continue;
         case "lost":
           this.#options.peers.markUnusable(peer);
           return result;
@@ -228,3 +236,22 @@
     return abortController;
   }
 }
+
+/** Whether a peer that could not try one request cannot try others either. */
+function isUnableInGeneral(
+  reason: UnableReason,
+  { targetId: owner }: FoundOwner,
+): boolean {
+  switch (reason) {
+    case "unknown-sender":
+    case "malformed":
+    case "stopping":
+    case "isolated":
+      return true;
+    case "path-lost":
+      // Without an owner, it has lost the paths to many targets.
+      return owner === undefined;
+    case "configuration":
+      return false;
+  }
+}
--- a/packages/gateway/src/requests/path_loss_test.ts
+++ b/packages/gateway/src/requests/path_loss_test.ts
@@ -44,6 +44,25 @@
   assert.deepEqual(faults, []);
 });
 
+test("keyed requests are served where each instance has lost other targets", async () => {
+  const faults: string[] = [];
+  for (const mode of LOST_MODES) {
+    faults.push(
+      ...await runPathLoss({
+        mode,
+        keyed: true,
+        idempotent: false,
+        isolated: ["i1", "i2", "i3", "i4", "i5"],
+        lostTargetsOf: (instance) => {
+          const first = Number(instance.slice(1));
+          return [0, 1, 2].map((offset) => `t${(first + offset) % 8 + 1}`);
+        },
+      }),
+    );
+  }
+  assert.deepEqual(faults, []);
+});
+
 test("silent connections are found before many non-idempotent requests are lost on them", async () => {
   assert.deepEqual(
     await runPathLoss({
--- a/packages/gateway/src/requests/path_loss_trial.ts
+++ b/packages/gateway/src/requests/path_loss_trial.ts
@@ -16,6 +16,8 @@
   readonly isolated: readonly string[];
   /** Targets that they do not reach; all by default. */
   readonly lostTargets?: readonly string[];
+  /** The same by instance. */
+  readonly lostTargetsOf?: (instance: string) => readonly string[];
   /** After this long targets close an idle connection. */
   readonly idleTimeoutMs?: number;
   /** How long a target works on a request. */
@@ -73,7 +75,8 @@
   }
   await clock.advance(WARM_UP_MS);
   for (const instance of isolated) {
-    simulation.setPaths(instance, mode, trial.lostTargets);
+    const lostTargets = trial.lostTargetsOf?.(instance) ?? trial.lostTargets;
+    simulation.setPaths(instance, mode, lostTargets);
   }
   const lostAtMs = clock.readMs();
   await clock.advance(LOST_MS);
