fix(gateway): ask instances of other data centres first whether they reach a target

Two local instances, asked about a target, may have lost the same paths, and a living target then counted as failed. Two remote instances and a local one are asked; one that has lost the path itself answers what it knows, and answers are reused for 0.25 s, so that thousands of instances that ask about a target that has ended do not probe it each.

--- a/packages/gateway/src/forwarding/forwarding_peers.ts
+++ b/packages/gateway/src/forwarding/forwarding_peers.ts
@@ -35,15 +35,28 @@
   /** Whether there is a peer, other than the excluded ones. */
   hasPeer(excluded: ReadonlySet<string>): boolean {
     const nowMs = this.#options.clock.readMs();
-    return this.#listByKind(nowMs).some((peers) =>
+    return this.#listByKind().some((peers) =>
       peers.some((peer) => this.#isUsable(peer, excluded, nowMs))
     );
   }
 
   /** Chooses the less busy one of two random peers of the best kind. */
   choose(excluded: ReadonlySet<string>): Member | undefined {
+    return this.#choose(excluded, this.#listByKind());
+  }
+
+  /** The same, with live peers of other data centres before local ones. */
+  chooseRemote(excluded: ReadonlySet<string>): Member | undefined {
+    const [local = [], remote = [], ...others] = this.#listByKind();
+    return this.#choose(excluded, [remote, local, ...others]);
+  }
+
+  #choose(
+    excluded: ReadonlySet<string>,
+    kinds: readonly (readonly Member[])[],
+  ): Member | undefined {
     const nowMs = this.#options.clock.readMs();
-    for (const peers of this.#listByKind(nowMs)) {
+    for (const peers of kinds) {
       const first = this.#drawUsable(peers, excluded, nowMs);
       const second = this.#drawUsable(peers, excluded, nowMs);
       if (first !== undefined && second !== undefined) {
@@ -54,7 +67,8 @@
   }
 
   /** Lists the peers that accept requests, those of the best kind first. */
-  #listByKind(nowMs: number): readonly (readonly Member[])[] {
+  #listByKind(): readonly (readonly Member[])[] {
+    const nowMs = this.#options.clock.readMs();
     if (nowMs - this.#listedAtMs >= LIST_TTL_MS) {
       this.#listedAtMs = nowMs;
       this.#byKind = this.#createKinds(nowMs);
--- a/packages/gateway/src/forwarding/path_checker.ts
+++ b/packages/gateway/src/forwarding/path_checker.ts
@@ -22,8 +22,9 @@
   | { readonly kind: "unreached" }
   | { readonly kind: "unknown" };
 
-/** One of two may have lost its own path. */
-const ASKED_PEERS = 2;
+/** Some may have lost their own paths, most likely those of one data centre. */
+const ASKED_REMOTE_PEERS = 2;
+const ASKED_PEERS = 3;
 
 export class PathChecker {
   readonly #options: PathCheckerOptions;
@@ -37,7 +38,9 @@
     const asked = new Set<string>();
     const answers: Promise<ReachAnswer>[] = [];
     for (let count = 0; count < ASKED_PEERS; count++) {
-      const peer = peers.choose(asked);
+      const peer = count < ASKED_REMOTE_PEERS
+        ? peers.chooseRemote(asked)
+        : peers.choose(asked);
       if (peer !== undefined) {
         asked.add(peer.instance);
         answers.push(
--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -12,12 +12,9 @@
   OrderOutcome,
   OrderReceiver,
 } from "@lentilspur/ports/key_orders";
+import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
-import { PathLosses } from "./path_losses.ts";
-import type { ReachAnswer } from "../forwarding/forwarded_request.ts";
-import type { PathCheck } from "../forwarding/path_checker.ts";
 import type { TargetProber } from "@lentilspur/ports/target_prober";
-import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import {
   formatTargetIncarnation,
   type TargetIncarnation,
@@ -29,6 +26,9 @@
   type PathFailure,
   TargetPaths,
 } from "@lentilspur/routing/target_paths";
+import type { ReachAnswer } from "../forwarding/forwarded_request.ts";
+import type { PathCheck } from "../forwarding/path_checker.ts";
+import { PathLosses } from "./path_losses.ts";
 
 export interface PathMonitorOptions {
   readonly clock: Clock;
@@ -69,6 +69,14 @@
 const RANDOM_PROBES = 2;
 const MIN_CORRELATED_LOSSES = 2;
 
+/** Many instances may ask about the same target at once. */
+const REACH_ANSWER_TTL_MS = 250;
+
+interface GivenReachAnswer {
+  readonly atMs: number;
+  readonly answer: Promise<ReachAnswer>;
+}
+
 export class PathMonitor {
   readonly paths: TargetPaths;
   readonly #options: PathMonitorOptions;
@@ -79,6 +87,8 @@
   readonly #losses = new PathLosses();
   /** When others were last asked about each target, by incarnation. */
   readonly #askedAtMs = new Map<string, number>();
+  /** What other instances were last told of each target, by incarnation. */
+  readonly #reachAnswers = new Map<string, GivenReachAnswer>();
   #cleanedUpAtMs = -Infinity;
   #runningProbes = 0;
   #maxProbes = MAX_PROBES;
@@ -163,11 +173,16 @@
 
   #removeUnknown(targets: readonly RoutingTarget[]): void {
     const known = new Set(targets.map(formatTargetIncarnation));
-    const all = [this.#probedAtMs, this.#respondedAtMs, this.#askedAtMs];
-    for (const times of all) {
-      for (const key of times.keys()) {
+    const byTarget: readonly Map<string, unknown>[] = [
+      this.#probedAtMs,
+      this.#respondedAtMs,
+      this.#askedAtMs,
+      this.#reachAnswers,
+    ];
+    for (const entries of byTarget) {
+      for (const key of entries.keys()) {
         if (!known.has(key)) {
-          times.delete(key);
+          entries.delete(key);
         }
       }
     }
@@ -236,11 +251,27 @@
 
   /** Answers another instance that does not reach a target. */
   async answerReach(targetId: string): Promise<ReachAnswer> {
-    const { prober, findTarget, findHealthPath } = this.#options;
-    const target = findTarget(targetId);
+    const target = this.#options.findTarget(targetId);
     if (target === undefined || this.paths.isDoubtful) {
       return "unknown";
     }
+    const lost = this.paths.findLost(target);
+    if (lost !== undefined) {
+      return lost.isReachedElsewhere ? "reached" : "unreached";
+    }
+    const key = formatTargetIncarnation(target);
+    const nowMs = this.#options.clock.readMs();
+    const known = this.#reachAnswers.get(key);
+    if (known !== undefined && nowMs - known.atMs < REACH_ANSWER_TTL_MS) {
+      return await known.answer;
+    }
+    const answer = this.#probeForOthers(target);
+    this.#reachAnswers.set(key, { atMs: nowMs, answer });
+    return await answer;
+  }
+
+  async #probeForOthers(target: RoutingTarget): Promise<ReachAnswer> {
+    const { prober, findHealthPath } = this.#options;
     const { kind } = await prober.probe(target, findHealthPath(target.service));
     return kind === "answered" ? "reached" : "unreached";
   }
--- a/packages/routing/src/target_paths.ts
+++ b/packages/routing/src/target_paths.ts
@@ -50,7 +50,7 @@
     readonly afterMs: number;
   };
 
-export interface LostPath {
+interface MutableLostPath {
   readonly target: TargetIncarnation;
   readonly sinceMs: number;
   /** Another instance has reached the target since. */
@@ -59,6 +59,8 @@
   downUntilMs: number;
 }
 
+export type LostPath = Readonly<MutableLostPath>;
+
 export interface TargetPathsOptions {
   readonly observe: (event: PathEvent) => void;
 }
@@ -76,7 +78,7 @@
 export class TargetPaths {
   readonly #observe: (event: PathEvent) => void;
   /** By incarnation. */
-  readonly #lost = new Map<string, LostPath>();
+  readonly #lost = new Map<string, MutableLostPath>();
   #state: State = "working";
   #stateSinceMs = -Infinity;
   #lastResponseAtMs = -Infinity;
@@ -190,7 +192,7 @@
 
   /** Records that another instance has got a response of the target. */
   recordReachedElsewhere(target: TargetIncarnation, peer: string): void {
-    const lost = this.findLost(target);
+    const lost = this.#lost.get(formatTargetIncarnation(target));
     if (lost !== undefined) {
       lost.downUntilMs = -Infinity;
       if (!lost.isReachedElsewhere) {
@@ -206,7 +208,7 @@
 
   /** Records that other instances could not reach the target either. */
   recordUnreachedElsewhere(target: TargetIncarnation, nowMs: number): void {
-    const lost = this.findLost(target);
+    const lost = this.#lost.get(formatTargetIncarnation(target));
     if (lost !== undefined) {
       lost.downUntilMs = nowMs + DOWN_MS;
     }
