--- a/packages/gateway/src/forwarding/forwarding_peers.ts
+++ b/packages/gateway/src/forwarding/forwarding_peers.ts
@@ -17,7 +17,7 @@
 /** A peer that has just failed or refused gets no requests for this long. */
 const PAUSE_MS = 1_000;
 /** How long a list of the peers is kept; there may be thousands. */
-const LIST_TTL_MS = 100;
+const LIST_TTL_MS = 250;
 
 export class ForwardingPeers {
   readonly #options: ForwardingPeersOptions;
@@ -78,6 +78,11 @@
 
   #createKinds(nowMs: number): readonly (readonly Member[])[] {
     const { dataCentre, members } = this.#options;
+    for (const [instance, untilMs] of this.#pausedUntilMs) {
+      if (nowMs >= untilMs) {
+        this.#pausedUntilMs.delete(instance);
+      }
+    }
     const kinds: [Member[], Member[], Member[]] = [[], [], []];
     for (const peer of members.listPeers()) {
       if (peer.forwardPort === undefined) {
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -316,14 +316,14 @@
   #chooseWay(context: RequestContext, owner: string | undefined): Way {
     const { clock, catalogue, forwarder } = this.#options;
     const { paths } = this.#options.paths;
+    if (!paths.hasLosses) {
+      return { kind: "direct", refusesLostPaths: true };
+    }
     const hasPeer = forwarder.hasPeer(context);
     if (context.isForwardDue && hasPeer) {
       context.isForwardDue = false;
       return { kind: "forward" };
     }
-    if (!paths.hasLosses) {
-      return { kind: "direct", refusesLostPaths: hasPeer };
-    }
     const target = owner === undefined ? undefined : catalogue.getTarget(owner);
     const isLost = target === undefined
       ? paths.isDoubtful
