fix(gateway): report a crash as soon as no other instance reaches the target

The answers of others are proof enough; without them the former condition holds. A leaving target is left out as before.

The test failed before.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -402,7 +402,8 @@
       findHealthPath: (service) =>
         this.#catalogue.routingTable?.services.get(service)?.healthPath,
       checkElsewhere: (target) => this.#pathChecker.check(target),
-      onDown: (target) => this.#quarantine.handleTargetDown(target),
+      onUnreachable: (target, check) =>
+        this.#quarantine.handleUnreachable(target, check),
       onRegained: (target) => this.#services.recordReachable(target),
       observe: (event) => this.#reporter.observePath(event),
     });
--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -163,7 +163,7 @@
       listTargets,
       findHealthPath: () => undefined,
       checkElsewhere: (target) => this.#checkPath(instance, target),
-      onDown: () => undefined,
+      onUnreachable: () => undefined,
       onRegained: () => undefined,
       observe: () => undefined,
     });
--- a/packages/gateway/src/paths/path_monitor.ts
+++ b/packages/gateway/src/paths/path_monitor.ts
@@ -41,8 +41,14 @@
   readonly findHealthPath: (service: string) => string | undefined;
   /** Asks other instances whether they reach a target. */
   readonly checkElsewhere: (target: RoutingTarget) => Promise<PathCheck>;
-  /** Called when other instances do not reach a target either. */
-  readonly onDown: (target: RoutingTarget) => void;
+  /**
+   * Called for a target that is not reached: other instances do not reach it
+   * either (`isConfirmed`), or cannot tell.
+   */
+  readonly onUnreachable: (
+    target: RoutingTarget,
+    check: { readonly isConfirmed: boolean },
+  ) => void;
   /** Called when a target has responded on a new connection. */
   readonly onRegained: (target: RoutingTarget) => void;
   readonly observe: (event: PathEvent) => void;
@@ -231,7 +237,7 @@
   }
 
   async #checkElsewhere(target: RoutingTarget): Promise<void> {
-    const { clock, checkElsewhere, onDown } = this.#options;
+    const { clock, checkElsewhere, onUnreachable } = this.#options;
     const check = await checkElsewhere(target);
     if (this.paths.findLost(target) === undefined) {
       return;
@@ -242,9 +248,10 @@
         return;
       case "unreached":
         this.paths.recordUnreachedElsewhere(target, clock.readMs());
-        onDown(target);
+        onUnreachable(target, { isConfirmed: true });
         return;
       case "unknown":
+        onUnreachable(target, { isConfirmed: false });
         return;
     }
   }
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -153,13 +153,24 @@
   }
 
   /**
-   * Records a crash if no instance reaches the target: that this one does not
-   * may be due to its own path.
+   * Records a crash of a target that this instance does not reach, if no other
+   * instance does (`isConfirmed`). If no other can tell, the own paths count as
+   * working once another target has responded.
    */
-  handleTargetDown(target: TargetIncarnation): void {
-    const nowMs = this.#options.clock.readMs();
+  handleUnreachable(
+    { id }: TargetIncarnation,
+    { isConfirmed }: { readonly isConfirmed: boolean },
+  ): void {
+    const { clock, findTarget } = this.#options;
+    // A leaving target ends by itself, not by a crash.
+    if (findTarget(id)?.leaving === true) {
+      return;
+    }
+    const nowMs = clock.readMs();
     this.#recordCrashes(
-      this.#unansweredSends.takeUnreachable(target.id, nowMs),
+      isConfirmed
+        ? this.#unansweredSends.takeEnded(id, nowMs)
+        : this.#unansweredSends.takeUnreachable(id, nowMs),
     );
   }
 
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -11,6 +11,8 @@
 /** Longest time until every instance knows of a crash. */
 const PROPAGATION_MS = 3_000;
 const ALLOWED_SENDS = 3;
+/** After this an instance knows that it cannot connect to a target. */
+const CONNECT_TIMEOUT_MS = 250;
 
 const HARMLESS = "/files/innocent";
 /** Length of the first quarantine, counted from the third crash. */
@@ -174,3 +176,18 @@
   await sending;
   assert.deepEqual(simulation.events, []);
 });
+
+test("a crash is reported as soon as no other instance reaches the target", async () => {
+  const simulation = createSimulation(false);
+  void simulation.send("bole-1", { path: FATAL });
+  while (simulation.crashes.length === 0) {
+    await simulation.clock.advance(10);
+  }
+  await simulation.clock.advance(CONNECT_TIMEOUT_MS);
+  const [first] = simulation.crashes;
+  assert.ok(
+    simulation.events.some((event) =>
+      event.kind === "crash" && event.targetId === first!.targetId
+    ),
+  );
+});
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -137,7 +137,7 @@
       listTargets: () => this.catalogue.listAllTargets(),
       findHealthPath: () => undefined,
       checkElsewhere: () => Promise.resolve({ kind: "unknown" }),
-      onDown: () => undefined,
+      onUnreachable: () => undefined,
       onRegained: () => undefined,
       observe: () => undefined,
     });
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -361,7 +361,8 @@
       listTargets: () => catalogue.listAllTargets(),
       findHealthPath: () => undefined,
       checkElsewhere: (target) => checker.check(target),
-      onDown: (target) => components.quarantine.handleTargetDown(target),
+      onUnreachable: (target, check) =>
+        components.quarantine.handleUnreachable(target, check),
       onRegained: (target) => services.recordReachable(target),
       observe: () => undefined,
     });
