fix(gateway): deduct the time until a hop is connected from the deadline

The time that is left was written into a forwarded request before its connection was opened, which may take 0.25 s: the target was then told of more time than the caller had.

--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -72,10 +72,14 @@
     request: ForwardedRequest,
     signal: AbortSignal,
   ): Promise<HopResult> {
+    const createdAtMs = this.#clock.readMs();
     const sent = await this.#getPool(`${peer.host}:${peer.forwardPort}`).send({
       method: "POST",
       path: FORWARD_PATH,
-      body: encodeForwardedRequest(request),
+      createBody: () =>
+        encodeForwardedRequest(
+          advanceTimes(request, this.#clock.readMs() - createdAtMs),
+        ),
       timeoutMs: Math.max(1, request.remainingMs) + REPLY_MARGIN_MS,
       maxResponseBytes: MAX_REPLY_BYTES,
       signal,
@@ -128,6 +132,18 @@
   }
 }
 
+/** Deducts the time that passed until a connection was open. */
+function advanceTimes(
+  request: ForwardedRequest,
+  passedMs: number,
+): ForwardedRequest {
+  return {
+    ...request,
+    remainingMs: request.remainingMs - passedMs,
+    elapsedMs: request.elapsedMs + passedMs,
+  };
+}
+
 function toHopFailure(failure: PoolFailure): HopResult {
   const { message } = failure;
   if (failure.stage === "opening") {
--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
+import type { Clock } from "@lentilspur/ports/clock";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { createMember } from "../members/member_fixtures.ts";
 import type { Member } from "../members/members.ts";
@@ -32,6 +33,12 @@
   return createMember("i2", { host: "127.0.0.1", forwardPort: port });
 }
 
+/** A clock on which no time passes. */
+const FIXED_CLOCK: Clock = {
+  readMs: () => 0,
+  sleep: () => Promise.resolve(),
+};
+
 interface Handled {
   readonly request: ForwardedRequest;
   readonly signal: AbortSignal;
@@ -40,7 +47,10 @@
 /** Forwards one request to a server that replies by `handle`. */
 async function forward(
   handle: (handled: Handled) => Promise<ForwardReply>,
-  signal = new AbortController().signal,
+  { signal = new AbortController().signal, clock = FIXED_CLOCK }: {
+    readonly signal?: AbortSignal;
+    readonly clock?: Clock;
+  } = {},
 ): Promise<HopResult> {
   const server = new ForwardingServer({
     clock: new SystemClock(),
@@ -52,7 +62,7 @@
     reportFault: () => undefined,
   });
   await server.open();
-  const client = new HttpForwardingClient(new SystemClock());
+  const client = new HttpForwardingClient(clock);
   const result = await client
     .forward(createPeer(server.port), REQUEST, signal);
   client.close();
@@ -89,6 +99,19 @@
   });
 });
 
+test("the time until a hop is connected is deducted from the caller's deadline", async () => {
+  let nowMs = 0;
+  const clock = { ...FIXED_CLOCK, readMs: () => nowMs += 100 };
+  let received: ForwardedRequest | undefined;
+  await forward(({ request }) => {
+    received = request;
+    return Promise.resolve({ kind: "unable", reason: "stopping" });
+  }, { clock });
+  const passedMs = received!.elapsedMs - REQUEST.elapsedMs;
+  assert.ok(passedMs >= 100);
+  assert.equal(received!.remainingMs, REQUEST.remainingMs - passedMs);
+});
+
 test("a peer that cannot be connected to has not received the request", async () => {
   const client = new HttpForwardingClient(new SystemClock());
   const { kind } = await client
@@ -121,7 +144,7 @@
         () => resolve({ kind: "unable", reason: "stopping" }),
       )
     );
-  }, caller.signal);
+  }, { signal: caller.signal });
   assert.equal(result.kind === "lost" && result.cause, "cancelled");
   assert.ok(peerSignal !== undefined);
 });
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -134,7 +134,7 @@
         method: request.method,
         path: request.path,
         headers,
-        body: request.body ?? null,
+        body: request.createBody?.() ?? request.body ?? null,
       }, collector.handler);
     } catch (error) {
       collector.fail("reset", String(error));
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -11,6 +11,11 @@
   readonly path: string;
   readonly headers?: readonly HeaderField[];
   readonly body?: Uint8Array;
+  /**
+   * Creates the body right before it is sent, in place of `body`, for a body
+   * that contains times.
+   */
+  readonly createBody?: () => Uint8Array;
   readonly maxResponseBytes: number;
   /**
    * Whether the response may end with its connection. Such a response is
