fix(gateway): repeat no request on the word of a peer with another configuration

A peer whose configuration lets a request be repeated could report an overdue send, and the instance that forwarded it then sent it again although its own configuration lets it run once only. Found by reading; no test of its own.

--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -362,7 +362,8 @@
           target: isSent ? { id: result.targetId } : undefined,
           token: isSent ? result.token : undefined,
           outcome: result.outcome,
-          isOverdue: result.isOverdue,
+          // The peer may have a configuration by which it may be repeated.
+          isOverdue: result.isOverdue && context.route.idempotent,
         });
       }
     }
