fix(gateway): take a target for failed only if two other instances do not reach it

One answer was enough where the others could not tell, and that instance may have lost its own path. Found by reading.

--- a/packages/gateway/src/forwarding/path_checker.ts
+++ b/packages/gateway/src/forwarding/path_checker.ts
@@ -25,6 +25,8 @@
 /** Some may have lost their own paths, most likely those of one data centre. */
 const ASKED_REMOTE_PEERS = 2;
 const ASKED_PEERS = 3;
+/** Instances that must not reach a target for it to count as failed. */
+const MIN_UNREACHED = 2;
 
 export class PathChecker {
   readonly #options: PathCheckerOptions;
@@ -53,6 +55,10 @@
     if (reached >= 0) {
       return { kind: "reached", peer: [...asked][reached]! };
     }
-    return { kind: results.includes("unreached") ? "unreached" : "unknown" };
+    // A single instance may have lost its own path.
+    const unreached = results.filter((answer) => answer === "unreached").length;
+    const isEnough = unreached > 0 &&
+      unreached >= Math.min(MIN_UNREACHED, results.length);
+    return { kind: isEnough ? "unreached" : "unknown" };
   }
 }
