fix(gateway): take no peer's used up connection pool for a failed target

A forwarded request that a peer could not send for want of a free connection counted like one whose target it does not reach. Found by reading; no test of its own.

--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -112,7 +112,7 @@
             return result;
           }
           if (++unreached >= MAX_UNREACHED) {
-            this.#recordUnreached(result.targetId);
+            this.#recordUnreached(result.targetId, result.outcome);
             return result;
           }
       }
@@ -201,10 +201,12 @@
     }
   }
 
-  #recordUnreached(targetId: string): void {
+  #recordUnreached(targetId: string, outcome: SendOutcome): void {
     const { clock, paths, findTarget } = this.#options;
     const target = findTarget(targetId);
-    if (target !== undefined) {
+    const isUnreachable = outcome.kind === "not-run" &&
+      outcome.cause === "unreachable";
+    if (target !== undefined && isUnreachable) {
       paths.paths.recordUnreachedElsewhere(target, clock.readMs());
     }
   }
