feat(routing): learn from response times when a response is overdue

Cause: a send of an idempotent request was given up after four times the expected time. Before a target had answered once, a time of 100 ms was assumed, so 20 first sends were given up after 400 ms although work takes 520 ms. 14 requests got 'answer-lost', since their send was given up while no place was free for another one.

Change: the timeout follows from the distribution of response times, relative to the expected ones, and stays at four times the expected time unless an earlier one shortens requests by 3 %. While no response time is known, the route's goal is the earliest timeout. A send is given up only when there is room, enough time and a retry for the next one.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -38,6 +38,9 @@
     switch (event.kind) {
       case "send":
         this.#metrics.sends.inc({ service, outcome });
+        if (event.expectedMs !== undefined) {
+          this.#metrics.overdueSends.inc({ service });
+        }
         if (event.attempt > 1) {
           this.#metrics.retries.inc({ service, outcome });
         }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -70,6 +70,12 @@
     labelNames: ["service", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly overdueSends = new Counter({
+    name: "lentilspur_overdue_sends_total",
+    help: "Sends that were given up because their response was overdue",
+    labelNames: ["service"] as const,
+    registers: [this.#registry],
+  });
   readonly storeCalls = new Counter({
     name: "lentilspur_store_calls_total",
     help: "Calls to the store, by call and outcome",
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -16,7 +16,8 @@
 import { computeLatestStart } from "./latest_start.ts";
 import type { LeavingTargets } from "./leaving_targets.ts";
 import type { OwnerFinder, OwnerLookup } from "./owner_finder.ts";
-import { countRuns, type RequestContext } from "./request_context.ts";
+import { OverdueResponses } from "./overdue_responses.ts";
+import type { RequestContext } from "./request_context.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { RequestReporter } from "./request_reporter.ts";
 import { SendAbortController } from "./send_abort_controller.ts";
@@ -84,25 +85,15 @@
 type Placed = PlaceDecision & { readonly kind: "placed" };
 type FoundOwner = OwnerLookup & { readonly kind: "found" };
 
-/**
- * A response that takes this many times the expected time counts as lost if the
- * request may be sent again. Processing times have long tails.
- */
-const OVERDUE_FACTOR = 4;
-/** After this many times the expected time the path to the target is checked. */
-const CHECK_FACTOR = 2;
-/**
- * No response is overdue earlier, since latency and a busy CPU delay it too.
- */
-const MIN_OVERDUE_MS = 200;
-
 export class AttemptRunner {
   readonly #options: AttemptRunnerOptions;
   readonly #tools: AttemptTools;
+  readonly #overdue: OverdueResponses;
 
   constructor(options: AttemptRunnerOptions, tools: AttemptTools) {
     this.#options = options;
     this.#tools = tools;
+    this.#overdue = new OverdueResponses(options, tools.claimRetry);
   }
 
   async run(
@@ -211,7 +202,12 @@
     if (context.origin === null) {
       services.recordSend(service, context.sends > 1);
     }
-    const abortController = this.#watchResponse(context, target);
+    const abortController = new SendAbortController(request.signal);
+    const expectedMs = this.#overdue.watch(context, {
+      target,
+      owner: owner.targetId,
+      abortController,
+    });
     const outcome = await sender.send({
       targetId: target.id,
       address: target.address,
@@ -235,12 +231,18 @@
     abortController.stop();
     const isOverdue = abortController.isOverdue();
     this.#recordOutcome(context, placed, { outcome, sentAtMs, isOverdue });
+    this.#overdue.recordOutcome(service, outcome, {
+      elapsedMs: clock.readMs() - sentAtMs,
+      expectedMs,
+      isOverdue,
+    });
     this.#tools.reporter.reportSend(context, {
       placed,
       owner,
       outcome,
       sentAtMs,
       remainingMs,
+      overdueExpectedMs: isOverdue ? expectedMs : undefined,
       retryClaim,
     });
     return {
@@ -273,49 +275,4 @@
       this.#options.handleOwnerMiss(service);
     }
   }
-
-  /**
-   * Checks the path to a target whose response is overdue, and aborts the send
-   * if the request may be sent again and the retry budget allows it at that
-   * moment; otherwise the send goes on.
-   * Failure case: targets lose 3% to 40% of their responses, and the caller of
-   * an idempotent request whose response is lost would wait until the deadline.
-   */
-  #watchResponse(
-    context: RequestContext,
-    target: RoutingTarget,
-  ): SendAbortController {
-    const abortController = new SendAbortController(context.request.signal);
-    void this.#handleOverdue(context, target, abortController);
-    return abortController;
-  }
-
-  async #handleOverdue(
-    context: RequestContext,
-    target: RoutingTarget,
-    abortController: SendAbortController,
-  ): Promise<void> {
-    const { clock, services, isStopping, paths } = this.#options;
-    const { signal } = abortController;
-    const { route, service } = context;
-    const mayRetry = route.idempotent && !context.isTrial &&
-      countRuns(context) < route.maxAttempts;
-    const sentAtMs = clock.readMs();
-    const expectedMs = services.estimateResponseMs(service, target.id);
-    const checkMs = Math.max(MIN_OVERDUE_MS, CHECK_FACTOR * expectedMs);
-    const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
-    await clock.sleep(checkMs, signal);
-    if (!signal.aborted) {
-      paths.checkOverdue(target, sentAtMs);
-    }
-    if (!mayRetry || signal.aborted) {
-      return;
-    }
-    await clock.sleep(overdueMs - checkMs, signal);
-    if (
-      !signal.aborted && !isStopping() && this.#tools.claimRetry(context)
-    ) {
-      abortController.cancelOverdue();
-    }
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/requests/overdue_responses_test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "@lentilspur/ports/virtual_clock";
+import { RestartTimeout } from "@lentilspur/routing/restart_timeout";
+import { OverdueResponses } from "./overdue_responses.ts";
+import type { RequestContext } from "./request_context.ts";
+import { SendAbortController } from "./send_abort_controller.ts";
+
+const EXPECTED_MS = 100;
+const GOAL_MS = 1_500;
+const TIMEOUT_MS = 3_000;
+
+interface Situation {
+  readonly idempotent?: boolean;
+  readonly averageServiceMs?: number | null;
+  /** When a place becomes free. */
+  readonly roomAtMs?: number;
+  readonly hasBudget?: boolean;
+}
+
+/** Returns when a send without a response is given up, if it ever is. */
+async function findAbortMs(
+  {
+    idempotent = true,
+    averageServiceMs = EXPECTED_MS,
+    roomAtMs = 0,
+    hasBudget = true,
+  }: Situation,
+): Promise<number | undefined> {
+  const clock = new VirtualClock();
+  const startMs = clock.readMs();
+  const overdue = new OverdueResponses({
+    clock,
+    services: {
+      estimateResponseMs: () => EXPECTED_MS,
+      getAverageServiceMs: () => averageServiceMs,
+      getRestartTimeout: () => new RestartTimeout(),
+      hasRoom: () => clock.readMs() - startMs >= roomAtMs,
+    },
+    paths: { checkOverdue: () => undefined },
+    isStopping: () => false,
+  }, () => hasBudget);
+  const abortController = new SendAbortController(new AbortController().signal);
+  let abortedAtMs: number | undefined;
+  abortController.signal.addEventListener("abort", () => {
+    abortedAtMs = clock.readMs() - startMs;
+  });
+  const context = {
+    service: "files",
+    route: { idempotent, goalMs: GOAL_MS, maxAttempts: 2 },
+    deadlineAtMs: startMs + TIMEOUT_MS,
+    isTrial: false,
+    sends: 1,
+    unreachableSends: 0,
+  } as unknown as RequestContext;
+  overdue.watch(context, {
+    target: {} as never,
+    owner: undefined,
+    abortController,
+  });
+  await clock.advance(TIMEOUT_MS);
+  return abortedAtMs;
+}
+
+test("a send to targets of unknown speed is not given up before its goal", async () => {
+  assert.equal(await findAbortMs({ averageServiceMs: null }), GOAL_MS);
+});
+
+test("a send whose response is lost is given up after a multiple of the usual time", async () => {
+  assert.equal(await findAbortMs({}), 4 * EXPECTED_MS);
+});
+
+test("a send goes on while no target has room for another one", async () => {
+  const abortedAtMs = await findAbortMs({ roomAtMs: 1_000 });
+  assert.ok(abortedAtMs !== undefined && abortedAtMs >= 1_000);
+});
+
+test("a send goes on if another one would end after the deadline", async () => {
+  const roomAtMs = TIMEOUT_MS - EXPECTED_MS / 2;
+  assert.equal(await findAbortMs({ roomAtMs }), undefined);
+});
+
+test("a send goes on if it may run once only, or the budget is used up", async () => {
+  assert.equal(await findAbortMs({ idempotent: false }), undefined);
+  assert.equal(await findAbortMs({ hasBudget: false }), undefined);
+});
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -32,6 +32,8 @@
     readonly cause?: string;
     readonly status?: number;
     readonly tookMs: number;
+    /** The usual time; set if the send was given up as overdue. */
+    readonly expectedMs?: number;
     /**
      * Requests per second that the target accepts from all instances together.
      */
@@ -101,9 +103,12 @@
     readonly outcome: SendOutcome;
     readonly sentAtMs: number;
     readonly remainingMs: number;
+    /** The expected response time, if the send was given up as overdue. */
+    readonly overdueExpectedMs: number | undefined;
     readonly retryClaim: RetryClaim | undefined;
   }): void {
     const { placed, owner, outcome, sentAtMs, remainingMs, retryClaim } = sent;
+    const { overdueExpectedMs } = sent;
     const { request } = context;
     this.#observe({
       kind: "send",
@@ -127,6 +132,9 @@
         ? { status: outcome.status }
         : { cause: outcome.cause }),
       tookMs: Math.round(this.#clock.readMs() - sentAtMs),
+      ...(overdueExpectedMs === undefined
+        ? {}
+        : { expectedMs: Math.round(overdueExpectedMs) }),
       ...(outcome.kind === "unknown" || outcome.limitPerSecond === undefined
         ? {}
         : { limitPerSecond: outcome.limitPerSecond }),
--- /dev/null
+++ b/packages/routing/src/restart_timeout.ts
@@ -0,0 +1,133 @@
+/**
+ * Computes after which time a response is overdue, so that the request is
+ * better sent again, from the response times of a service.
+ *
+ * Load pattern: of an idempotent request's runs, a few in a hundred take seven
+ * times as long as the others, and a second run takes the usual time. If the
+ * first run is given up only after a fixed multiple of the usual time, the
+ * second one ends after the goal. Given up too early, requests that were about
+ * to be answered run twice.
+ *
+ * Response times are kept as multiples of the time that was expected of the
+ * target, so targets of different speed and load share one distribution. A
+ * request that is always restarted after the time `t` takes, on average, the
+ * mean of min(response time, t) divided by the probability of a response within
+ * `t`. The timeout minimizes that, if it shortens requests noticeably. Adaptive
+ * timeouts for stragglers: Du and Gupta, "New Techniques to Curtail the Tail
+ * Latency in Stream Processing Systems", DCC 2016.
+ */
+
+/** The timeout while the distribution is not known, or has no long tail. */
+export const DEFAULT_RESTART_RATIO = 4;
+/** No response is overdue earlier, whatever the distribution. */
+const MIN_RESTART_RATIO = 1.5;
+/** Upper bound of the first bucket, and the factor between two bounds. */
+const FIRST_BOUND = 0.25;
+const BOUND_FACTOR = 2 ** 0.25;
+const BUCKETS = 24;
+/** Below this number of responses the distribution is not known. */
+const MIN_SAMPLES = 60;
+/** At this number all counts are halved, so that the newest ones prevail. */
+const MAX_SAMPLES = 400;
+/** A timeout must shorten requests by at least this share. */
+const MIN_GAIN = 0.03;
+/**
+ * Largest share of responses that may be overdue: half of the usual retry
+ * budget, since refused requests need the other half.
+ */
+const MAX_OVERDUE_SHARE = 0.1;
+
+/** Response times of one service, and the timeout that follows from them. */
+export class RestartTimeout {
+  readonly #answered = new Float64Array(BUCKETS);
+  readonly #aborted = new Float64Array(BUCKETS);
+  #samples = 0;
+  /** Computed again after each change; undefined if it has to be. */
+  #ratio: number | undefined;
+
+  /** Records a response that arrived after `elapsedMs`. */
+  recordResponse(elapsedMs: number, expectedMs: number): void {
+    this.#record(this.#answered, elapsedMs, expectedMs);
+  }
+
+  /** Records a send that was given up without a response after `elapsedMs`. */
+  recordAborted(elapsedMs: number, expectedMs: number): void {
+    this.#record(this.#aborted, elapsedMs, expectedMs);
+  }
+
+  /** The timeout, as a multiple of the expected response time. */
+  getRatio(): number {
+    this.#ratio ??= this.#computeRatio();
+    return this.#ratio;
+  }
+
+  #record(counts: Float64Array, elapsedMs: number, expectedMs: number): void {
+    if (expectedMs <= 0) {
+      return;
+    }
+    counts[findBucket(elapsedMs / expectedMs)]! += 1;
+    this.#samples += 1;
+    this.#ratio = undefined;
+    if (this.#samples >= MAX_SAMPLES) {
+      this.#expireHalf();
+    }
+  }
+
+  #expireHalf(): void {
+    for (let bucket = 0; bucket < BUCKETS; bucket++) {
+      this.#answered[bucket]! /= 2;
+      this.#aborted[bucket]! /= 2;
+    }
+    this.#samples /= 2;
+  }
+
+  /**
+   * Estimates the distribution by the product-limit method, since sends that
+   * were given up only show that the response takes longer.
+   */
+  #computeRatio(): number {
+    if (this.#samples < MIN_SAMPLES) {
+      return DEFAULT_RESTART_RATIO;
+    }
+    let atRisk = this.#samples;
+    let unanswered = 1;
+    let meanOfMinimum = 0;
+    let lowerBound = 0;
+    let best = { ratio: DEFAULT_RESTART_RATIO, mean: Infinity };
+    let defaultMean = Infinity;
+    for (let bucket = 0; bucket < BUCKETS; bucket++) {
+      const bound = computeBound(bucket);
+      const answered = this.#answered[bucket]!;
+      const before = unanswered;
+      unanswered *= atRisk > 0 ? 1 - answered / atRisk : 1;
+      meanOfMinimum += (bound - lowerBound) * (before + unanswered) / 2;
+      atRisk -= answered + this.#aborted[bucket]!;
+      lowerBound = bound;
+      const mean = meanOfMinimum / (1 - unanswered);
+      if (
+        bound >= MIN_RESTART_RATIO && unanswered <= MAX_OVERDUE_SHARE &&
+        mean < best.mean
+      ) {
+        best = { ratio: bound, mean };
+      }
+      if (bound <= DEFAULT_RESTART_RATIO) {
+        defaultMean = mean;
+      }
+    }
+    return best.mean <= (1 - MIN_GAIN) * defaultMean
+      ? best.ratio
+      : DEFAULT_RESTART_RATIO;
+  }
+}
+
+function computeBound(bucket: number): number {
+  return FIRST_BOUND * BOUND_FACTOR ** bucket;
+}
+
+function findBucket(ratio: number): number {
+  const bucket = Math.ceil(
+    Math.log(Math.max(ratio, FIRST_BOUND) / FIRST_BOUND) /
+      Math.log(BOUND_FACTOR),
+  );
+  return Math.min(BUCKETS - 1, bucket);
+}
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -229,6 +229,20 @@
     return [...this.#loads.values()];
   }
 
+  /** Whether the owner, or any target if there is none, has room. */
+  hasRoom(owner: string | undefined, nowMs: number): boolean {
+    if (owner !== undefined) {
+      const load = this.#loads.get(owner);
+      return load !== undefined && hasRoom(load, OWNER_OVERCOMMIT, nowMs);
+    }
+    for (const load of this.#loads.values()) {
+      if (!load.target.leaving && hasRoom(load, OVERCOMMIT, nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Decides at once, or queues the request and calls `callback` later. */
   submit(
     request: PlaceRequest,
