feat(routing): keep response times by route, for overdue responses

Change: the distribution is kept by route and service, and the expected time is not below the route's usual one.

--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -231,7 +231,7 @@
     abortController.stop();
     const isOverdue = abortController.isOverdue();
     this.#recordOutcome(context, placed, { outcome, sentAtMs, isOverdue });
-    this.#overdue.recordOutcome(service, outcome, {
+    this.#overdue.recordOutcome(context, outcome, {
       elapsedMs: clock.readMs() - sentAtMs,
       expectedMs,
       isOverdue,
--- a/packages/gateway/src/requests/overdue_responses.ts
+++ b/packages/gateway/src/requests/overdue_responses.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "@lentilspur/ports/clock";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
+import { RestartTimeout } from "@lentilspur/routing/restart_timeout";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import { countRuns, type RequestContext } from "./request_context.ts";
 import type { SendAbortController } from "./send_abort_controller.ts";
@@ -17,10 +18,7 @@
   readonly clock: Clock;
   readonly services: Pick<
     ServiceRegistry,
-    | "estimateResponseMs"
-    | "getAverageServiceMs"
-    | "getRestartTimeout"
-    | "hasRoom"
+    "estimateResponseMs" | "hasRoom"
   >;
   readonly paths: Pick<PathMonitor, "checkOverdue">;
   /**
@@ -48,9 +46,13 @@
 const MIN_OVERDUE_MS = 200;
 /** Interval at which an overdue send is checked while no place is free. */
 const RECHECK_MS = 50;
+/** Routes whose response times are kept; more than an instance serves at once. */
+const MAX_ROUTES = 1_000;
 
 export class OverdueResponses {
   readonly #options: OverdueResponsesOptions;
+  /** By service and route. */
+  readonly #timeouts = new Map<string, RestartTimeout>();
   readonly #claimRetry: (context: RequestContext) => boolean;
 
   /** `claimRetry` takes a retry from the budget, if the budget allows it. */
@@ -67,21 +69,21 @@
    * milliseconds.
    */
   watch(context: RequestContext, send: WatchedSend): number {
-    const { services } = this.#options;
-    const expectedMs = services
+    const targetMs = this.#options.services
       .estimateResponseMs(context.service, send.target.id);
-    void this.#checkPath(send, expectedMs);
-    void this.#giveUpOverdue(context, send, expectedMs);
+    const expectedMs = this.#getTimeout(context).estimateResponseMs(targetMs);
+    void this.#checkPath(send, targetMs);
+    void this.#cancelOverdue(context, send, expectedMs);
     return expectedMs;
   }
 
   /** Records what the end of a send tells about the response times. */
-  recordOutcome(service: string, outcome: SendOutcome, send: {
+  recordOutcome(context: RequestContext, outcome: SendOutcome, send: {
     readonly elapsedMs: number;
     readonly expectedMs: number;
     readonly isOverdue: boolean;
   }): void {
-    const timeout = this.#options.services.getRestartTimeout(service);
+    const timeout = this.#getTimeout(context);
     if (outcome.kind === "answered") {
       timeout.recordResponse(send.elapsedMs, send.expectedMs);
     } else if (send.isOverdue) {
@@ -107,7 +109,7 @@
    * Gives up an overdue send as soon as the request can be sent again, with a
    * place, enough time and a retry from the budget. Otherwise the send goes on.
    */
-  async #giveUpOverdue(
+  async #cancelOverdue(
     context: RequestContext,
     { owner, abortController }: WatchedSend,
     expectedMs: number,
@@ -137,18 +139,30 @@
   }
 
   /**
-   * While nothing is known of the service's response times, only a response that
+   * While little is known of the route's response times, only a response that
    * misses the route's goal is overdue.
    */
-  #computeOverdueMs(
-    { service, route }: RequestContext,
-    expectedMs: number,
-  ): number {
-    const { services } = this.#options;
-    const ratio = services.getRestartTimeout(service).getRatio();
-    const minMs = services.getAverageServiceMs(service) === null
-      ? route.goalMs
-      : MIN_OVERDUE_MS;
-    return Math.max(minMs, ratio * expectedMs);
+  #computeOverdueMs(context: RequestContext, expectedMs: number): number {
+    const timeout = this.#getTimeout(context);
+    const minMs = timeout.isKnown ? MIN_OVERDUE_MS : context.route.goalMs;
+    return Math.max(minMs, timeout.getRatio() * expectedMs);
+  }
+
+  #getTimeout({ service, route }: RequestContext): RestartTimeout {
+    const key = `${service} ${route.name}`;
+    let timeout = this.#timeouts.get(key);
+    if (timeout === undefined) {
+      timeout = new RestartTimeout();
+      this.#timeouts.set(key, timeout);
+      this.#expireOldest();
+    }
+    return timeout;
+  }
+
+  #expireOldest(): void {
+    if (this.#timeouts.size > MAX_ROUTES) {
+      const [oldest] = this.#timeouts.keys();
+      this.#timeouts.delete(oldest!);
+    }
   }
 }
--- a/packages/gateway/src/requests/overdue_responses_test.ts
+++ b/packages/gateway/src/requests/overdue_responses_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { SendOutcome } from "@lentilspur/ports/request_sender";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
-import { RestartTimeout } from "@lentilspur/routing/restart_timeout";
 import { OverdueResponses } from "./overdue_responses.ts";
 import type { RequestContext } from "./request_context.ts";
 import { SendAbortController } from "./send_abort_controller.ts";
@@ -10,9 +10,18 @@
 const GOAL_MS = 1_500;
 const TIMEOUT_MS = 3_000;
 
+const RESPONSE: SendOutcome = {
+  kind: "answered",
+  status: 200,
+  headers: [],
+  body: new Uint8Array(0),
+  isSelfDelimited: true,
+};
+
 interface Situation {
   readonly idempotent?: boolean;
-  readonly averageServiceMs?: number | null;
+  /** Responses of the route before the send. */
+  readonly knownResponses?: number;
   /** When a place becomes free. */
   readonly roomAtMs?: number;
   readonly hasBudget?: boolean;
@@ -22,7 +31,7 @@
 async function findAbortMs(
   {
     idempotent = true,
-    averageServiceMs = EXPECTED_MS,
+    knownResponses = 100,
     roomAtMs = 0,
     hasBudget = true,
   }: Situation,
@@ -33,8 +42,6 @@
     clock,
     services: {
       estimateResponseMs: () => EXPECTED_MS,
-      getAverageServiceMs: () => averageServiceMs,
-      getRestartTimeout: () => new RestartTimeout(),
       hasRoom: () => clock.readMs() - startMs >= roomAtMs,
     },
     paths: { checkOverdue: () => undefined },
@@ -47,12 +54,19 @@
   });
   const context = {
     service: "files",
-    route: { idempotent, goalMs: GOAL_MS, maxAttempts: 2 },
+    route: { name: "files", idempotent, goalMs: GOAL_MS, maxAttempts: 2 },
     deadlineAtMs: startMs + TIMEOUT_MS,
     isTrial: false,
     sends: 1,
     unreachableSends: 0,
   } as unknown as RequestContext;
+  for (let count = 0; count < knownResponses; count++) {
+    overdue.recordOutcome(context, RESPONSE, {
+      elapsedMs: EXPECTED_MS,
+      expectedMs: EXPECTED_MS,
+      isOverdue: false,
+    });
+  }
   overdue.watch(context, {
     target: {} as never,
     owner: undefined,
@@ -62,8 +76,8 @@
   return abortedAtMs;
 }
 
-test("a send to targets of unknown speed is not given up before its goal", async () => {
-  assert.equal(await findAbortMs({ averageServiceMs: null }), GOAL_MS);
+test("a send on a route of unknown response times is not given up before its goal", async () => {
+  assert.equal(await findAbortMs({ knownResponses: 3 }), GOAL_MS);
 });
 
 test("a send whose response is lost is given up after a multiple of the usual time", async () => {
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -8,7 +8,6 @@
   type RetryClaim,
   type RetryLimits,
 } from "@lentilspur/routing/retry_budget";
-import { RestartTimeout } from "@lentilspur/routing/restart_timeout";
 import {
   type PlaceDecision,
   type PlaceRequest,
@@ -53,7 +52,6 @@
   readonly #options: ServiceRegistryOptions;
   readonly #places = new Map<string, ServicePlaces>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
-  readonly #restartTimeouts = new Map<string, RestartTimeout>();
   readonly #trafficSplitter = new WeightedSplitter();
   /** Targets at which each peer had requests, according to its last report. */
   readonly #peerTargets = new Map<string, readonly string[]>();
@@ -292,19 +290,6 @@
       ?.estimateResponseMs(this.#options.clock.readMs(), usualMs) ?? 0;
   }
 
-  /**
-   * The response times of a service, by which a response is overdue. They are
-   * kept as multiples of the expected times.
-   */
-  getRestartTimeout(service: string): RestartTimeout {
-    let timeout = this.#restartTimeouts.get(service);
-    if (timeout === undefined) {
-      timeout = new RestartTimeout();
-      this.#restartTimeouts.set(service, timeout);
-    }
-    return timeout;
-  }
-
   /** Whether a request that only `owner`, or any target, may run finds room. */
   hasRoom(service: string, owner: string | undefined): boolean {
     const places = this.#getPlaces(service);
--- a/packages/routing/src/restart_timeout.ts
+++ b/packages/routing/src/restart_timeout.ts
@@ -1,6 +1,6 @@
 /**
  * Computes after which time a response is overdue, so that the request is
- * better sent again, from the response times of a service.
+ * better sent again, from the response times of a route.
  *
  * Load pattern: of an idempotent request's runs, a few in a hundred take seven
  * times as long as the others, and a second run takes the usual time. If the
@@ -36,17 +36,39 @@
  * budget, since refused requests need the other half.
  */
 const MAX_OVERDUE_SHARE = 0.1;
+/** Weight of a new response time in the usual one. */
+const SAMPLE_WEIGHT = 0.05;
 
-/** Response times of one service, and the timeout that follows from them. */
+/**
+ * Response times of one route at one service, and the timeout that follows from
+ * them.
+ */
 export class RestartTimeout {
   readonly #answered = new Float64Array(BUCKETS);
   readonly #aborted = new Float64Array(BUCKETS);
   #samples = 0;
+  #usualMs = 0;
   /** Computed again after each change; undefined if it has to be. */
   #ratio: number | undefined;
 
+  /** Whether enough responses are known. */
+  get isKnown(): boolean {
+    return this.#samples >= MIN_SAMPLES;
+  }
+
+  /**
+   * Estimates the response time at a target, which is not below the route's
+   * usual one: an instance may know the target from a few short requests of
+   * other routes.
+   */
+  estimateResponseMs(targetMs: number): number {
+    return Math.max(targetMs, this.#usualMs);
+  }
+
   /** Records a response that arrived after `elapsedMs`. */
   recordResponse(elapsedMs: number, expectedMs: number): void {
+    const weight = Math.max(SAMPLE_WEIGHT, 1 / (this.#samples + 1));
+    this.#usualMs += weight * (elapsedMs - this.#usualMs);
     this.#record(this.#answered, elapsedMs, expectedMs);
   }
 
@@ -86,7 +108,7 @@
    * were given up only show that the response takes longer.
    */
   #computeRatio(): number {
-    if (this.#samples < MIN_SAMPLES) {
+    if (!this.isKnown) {
       return DEFAULT_RESTART_RATIO;
     }
     let atRisk = this.#samples;
