feat(gateway): pass on no pipelined request that an earlier response could cut off

Requests behind others on one connection were all passed on at once: after a stop began, the first response closed the connection, and those behind it were cut off while targets ran them (4 passed on, 1 answered, 3 cut); 400 on one connection ran 400 at once, with one listener each on its socket; a 400 or 408 to invalid bytes or half a request behind others answered the first of them, which a target was running; a caller that left by a reset cancelled only the request whose response was due; while large responses waited for an earlier one, Node stopped reading, so that a leaving caller was not noticed.

A response closes the connection only if nothing behind it was passed on; during a stop nothing is passed on behind an unanswered request. The late refusal of a stop closes idle connections itself, since Server.close destroys those whose response is being flushed.

--- /dev/null
+++ b/packages/gateway/src/entry/caller_connection.ts
@@ -0,0 +1,52 @@
+/**
+ * A caller's connection with its unanswered requests. It listens to the socket
+ * once for all of them, and reads no further while too many are held.
+ */
+import type { Socket } from "node:net";
+import {
+  type ConnectionRequest,
+  ConnectionRequests,
+} from "./connection_requests.ts";
+
+export class CallerConnection {
+  readonly requests = new ConnectionRequests();
+  readonly #socket: Socket;
+  #isPaused = false;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.once("end", () => this.requests.leave());
+    socket.once("close", () => this.requests.leave());
+  }
+
+  add(request: ConnectionRequest): void {
+    this.requests.add(request);
+    if (this.requests.isFull) {
+      // Node resumes the socket once it has read the request.
+      setImmediate(() => this.#updateReading());
+    }
+  }
+
+  /** Removes a request whose response has been written. */
+  remove(request: ConnectionRequest): void {
+    this.requests.remove(request);
+    this.#updateReading();
+  }
+
+  /** Closes the connection unless requests on it are unanswered. */
+  closeIdle(): void {
+    if (this.requests.isIdle) {
+      this.#socket.destroySoon();
+    }
+  }
+
+  #updateReading(): void {
+    if (this.requests.isFull) {
+      this.#isPaused = true;
+      this.#socket.pause();
+    } else if (this.#isPaused) {
+      this.#isPaused = false;
+      this.#socket.resume();
+    }
+  }
+}
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -9,7 +9,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import {
+  type AddressInfo,
+  Server as ListeningServer,
+  type Socket,
+} from "node:net";
 import type { HeaderField } from "@lentilspur/ports/header_field";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
@@ -21,6 +25,8 @@
   FinalResponse,
   RequestMetadata,
 } from "./caller_request.ts";
+import { CallerConnection } from "./caller_connection.ts";
+import type { ConnectionRequest } from "./connection_requests.ts";
 
 export interface RequestServerOptions {
   readonly clock: Clock;
@@ -29,6 +35,8 @@
   /** How long this process has just been stalled; 0 if it was not. */
   readonly readStallMs: () => number;
   readonly parseMetadata: (headers: readonly HeaderField[]) => RequestMetadata;
+  /** Whether a request may run more than once. */
+  readonly isIdempotent: (request: CallerRequest) => boolean;
   readonly handle: (request: CallerRequest) => Promise<FinalResponse>;
   readonly reportFailure: (failure: {
     readonly requestId: string | undefined;
@@ -82,6 +90,7 @@
 export class RequestServer {
   readonly #options: RequestServerOptions;
   readonly #server: Server;
+  readonly #connections = new Map<Socket, CallerConnection>();
   #limits = DEFAULT_LIMITS;
   #isDraining = false;
   #isRefusing = false;
@@ -98,7 +107,11 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       noDelay: true,
     }, (message, response) => void this.#handle(message, response));
-    this.#server.on("clientError", answerInvalidRequest);
+    this.#server.on("connection", (socket) => this.#addConnection(socket));
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#handleInvalidRequest(error, socket as Socket),
+    );
   }
 
   /** The port that the server listens on; chosen by the system for port 0. */
@@ -111,6 +124,12 @@
     return this.#openRequests;
   }
 
+  /** Number of requests that wait for earlier ones of their connections. */
+  get heldRequests(): number {
+    return [...this.#connections.values()]
+      .reduce((sum, { requests }) => sum + requests.held, 0);
+  }
+
   /** When the last request arrived, on this instance's clock. */
   get lastRequestAtMs(): number {
     return this.#lastRequestAtMs;
@@ -137,6 +156,7 @@
    */
   drain(): void {
     this.#isDraining = true;
+    this.#connections.forEach(({ requests }) => requests.drain());
   }
 
   /**
@@ -146,7 +166,10 @@
    */
   refuse(): void {
     this.#isRefusing = true;
-    this.#server.close();
+    // `Server.close` of `node:http` would also destroy connections whose
+    // answers are still being flushed.
+    ListeningServer.prototype.close.call(this.#server);
+    this.#connections.forEach((connection) => connection.closeIdle());
   }
 
   close(): void {
@@ -154,35 +177,69 @@
     this.#server.closeAllConnections();
   }
 
+  #addConnection(socket: Socket): void {
+    const connection = new CallerConnection(socket);
+    if (this.#isDraining) {
+      connection.requests.drain();
+    }
+    this.#connections.set(socket, connection);
+    socket.once("close", () => this.#connections.delete(socket));
+  }
+
   async #handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { handle, clock, readStallMs } = this.#options;
+    const { clock, readStallMs } = this.#options;
     // A request that is read after a stall may have arrived at its beginning.
     const arrivedAtMs = clock.readMs() - readStallMs();
     this.#lastRequestAtMs = clock.readMs();
     this.#openRequests++;
     const controller = new AbortController();
-    const { socket } = message;
-    const abort = () => controller.abort(CALLER_DISCONNECTED);
-    socket.once("end", abort);
-    response.on("close", () => {
-      this.#openRequests--;
-      socket.off("end", abort);
-      if (!response.writableFinished) {
-        abort();
-      }
-    });
+    const request: ConnectionRequest = {
+      isRead: () => message.complete,
+      cancel: () => controller.abort(CALLER_DISCONNECTED),
+      end: () => this.#openRequests--,
+    };
+    const connection = this.#connections.get(message.socket);
+    connection?.add(request);
+    response.on("finish", () => connection?.remove(request));
     const read = await this.#readRequest(
       message,
       arrivedAtMs,
       controller.signal,
     );
     await waitForPendingEnds();
-    const finalResponse = "failure" in read ? read : await handle(read);
+    const mayRun = await connection?.requests.waitForTurn(request, {
+      bytes: "failure" in read ? 0 : read.body.byteLength,
+      isIdempotent: "failure" in read || this.#options.isIdempotent(read),
+      endsConnection: !message.complete || !response.shouldKeepAlive,
+    });
+    if (connection === undefined || mayRun !== true) {
+      return;
+    }
+    const finalResponse = await this.#run(read);
+    if (!await connection.requests.waitForResponseTurn(request)) {
+      return;
+    }
     const requestId = "failure" in read ? undefined : read.requestId;
-    this.#writeResponse(finalResponse, { requestId, message, response });
+    this.#writeResponse(finalResponse, {
+      requestId,
+      request,
+      connection,
+      response,
+    });
+  }
+
+  async #run(
+    read: CallerRequest | (FinalResponse & { readonly kind: "failed" }),
+  ): Promise<FinalResponse> {
+    if ("failure" in read) {
+      return read;
+    }
+    return this.#isRefusing
+      ? this.#fail(read.requestId, "stopping")
+      : await this.#options.handle(read);
   }
 
   async #readRequest(
@@ -196,8 +253,6 @@
     const body = await this.#readBody(message);
     const failure = !body.ok
       ? body.failure
-      : this.#isRefusing
-      ? "stopping"
       : requestId === undefined || message.headers.host === undefined
       ? "malformed"
       : undefined;
@@ -264,18 +319,29 @@
 
   #writeResponse(
     finalResponse: FinalResponse,
-    { requestId, message, response }: {
+    { requestId, request, connection: { requests }, response }: {
       readonly requestId: string | undefined;
-      readonly message: IncomingMessage;
+      readonly request: ConnectionRequest;
+      readonly connection: CallerConnection;
       readonly response: ServerResponse;
     },
   ): void {
     if (response.destroyed) {
       return;
     }
+    const mayClose = requests.mayClose(request);
+    if (isCloseDelimited(finalResponse) && !mayClose) {
+      // Closing the connection would cut the requests behind this one.
+      const failure = this.#fail(requestId, "answer-lost");
+      writeFailure(failure, requestId, response);
+      return;
+    }
     // A connection with an unread body cannot carry another request.
-    if (this.#isDraining || !message.complete) {
+    if (mayClose && (this.#isDraining || !request.isRead())) {
       response.setHeader("Connection", "close");
+      requests.closeAfter(request);
+    } else if (isCloseDelimited(finalResponse)) {
+      requests.closeAfter(request);
     }
     switch (finalResponse.kind) {
       case "answered":
@@ -286,6 +352,21 @@
         return;
     }
   }
+
+  /**
+   * Answers a request that is not valid HTTP, after those before it on its
+   * connection.
+   */
+  #handleInvalidRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+    const requests = this.#connections.get(socket)?.requests;
+    if (requests === undefined || error.code === "ECONNRESET") {
+      answerInvalidRequest(error, socket);
+    } else if (socket.readableEnded && !requests.isIdle) {
+      socket.destroy();
+    } else {
+      requests.closeAfterAll(() => answerInvalidRequest(error, socket));
+    }
+  }
 }
 
 /**
@@ -297,6 +378,12 @@
   return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
 }
 
+/** Whether only the end of the connection marks the end of the response. */
+function isCloseDelimited(finalResponse: FinalResponse): boolean {
+  return finalResponse.kind === "answered" && !finalResponse.isSelfDelimited &&
+    !STATUSES_WITHOUT_BODY.has(finalResponse.status);
+}
+
 function writeTargetResponse(
   finalResponse: FinalResponse & { readonly kind: "answered" },
   response: ServerResponse,
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -13,14 +13,11 @@
   isSelfDelimited: true,
 };
 
-/**
- * Writes `text` on one connection and returns all that it receives until the
- * end.
- */
-async function sendRaw(
-  text: string,
-  handle: (request: CallerRequest) => FinalResponse | Promise<FinalResponse>,
-): Promise<string> {
+type Handle = (
+  request: CallerRequest,
+) => FinalResponse | Promise<FinalResponse>;
+
+async function openServer(handle: Handle): Promise<RequestServer> {
   const server = new RequestServer({
     clock: new SystemClock(),
     host: "127.0.0.1",
@@ -32,10 +29,20 @@
       key: undefined,
       credential: undefined,
     }),
+    isIdempotent: ({ method }) => method === "GET",
     handle: async (request) => await handle(request),
     reportFailure: () => undefined,
   });
   await server.open();
+  return server;
+}
+
+/**
+ * Writes `text` on one connection and returns all that it receives until the
+ * end.
+ */
+async function sendRaw(text: string, handle: Handle): Promise<string> {
+  const server = await openServer(handle);
   const received: Buffer[] = [];
   await new Promise<void>((resolve) => {
     const socket = connect(server.port, "127.0.0.1", () => socket.write(text));
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -19,6 +19,7 @@
 export interface GatewayGauges {
   readonly waiting: number;
   readonly openRequests: number;
+  readonly heldRequests: number;
   readonly targets: number;
   readonly configurationVersion: number;
   readonly droppedLines: number;
@@ -127,6 +128,11 @@
       "Requests without an answer yet",
       () => readGauges().openRequests,
     );
+    this.#addGauge(
+      "lentilspur_held_requests",
+      "Requests that wait for earlier ones of their connections",
+      () => readGauges().heldRequests,
+    );
     this.#addGauge(
       "lentilspur_targets",
       "Targets that this instance knows",
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -483,6 +483,8 @@
       port: settings.requestPort,
       readStallMs: () => this.#services.readStallMs(),
       parseMetadata: this.#adapter.parseMetadata,
+      isIdempotent: (request) =>
+        this.#catalogue.match(request)?.route.idempotent === true,
       handle: (request) => this.#router.handle(request),
       reportFailure: (failure) => this.#reporter.reportEarlyFailure(failure),
     });
@@ -675,6 +677,7 @@
       isReady: () => this.#isReady(),
       listDuties: () => this.#duties.listDuties(),
       countOpenRequests: () => this.#server.openRequests,
+      countHeldRequests: () => this.#server.heldRequests,
       countWaitingRequests: () => this.#services.waiting,
       countQuarantinedRequests: () => this.#quarantine.countQuarantined(),
       countLimitedTargets: () => this.#limits.count,
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -19,6 +19,7 @@
   readonly listDuties: () => readonly Duty[];
   /** Requests without an answer yet. */
   readonly countOpenRequests: () => number;
+  readonly countHeldRequests: () => number;
   /** Requests that wait for a place at a target. */
   readonly countWaitingRequests: () => number;
   readonly countQuarantinedRequests: () => number;
@@ -88,6 +89,7 @@
       catalogue,
       logger,
       countOpenRequests,
+      countHeldRequests,
       countWaitingRequests,
       countQuarantinedRequests,
       countLimitedTargets,
@@ -96,6 +98,7 @@
     return {
       waiting: countWaitingRequests(),
       openRequests: countOpenRequests(),
+      heldRequests: countHeldRequests(),
       targets: catalogue.targetCount,
       configurationVersion: catalogue.routingTable?.version ?? 0,
       droppedLines: logger.droppedCount,
