--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -167,7 +167,7 @@
   refuse(): void {
     this.#isRefusing = true;
     // `Server.close` of `node:http` would also destroy connections whose
-    // answers are still being flushed.
+    // responses are still being flushed.
     ListeningServer.prototype.close.call(this.#server);
     this.#connections.forEach((connection) => connection.closeIdle());
   }
@@ -191,6 +191,10 @@
     response: ServerResponse,
   ): Promise<void> {
     const { clock, readStallMs } = this.#options;
+    const connection = this.#connections.get(message.socket);
+    if (connection === undefined) {
+      return; // The connection has just been closed.
+    }
     // A request that is read after a stall may have arrived at its beginning.
     const arrivedAtMs = clock.readMs() - readStallMs();
     this.#lastRequestAtMs = clock.readMs();
@@ -201,21 +205,20 @@
       cancel: () => controller.abort(CALLER_DISCONNECTED),
       end: () => this.#openRequests--,
     };
-    const connection = this.#connections.get(message.socket);
-    connection?.add(request);
-    response.on("finish", () => connection?.remove(request));
+    connection.add(request);
+    response.on("finish", () => connection.remove(request));
     const read = await this.#readRequest(
       message,
       arrivedAtMs,
       controller.signal,
     );
     await waitForPendingEnds();
-    const mayRun = await connection?.requests.waitForTurn(request, {
+    const mayRun = await connection.requests.waitForTurn(request, {
       bytes: "failure" in read ? 0 : read.body.byteLength,
       isIdempotent: "failure" in read || this.#options.isIdempotent(read),
       endsConnection: !message.complete || !response.shouldKeepAlive,
     });
-    if (connection === undefined || mayRun !== true) {
+    if (!mayRun) {
       return;
     }
     const finalResponse = await this.#run(read);
