--- a/packages/gateway/src/requests/overdue_responses.ts
+++ b/packages/gateway/src/requests/overdue_responses.ts
@@ -44,6 +44,8 @@
  * No response is overdue earlier, since latency and a busy CPU delay it too.
  */
 const MIN_OVERDUE_MS = 200;
+/** A response that misses the goal is overdue after this many times its time. */
+const MISSED_GOAL_RATIO = 2.5;
 /** Interval at which an overdue send is checked while no place is free. */
 const RECHECK_MS = 50;
 /** Routes whose response times are kept; more than an instance serves at once. */
@@ -140,16 +142,19 @@
 
   /**
    * While little is known of the route's response times, only a response that
-   * misses the route's goal is overdue.
+   * misses the route's goal is overdue. Any that misses it is overdue if it also
+   * takes clearly longer than expected: another run may still be answered before
+   * the deadline.
    */
   #computeOverdueMs(context: RequestContext, expectedMs: number): number {
     const timeout = this.#getTimeout(context);
-    const { goalMs } = context.route;
-    const minMs = timeout.isKnown ? MIN_OVERDUE_MS : goalMs;
     const waitedMs = this.#options.clock.readMs() -
       context.request.arrivedAtMs;
-    const ratio = timeout.chooseRatio((goalMs - waitedMs) / expectedMs);
-    return Math.max(minMs, ratio * expectedMs);
+    const goalMs = context.route.goalMs - waitedMs;
+    const minMs = timeout.isKnown ? MIN_OVERDUE_MS : goalMs;
+    const ratio = timeout.chooseRatio(goalMs / expectedMs);
+    const missedGoalMs = Math.max(goalMs, MISSED_GOAL_RATIO * expectedMs);
+    return Math.max(minMs, Math.min(ratio * expectedMs, missedGoalMs));
   }
 
   #getTimeout({ service, route }: RequestContext): RestartTimeout {
--- a/packages/gateway/src/requests/overdue_responses_test.ts
+++ b/packages/gateway/src/requests/overdue_responses_test.ts
@@ -19,6 +19,7 @@
 };
 
 interface Situation {
+  readonly expectedMs?: number;
   readonly idempotent?: boolean;
   /** Responses of the route before the send. */
   readonly knownResponses?: number;
@@ -30,6 +31,7 @@
 /** Returns when a send without a response is given up, if it ever is. */
 async function findAbortMs(
   {
+    expectedMs = EXPECTED_MS,
     idempotent = true,
     knownResponses = 100,
     roomAtMs = 0,
@@ -41,7 +43,7 @@
   const overdue = new OverdueResponses({
     clock,
     services: {
-      estimateResponseMs: () => EXPECTED_MS,
+      estimateResponseMs: () => expectedMs,
       hasRoom: () => clock.readMs() - startMs >= roomAtMs,
     },
     paths: { checkOverdue: () => undefined },
@@ -63,8 +65,8 @@
   } as unknown as RequestContext;
   for (let count = 0; count < knownResponses; count++) {
     overdue.recordOutcome(context, RESPONSE, {
-      elapsedMs: EXPECTED_MS,
-      expectedMs: EXPECTED_MS,
+      elapsedMs: expectedMs,
+      expectedMs,
       isOverdue: false,
     });
   }
@@ -85,6 +87,11 @@
   assert.equal(await findAbortMs({}), 4 * EXPECTED_MS);
 });
 
+test("a send is given up at its goal if the deadline comes before a multiple of the usual time", async () => {
+  const abortedAtMs = await findAbortMs({ expectedMs: 500 });
+  assert.equal(abortedAtMs, GOAL_MS);
+});
+
 test("a send goes on while no target has room for another one", async () => {
   const abortedAtMs = await findAbortMs({ roomAtMs: 1_000 });
   assert.ok(abortedAtMs !== undefined && abortedAtMs >= 1_000);
