feat(routing): use nearly the whole earned part of the retry budget

Cause: the budget used 0.6 of its bound and earned from first sends only, so that retries were refused where the bound allowed them. A claim counted when it was made, though the retry may wait for a place for seconds. The times of first sends were kept without end while nothing was retried.

Change: each instance earns from all requests for the service, whether they are sent or not, and uses 0.95 of that; of its part of the reserve 0.9. A granted retry counts as pending until it is sent, then in the window of its sending; one that is not sent is released. Counts are kept in slots. Fractions of a retry are rounded by a random number of each instance, so that hundreds of instances do not lose them. A process that restarts may not reuse what its last life has sent: at most 0.4 of a window's earnings can be used at once, and a new process earns nothing for that long. `part` in log lines; lentilspur_retry_claims_total.

Tests: the limit is checked with 12,000 requests and has to be used to 0.9 instead of 0.05 of the requests; ten retries of reserve give 9 instead of 6; a retry leaves the window a slot (200 ms) later than before.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -14,6 +14,7 @@
   StructuredLogger,
 } from "./structured_logger.ts";
 import type { QuarantineEvent } from "./requests/request_quarantine.ts";
+import type { RetryClaim } from "@lentilspur/routing/retry_budget";
 import type { PathEvent } from "@lentilspur/routing/target_paths";
 import type { LimitEvent } from "./requests/target_limits.ts";
 import type { PartitionViewEvent } from "./views/partition_view.ts";
@@ -35,6 +36,9 @@
       (event.kind === "forward" && event.sendOutcome === "answered");
     this.#logger.log(kind, isAnswered ? "routine" : "notable", fields);
     const { service, outcome } = event;
+    if (event.kind !== "forward" && event.retryClaim !== undefined) {
+      this.#countRetryClaim(event.kind, service, event.retryClaim);
+    }
     switch (event.kind) {
       case "send":
         this.#metrics.sends.inc({ service, outcome });
@@ -59,6 +63,19 @@
     }
   }
 
+  /** Counts a granted claim when it is sent, a refused one at the end. */
+  #countRetryClaim(
+    kind: "send" | "final",
+    service: string,
+    claim: RetryClaim,
+  ): void {
+    if (kind === "send" && claim.kind === "granted") {
+      this.#metrics.retryClaims.inc({ service, decision: claim.part });
+    } else if (kind === "final" && claim.kind === "refused") {
+      this.#metrics.retryClaims.inc({ service, decision: "refused" });
+    }
+  }
+
   observeCatalogue(event: CatalogueEvent): void {
     const { kind, ...fields } = event;
     this.#logger.log(kind, "notable", fields);
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -9,7 +9,11 @@
 import type { Member } from "../members/members.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { OwnerLookup } from "../requests/owner_finder.ts";
-import { countRuns, type RequestContext } from "../requests/request_context.ts";
+import {
+  countArrivals,
+  countRuns,
+  type RequestContext,
+} from "../requests/request_context.ts";
 import type { RequestReporter } from "../requests/request_reporter.ts";
 import { SendAbortController } from "../requests/send_abort_controller.ts";
 import type { ServiceRegistry } from "../requests/service_registry.ts";
@@ -112,6 +116,7 @@
             return result;
           }
           if (++unreached >= MAX_UNREACHED) {
+            context.sends++;
             this.#recordUnreached(result.targetId, result.outcome);
             return result;
           }
@@ -189,7 +194,10 @@
       (result.kind === "sent" && !isUnsent(result.outcome));
     if (isSent) {
       context.sends++;
-      services.recordSend(context.service, context.sends > 1);
+    }
+    if (isSent && countArrivals(context) > 1) {
+      services.recordRetry(context.service, context.heldRetry);
+      context.heldRetry = null;
     }
     if (result.kind !== "sent") {
       return;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -77,6 +77,13 @@
     labelNames: ["service"] as const,
     registers: [this.#registry],
   });
+  readonly retryClaims = new Counter({
+    name: "lentilspur_retry_claims_total",
+    help:
+      "Retries that the budget granted and that were sent, by the part that they were taken from, and requests that failed after it refused one",
+    labelNames: ["service", "decision"] as const,
+    registers: [this.#registry],
+  });
   readonly storeCalls = new Counter({
     name: "lentilspur_store_calls_total",
     help: "Calls to the store, by call and outcome",
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -17,7 +17,7 @@
 import type { LeavingTargets } from "./leaving_targets.ts";
 import type { OwnerFinder, OwnerLookup } from "./owner_finder.ts";
 import { OverdueResponses } from "./overdue_responses.ts";
-import type { RequestContext } from "./request_context.ts";
+import { countArrivals, type RequestContext } from "./request_context.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { RequestReporter } from "./request_reporter.ts";
 import { SendAbortController } from "./send_abort_controller.ts";
@@ -199,8 +199,9 @@
     const remainingMs = context.deadlineAtMs - sentAtMs;
     context.sends++;
     // The instance that forwarded a request has counted it.
-    if (context.origin === null) {
-      services.recordSend(service, context.sends > 1);
+    if (context.origin === null && countArrivals(context) > 1) {
+      services.recordRetry(service, context.heldRetry);
+      context.heldRetry = null;
     }
     const abortController = new SendAbortController(request.signal);
     const expectedMs = this.#overdue.watch(context, {
--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -301,7 +301,22 @@
     if (countRuns(context) >= context.route.maxAttempts) {
       return false;
     }
-    context.retryClaim = this.#services.claimRetry(context.service);
-    return context.retryClaim.kind === "granted";
+    const { service, heldRetry } = context;
+    if (heldRetry?.service === service) {
+      return true;
+    }
+    const claim = this.#services.claimRetry(service);
+    context.retryClaim = claim;
+    if (claim.kind === "refused") {
+      return false;
+    }
+    const held = { service, part: claim.part };
+    if (context.origin === null) {
+      context.heldRetry = held;
+    } else {
+      // The instance that forwarded the request sends the retry.
+      this.#services.recordRetry(service, held);
+    }
+    return true;
   }
 }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -1,6 +1,7 @@
 /** Holds the state of a request while the router handles it. */
 import type { Route } from "@lentilspur/ports/routing_table";
 import type { RetryClaim } from "@lentilspur/routing/retry_budget";
+import type { HeldRetry } from "./service_registry.ts";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { Admission } from "../entry/account_admission.ts";
 import type { CallerRequest, FinalResponse } from "../entry/caller_request.ts";
@@ -38,6 +39,8 @@
    * needs no budget.
    */
   retryClaim?: RetryClaim | undefined;
+  /** A granted retry that is not sent yet. */
+  heldRetry: HeldRetry | null;
   /** Whether this is the trial of a quarantined request. */
   isTrial: boolean;
   /** Whether another instance may have room that this one cannot use. */
@@ -65,12 +68,17 @@
   | { readonly kind: "again"; readonly pauseMs: number };
 
 /** Counts the sends that may have reached a target. */
-export function countRuns(
+export function countArrivals(
   { sends, unreachableSends }: RequestContext,
 ): number {
   return sends - unreachableSends;
 }
 
+/** Counts the sends that count towards `maxAttempts`. */
+export function countRuns(context: RequestContext): number {
+  return countArrivals(context);
+}
+
 export function getFingerprint(context: RequestContext): string {
   context.fingerprint ??= computeFingerprint(context.request, context.route);
   return context.fingerprint;
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -115,6 +115,9 @@
     }
     const response = await this.#run(context);
     this.#options.accounts.release(context.admission);
+    if (context.heldRetry !== null) {
+      this.#options.services.releaseRetry(context.heldRetry);
+    }
     this.#reporter.reportFinal(request, context, response);
     return response;
   }
@@ -169,6 +172,7 @@
   ): RequestContext | FinalResponse {
     const { accounts, services, observeKey } = this.#options;
     const service = services.chooseService(route);
+    services.recordRequest(service);
     const admission = accounts.admit(request.credential, service);
     if (admission.kind === "refused") {
       const { failure, message, retryAfterMs } = admission;
@@ -190,6 +194,7 @@
       excludedPeers: new Set(),
       sends: 0,
       unreachableSends: 0,
+      heldRetry: null,
       ownerMissingSinceMs: null,
       refusingOwner: null,
       mayHaveRun: false,
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -7,6 +7,7 @@
   RetryBudget,
   type RetryClaim,
   type RetryLimits,
+  type RetryPart,
 } from "@lentilspur/routing/retry_budget";
 import {
   type PlaceDecision,
@@ -39,6 +40,12 @@
   readonly hasIdleConnection: (target: RoutingTarget) => boolean;
 }
 
+/** A granted retry that is not sent yet. */
+export interface HeldRetry {
+  readonly service: string;
+  readonly part: RetryPart;
+}
+
 /** Interval at which requests are placed or refused while any are waiting. */
 const TICK_MS = 20;
 /**
@@ -142,14 +149,29 @@
     });
   }
 
-  recordSend(service: string, isRetry: boolean): void {
-    if (!isRetry) {
-      this.#getRetryBudget(service).recordFirstAttempt(
-        this.#options.clock.readMs(),
-      );
+  /** Records a request for a service, whether or not it will be sent. */
+  recordRequest(service: string): void {
+    this.#getRetryBudget(service).recordRequest(this.#options.clock.readMs());
+  }
+
+  /** Records a send beyond the first of its request. */
+  recordRetry(service: string, held: HeldRetry | null): void {
+    const nowMs = this.#options.clock.readMs();
+    if (held?.service === service) {
+      this.#getRetryBudget(service).recordRetry(held.part, nowMs);
+      return;
+    }
+    this.#getRetryBudget(service).recordUnclaimedRetry(nowMs);
+    if (held !== null) {
+      this.releaseRetry(held);
     }
   }
 
+  /** Takes back a granted retry that is not sent. */
+  releaseRetry({ service, part }: HeldRetry): void {
+    this.#getRetryBudget(service).releaseRetry(part);
+  }
+
   claimRetry(service: string): RetryClaim {
     const { clock, countInstances } = this.#options;
     return this.#getRetryBudget(service).claimRetry(
@@ -341,7 +363,7 @@
     if (budget === undefined) {
       budget = new RetryBudget(
         this.#resolveRetryLimits(service),
-        this.#options.startedAtMs,
+        this.#options,
       );
       this.#retryBudgets.set(service, budget);
     }
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -2,78 +2,161 @@
  * Retry budget of one service, shared by all instances.
  *
  * Failure: targets become slow or refuse requests, every request is retried,
- * and the load doubles when capacity is lowest. The budget is a fraction of the
- * first attempts of this instance plus its part of a fixed reserve, both over a
- * sliding window. The budgets of all instances add up to less than the
- * configured total, whatever the number of instances.
+ * and the load grows when capacity is lowest. All instances together may send
+ * `ratio` times the requests of a window plus a reserve beyond the first send
+ * of each request.
+ *
+ * The first part needs no exchange: if each instance keeps to the share that
+ * its own requests earn, all of them do. Each uses an equal part of the
+ * reserve.
+ *
+ * A process forgets what its earlier life has sent, and all processes may start
+ * again within one window. Therefore what is earned is used from a bucket that
+ * holds at most `BURST_SHARE` of a window's earnings, and a new process earns
+ * nothing for as long as that takes to fill: what an earlier life has sent
+ * beyond its earnings, the next one does without.
  */
+import type { Random } from "@lentilspur/ports/clock";
+import { SlidingCount } from "./sliding_count.ts";
 
 export interface RetryLimits {
-  /** Retries allowed per first attempt. */
+  /** Retries allowed per request. */
   readonly ratio: number;
   /** Additional retries in a window, over all instances. */
   readonly reserve: number;
   readonly windowMs: number;
 }
 
+/** Which part of the budget a retry is taken from. */
+export type RetryPart = "earned" | "reserve";
+
 /** A decision on a retry, with the figures that it was made from. */
-export interface RetryClaim {
-  readonly kind: "granted" | "refused";
-  /** Retries of this instance in the window, with this one if granted. */
-  readonly retries: number;
-  /** First attempts of this instance in the window. */
-  readonly firstAttempts: number;
-  /**
-   * Number of instances among which the reserve was divided; null if unknown.
-   */
-  readonly instances: number | null;
-}
+export type RetryClaim =
+  & (
+    | { readonly kind: "granted"; readonly part: RetryPart }
+    | { readonly kind: "refused" }
+  )
+  & {
+    /** Retries of this instance in the window, with this one if granted. */
+    readonly retries: number;
+    /** Requests for the service at this instance in the window. */
+    readonly requests: number;
+    /**
+     * Number of instances among which the reserve was divided; null if unknown.
+     */
+    readonly instances: number | null;
+  };
 
 /**
- * Each instance uses this fraction of its budget: instances count their sends
- * separately, so their sum needs a margin below the total.
+ * Used share of what is earned and of the reserve. The rest is for sends and
+ * requests that others count in another window, since they are some
+ * milliseconds on their way, and for repeats by requests that changed their
+ * service.
  */
-const BUDGET_FRACTION = 0.6;
+const EARNED_FRACTION = 0.95;
+const RESERVE_FRACTION = 0.9;
+/** Largest part of a window's earnings that may be used at once. */
+const BURST_SHARE = 0.4;
+/** Lets an instance with few requests collect a whole retry. */
+const MIN_BURST = 1;
 
 export class RetryBudget {
   #limits: RetryLimits;
   readonly #startedAtMs: number;
-  #firstAttempts: number[] = [];
-  #retries: number[] = [];
+  /**
+   * Fraction of a retry that this instance may use beyond its part. Parts are
+   * not whole numbers, and hundreds of instances that round down would leave
+   * much of the budget unused; by random fractions, their sum stays the same.
+   */
+  readonly #fraction: number;
+  readonly #requests = new SlidingCount();
+  readonly #sent = {
+    earned: new SlidingCount(),
+    reserve: new SlidingCount(),
+  };
+  /** Retries that were granted and are not sent yet. */
+  readonly #pending = { earned: 0, reserve: 0 };
+  /** Earned retries that can be used. */
+  #earnings: number;
 
   /** `startedAtMs`: when this process started. */
-  constructor(limits: RetryLimits, startedAtMs: number) {
+  constructor(
+    limits: RetryLimits,
+    { startedAtMs, random }: {
+      readonly startedAtMs: number;
+      readonly random: Random;
+    },
+  ) {
     this.#limits = limits;
     this.#startedAtMs = startedAtMs;
+    this.#fraction = random.draw();
+    this.#earnings = this.#fraction;
   }
 
-  /** Replaces the limits; sends that were counted before still count. */
+  /** Replaces the limits; what was counted before still counts. */
   setLimits(limits: RetryLimits): void {
     this.#limits = limits;
   }
 
-  recordFirstAttempt(nowMs: number): void {
-    this.#firstAttempts.push(nowMs);
+  /** Records a request for the service, whether or not it will be sent. */
+  recordRequest(nowMs: number): void {
+    const { ratio, windowMs } = this.#limits;
+    this.#requests.add(nowMs, windowMs);
+    if (nowMs - this.#startedAtMs >= BURST_SHARE * windowMs) {
+      this.#earnings += EARNED_FRACTION * ratio;
+    }
   }
 
   /** Takes one retry from the budget; `instances` share the reserve. */
   claimRetry(instances: number | null, nowMs: number): RetryClaim {
-    const oldest = nowMs - this.#limits.windowMs;
-    this.#firstAttempts = removeBefore(this.#firstAttempts, oldest);
-    this.#retries = removeBefore(this.#retries, oldest);
-    const earned = this.#limits.ratio * this.#firstAttempts.length;
-    const reserve = this.#computeReserve(instances, nowMs);
-    const isGranted =
-      this.#retries.length + 1 <= BUDGET_FRACTION * (earned + reserve);
-    if (isGranted) {
-      this.#retries.push(nowMs);
+    const { ratio, windowMs } = this.#limits;
+    const requests = this.#requests.countAtLeast(nowMs, windowMs);
+    const earned = EARNED_FRACTION * ratio * requests;
+    const reserve = RESERVE_FRACTION * this.#computeReserve(instances, nowMs);
+    const used = this.#countUsed("earned", nowMs);
+    const usedReserve = this.#countUsed("reserve", nowMs);
+    this.#earnings = Math.min(
+      this.#earnings,
+      Math.max(MIN_BURST, BURST_SHARE * earned),
+    );
+    const retries = used + usedReserve;
+    const figures = { requests, instances };
+    if (retries + 1 > earned + reserve + this.#fraction) {
+      return { kind: "refused", retries, ...figures };
+    }
+    const part = this.#earnings >= 1
+      ? "earned"
+      : usedReserve + 1 <= reserve + this.#fraction
+      ? "reserve"
+      : undefined;
+    if (part === undefined) {
+      return { kind: "refused", retries, ...figures };
     }
-    return {
-      kind: isGranted ? "granted" : "refused",
-      retries: this.#retries.length,
-      firstAttempts: this.#firstAttempts.length,
-      instances,
-    };
+    this.#pending[part]++;
+    this.#earnings -= part === "earned" ? 1 : 0;
+    return { kind: "granted", part, retries: retries + 1, ...figures };
+  }
+
+  /** Records that a granted retry is sent. */
+  recordRetry(part: RetryPart, nowMs: number): void {
+    this.#pending[part]--;
+    this.#sent[part].add(nowMs, this.#limits.windowMs);
+  }
+
+  /** Records a send beyond the first of its request that was not claimed. */
+  recordUnclaimedRetry(nowMs: number): void {
+    this.#sent.earned.add(nowMs, this.#limits.windowMs);
+  }
+
+  /** Takes back a granted retry that is not sent. */
+  releaseRetry(part: RetryPart): void {
+    this.#pending[part]--;
+    this.#earnings += part === "earned" ? 1 : 0;
+  }
+
+  #countUsed(part: RetryPart, nowMs: number): number {
+    return this.#pending[part] +
+      this.#sent[part].countAtMost(nowMs, this.#limits.windowMs);
   }
 
   /**
@@ -89,9 +172,3 @@
       : reserve / Math.max(1, instances);
   }
 }
-
-/** Times are in ascending order, so the remaining ones are a suffix. */
-function removeBefore(times: number[], oldest: number): number[] {
-  const index = times.findIndex((time) => time >= oldest);
-  return index < 0 ? [] : index === 0 ? times : times.slice(index);
-}
--- a/packages/routing/src/retry_budget_test.ts
+++ b/packages/routing/src/retry_budget_test.ts
@@ -1,54 +1,147 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RetryBudget, type RetryClaim } from "./retry_budget.ts";
+import fc from "fast-check";
+import { SeededRandom } from "@lentilspur/ports/seeded_random";
+import { countMaxInWindow } from "@lentilspur/ports/window_count";
+import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 
 const LIMITS = { ratio: 0.2, reserve: 64, windowMs: 10_000 };
+/** A process that has run for long and rounds its part down. */
+const SETTLED = { startedAtMs: -Infinity, random: { draw: () => 0 } };
+const PROPERTY_RUNS = 200;
 
-function isGranted({ kind }: RetryClaim): boolean {
-  return kind === "granted";
+/** Claims a retry and sends it at once; returns whether it was granted. */
+function sendRetry(
+  budget: RetryBudget,
+  instances: number | null,
+  nowMs: number,
+): boolean {
+  const claim = budget.claimRetry(instances, nowMs);
+  if (claim.kind === "granted") {
+    budget.recordRetry(claim.part, nowMs);
+  }
+  return claim.kind === "granted";
 }
 
-test("the retries of all instances together stay within the limit", () => {
-  // Every target refuses and a dozen instances retry every request, so the load
-  // doubles when capacity is lowest. The retries of all instances in a window
-  // must stay below the limit, whatever the number of instances.
-  for (const instances of [1, 12, 76]) {
-    const budgets = Array.from(
-      { length: instances },
-      () => new RetryBudget(LIMITS, -Infinity),
-    );
-    let retries = 0;
-    const requests = 1_200;
-    for (let index = 0; index < requests; index++) {
-      const budget = budgets[index % instances]!;
-      const nowMs = index * 8;
-      budget.recordFirstAttempt(nowMs);
-      retries += isGranted(budget.claimRetry(instances, nowMs)) ? 1 : 0;
-    }
-    assert.ok(retries <= LIMITS.ratio * requests + LIMITS.reserve);
-    assert.ok(retries > 0.05 * requests, `${retries} of ${requests}`);
+/** Sends requests at even intervals, each retried if the budget allows it. */
+function sendRetries({ instances, requests, limits }: {
+  readonly instances: number;
+  readonly requests: number;
+  readonly limits: RetryLimits;
+}): number {
+  const random = new SeededRandom(1);
+  const budgets = Array.from(
+    { length: instances },
+    () => new RetryBudget(limits, { startedAtMs: -Infinity, random }),
+  );
+  let retries = 0;
+  for (let index = 0; index < requests; index++) {
+    const budget = budgets[index % instances]!;
+    const nowMs = (index * limits.windowMs) / requests;
+    budget.recordRequest(nowMs);
+    retries += sendRetry(budget, instances, nowMs) ? 1 : 0;
   }
-});
+  return retries;
+}
+
+for (const instances of [1, 12, 76]) {
+  test(`the retries of ${instances} instances together stay within the limit and use most of it`, () => {
+    const requests = 12_000;
+    const retries = sendRetries({ instances, requests, limits: LIMITS });
+    const allowed = LIMITS.ratio * requests + LIMITS.reserve;
+    assert.ok(retries <= allowed, `${retries} retries, allowed ${allowed}`);
+    assert.ok(retries > 0.9 * allowed, `${retries} of ${allowed}`);
+  });
+}
 
 test("retries outside the window no longer count", () => {
   const budget = new RetryBudget(
     { ...LIMITS, ratio: 0, reserve: 2 },
-    -Infinity,
+    SETTLED,
+  );
+  assert.ok(sendRetry(budget, 1, 0));
+  assert.ok(!sendRetry(budget, 1, 5_000));
+  assert.ok(!sendRetry(budget, 1, 10_000));
+  assert.ok(sendRetry(budget, 1, 10_200));
+});
+
+test("a retry counts in the window in which it is sent, not in that of its claim", () => {
+  const budget = new RetryBudget(
+    { ...LIMITS, ratio: 0, reserve: 2 },
+    SETTLED,
+  );
+  const claim = budget.claimRetry(1, 0);
+  assert.ok(claim.kind === "granted");
+  assert.ok(!sendRetry(budget, 1, 20_000));
+  budget.recordRetry(claim.part, 30_000);
+  assert.ok(!sendRetry(budget, 1, 39_000));
+  assert.ok(sendRetry(budget, 1, 40_200));
+});
+
+test("a retry that is not sent can be used by another request", () => {
+  const budget = new RetryBudget(
+    { ...LIMITS, ratio: 0, reserve: 2 },
+    SETTLED,
   );
-  assert.ok(isGranted(budget.claimRetry(1, 0)));
-  assert.ok(!isGranted(budget.claimRetry(1, 5_000)));
-  assert.ok(isGranted(budget.claimRetry(1, 10_001)));
+  const claim = budget.claimRetry(1, 0);
+  assert.ok(claim.kind === "granted");
+  budget.releaseRetry(claim.part);
+  assert.ok(sendRetry(budget, 1, 1));
 });
 
 test("new limits do not reset the window", () => {
   // The settings change while the budget is used up. If counting restarted,
   // twice the limit could be retried within one window.
   const limits = { ratio: 0, reserve: 10, windowMs: 10_000 };
-  const budget = new RetryBudget(limits, -Infinity);
+  const budget = new RetryBudget(limits, SETTLED);
   const count = () =>
-    Array.from({ length: 20 }, () => budget.claimRetry(1, 0))
-      .filter(isGranted).length;
-  assert.equal(count(), 6);
+    Array.from({ length: 20 }, () => sendRetry(budget, 1, 0))
+      .filter((isGranted) => isGranted).length;
+  assert.equal(count(), 9);
   budget.setLimits({ ...limits, ratio: 0.1 });
   assert.equal(count(), 0);
 });
+
+/** Arrival of requests in each tenth of a second, and restarts of a process. */
+const steps = fc.array(
+  fc.oneof(
+    { weight: 20, arbitrary: fc.integer({ min: 0, max: 30 }) },
+    { weight: 1, arbitrary: fc.constant("restart" as const) },
+  ),
+  { minLength: 100, maxLength: 400 },
+);
+
+test("a process that restarts at any time keeps the budget of its requests", () => {
+  // The load is even, as that of all instances together is: a window before a
+  // restart has earned what the one after it may not use again.
+  fc.assert(
+    fc.property(steps, fc.integer({ min: 5, max: 40 }), (demands, load) => {
+      const limits = { ...LIMITS, reserve: 0 };
+      const sentMs: number[] = [];
+      let budget = new RetryBudget(limits, SETTLED);
+      for (const [index, demand] of demands.entries()) {
+        const nowMs = index * 100;
+        if (demand === "restart") {
+          budget = new RetryBudget(limits, {
+            ...SETTLED,
+            startedAtMs: nowMs,
+          });
+          continue;
+        }
+        for (let count = 0; count < load; count++) {
+          budget.recordRequest(nowMs);
+        }
+        for (let count = 0; count < demand; count++) {
+          if (sendRetry(budget, null, nowMs)) {
+            sentMs.push(nowMs);
+          }
+        }
+      }
+      const requests = load * LIMITS.windowMs / 100;
+      const most = countMaxInWindow(sentMs, LIMITS.windowMs);
+      const allowed = LIMITS.ratio * requests + 1;
+      assert.ok(most <= allowed, `${most} retries, allowed ${allowed}`);
+    }),
+    { numRuns: PROPERTY_RUNS, seed: 1 },
+  );
+});
