feat(gateway): send a refused request to the owner of its key again

Cause: a request that its owner turned away without running it was sent there again at once or not at all, and the refusal counted as one of the targets of `maxAttempts`. Targets that turn away half of their requests at random would take the next send as often as any other.

Change: sends that were refused without running do not count towards `maxAttempts`; a request has five sends at most. The owner of a key is asked again after 30, 60, 120 ms (with jitter) while the deadline leaves room; an owner that reports no free place once, after one usual processing time; one that asks for a pause as before. A request without other targets is not sent again.

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -115,6 +115,7 @@
       excludedPeers: new Set(),
       sends: forwarded.sends,
       unreachableSends: 0,
+      refusedSends: 0,
       heldRetry: null,
       ownerMissingSinceMs: null,
       refusingOwner: forwarded.refusingOwner,
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -412,6 +412,7 @@
   #createRouter(): RequestRouter {
     return new RequestRouter({
       clock: this.#options.clock,
+      random: new SeededRandom(randomInt(MAX_SEED)),
       catalogue: this.#catalogue,
       directory: this.#directory,
       services: this.#services,
--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -3,10 +3,11 @@
  * again or failed. A request is sent again only on proof that it has not run,
  * or if its route is idempotent.
  */
-import type { Clock } from "@lentilspur/ports/clock";
+import type { Clock, Random } from "@lentilspur/ports/clock";
 import { isUnsent, type SendOutcome } from "@lentilspur/ports/request_sender";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
+import { computeRepeatPauseMs } from "@lentilspur/routing/owner_repeat";
 import type { SuspectDecision } from "@lentilspur/routing/crash_suspects";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
 import type { FinalResponse } from "../entry/caller_request.ts";
@@ -14,12 +15,13 @@
 import {
   type AttemptResult,
   computeRetryAfterMs,
+  countArrivals,
   countRuns,
   createFailure,
   type RequestContext,
   setRefusal,
 } from "./request_context.ts";
-import { computeLatestFirstStart } from "./latest_start.ts";
+import { computeLatestFirstStart, computeLatestStart } from "./latest_start.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
 
 /** Delay after which the caller of a refused request may retry. */
@@ -28,6 +30,9 @@
 /** The same if no path to a target works; lost paths are probed as often. */
 const NO_PATH_RETRY_MS = 250;
 
+/** Sends of one request that may reach targets, refused ones included. */
+const MAX_SENDS = 5;
+
 /** The end of one send. */
 export interface SendResult {
   /** Undefined if another instance sent the request and was lost. */
@@ -39,17 +44,20 @@
 
 export interface OutcomeHandlerOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly services: ServiceRegistry;
   readonly catalogue: Catalogue;
 }
 
 export class OutcomeHandler {
   readonly #clock: Clock;
+  readonly #random: Random;
   readonly #services: ServiceRegistry;
   readonly #catalogue: Catalogue;
 
-  constructor({ clock, services, catalogue }: OutcomeHandlerOptions) {
+  constructor({ clock, random, services, catalogue }: OutcomeHandlerOptions) {
     this.#clock = clock;
+    this.#random = random;
     this.#services = services;
     this.#catalogue = catalogue;
   }
@@ -80,6 +88,7 @@
     const backoffMs = token === undefined ? 0 : outcome.backoffMs ?? 0;
     const isUnreachable = isUnsent(outcome);
     context.unreachableSends += isUnreachable ? 1 : 0;
+    context.refusedSends += isUnreachable ? 0 : 1;
     setRefusal(
       context,
       isUnreachable ? "target-unreachable" : "target-refused",
@@ -97,10 +106,52 @@
     // A request that could not be sent adds no load, so it needs no retry
     // budget and does not count towards the route's `maxAttempts`.
     context.retryClaim = undefined;
-    if (!isUnreachable && !this.claimRetry(context)) {
-      return { kind: "done", response: this.createFinalFailure(context) };
+    if (isUnreachable) {
+      return { kind: "again", pauseMs: 0 };
     }
-    return { kind: "again", pauseMs: 0 };
+    const pauseMs = token === undefined
+      ? this.#findOtherTargetPauseMs(context)
+      : backoffMs > 0
+      ? 0
+      : this.#computeOwnerPauseMs(context, { target, outcome });
+    return pauseMs !== undefined && this.claimRetry(context)
+      ? { kind: "again", pauseMs }
+      : { kind: "done", response: this.createFinalFailure(context) };
+  }
+
+  /** A request that any target may run is sent to another one, if there is one. */
+  #findOtherTargetPauseMs(
+    { service, excludedTargets }: RequestContext,
+  ): number | undefined {
+    return this.#services.hasOtherTarget(service, excludedTargets)
+      ? 0
+      : undefined;
+  }
+
+  /**
+   * Computes the pause before a request is sent again to the owner of its key.
+   * Undefined if that is no use, or the request could not end in time.
+   */
+  #computeOwnerPauseMs(
+    context: RequestContext,
+    { target, outcome }: {
+      readonly target: Pick<RoutingTarget, "id"> | undefined;
+      readonly outcome: SendOutcome & { readonly kind: "not-run" };
+    },
+  ): number | undefined {
+    const places = target === undefined
+      ? undefined
+      : this.#catalogue.getTarget(target.id)?.places;
+    const serviceMs = this.#services.getAverageServiceMs(context.service) ?? 0;
+    const pauseMs = computeRepeatPauseMs({
+      refusals: context.refusedSends,
+      isFull: (outcome.load?.running ?? 0) >= (places ?? Infinity),
+      serviceMs,
+    }, this.#random);
+    const startMs = this.#clock.readMs() + (pauseMs ?? 0);
+    return startMs < computeLatestStart(context, serviceMs)
+      ? pauseMs
+      : undefined;
   }
 
   /**
@@ -128,7 +179,8 @@
       message: `Target "${target.id}" does not hold the key`,
       retryAfterMs: REFUSED_RETRY_MS,
     });
-    if (countRuns(context) >= context.route.maxAttempts) {
+    context.refusedSends++;
+    if (!maySendAgain(context)) {
       return { kind: "done", response: this.createFinalFailure(context) };
     }
     context.refusingOwner = { targetId: target.id, token };
@@ -298,10 +350,10 @@
 
   /** Takes a retry from the budget, if the route and the budget allow it. */
   claimRetry(context: RequestContext): boolean {
-    if (countRuns(context) >= context.route.maxAttempts) {
+    const { service, heldRetry } = context;
+    if (!maySendAgain(context)) {
       return false;
     }
-    const { service, heldRetry } = context;
     if (heldRetry?.service === service) {
       return true;
     }
@@ -320,3 +372,9 @@
     return true;
   }
 }
+
+/** Whether the route and the number of sends allow a further one. */
+function maySendAgain(context: RequestContext): boolean {
+  return countRuns(context) < context.route.maxAttempts &&
+    countArrivals(context) < MAX_SENDS;
+}
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -28,6 +28,8 @@
   sends: number;
   /** Number of sends of which nothing left this instance. */
   unreachableSends: number;
+  /** Number of sends that reached a target which proved not to run them. */
+  refusedSends: number;
   /** Since when the key has had no usable owner; null if it has one. */
   ownerMissingSinceMs: number | null;
   /** The owner that refused the last send because it does not hold the key. */
@@ -74,9 +76,9 @@
   return sends - unreachableSends;
 }
 
-/** Counts the sends that count towards `maxAttempts`. */
+/** Counts the sends that a target may have run, and those under way. */
 export function countRuns(context: RequestContext): number {
-  return countArrivals(context);
+  return countArrivals(context) - context.refusedSends;
 }
 
 export function getFingerprint(context: RequestContext): string {
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -8,6 +8,7 @@
  * configuration has changed, so that a request that waited is never sent by an
  * outdated configuration.
  */
+import type { Random } from "@lentilspur/ports/clock";
 import type { Route } from "@lentilspur/ports/routing_table";
 import type { MatchedRoute } from "@lentilspur/routing/route_index";
 import type { AccountAdmission } from "../entry/account_admission.ts";
@@ -41,6 +42,7 @@
 import { type RequestEvent, RequestReporter } from "./request_reporter.ts";
 
 export interface RequestRouterOptions extends AttemptRunnerOptions {
+  readonly random: Random;
   readonly directory: KeyDirectory;
   readonly accounts: AccountAdmission;
   readonly forwarder: RequestForwarder;
@@ -194,6 +196,7 @@
       excludedPeers: new Set(),
       sends: 0,
       unreachableSends: 0,
+      refusedSends: 0,
       heldRetry: null,
       ownerMissingSinceMs: null,
       refusingOwner: null,
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -161,6 +161,7 @@
     });
     this.#router = new RequestRouter({
       clock: this.clock,
+      random: new SeededRandom(4),
       catalogue: this.catalogue,
       directory: this.directory,
       services,
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -406,6 +406,7 @@
     void this.#runPathMonitor(name, paths);
     const router = new RequestRouter({
       clock,
+      random: new SeededRandom(5),
       catalogue,
       directory,
       services,
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -180,6 +180,13 @@
     );
   }
 
+  /** Whether a target that takes new work is not among the excluded ones. */
+  hasOtherTarget(service: string, excluded: ReadonlySet<string>): boolean {
+    return this.#getPlaces(service).listLoads().some(({ target }) =>
+      !target.leaving && !excluded.has(target.id)
+    );
+  }
+
   /** Whether a target has asked this instance for a pause that lasts still. */
   isBackedOff(service: string, targetId: string): boolean {
     const load = this.#getPlaces(service).getLoad(targetId);
