--- a/packages/cli/src/setting_table.ts
+++ b/packages/cli/src/setting_table.ts
@@ -115,7 +115,7 @@
   retryRatio: {
     schema: createRatioSchema({ min: 0, max: 1 }),
     description:
-      "Retries as a share of first attempts, for services without a ratio of their own",
+      "Retries as a share of requests, for services without a ratio of their own",
     fallback: "0.1",
   },
   retryReserve: {
--- a/packages/declarations/src/template.ts
+++ b/packages/declarations/src/template.ts
@@ -41,7 +41,7 @@
 }
 
 export interface RetryPolicy {
-  /** Retries as a share of first attempts, 0 to 1. */
+  /** Retries as a share of requests, 0 to 1. */
   readonly budgetRatio: number;
   readonly maxAttempts: number;
 }
