--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -1,6 +1,7 @@
 /** Holds the state of a request while the router handles it. */
 import type { Route } from "@lentilspur/ports/routing_table";
 import type { RetryClaim } from "@lentilspur/routing/retry_budget";
+import type { HeldRetry } from "./service_registry.ts";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { Admission } from "../entry/account_admission.ts";
 import type { CallerRequest, FinalResponse } from "../entry/caller_request.ts";
@@ -27,6 +28,8 @@
   sends: number;
   /** Number of sends of which nothing left this instance. */
   unreachableSends: number;
+  /** Number of sends that reached a target which proved not to run them. */
+  refusedSends: number;
   /** Since when the key has had no usable owner; null if it has one. */
   ownerMissingSinceMs: number | null;
   /** The owner that refused the last send because it does not hold the key. */
@@ -38,6 +41,8 @@
    * needs no budget.
    */
   retryClaim?: RetryClaim | undefined;
+  /** A granted retry that is not sent yet. */
+  heldRetry: HeldRetry | null;
   /** Whether this is the trial of a quarantined request. */
   isTrial: boolean;
   /** Whether another instance may have room that this one cannot use. */
@@ -65,12 +70,17 @@
   | { readonly kind: "again"; readonly pauseMs: number };
 
 /** Counts the sends that may have reached a target. */
-export function countRuns(
+export function countArrivals(
   { sends, unreachableSends }: RequestContext,
 ): number {
   return sends - unreachableSends;
 }
 
+/** Counts the sends that a target may have run, and those under way. */
+export function countRuns(context: RequestContext): number {
+  return countArrivals(context) - context.refusedSends;
+}
+
 export function getFingerprint(context: RequestContext): string {
   context.fingerprint ??= computeFingerprint(context.request, context.route);
   return context.fingerprint;
