feat(ownership): take a target's speed as the median over the instances

Cause: the keeper averaged reports of all instances. Change: the median of the latest 15 instances' reports, none older than 10 s.

--- a/packages/gateway/src/keeper/key_traffic.ts
+++ b/packages/gateway/src/keeper/key_traffic.ts
@@ -9,6 +9,7 @@
 import type { OwnerCandidate } from "@lentilspur/ownership/owner_load";
 import type { ServiceSnapshot } from "@lentilspur/ownership/table_planner";
 import { KeyLoad } from "@lentilspur/ownership/key_load";
+import { OwnerSpeeds } from "@lentilspur/ownership/owner_speeds";
 import type { Catalogue } from "../views/catalogue.ts";
 import type { KeeperService } from "./keeper_service.ts";
 import { RequestedKeys } from "./requested_keys.ts";
@@ -37,13 +38,6 @@
  * too long: the datagram was not sent, and the keeper had no service times.
  */
 const SERVICE_TIMES_PER_REPORT = 10;
-/**
- * Weight of a new report in the moving average of a service time. Service times
- * are reported in rotation, so with 100 targets, each of a dozen instances
- * reports one target about twice in 4 s. Averaging over several reports evens
- * out single measurements.
- */
-const REPORT_WEIGHT = 0.3;
 /** Service time before the first measurement; about that of a read request. */
 const DEFAULT_SERVICE_MS = 100;
 
@@ -51,7 +45,7 @@
   readonly #options: KeyTrafficOptions;
   readonly #requestedKeys = new RequestedKeys();
   readonly #keyLoads = new Map<string, KeyLoad>();
-  readonly #serviceMs = new Map<string, number>();
+  readonly #ownerSpeeds = new OwnerSpeeds();
   /** Index of the next service time to report, by service. */
   readonly #nextServiceTimeIndex = new Map<string, number>();
 
@@ -76,14 +70,14 @@
     const nowMs = this.#options.clock.readMs();
     this.#getKeyLoad(message.service).observe(message.keys, nowMs);
     for (const [id, ms] of Object.entries(message.serviceMs)) {
-      const previousMs = this.#serviceMs.get(id) ?? ms;
-      this.#serviceMs.set(id, previousMs + REPORT_WEIGHT * (ms - previousMs));
+      this.#ownerSpeeds.record(id, message.from, ms, nowMs);
     }
   }
 
   /** What a keeper of this partition needs to know for its plans. */
   listServiceSnapshots(part: number): readonly ServiceSnapshot[] {
     const nowMs = this.#options.clock.readMs();
+    this.#ownerSpeeds.expire(nowMs);
     const snapshots: ServiceSnapshot[] = [];
     for (
       const service
@@ -102,14 +96,18 @@
         .filter((target) =>
           !target.leaving && !catalogue.isEvacuated(target.dataCentre)
         )
-        .map((target) => this.#createCandidate(target, averageMs));
+        .map((target) => this.#createCandidate(target, averageMs, nowMs));
       const rates = this.#getKeyLoad(service.name).listRates(nowMs);
       snapshots.push({ service: service.name, candidates, rates });
     }
     return snapshots;
   }
 
-  #createCandidate(target: RoutingTarget, averageMs: number): OwnerCandidate {
+  #createCandidate(
+    target: RoutingTarget,
+    averageMs: number,
+    nowMs: number,
+  ): OwnerCandidate {
     const { id, address, bornMs, places } = target;
     const limitPerSecond = this.#options.rateLimiter.getLimitPerSecond(target);
     return {
@@ -117,7 +115,7 @@
       address,
       ...(bornMs === undefined ? {} : { bornMs }),
       places,
-      serviceMs: this.#serviceMs.get(id) ?? averageMs,
+      serviceMs: this.#ownerSpeeds.getServiceMs(id, nowMs) ?? averageMs,
       ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
     };
   }
--- /dev/null
+++ b/packages/ownership/src/owner_speeds.ts
@@ -0,0 +1,65 @@
+/**
+ * Estimates the service time of each target from what all instances measured.
+ *
+ * Load pattern: a fifth of the targets is three times slower, each time others
+ * for 400 ms. An instance that sends a target one request every other second
+ * needs 10 s for an average over a dozen responses, and until then a single
+ * slow response makes the target look slow. Keys that follow such an estimate
+ * move back and forth. The median over the instances does not change with the
+ * few that have just seen a slow response; a target that stays slow soon shows
+ * in most of them.
+ */
+
+/** Latest reports of a target that count, each from another instance. */
+const MAX_REPORTS = 15;
+/** Older reports do not count: the target may have changed since. */
+const MAX_AGE_MS = 10_000;
+
+interface SpeedReport {
+  readonly serviceMs: number;
+  readonly atMs: number;
+}
+
+export class OwnerSpeeds {
+  /** By target, then by instance, in the order of the reports. */
+  readonly #reports = new Map<string, Map<string, SpeedReport>>();
+
+  record(
+    targetId: string,
+    instance: string,
+    serviceMs: number,
+    atMs: number,
+  ): void {
+    const reports = this.#reports.get(targetId) ?? new Map();
+    this.#reports.set(targetId, reports);
+    reports.delete(instance);
+    reports.set(instance, { serviceMs, atMs });
+    if (reports.size > MAX_REPORTS) {
+      const [oldest] = reports.keys();
+      reports.delete(oldest!);
+    }
+  }
+
+  /** Median of the latest reports; undefined if there are none. */
+  getServiceMs(targetId: string, nowMs: number): number | undefined {
+    const recent = [...this.#reports.get(targetId)?.values() ?? []]
+      .filter(({ atMs }) => nowMs - atMs < MAX_AGE_MS)
+      .map(({ serviceMs }) => serviceMs)
+      .sort((left, right) => left - right);
+    const middle = (recent.length - 1) / 2;
+    return recent.length === 0
+      ? undefined
+      : (recent[Math.floor(middle)]! + recent[Math.ceil(middle)]!) / 2;
+  }
+
+  /** Removes targets without recent reports. */
+  expire(nowMs: number): void {
+    for (const [targetId, reports] of this.#reports) {
+      const isRecent = [...reports.values()]
+        .some(({ atMs }) => nowMs - atMs < MAX_AGE_MS);
+      if (!isRecent) {
+        this.#reports.delete(targetId);
+      }
+    }
+  }
+}
