feat(ownership): log why keys move; a new target keeps the average speed at first

Cause: a plan's line gave the number of changes only; and the first slow response of a new target took its keys away again. Change: each planned move has a reason, keeper-planned counts the keys by it (movedKeys); a target with fewer than five reports counts the missing ones as the service's average.

--- a/packages/gateway/src/keeper/key_traffic.ts
+++ b/packages/gateway/src/keeper/key_traffic.ts
@@ -115,7 +115,7 @@
       address,
       ...(bornMs === undefined ? {} : { bornMs }),
       places,
-      serviceMs: this.#ownerSpeeds.getServiceMs(id, nowMs) ?? averageMs,
+      serviceMs: this.#ownerSpeeds.estimateServiceMs(id, averageMs, nowMs),
       ...(limitPerSecond === undefined ? {} : { limitPerSecond }),
     };
   }
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -46,7 +46,12 @@
   type OrderReport,
   TableReconciler,
 } from "./table_reconciler.ts";
-import { type ServiceSnapshot, TablePlanner } from "./table_planner.ts";
+import type { MovedKeys } from "./planned_move.ts";
+import {
+  type PlannedTable,
+  type ServiceSnapshot,
+  TablePlanner,
+} from "./table_planner.ts";
 
 /**
  * State of the previous keeper. `none`: there was none. `resigned`: it has
@@ -77,6 +82,8 @@
     readonly service: string;
     readonly token: number;
     readonly changes: number;
+    /** Number of keys that change owners, by reason. */
+    readonly movedKeys: MovedKeys;
     readonly ranges: number;
   }
   | {
@@ -570,7 +577,7 @@
         rebalance: this.#hasFastMoves(),
       });
       if (plan !== undefined) {
-        await this.#writeTable(service, plan.table, plan.changes);
+        await this.#writeTable(service, plan);
       }
     }
   }
@@ -585,8 +592,7 @@
 
   async #writeTable(
     service: string,
-    next: KeyTable,
-    changes: number,
+    { table: next, changes, movedKeys }: PlannedTable,
   ): Promise<void> {
     const token = this.#endOffset;
     if (await this.#appendTable(service, next)) {
@@ -595,6 +601,7 @@
         service,
         token,
         changes,
+        movedKeys,
         ranges: next.ranges.length,
       });
     }
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -15,7 +15,6 @@
   isSameEndpoint,
   type KeyTable,
   type OwnedRange,
-  type Reassignment,
 } from "./key_table.ts";
 import { planMerges } from "./merge_plan.ts";
 import { planOrphans } from "./orphan_plan.ts";
@@ -43,6 +42,7 @@
   createWeightedCandidates,
   MIN_WEIGHTED_PLACES,
 } from "./weighted_capacity.ts";
+import type { MoveReason, PlannedMove } from "./planned_move.ts";
 
 /** Share of a target with one place that should be free on average. */
 const SINGLE_PLACE_HEADROOM = 0.57;
@@ -102,7 +102,7 @@
   targets: readonly OwnerCandidate[],
   rates: readonly KeyRate[],
   { rebalance }: PlanOptions = { rebalance: true },
-): readonly Reassignment[] {
+): readonly PlannedMove[] {
   if (targets.length === 0) {
     return [];
   }
@@ -145,7 +145,7 @@
 function planEvenDistribution(
   table: KeyTable,
   candidates: readonly OwnerCandidate[],
-): readonly Reassignment[] {
+): readonly PlannedMove[] {
   return createKeyTable(candidates, 0).ranges
     .filter((assigned) =>
       table.ranges.some((range) =>
@@ -153,15 +153,20 @@
         !isSameEndpoint(range.owner, assigned.owner)
       )
     )
-    .map(({ from, to, owner }) => ({ from, to, owner }));
+    .map(({ from, to, owner }) => ({
+      from,
+      to,
+      owner,
+      reason: "undistributed",
+    }));
 }
 
 function planBalance(
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rateIndexes: KeyRateIndexes,
   hasTooManyRanges: boolean,
-): readonly Reassignment[] {
-  const changes: Reassignment[] = [];
+): readonly PlannedMove[] {
+  const changes: PlannedMove[] = [];
   const maxMoves = Math.max(DEFAULT_MAX_MOVES, ownerLoads.size);
   while (changes.length < maxMoves) {
     const change = planOneMove(ownerLoads, rateIndexes, hasTooManyRanges);
@@ -177,7 +182,7 @@
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rateIndexes: KeyRateIndexes,
   hasTooManyRanges: boolean,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const average = computeAverageUtilization(ownerLoads);
   const sources = [...ownerLoads.values()]
     .filter((ownerLoad) => isOverloaded(ownerLoad, average))
@@ -218,7 +223,7 @@
  */
 function planHotKey(
   { source, ownerLoads, rateIndexes }: ReliefOptions,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const rates = chooseRates(source, rateIndexes);
   const hot = findHottest(source, rates);
   if (
@@ -240,6 +245,7 @@
     source,
     destination,
     keys: { from: key, to: key, perSecond },
+    reason: "hot-key",
   });
 }
 
@@ -278,7 +284,7 @@
 
 function planRelief(
   { source, ownerLoads, rateIndexes, average, hasTooManyRanges }: ReliefOptions,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const destination = chooseLeastUtilized(ownerLoads);
   if (source === destination) {
     return undefined;
@@ -299,6 +305,7 @@
     wantedRate,
     rates,
     hasTooManyRanges,
+    reason: source.isHotspot ? "hot-range" : "overload",
   });
 }
 
@@ -309,7 +316,7 @@
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rates: KeyRateIndex,
   average: number,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const destination = [...ownerLoads.values()]
     .find((ownerLoad) => ownerLoad.ranges.length === 0);
   const source = [...ownerLoads.values()]
@@ -326,6 +333,7 @@
     wantedRate,
     rates,
     hasTooManyRanges: false,
+    reason: "new-target",
   });
 }
 
@@ -336,14 +344,15 @@
   readonly wantedRate: number;
   readonly rates: KeyRateIndex;
   readonly hasTooManyRanges: boolean;
+  readonly reason: MoveReason;
 }
 
-function moveSubrange(options: SubrangeOptions): Reassignment | undefined {
-  const { source, destination } = options;
+function moveSubrange(options: SubrangeOptions): PlannedMove | undefined {
+  const { source, destination, reason } = options;
   const keys = findNarrowestSufficient(options) ?? findBusiestRange(options);
   return keys === undefined
     ? undefined
-    : moveKeys({ source, destination, keys });
+    : moveKeys({ source, destination, keys, reason });
 }
 
 /**
--- a/packages/ownership/src/merge_plan.ts
+++ b/packages/ownership/src/merge_plan.ts
@@ -6,7 +6,7 @@
  * `renewIntervalMs`. After the hotspot these ranges carry next to no requests,
  * but would cost their renewals forever.
  */
-import type { KeyTable, OwnedRange, Reassignment } from "./key_table.ts";
+import type { KeyTable, OwnedRange } from "./key_table.ts";
 import {
   computeAverageUtilization,
   computeCapacity,
@@ -14,6 +14,7 @@
   moveKeys,
   type OwnerLoad,
 } from "./owner_load.ts";
+import type { PlannedMove } from "./planned_move.ts";
 
 /**
  * Maximum number of merges in one plan. It is low, since a move of busy keys
@@ -31,9 +32,9 @@
   table: KeyTable,
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rateIndexes: KeyRateIndexes,
-): readonly Reassignment[] {
+): readonly PlannedMove[] {
   const average = computeAverageUtilization(ownerLoads);
-  const changes: Reassignment[] = [];
+  const changes: PlannedMove[] = [];
   let previous: OwnedRange | undefined;
   for (const range of table.ranges) {
     const source = ownerLoads.get(range.owner.id);
@@ -46,7 +47,12 @@
       const { from, to } = range;
       const perSecond = rateIndexes.longTerm.computeSum(from, to);
       changes.push(
-        moveKeys({ source, destination, keys: { from, to, perSecond } }),
+        moveKeys({
+          source,
+          destination,
+          keys: { from, to, perSecond },
+          reason: "merge",
+        }),
       );
     }
     if (changes.length === MAX_MERGES) {
--- a/packages/ownership/src/orphan_plan.ts
+++ b/packages/ownership/src/orphan_plan.ts
@@ -1,10 +1,5 @@
 /** Plans new owners for keys whose owner is gone or leaving. */
-import {
-  isSameEndpoint,
-  type KeyTable,
-  type OwnedRange,
-  type Reassignment,
-} from "./key_table.ts";
+import { isSameEndpoint, type KeyTable, type OwnedRange } from "./key_table.ts";
 import {
   chooseLeastUtilized,
   computeCapacity,
@@ -12,6 +7,7 @@
   type OwnerLoad,
 } from "./owner_load.ts";
 import type { KeyRateIndex } from "./key_rate_index.ts";
+import type { PlannedMove } from "./planned_move.ts";
 
 /**
  * Moves each piece of a range without a usable owner to the target with the
@@ -21,8 +17,8 @@
   table: KeyTable,
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rates: KeyRateIndex,
-): readonly Reassignment[] {
-  const changes: Reassignment[] = [];
+): readonly PlannedMove[] {
+  const changes: PlannedMove[] = [];
   for (const range of table.ranges) {
     const owner = ownerLoads.get(range.owner.id)?.candidate;
     // A target that restarted at another address does not hold its former keys.
@@ -41,6 +37,7 @@
         from: piece.from,
         to: piece.to,
         owner: destination.candidate,
+        reason: "orphan",
       });
     }
   }
--- a/packages/ownership/src/owner_load.ts
+++ b/packages/ownership/src/owner_load.ts
@@ -13,10 +13,10 @@
   isSameEndpoint,
   type KeyTable,
   type OwnedRange,
-  type Reassignment,
 } from "./key_table.ts";
 import { KeyRateIndex } from "./key_rate_index.ts";
 import type { Subrange } from "./subrange_selection.ts";
+import type { MoveReason, PlannedMove } from "./planned_move.ts";
 
 /** A target that may own keys, and what determines its capacity. */
 export interface OwnerCandidate extends Assignee {
@@ -182,11 +182,12 @@
  * Applies a move to both owners at once, so that the next move of the same plan
  * takes it into account.
  */
-export function moveKeys({ source, destination, keys }: {
+export function moveKeys({ source, destination, keys, reason }: {
   readonly source: OwnerLoad;
   readonly destination: OwnerLoad;
   readonly keys: Subrange;
-}): Reassignment {
+  readonly reason: MoveReason;
+}): PlannedMove {
   const { from, to } = keys;
   source.utilization -= computeUtilization(source.candidate, keys.perSecond);
   source.utilizationLowerBound -= computeUtilization(
@@ -210,5 +211,5 @@
     // Marks the range as in transfer: a plan does not move a key twice.
     former: [{ ...source.candidate, token: 0 }],
   });
-  return { from, to, owner: destination.candidate };
+  return { from, to, owner: destination.candidate, reason };
 }
--- a/packages/ownership/src/owner_simulation.ts
+++ b/packages/ownership/src/owner_simulation.ts
@@ -351,8 +351,8 @@
       }
     }
     return targets.map(({ id, places }) => {
-      const serviceMs = this.#speeds.getServiceMs(id, nowMs) ??
-        this.#options.workMs;
+      const serviceMs = this.#speeds
+        .estimateServiceMs(id, this.#options.workMs, nowMs);
       return { id, address: `${id}:80`, places, serviceMs };
     });
   }
--- a/packages/ownership/src/owner_speeds.ts
+++ b/packages/ownership/src/owner_speeds.ts
@@ -12,6 +12,11 @@
 
 /** Latest reports of a target that count, each from another instance. */
 const MAX_REPORTS = 15;
+/**
+ * Missing reports count as the service's average: otherwise the first slow
+ * response of a new target would take its keys away again.
+ */
+const MIN_REPORTS = 5;
 /** Older reports do not count: the target may have changed since. */
 const MAX_AGE_MS = 10_000;
 
@@ -40,16 +45,22 @@
     }
   }
 
-  /** Median of the latest reports; undefined if there are none. */
-  getServiceMs(targetId: string, nowMs: number): number | undefined {
-    const recent = [...this.#reports.get(targetId)?.values() ?? []]
+  /** Median of the latest reports. */
+  estimateServiceMs(
+    targetId: string,
+    averageMs: number,
+    nowMs: number,
+  ): number {
+    const serviceTimes = [...this.#reports.get(targetId)?.values() ?? []]
       .filter(({ atMs }) => nowMs - atMs < MAX_AGE_MS)
-      .map(({ serviceMs }) => serviceMs)
-      .sort((left, right) => left - right);
-    const middle = (recent.length - 1) / 2;
-    return recent.length === 0
-      ? undefined
-      : (recent[Math.floor(middle)]! + recent[Math.ceil(middle)]!) / 2;
+      .map(({ serviceMs }) => serviceMs);
+    while (serviceTimes.length < MIN_REPORTS) {
+      serviceTimes.push(averageMs);
+    }
+    serviceTimes.sort((left, right) => left - right);
+    const middle = (serviceTimes.length - 1) / 2;
+    return (serviceTimes[Math.floor(middle)]! +
+      serviceTimes[Math.ceil(middle)]!) / 2;
   }
 
   /** Removes targets without recent reports. */
--- a/packages/ownership/src/table_planner.ts
+++ b/packages/ownership/src/table_planner.ts
@@ -16,6 +16,7 @@
   settleRanges,
 } from "./key_table.ts";
 import type { OwnerCandidate } from "./owner_load.ts";
+import { countMovedKeys, type MovedKeys } from "./planned_move.ts";
 import type { TableReconciler } from "./table_reconciler.ts";
 
 /** State of a service that its next table is planned from. */
@@ -42,6 +43,8 @@
   readonly table: KeyTable;
   /** Number of reassignments, or number of owners in the first table. */
   readonly changes: number;
+  /** Number of keys that change owners, by reason. */
+  readonly movedKeys: MovedKeys;
 }
 
 /**
@@ -74,6 +77,7 @@
         : {
           table: createKeyTable(candidates, token),
           changes: candidates.length,
+          movedKeys: {},
         };
     }
     // Some moves may have completed since the table was recorded.
@@ -88,6 +92,7 @@
     return changes.length === 0 && reissued === table ? undefined : {
       table: applyReassignments(reissued, changes, token),
       changes: changes.length,
+      movedKeys: countMovedKeys(changes),
     };
   }
 
