feat(ownership): estimate a hotspot's load at its new owners; low quantile of speeds

Cause: a lower bound of each small part of a hotspot let one target after the other take more than it can serve, and the next plans moved it on. Slow moments and queueing only ever add to a measured service time. Change: with three places and more, an owner's load by a certain hotspot is the recent rate less half a deviation; a target's speed is the 0.35 quantile of the reports, not the median.

--- a/packages/ownership/src/owner_load.ts
+++ b/packages/ownership/src/owner_load.ts
@@ -16,6 +16,7 @@
 } from "./key_table.ts";
 import { KeyRateIndex } from "./key_rate_index.ts";
 import type { Subrange } from "./subrange_selection.ts";
+import { MIN_WEIGHTED_PLACES } from "./weighted_capacity.ts";
 import type { MoveReason, PlannedMove } from "./planned_move.ts";
 
 /** A target that may own keys, and what determines its capacity. */
@@ -32,6 +33,12 @@
  * receives 20 requests in a quiet second, plus or minus 4.
  */
 const RECENT_DEVIATIONS = 1.5;
+/**
+ * The same where a hotspot is certain: what it brings an owner is estimated,
+ * since a lower bound of each small part of it would let one target after the
+ * other take more than it can serve.
+ */
+const HOTSPOT_DEVIATIONS = 0.5;
 /** The same for the long-term rate. */
 const LONG_TERM_DEVIATIONS = 0.7;
 /**
@@ -90,6 +97,14 @@
     RECENT_TIME_CONSTANT_MS,
     RECENT_DEVIATIONS,
   );
+  const isHotspot = recentLowerBound > longTerm;
+  const recentEstimate = isHotspot && candidate.places >= MIN_WEIGHTED_PLACES
+    ? estimateRateLowerBound(
+      recent,
+      RECENT_TIME_CONSTANT_MS,
+      HOTSPOT_DEVIATIONS,
+    )
+    : recentLowerBound;
   const longTermLowerBound = estimateRateLowerBound(
     longTerm,
     LONG_TERM_TIME_CONSTANT_MS,
@@ -99,13 +114,13 @@
     candidate,
     utilization: computeUtilization(
       candidate,
-      Math.max(longTerm, recentLowerBound),
+      Math.max(longTerm, recentEstimate),
     ),
     utilizationLowerBound: computeUtilization(
       candidate,
       Math.max(longTermLowerBound, recentLowerBound),
     ),
-    isHotspot: recentLowerBound > longTerm,
+    isHotspot,
     ranges,
   };
 }
--- a/packages/ownership/src/owner_speeds.ts
+++ b/packages/ownership/src/owner_speeds.ts
@@ -5,9 +5,9 @@
  * for 400 ms. An instance that sends a target one request every other second
  * needs 10 s for an average over a dozen responses, and until then a single
  * slow response makes the target look slow. Keys that follow such an estimate
- * move back and forth. The median over the instances does not change with the
- * few that have just seen a slow response; a target that stays slow soon shows
- * in most of them.
+ * move back and forth. A low quantile over the instances does not change with
+ * those that have just seen a slow response or unknown queueing; a target that
+ * stays slow soon shows in most of them.
  */
 
 /** Latest reports of a target that count, each from another instance. */
@@ -17,6 +17,8 @@
  * response of a new target would take its keys away again.
  */
 const MIN_REPORTS = 5;
+/** Slow moments and queueing only ever add to a measurement. */
+const QUANTILE = 0.35;
 /** Older reports do not count: the target may have changed since. */
 const MAX_AGE_MS = 10_000;
 
@@ -45,7 +47,7 @@
     }
   }
 
-  /** Median of the latest reports. */
+  /** `QUANTILE` of the latest reports. */
   estimateServiceMs(
     targetId: string,
     averageMs: number,
@@ -58,9 +60,9 @@
       serviceTimes.push(averageMs);
     }
     serviceTimes.sort((left, right) => left - right);
-    const middle = (serviceTimes.length - 1) / 2;
-    return (serviceTimes[Math.floor(middle)]! +
-      serviceTimes[Math.ceil(middle)]!) / 2;
+    const position = QUANTILE * (serviceTimes.length - 1);
+    return (serviceTimes[Math.floor(position)]! +
+      serviceTimes[Math.ceil(position)]!) / 2;
   }
 
   /** Removes targets without recent reports. */
