--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -165,6 +165,11 @@
 
   #observeKeeperEvent(event: KeeperServiceEvent & { kind: "keeper" }): void {
     const { partition, event: keeperEvent } = event;
+    if (keeperEvent.kind === "planned") {
+      for (const [reason, count] of Object.entries(keeperEvent.movedKeys)) {
+        this.#metrics.plannedKeys.inc({ reason }, count);
+      }
+    }
     if (keeperEvent.kind !== "order") {
       this.#log(`keeper-${keeperEvent.kind}`, {
         part: partition.part,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -107,6 +107,13 @@
     registers: [this.#registry],
   });
 
+  readonly plannedKeys = new Counter({
+    name: "lentilspur_planned_keys_total",
+    help: "Keys that this instance as keeper moved to another owner, by reason",
+    labelNames: ["reason"] as const,
+    registers: [this.#registry],
+  });
+
   readonly evacuations = new Counter({
     name: "lentilspur_evacuations_total",
     help: "Data centres evacuated or restored, by state",
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -22,6 +22,7 @@
   chooseLeastUtilized,
   computeAverageUtilization,
   computeCapacity,
+  computeThroughput,
   createOwnerLoads,
   createRateIndexes,
   type KeyRateIndexes,
@@ -228,15 +229,15 @@
   const hot = findHottest(source, rates);
   if (
     hot === undefined ||
-    hot.perSecond < HOT_KEY_SHARE * computeCapacity(source.candidate)
+    hot.perSecond < HOT_KEY_SHARE * computeThroughput(source.candidate)
   ) {
     return undefined;
   }
-  const destination = chooseHighestCapacity(ownerLoads, rates);
+  const destination = chooseFastest(ownerLoads, rates);
   if (
     destination === undefined ||
-    computeCapacity(destination.candidate) <
-      MIN_SPEEDUP * computeCapacity(source.candidate)
+    computeThroughput(destination.candidate) <
+      MIN_SPEEDUP * computeThroughput(source.candidate)
   ) {
     return undefined;
   }
@@ -249,18 +250,18 @@
   });
 }
 
-/** The target with the highest capacity that does not yet own a hot key. */
-function chooseHighestCapacity(
+/** The target with the highest throughput that does not yet own a hot key. */
+function chooseFastest(
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rates: KeyRateIndex,
 ): OwnerLoad | undefined {
   return [...ownerLoads.values()]
     .filter((ownerLoad) => {
       const perSecond = findHottest(ownerLoad, rates)?.perSecond ?? 0;
-      return perSecond < HOT_KEY_SHARE * computeCapacity(ownerLoad.candidate);
+      return perSecond < HOT_KEY_SHARE * computeThroughput(ownerLoad.candidate);
     })
     .sort((left, right) =>
-      computeCapacity(right.candidate) - computeCapacity(left.candidate)
+      computeThroughput(right.candidate) - computeThroughput(left.candidate)
     )[0];
 }
 
--- a/packages/ownership/src/owner_load.ts
+++ b/packages/ownership/src/owner_load.ts
@@ -26,6 +26,8 @@
   readonly serviceMs: number;
   /** Requests per second that the target accepts, whatever its capacity. */
   readonly limitPerSecond?: number;
+  /** What its capacity counts for when keys are distributed; 1 if undefined. */
+  readonly weight?: number;
 }
 
 /**
@@ -176,11 +178,18 @@
   return rate === 0 ? 0 : load / rate;
 }
 
+/** Requests per second that a candidate is planned to serve. */
+export function computeCapacity(candidate: OwnerCandidate): number {
+  const { weight = 1, limitPerSecond = Infinity } = candidate;
+  const throughput = weight * computeThroughput(candidate);
+  return Math.min(throughput, Math.max(MIN_LIMIT, limitPerSecond));
+}
+
 /**
  * Requests per second that a candidate can serve: the throughput of all its
  * places, or its limit if that is lower.
  */
-export function computeCapacity(candidate: OwnerCandidate): number {
+export function computeThroughput(candidate: OwnerCandidate): number {
   const { places, serviceMs, limitPerSecond = Infinity } = candidate;
   const throughput = places * 1_000 / Math.max(1, serviceMs);
   return Math.min(throughput, Math.max(MIN_LIMIT, limitPerSecond));
--- a/packages/ownership/src/weighted_capacity.ts
+++ b/packages/ownership/src/weighted_capacity.ts
@@ -17,21 +17,17 @@
 /** Capacity is multiplied by the relative speed to the power of this. */
 const SPEED_EXPONENT = 0.5;
 
-/**
- * Scales the service times of targets with enough places so that their capacity
- * is the weighted one. At the average speed nothing changes.
- */
+/** Weighs targets with enough places; the average speed has the weight 1. */
 export function createWeightedCandidates(
   candidates: readonly OwnerCandidate[],
 ): readonly OwnerCandidate[] {
   const averageMs = computeAverageServiceMs(candidates);
   return candidates.map((candidate) => {
     const { places, serviceMs } = candidate;
-    const slowness = Math.max(1, serviceMs) / averageMs;
-    return places < MIN_WEIGHTED_PLACES ? candidate : {
-      ...candidate,
-      serviceMs: serviceMs * Math.pow(slowness, SPEED_EXPONENT),
-    };
+    const speed = averageMs / Math.max(1, serviceMs);
+    return places < MIN_WEIGHTED_PLACES
+      ? candidate
+      : { ...candidate, weight: Math.pow(speed, SPEED_EXPONENT) };
   });
 }
 
