fix(gateway): wait for a keeper no longer than its witnesses' pledges run

A successor that a keeper's records do not name as a witness in its present incarnation waited 60 s and a hold from its own claim. After a restart of all nobody is named, since every incarnation is new; an instance that has replaced a machine is named by nobody either; and each of them counted from its own claim.

A keeper asks its witnesses by instance, so it needs the pledge of a named instance whichever process runs there. An earlier process of it gave its last pledge before this one started. Any other successor asks the named witnesses, which answer once their pledges to earlier keepers are over and then give none. Records say for how long a keeper had been replaced, in steps of 5 s.

--- a/packages/gateway/src/keeper/ended_keeper_test.ts
+++ b/packages/gateway/src/keeper/ended_keeper_test.ts
@@ -54,7 +54,7 @@
 }
 
 /** Removes the keeper's machine and lets an instance claim that came later. */
-async function replaceKeeperByNewInstance(
+async function startReplacement(
   { simulation, keeper, others }: Started,
 ): Promise<void> {
   simulation.kill(keeper);
@@ -67,7 +67,7 @@
 test("an instance that came later does not wait a minute for a keeper whose machine is gone", async () => {
   const started = await startInstances();
   const { simulation } = started;
-  await replaceKeeperByNewInstance(started);
+  await startReplacement(started);
   removeTarget(simulation, "c");
   const unservedMs = await waitUntilServed(simulation, "c");
   assert.ok(unservedMs <= MAX_UNSERVED_MS, `${unservedMs} ms`);
@@ -77,7 +77,7 @@
 test("after a restart of all, no key waits a minute for a keeper whose machine is gone", async () => {
   const started = await startInstances();
   const { simulation, others } = started;
-  await replaceKeeperByNewInstance(started);
+  await startReplacement(started);
   [...others, "four"].forEach((name) => {
     simulation.kill(name);
     simulation.store.setFaultMode(name, "serving");
@@ -89,3 +89,37 @@
   assert.ok(unservedMs <= MAX_UNSERVED_MS, `${unservedMs} ms`);
   assertSoleOwners(simulation);
 });
+
+test("an instance that came later waits for a keeper that acts on pledges", async () => {
+  // The keeper and its witnesses lack the store; the keeper reaches target "c",
+  // which the successor does not reach.
+  for (let claimedAfterMs = 0; claimedAfterMs <= 3_000; claimedAfterMs += 300) {
+    const { simulation } = await startInstances();
+    NAMES.forEach((name) => simulation.store.setFaultMode(name, "silent"));
+    await simulation.clock.advance(claimedAfterMs);
+    simulation.start("four");
+    simulation.setTargetConnectivity("four", "c", false);
+    await simulation.clock.advance(4_000);
+    assert.ok(simulation.findKeeper() !== undefined);
+    simulation.setCandidates(["a", "b"]);
+    const unservedMs = await waitUntilServed(simulation, "c");
+    assert.ok(unservedMs <= MAX_UNSERVED_MS, `${unservedMs} ms`);
+    assertSoleOwners(simulation);
+  }
+});
+
+test("a keeper whose datagrams reach its witnesses only is waited for", async () => {
+  // It renews target "c" on pledges, and the successor's notices do not arrive.
+  const { simulation, keeper, others } = await startInstances();
+  NAMES.forEach((name) => simulation.store.setFaultMode(name, "silent"));
+  await simulation.clock.advance(5_000);
+  simulation.start("four");
+  simulation.setTargetConnectivity("four", "c", false);
+  simulation.closePeerPath("four", keeper);
+  await simulation.clock.advance(1_000);
+  simulation.setCandidates(["a", "b"]);
+  const unservedMs = await waitUntilServed(simulation, "c");
+  assert.ok(unservedMs <= MAX_UNSERVED_MS, `${unservedMs} ms`);
+  assert.ok(others.every((name) => simulation.isRunning(name)));
+  assertSoleOwners(simulation);
+});
--- a/packages/gateway/src/keeper/keeper_exchange.ts
+++ b/packages/gateway/src/keeper/keeper_exchange.ts
@@ -17,6 +17,7 @@
   KeeperClaim,
   UnresolvedKeeper,
 } from "@lentilspur/ownership/keeper_records";
+import { parseInstance } from "@lentilspur/ownership/keeper_records";
 
 /** A `term` is the offset of a claim in the partition. */
 export type KeeperMessage =
@@ -55,6 +56,26 @@
     readonly term: number;
     /** Whether none of the sender's orders can take effect any more. */
     readonly isClean: boolean;
+  }
+  | {
+    /**
+     * The keeper that claimed with this term asks a witness of its predecessor
+     * whether a pledge to an earlier keeper is in force.
+     */
+    readonly kind: "pledge-inquiry";
+    readonly from: string;
+    readonly part: number;
+    readonly term: number;
+  }
+  | {
+    /**
+     * No pledge of the sender is in force, and it gives none to keepers with a
+     * term below this one.
+     */
+    readonly kind: "pledges-over";
+    readonly from: string;
+    readonly part: number;
+    readonly term: number;
   };
 
 /** Changes in what this instance knows about keepers, for the log. */
@@ -124,6 +145,14 @@
   readonly atMs: number;
 }
 
+/** A witness's answer that its pledges are over. */
+interface PledgeEnd {
+  /** The witness gives no pledge to keepers with a term below this one. */
+  readonly belowTerm: number;
+  /** When the first such answer arrived; own clock. */
+  readonly atMs: number;
+}
+
 interface PledgeRequest {
   readonly number: number;
   readonly sentAtMs: number;
@@ -135,6 +164,8 @@
 const PLEDGE_SAFETY_FACTOR = 0.9;
 /** Stop notices kept per partition, one for each keeper. */
 const MAX_STOP_NOTICES = 8;
+/** An expired pledge is kept until the holds granted on it have expired too. */
+const PLEDGE_KEPT_MS = 60_000;
 /** The first pledge request after a pause of this length is logged. */
 const NEW_REQUEST_PAUSE_MS = 2_000;
 /** Most recent pledge requests, whose answers still count. */
@@ -146,19 +177,27 @@
   readonly #pledges = new Map<number, Map<string, number>>();
   readonly #requests: PledgeRequest[] = [];
   #lastNumber = 0;
-  /** As a witness: until when this instance lets a partition's keeper act. */
-  readonly #pledgedUntilMs = new Map<number, number>();
+  /**
+   * As a witness: until when this instance lets a partition's keepers act, by
+   * term.
+   */
+  readonly #pledgedUntilMs = new Map<number, ReadonlyMap<number, number>>();
   /** The last pledge request for each partition. */
   readonly #requestedPledges = new Map<number, RequestedPledge>();
   /** The last answer by partition, to log only answers that differ. */
   readonly #lastAnswers = new Map<number, string>();
   /** As a successor: stop notices by partition and incarnation. */
   readonly #stopNotices = new Map<number, Map<string, StopNotice>>();
+  /** As a successor: pledges that are over, by partition and witness. */
+  readonly #pledgeEnds = new Map<number, Map<string, PledgeEnd>>();
+  /** An earlier process of this instance gave no pledge after this time. */
+  readonly #startedAtMs: number;
   /** Offset of the newest claim that other instances reported, by partition. */
   readonly #replacementTerms = new Map<number, number>();
 
   constructor(options: KeeperExchangeOptions) {
     this.#options = options;
+    this.#startedAtMs = options.clock.readMs();
   }
 
   /**
@@ -193,9 +232,45 @@
       .every((witness) => nowMs < (pledges?.get(witness) ?? -Infinity));
   }
 
-  /** Until when this instance lets the partition's keeper act; own clock. */
-  getPledgedUntilMs(part: number): number {
-    return this.#pledgedUntilMs.get(part) ?? -Infinity;
+  /**
+   * Until when this instance lets the partition's keepers with a lower term act,
+   * or an earlier process of this instance may have done so; own clock.
+   */
+  computePledgedUntilMs(part: number, belowTerm: number): number {
+    const pledges = [...this.#pledgedUntilMs.get(part) ?? []]
+      .filter(([term]) => term < belowTerm)
+      .map(([, untilMs]) => untilMs);
+    return Math.max(
+      this.#startedAtMs + this.#options.pledgeMs,
+      ...pledges,
+    );
+  }
+
+  /** Asks witnesses of an earlier keeper whether their pledges are over. */
+  sendInquiries(
+    part: number,
+    term: number,
+    witnesses: readonly string[],
+  ): void {
+    const { claim: { instance: from }, send } = this.#options;
+    for (const witness of witnesses) {
+      send(witness, { kind: "pledge-inquiry", from, part, term });
+    }
+  }
+
+  /**
+   * When the pledge of a witness was over that an earlier keeper needs to act
+   * without the store; own clock, Infinity if no witness has said so.
+   */
+  computePledgesOverMs(part: number, keeper: UnresolvedKeeper): number {
+    const ends = this.#pledgeEnds.get(part);
+    const times = keeper.witnesses.map((witness) => {
+      const end = ends?.get(parseInstance(witness));
+      return end !== undefined && keeper.term < end.belowTerm
+        ? end.atMs
+        : Infinity;
+    });
+    return Math.min(Infinity, ...times);
   }
 
   /** The last request of a keeper without the store for a pledge. */
@@ -266,9 +341,53 @@
       case "keeper-stopped":
         this.#recordStopNotice(message);
         return;
+      case "pledge-inquiry":
+        this.#answerInquiry(message);
+        return;
+      case "pledges-over":
+        this.#recordPledgesOver(message);
+        return;
+    }
+  }
+
+  /**
+   * Answers once no pledge is in force; until then, the keeper that waits asks
+   * again.
+   */
+  #answerInquiry(message: KeeperMessage & { kind: "pledge-inquiry" }): void {
+    const { clock, claim: { instance }, send } = this.#options;
+    const { part, term, from } = message;
+    this.#recordReplacement(part, term);
+    if (clock.readMs() >= this.computePledgedUntilMs(part, term)) {
+      send(from, { kind: "pledges-over", from: instance, part, term });
     }
   }
 
+  #recordPledgesOver(message: KeeperMessage & { kind: "pledges-over" }): void {
+    const { part, term, from } = message;
+    const ends = this.#pledgeEnds.get(part) ?? new Map<string, PledgeEnd>();
+    this.#pledgeEnds.set(part, ends);
+    if (term > (ends.get(from)?.belowTerm ?? -Infinity)) {
+      const atMs = this.#options.clock.readMs();
+      ends.set(from, { belowTerm: term, atMs });
+    }
+  }
+
+  #recordGivenPledge(
+    part: number,
+    { term, untilMs }: { readonly term: number; readonly untilMs: number },
+  ): void {
+    const keptSinceMs = this.#options.clock.readMs() - PLEDGE_KEPT_MS;
+    const kept = [...this.#pledgedUntilMs.get(part) ?? []]
+      .filter(([, endMs]) => endMs > keptSinceMs);
+    this.#pledgedUntilMs.set(part, new Map([...kept, [term, untilMs]]));
+  }
+
+  #recordReplacement(part: number, term: number): void {
+    const known = this.#replacementTerms.get(part) ?? -Infinity;
+    this.#replacementTerms.set(part, Math.max(term, known));
+  }
+
   /**
    * The first of several equal notices gives the latest time at which the
    * keeper can have stopped.
@@ -313,9 +432,10 @@
     const { part, term, number, from } = message;
     const nowMs = clock.readMs();
     this.#requestedPledges.set(part, { term, atMs: nowMs });
-    const isGiven = !isStoreReachable() && getNewestTerm(part) <= term;
+    const isGiven = !isStoreReachable() && getNewestTerm(part) <= term &&
+      !this.hasAcceptedReplacement(part, term);
     if (isGiven) {
-      this.#pledgedUntilMs.set(part, nowMs + pledgeMs);
+      this.#recordGivenPledge(part, { term, untilMs: nowMs + pledgeMs });
     }
     const answer = `${from} ${term} ${isGiven}`;
     if (this.#lastAnswers.get(part) !== answer) {
@@ -354,10 +474,7 @@
     keeper?.stop("replaced");
     // The store may have accepted a claim of this instance whose answer is
     // still in flight.
-    this.#replacementTerms.set(
-      part,
-      Math.max(term, this.#replacementTerms.get(part) ?? -Infinity),
-    );
+    this.#recordReplacement(part, term);
     send(from, {
       kind: "keeper-stopped",
       from: claim.instance,
--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -25,6 +25,7 @@
   formatIncarnation,
   KEEPER_KEY,
   type KeeperClaim,
+  parseInstance,
 } from "@lentilspur/ownership/keeper_records";
 import {
   isClaimOfPresentEra,
@@ -158,6 +159,8 @@
  * instances.
  */
 const SENDS_PER_FULL_REQUEST = 5;
+/** Every so many sends, a keeper that waits asks its predecessors' witnesses. */
+const SENDS_PER_INQUIRY = 3;
 /** Interval between reads of the members by a keeper that waits. */
 const REFRESH_INTERVAL_MS = 2_000;
 /**
@@ -346,7 +349,12 @@
         const pledgers = this.#listPledgers(part, scope);
         this.#exchange.sendPledgeRequests(part, keeper.term, pledgers);
       }
-      const unresolved = this.#predecessors.get(part)!.describeUnresolved();
+      const predecessors = this.#predecessors.get(part)!;
+      if (this.#sendCount % SENDS_PER_INQUIRY === 0) {
+        const witnesses = predecessors.listWitnessesToAsk();
+        this.#exchange.sendInquiries(part, keeper.term, witnesses);
+      }
+      const unresolved = predecessors.describeUnresolved();
       if (unresolved.some(({ kind }) => kind === "unknown")) {
         this.#readMembers();
       }
@@ -377,8 +385,8 @@
     part: number,
     unresolved: readonly UnresolvedPredecessor[],
   ): void {
-    const description = unresolved.map(({ incarnation, kind }) =>
-      `${incarnation} ${kind}`
+    const description = unresolved.map(({ incarnation, kind, bound }) =>
+      `${incarnation} ${kind} ${bound}`
     )
       .join();
     if (description !== (this.#reportedUnresolved.get(part) ?? "")) {
@@ -693,8 +701,3 @@
   const record = view.getRecord(KEEPER_KEY);
   return record && (parseClaim(record.value)?.term ?? record.offset);
 }
-
-/** Returns the instance in a text made by `formatIncarnation`. */
-function parseInstance(text: string): string {
-  return text.slice(0, text.lastIndexOf("/"));
-}
--- a/packages/gateway/src/keeper/keeper_simulation.ts
+++ b/packages/gateway/src/keeper/keeper_simulation.ts
@@ -67,6 +67,8 @@
   readonly #formerProcesses = new Map<string, string>();
   /** Instances whose datagrams are lost in both directions. */
   readonly #disconnected = new Set<string>();
+  /** Pairs of instances between which datagrams are lost. */
+  readonly #cutPaths = new Set<string>();
   readonly #bornMs = new Map<string, number>();
   #candidates: readonly string[];
   #startCount = 0;
@@ -359,6 +361,11 @@
     }
   }
 
+  /** Lets all datagrams between two instances be lost from now on. */
+  closePeerPath(left: string, right: string): void {
+    this.#cutPaths.add([left, right].toSorted().join());
+  }
+
   /** Lets the store come back from an older copy. */
   restoreStore(options: Omit<RestoreOptions, "rewritten">): void {
     this.store.restore(options);
@@ -366,7 +373,8 @@
 
   #hasPath(from: string, to: string): boolean {
     return this.#instances.has(from) && this.#instances.has(to) &&
-      !this.#disconnected.has(from) && !this.#disconnected.has(to);
+      !this.#disconnected.has(from) && !this.#disconnected.has(to) &&
+      !this.#cutPaths.has([from, to].toSorted().join());
   }
 
   #listAlive(self: string): readonly KeeperClaim[] {
--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -6,7 +6,9 @@
  * grants because it does not know that it was replaced. There can be several
  * such predecessors, if each was lost before it learned whether the one before
  * it had stopped. The records of the partition name them, and the one that may
- * act the longest determines how long the successor waits.
+ * act the longest determines how long the successor waits. Each record says for
+ * how long a keeper had been replaced, so that the next successor does not count
+ * from the beginning.
  *
  * After a restore of the store, keepers may act whose claims are lost, and the
  * tables may lack the last moves. All of them are waited for together, as one
@@ -14,9 +16,9 @@
  */
 import { computeHoldEndMs } from "@lentilspur/ownership/hold_tracker";
 import {
-  formatIncarnation,
   type KeeperClaim,
   LOST_KEEPERS,
+  parseInstance,
   type UnresolvedKeeper,
 } from "@lentilspur/ownership/keeper_records";
 import {
@@ -42,21 +44,36 @@
    * When this instance learned that the store accepted its claim; own clock.
    */
   readonly claimedAtMs: number;
+  /** By when the keeper had been replaced, as far as known; own clock. */
+  readonly replacedAtMs: number;
   /** When this instance first learned that the process has ended; own clock. */
   endedSeenAtMs: number | undefined;
 }
 
 type KeeperState = Pick<PredecessorState, "kind" | "lastOrderAtMs">;
 
+/**
+ * What bounds the time for which an unknown keeper may act. `own-pledge`: this
+ * instance is a witness of it. `witness`: another witness has answered that its
+ * pledge is over. `longest`: nothing but the longest time that any keeper acts.
+ */
+type WaitBound = "own-pledge" | "witness" | "longest";
+
 /** A predecessor that may have sent orders whose holds are still in force. */
 export interface UnresolvedPredecessor {
   readonly instance: string;
   readonly incarnation: string;
   readonly term: number;
   readonly kind: PredecessorState["kind"];
+  readonly bound: WaitBound;
   readonly leftMs: number;
 }
 
+/** Each step of a keeper that is waited for costs one append. */
+const REPLACED_STEP_MS = 5_000;
+/** Clocks differ in rate. */
+const MIN_CLOCK_RATE = 0.98;
+
 export interface PredecessorTrackerOptions {
   readonly clock: Clock;
   readonly timing: KeeperTiming;
@@ -90,9 +107,11 @@
    */
   recordClaimed(): void {
     const claimedAtMs = this.#options.clock.readMs();
-    this.#predecessors = this.#predecessors.map((predecessor) => ({
+    this.#predecessors = this.#predecessors.map((predecessor, index) => ({
       ...predecessor,
       claimedAtMs,
+      // The first one was the keeper until now.
+      replacedAtMs: index === 0 ? claimedAtMs : predecessor.replacedAtMs,
     }));
   }
 
@@ -102,17 +121,29 @@
    */
   listUnresolved(): readonly UnresolvedKeeper[] {
     return this.#listUnresolvedStates().map(({ keeper }) =>
-      toUnresolved(keeper)
+      this.#toRecorded(keeper)
     );
   }
 
+  /** Witnesses whose answers would bound the wait, without duplicates. */
+  listWitnessesToAsk(): readonly string[] {
+    const witnesses = this.#listUnresolvedStates()
+      .filter(({ keeper, kind }) =>
+        kind === "unknown" && this.#findBound(keeper) === "longest"
+      )
+      .flatMap(({ keeper }) => keeper.witnesses.map(parseInstance));
+    return [...new Set(witnesses)];
+  }
+
   /**
    * The unresolved predecessors, each with its state and the time left to wait.
    */
   describeUnresolved(): readonly UnresolvedPredecessor[] {
     return this.#listUnresolvedStates().map(({ keeper, kind, leftMs }) => {
       const { instance, incarnation, term } = keeper;
-      return { instance, incarnation, term, kind, leftMs: Math.round(leftMs) };
+      const bound = this.#findBound(keeper);
+      const name = { instance, incarnation, term };
+      return { ...name, kind, bound, leftMs: Math.round(leftMs) };
     });
   }
 
@@ -123,7 +154,15 @@
    */
   listAll(): readonly UnresolvedKeeper[] {
     return this.#predecessors.filter(({ resigned }) => !resigned)
-      .map(toUnresolved);
+      .map((keeper) => this.#toRecorded(keeper));
+  }
+
+  /** The longest known time since the replacement is recorded, in steps. */
+  #toRecorded(keeper: TrackedPredecessor): UnresolvedKeeper {
+    const ageMs = this.#options.clock.readMs() - keeper.replacedAtMs;
+    const steps = Math.floor(ageMs * MIN_CLOCK_RATE / REPLACED_STEP_MS);
+    const age = steps > 0 ? { replacedForMs: steps * REPLACED_STEP_MS } : {};
+    return { ...toUnresolved(keeper), ...age };
   }
 
   /**
@@ -181,6 +220,7 @@
       isOfEarlierEra: keeper.incarnation === LOST_KEEPERS ||
         isOfEarlierEra(keeper.term, state.end),
       claimedAtMs: nowMs,
+      replacedAtMs: nowMs - readReplacedForMs(keeper),
       endedSeenAtMs: this.#hasEnded(keeper) ? nowMs : undefined,
     }));
   }
@@ -220,24 +260,48 @@
   /**
    * Latest time at which a keeper that has sent no stop notice may have acted.
    *
-   * A keeper that names this instance as a witness needs its pledge to act for
-   * longer than `authorityMs`, so the last pledge that this instance gave is
-   * the bound. A keeper that does not name this instance may act for up to
-   * `maxAuthorityMs`.
+   * To act for longer than `authorityMs`, a keeper needs the pledges of all
+   * instances that it names as witnesses, in whichever incarnation. So it has
+   * stopped once the pledge of one of them is over: of this instance, or of one
+   * that has answered so. Any other keeper may act for up to `maxAuthorityMs`.
    */
-  #computeLatestOrderMs(
-    { claimedAtMs, witnesses, incarnation }: TrackedPredecessor,
-  ): number {
-    const { timing, claim, exchange, eraSeenAtMs } = this.#options;
+  #computeLatestOrderMs(keeper: TrackedPredecessor): number {
+    const { timing, eraSeenAtMs } = this.#options;
+    const { replacedAtMs, incarnation } = keeper;
     if (incarnation === LOST_KEEPERS) {
       return eraSeenAtMs + timing.unsettledAuthorityMs;
     }
-    return witnesses.includes(formatIncarnation(claim))
-      ? Math.max(
-        claimedAtMs + timing.authorityMs,
-        exchange.getPledgedUntilMs(this.#part),
-      )
-      : claimedAtMs + timing.maxAuthorityMs;
+    return Math.min(
+      replacedAtMs + timing.maxAuthorityMs,
+      Math.max(
+        replacedAtMs + timing.authorityMs,
+        this.#computePledgesOverMs(keeper),
+      ),
+    );
+  }
+
+  /** When a pledge that the keeper needs is over; Infinity if unknown. */
+  #computePledgesOverMs(keeper: TrackedPredecessor): number {
+    const { exchange } = this.#options;
+    const ownMs = this.#isWitness(keeper)
+      ? exchange.computePledgedUntilMs(this.#part, Infinity)
+      : Infinity;
+    return Math.min(ownMs, exchange.computePledgesOverMs(this.#part, keeper));
+  }
+
+  #findBound(keeper: TrackedPredecessor): WaitBound {
+    if (this.#isWitness(keeper)) {
+      return "own-pledge";
+    }
+    return this.#computePledgesOverMs(keeper) < Infinity
+      ? "witness"
+      : "longest";
+  }
+
+  /** Whether the keeper asks this instance for pledges. */
+  #isWitness({ witnesses }: UnresolvedKeeper): boolean {
+    const { instance } = this.#options.claim;
+    return witnesses.some((witness) => parseInstance(witness) === instance);
   }
 }
 
@@ -262,6 +326,11 @@
   return term === undefined && tables.size === 0 ? [] : [last, ...unresolved];
 }
 
+/** Records say nothing about the time of a replacement in other forms. */
+function readReplacedForMs({ replacedForMs }: UnresolvedKeeper): number {
+  return Number.isFinite(replacedForMs) ? Math.max(0, replacedForMs!) : 0;
+}
+
 /** From least to most certain that the keeper has stopped. */
 const KINDS_LEAST_CERTAIN_FIRST = ["unknown", "ended", "resigned"] as const;
 
--- a/packages/gateway/src/peers/peer_dispatcher.ts
+++ b/packages/gateway/src/peers/peer_dispatcher.ts
@@ -105,6 +105,8 @@
       case "pledge-request":
       case "pledge":
       case "keeper-replaced":
+      case "pledge-inquiry":
+      case "pledges-over":
       case "keeper-stopped":
         keepers.applyMessage(message);
         return;
--- a/packages/gateway/src/peers/peer_message_check.ts
+++ b/packages/gateway/src/peers/peer_message_check.ts
@@ -78,6 +78,8 @@
         Number.isInteger(message.number) &&
         typeof message.isGiven === "boolean";
     case "keeper-replaced":
+    case "pledge-inquiry":
+    case "pledges-over":
       return Number.isInteger(message.part) && Number.isInteger(message.term);
     case "keeper-stopped":
       return Number.isInteger(message.part) &&
--- a/packages/ownership/src/keeper_records.ts
+++ b/packages/ownership/src/keeper_records.ts
@@ -44,6 +44,11 @@
   readonly term: number;
   /** Incarnations that this keeper asks for pledges. */
   readonly witnesses: readonly string[];
+  /**
+   * How long before this record, at least, the keeper had been replaced.
+   * Missing in the records of earlier versions, and where nothing is known.
+   */
+  readonly replacedForMs?: number;
 }
 
 /**
@@ -76,3 +81,8 @@
 ): string {
   return `${instance}/${incarnation}`;
 }
+
+/** Returns the instance in a text made by `formatIncarnation`. */
+export function parseInstance(text: string): string {
+  return text.slice(0, text.lastIndexOf("/"));
+}
