fix(ownership): pause between the releases to a target that does not answer

Every range of a target that was gone was released again 250 ms after each failure, for as long as a predecessor might renew the target's keys. Once all orders to a target have failed for 1.2 s, one range's release is tried at a time, with pauses that grow to 2 s; the others follow when the target answers. A hold that has run out still needs no release.

--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -40,6 +40,8 @@
     instance: string,
     options: {
       readonly predecessor?: "none" | "ended" | "resigned" | "unknown";
+      /** Until the last order of an unknown predecessor. */
+      readonly waitMs?: number;
       readonly canReach?: (targetId: string) => boolean;
       readonly getTrustedSinceMs?: () => number;
     } = {},
@@ -50,7 +52,9 @@
     const term = this.store
       .write(PARTITION, KEEPER_KEY, JSON.stringify(claim));
     const kind = options.predecessor ?? "none";
-    const waitMs = kind === "unknown" ? DEFAULT_KEEPER_TIMING.authorityMs : 0;
+    const waitMs = kind === "unknown"
+      ? options.waitMs ?? DEFAULT_KEEPER_TIMING.authorityMs
+      : 0;
     const lastOrderAtMs = this.clock.readMs() + waitMs;
     const predecessor = {
       kind,
@@ -212,6 +216,32 @@
   assert.deepEqual(simulation.holders.listOverlaps(), []);
 });
 
+test("a target that is gone is not sent the releases of all its ranges without pause", async () => {
+  const simulation = new KeyKeeperSimulation();
+  simulation.candidates = ["a", "b", "c"].map(createCandidate);
+  const first = simulation.startKeeper("one");
+  await simulation.clock.advance(5_000);
+  first.stop("asked");
+  simulation.startKeeper("two", { predecessor: "unknown", waitMs: 60_000 });
+  simulation.holders.setFaultMode("c", "unconnectable");
+  simulation.candidates = ["a", "b"].map(createCandidate);
+  await simulation.clock.advance(5_000);
+  const countReleases = () =>
+    simulation.events.filter((event) =>
+      event.kind === "order" && event.order === "release"
+    ).length;
+  const before = countReleases();
+  await simulation.clock.advance(10_000);
+  const sent = countReleases() - before;
+  assert.ok(sent >= 3, "the target may be reached again");
+  assert.ok(sent <= 10, `${sent} releases in 10 s`);
+  simulation.holders.setFaultMode("c", "answering");
+  await simulation.clock.advance(2_500);
+  const released = simulation.holders.orders
+    .filter(({ kind, targetId }) => kind === "release" && targetId === "c");
+  assert.ok(released.length > 3, "all ranges are released once it answers");
+});
+
 test("a release stays valid when its range gets yet another owner", async () => {
   // A successor moves a hot key to an owner that never answers and is replaced.
   // A second release of the former holder restarted the wait for unanswered
--- a/packages/ownership/src/table_reconciler.ts
+++ b/packages/ownership/src/table_reconciler.ts
@@ -28,6 +28,7 @@
   type OwnedRange,
 } from "./key_table.ts";
 import type { KeeperTiming } from "./keeper_timing.ts";
+import { TargetFailures } from "./target_failures.ts";
 
 export type OrderReport = {
   readonly order: "grant" | "renew" | "release";
@@ -103,31 +104,19 @@
   session: number | undefined;
 }
 
-/** A period in which all orders to a target failed. */
-interface FailureStreak {
-  readonly sinceMs: number;
-  readonly lastMs: number;
-}
-
-/**
- * A target whose last failed order is this long ago is tried again. Without a
- * retry, a target that was unreachable once would never own keys again. With a
- * shorter time, a target that never answers would more often leave its new keys
- * unserved for 1.2 s.
- */
-const FAILURE_STREAK_VALID_MS = 10_000;
-
 export class TableReconciler {
   readonly #options: TableReconcilerOptions;
   readonly #holds = new HoldTracker();
   /** Incarnations of targets whose address another process has taken over. */
   readonly #ended = new Set<string>();
-  readonly #failureStreaks = new Map<string, FailureStreak>();
+  readonly #failures: TargetFailures;
   /** By `formatRange`, in the order of keys. */
   #states: ReadonlyMap<string, RangeState> = new Map();
 
   constructor(options: TableReconcilerOptions) {
     this.#options = options;
+    const { clock, timing: { unresponsiveAfterMs } } = options;
+    this.#failures = new TargetFailures({ clock, unresponsiveAfterMs });
   }
 
   /**
@@ -172,12 +161,8 @@
   /** Whether a target has not answered orders for some time, or has ended. */
   isUnusable(target: Assignee): boolean {
     const incarnationKey = formatIncarnationKey(target);
-    const streak = this.#failureStreaks.get(incarnationKey);
-    const nowMs = this.#options.clock.readMs();
     return this.#ended.has(incarnationKey) ||
-      (streak !== undefined &&
-        nowMs - streak.lastMs < FAILURE_STREAK_VALID_MS &&
-        nowMs - streak.sinceMs >= this.#options.timing.unresponsiveAfterMs);
+      this.#failures.isUnresponsive(incarnationKey);
   }
 
   /** Sends every order that is due. Must be called at short intervals. */
@@ -220,7 +205,10 @@
       if (this.#mayGrant(state.range, nowMs)) {
         void this.#run(state, () => this.#grant(state, "grant"));
       }
-    } else if (!state.released.has(pending.id)) {
+    } else if (
+      !state.released.has(pending.id) &&
+      this.#failures.takeRelease(formatIncarnationKey(pending))
+    ) {
       void this.#run(state, () => this.#release(state, pending));
     }
   }
@@ -401,10 +389,9 @@
 
   #recordOutcome(holder: Holder, outcome: OrderOutcome): void {
     const incarnationKey = formatIncarnationKey(holder);
-    const nowMs = this.#options.clock.readMs();
     switch (outcome.kind) {
       case "done":
-        this.#failureStreaks.delete(incarnationKey);
+        this.#failures.recordAnswered(incarnationKey);
         return;
       case "superseded":
         this.#options.onSuperseded();
@@ -416,22 +403,15 @@
         return;
       case "unsent":
         if (outcome.isUnreachable) {
-          this.#recordFailure(incarnationKey, nowMs);
+          this.#failures.recordFailed(incarnationKey);
         }
         return;
       case "unanswered":
-        this.#recordFailure(incarnationKey, nowMs);
+        this.#failures.recordFailed(incarnationKey);
         return;
     }
   }
 
-  #recordFailure(incarnationKey: string, nowMs: number): void {
-    this.#failureStreaks.set(incarnationKey, {
-      sinceMs: this.#failureStreaks.get(incarnationKey)?.sinceMs ?? nowMs,
-      lastMs: nowMs,
-    });
-  }
-
   #reportOrder(
     order: OrderReport["order"],
     state: RangeState,
