fix(ownership): let a lapse of a keeper's authority last, so that no restarted witness revives it

Two owners: a keeper was cut off together with a target; its witness claimed, waited out its pledge, moved the target's keys and was killed. The witnesses started again without the store, had forgotten the newer claim and gave the old keeper pledges; it renewed the target, and 18 pairs of holds overlapped.

A keeper whose authority had a gap counts only pledges of processes that ran before the gap; a pledge says how long its process has run. Its claim says so (canLapse), and a successor counts on answers of other witnesses and on pledges of its own earlier processes only for such keepers, not for earlier versions.

--- a/packages/gateway/src/keeper/ended_keeper_test.ts
+++ b/packages/gateway/src/keeper/ended_keeper_test.ts
@@ -123,3 +123,49 @@
   assert.ok(others.every((name) => simulation.isRunning(name)));
   assertSoleOwners(simulation);
 });
+
+for (const successor of ["two", "four"]) {
+  const role = successor === "four" ? "no witness" : "a witness";
+  test(`a keeper does not act again on pledges of restarted witnesses, after a successor that was ${role}`, async () => {
+    // The keeper is cut off together with target "c"; its successor moves the
+    // keys of "c" and is killed; the witnesses restart without the store.
+    const simulation = new KeeperSimulation(["a", "b", "c"]);
+    simulation.start("one");
+    await simulation.clock.advance(3_000);
+    ["two", "three"].forEach((name) => simulation.start(name));
+    await simulation.clock.advance(20_000);
+    assert.equal(simulation.findKeeper(), "one");
+    NAMES.forEach((name) => simulation.store.setFaultMode(name, "silent"));
+    await simulation.clock.advance(5_000);
+    simulation.store.setFaultMode(successor, "serving");
+    if (!simulation.isRunning(successor)) {
+      simulation.start(successor);
+    }
+    simulation.setTargetConnectivity(successor, "c", false);
+    simulation.setPeerConnectivity("one", false);
+    await simulation.clock.advance(500);
+    simulation.setCandidates(["a", "b"]);
+    const unservedMs = await waitUntilServed(simulation, "c");
+    assert.ok(unservedMs <= MAX_UNSERVED_MS, `${unservedMs} ms`);
+    simulation.kill(successor);
+    simulation.store.setFaultMode(successor, "silent");
+    ["two", "three"].forEach((name) => simulation.start(name));
+    simulation.setPeerConnectivity("one", true);
+    await simulation.clock.advance(20_000);
+    assertSoleOwners(simulation);
+  });
+}
+
+test("a keeper without the store acts again once its witnesses are reached again", async () => {
+  const { simulation, keeper } = await startInstances();
+  await simulation.clock.advance(12_000);
+  NAMES.forEach((name) => simulation.store.setFaultMode(name, "silent"));
+  await simulation.clock.advance(4_000);
+  simulation.setPeerConnectivity(keeper, false);
+  await simulation.clock.advance(15_000);
+  assert.equal(simulation.holders.findHolder(5), undefined);
+  simulation.setPeerConnectivity(keeper, true);
+  await simulation.clock.advance(2_000);
+  assert.ok(simulation.holders.findHolder(5) !== undefined);
+  assertSoleOwners(simulation);
+});
--- a/packages/gateway/src/keeper/keeper_exchange.ts
+++ b/packages/gateway/src/keeper/keeper_exchange.ts
@@ -13,6 +13,7 @@
  * lost.
  */
 import type { Clock } from "@lentilspur/ports/clock";
+import type { JointPledge } from "@lentilspur/ownership/key_keeper";
 import type {
   KeeperClaim,
   UnresolvedKeeper,
@@ -35,6 +36,8 @@
     readonly part: number;
     readonly number: number;
     readonly isGiven: boolean;
+    /** How long the sender's process has run; earlier versions do not say. */
+    readonly ranForMs?: number;
   }
   | {
     /** The store has a newer claim than the receiver's. */
@@ -171,10 +174,12 @@
 /** Most recent pledge requests, whose answers still count. */
 const MAX_REQUESTS = 20;
 
+const NO_PLEDGE: JointPledge = { untilMs: -Infinity, lastStartMs: Infinity };
+
 export class KeeperExchange {
   readonly #options: KeeperExchangeOptions;
-  /** Until when each witness lets this instance's keeper act, by partition. */
-  readonly #pledges = new Map<number, Map<string, number>>();
+  /** The pledges to this instance's keeper, by partition and witness. */
+  readonly #pledges = new Map<number, Map<string, JointPledge>>();
   readonly #requests: PledgeRequest[] = [];
   #lastNumber = 0;
   /**
@@ -225,11 +230,14 @@
     }
   }
 
-  hasPledges(part: number, witnesses: readonly string[]): boolean {
-    const nowMs = this.#options.clock.readMs();
-    const pledges = this.#pledges.get(part);
-    return witnesses
-      .every((witness) => nowMs < (pledges?.get(witness) ?? -Infinity));
+  /** What the pledges of all these witnesses let this instance's keeper do. */
+  computePledge(part: number, witnesses: readonly string[]): JointPledge {
+    const known = this.#pledges.get(part);
+    const pledges = witnesses.map((name) => known?.get(name) ?? NO_PLEDGE);
+    return {
+      untilMs: Math.min(...pledges.map(({ untilMs }) => untilMs)),
+      lastStartMs: Math.max(...pledges.map(({ lastStartMs }) => lastStartMs)),
+    };
   }
 
   /**
@@ -437,14 +445,16 @@
     if (isGiven) {
       this.#recordGivenPledge(part, { term, untilMs: nowMs + pledgeMs });
     }
-    const answer = `${from} ${term} ${isGiven}`;
-    if (this.#lastAnswers.get(part) !== answer) {
-      this.#lastAnswers.set(part, answer);
+    const summary = `${from} ${term} ${isGiven}`;
+    if (this.#lastAnswers.get(part) !== summary) {
+      this.#lastAnswers.set(part, summary);
       const kind = "pledge-answered";
       this.#options.observe({ kind, part, keeper: from, term, isGiven });
     }
-    const { instance } = claim;
-    send(from, { kind: "pledge", from: instance, part, number, isGiven });
+    const ranForMs = Math.floor(nowMs - this.#startedAtMs);
+    const kind = "pledge";
+    const answer = { kind, part, number, isGiven, ranForMs } as const;
+    send(from, { ...answer, from: claim.instance });
   }
 
   /**
@@ -452,16 +462,20 @@
    * witness gave the pledge.
    */
   #recordPledge(message: KeeperMessage & { kind: "pledge" }): void {
-    const { part, number, from, isGiven } = message;
+    const { part, number, from, isGiven, ranForMs } = message;
     const request = this.#requests.find((sent) => sent.number === number);
     if (request === undefined || !isGiven) {
       return;
     }
-    const pledges = this.#pledges.get(part) ?? new Map<string, number>();
+    const pledges = this.#pledges.get(part) ?? new Map<string, JointPledge>();
     this.#pledges.set(part, pledges);
     const untilMs = request.sentAtMs +
       PLEDGE_SAFETY_FACTOR * this.#options.pledgeMs;
-    pledges.set(from, Math.max(untilMs, pledges.get(from) ?? -Infinity));
+    if (untilMs > (pledges.get(from) ?? NO_PLEDGE).untilMs) {
+      const lastStartMs = this.#options.clock.readMs() -
+        (Number.isFinite(ranForMs) ? ranForMs! : -Infinity);
+      pledges.set(from, { untilMs, lastStartMs });
+    }
   }
 
   #answerReplaced(message: KeeperMessage & { kind: "keeper-replaced" }): void {
--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -577,7 +577,8 @@
   #createClaim(): KeeperClaim {
     const { claim, getStartNumber } = this.#options;
     const startNumber = getStartNumber();
-    return startNumber === undefined ? claim : { ...claim, startNumber };
+    const start = startNumber === undefined ? {} : { startNumber };
+    return { ...claim, ...start, canLapse: true };
   }
 
   /** Whether the store was restored since the newest claim that is known. */
@@ -659,8 +660,8 @@
         this.#options.listGlobalHeartbeatSenders().map(formatIncarnation)
           .toSorted(),
       listUnresolved: () => predecessors.listUnresolved(),
-      hasPledges: (from) =>
-        this.#exchange.hasPledges(part, this.#listPledgers(part, from)),
+      getPledge: (from) =>
+        this.#exchange.computePledge(part, this.#listPledgers(part, from)),
       getConfirmedAtMs: () =>
         getEra(view.end) === getEra(keeper.term)
           ? view.storeConfirmedAtMs
--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -16,6 +16,7 @@
  */
 import { computeHoldEndMs } from "@lentilspur/ownership/hold_tracker";
 import {
+  formatIncarnation,
   type KeeperClaim,
   LOST_KEEPERS,
   parseInstance,
@@ -129,7 +130,8 @@
   listWitnessesToAsk(): readonly string[] {
     const witnesses = this.#listUnresolvedStates()
       .filter(({ keeper, kind }) =>
-        kind === "unknown" && this.#findBound(keeper) === "longest"
+        kind === "unknown" && keeper.canLapse === true &&
+        this.#findBound(keeper) === "longest"
       )
       .flatMap(({ keeper }) => keeper.witnesses.map(parseInstance));
     return [...new Set(witnesses)];
@@ -263,7 +265,9 @@
    * To act for longer than `authorityMs`, a keeper needs the pledges of all
    * instances that it names as witnesses, in whichever incarnation. So it has
    * stopped once the pledge of one of them is over: of this instance, or of one
-   * that has answered so. Any other keeper may act for up to `maxAuthorityMs`.
+   * that has answered so. Any other keeper may act for up to `maxAuthorityMs`,
+   * and so may one of an earlier version: it may act again on the pledge of a
+   * process that started later.
    */
   #computeLatestOrderMs(keeper: TrackedPredecessor): number {
     const { timing, eraSeenAtMs } = this.#options;
@@ -282,11 +286,18 @@
 
   /** When a pledge that the keeper needs is over; Infinity if unknown. */
   #computePledgesOverMs(keeper: TrackedPredecessor): number {
-    const { exchange } = this.#options;
+    const { exchange, timing } = this.#options;
     const ownMs = this.#isWitness(keeper)
       ? exchange.computePledgedUntilMs(this.#part, Infinity)
       : Infinity;
-    return Math.min(ownMs, exchange.computePledgesOverMs(this.#part, keeper));
+    // By then, the keeper can no longer begin to act on pledges.
+    const witnessMs = keeper.canLapse === true
+      ? Math.max(
+        keeper.replacedAtMs + timing.pledgeMs,
+        exchange.computePledgesOverMs(this.#part, keeper),
+      )
+      : Infinity;
+    return Math.min(ownMs, witnessMs);
   }
 
   #findBound(keeper: TrackedPredecessor): WaitBound {
@@ -298,10 +309,14 @@
       : "longest";
   }
 
-  /** Whether the keeper asks this instance for pledges. */
-  #isWitness({ witnesses }: UnresolvedKeeper): boolean {
-    const { instance } = this.#options.claim;
-    return witnesses.some((witness) => parseInstance(witness) === instance);
+  /** Whether the keeper needs pledges of this instance. */
+  #isWitness({ witnesses, canLapse }: UnresolvedKeeper): boolean {
+    const { claim } = this.#options;
+    return witnesses.some((witness) =>
+      canLapse === true
+        ? parseInstance(witness) === claim.instance
+        : witness === formatIncarnation(claim)
+    );
   }
 }
 
@@ -335,8 +350,10 @@
 const KINDS_LEAST_CERTAIN_FIRST = ["unknown", "ended", "resigned"] as const;
 
 function toUnresolved(
-  { instance, incarnation, startNumber, term, witnesses }: UnresolvedKeeper,
+  { instance, incarnation, startNumber, term, witnesses, canLapse }:
+    UnresolvedKeeper,
 ): UnresolvedKeeper {
   const start = startNumber === undefined ? {} : { startNumber };
-  return { instance, incarnation, ...start, term, witnesses };
+  const lapse = canLapse === true ? { canLapse } : {};
+  return { instance, incarnation, ...start, term, witnesses, ...lapse };
 }
--- a/packages/gateway/src/keeper/predecessor_tracker_test.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker_test.ts
@@ -16,6 +16,7 @@
   incarnation: "one.1",
   term: 3,
   witnesses: ["four/four.1"],
+  canLapse: true,
 };
 
 interface Tracked {
@@ -71,7 +72,7 @@
   return { kind: "pledges-over", from, part: PART, term };
 }
 
-const { maxAuthorityMs, authorityMs, pledgeMs } = DEFAULT_KEEPER_TIMING;
+const { maxAuthorityMs, pledgeMs } = DEFAULT_KEEPER_TIMING;
 
 test("a keeper of which nothing is known is waited for the longest", () => {
   assert.equal(startTracking(GONE).readLeftMs(), maxAuthorityMs);
@@ -117,10 +118,22 @@
   const { exchange, readLeftMs, tracker } = startTracking(GONE);
   assert.deepEqual(tracker.listWitnessesToAsk(), ["four"]);
   exchange.handle(createPledgesOver("four", NEW_TERM));
-  assert.equal(readLeftMs(), authorityMs);
+  assert.equal(readLeftMs(), pledgeMs);
   assert.deepEqual(tracker.listWitnessesToAsk(), []);
 });
 
+test("a keeper of an earlier version is bound by no answer, and by its exact witness only", () => {
+  const { canLapse: _missing, ...gone } = GONE;
+  const answered = startTracking(gone);
+  answered.exchange.handle(createPledgesOver("four", NEW_TERM));
+  assert.equal(answered.readLeftMs(), maxAuthorityMs);
+  assert.deepEqual(answered.tracker.listWitnessesToAsk(), []);
+  const earlier = startTracking({ ...gone, witnesses: ["two/two.1"] });
+  assert.equal(earlier.readLeftMs(), maxAuthorityMs);
+  const named = startTracking({ ...gone, witnesses: ["two/two.2"] });
+  assert.equal(named.readLeftMs(), pledgeMs);
+});
+
 test("answers of other instances and to earlier claims prove nothing", () => {
   const { exchange, readLeftMs } = startTracking(GONE);
   exchange.handle(createPledgesOver("five", NEW_TERM));
--- a/packages/gateway/src/peers/peer_message_check.ts
+++ b/packages/gateway/src/peers/peer_message_check.ts
@@ -76,7 +76,8 @@
     case "pledge":
       return Number.isInteger(message.part) &&
         Number.isInteger(message.number) &&
-        typeof message.isGiven === "boolean";
+        typeof message.isGiven === "boolean" &&
+        (message.ranForMs === undefined || Number.isFinite(message.ranForMs));
     case "keeper-replaced":
     case "pledge-inquiry":
     case "pledges-over":
--- a/packages/ownership/src/keeper_records.ts
+++ b/packages/ownership/src/keeper_records.ts
@@ -33,6 +33,12 @@
   readonly resigned?: boolean;
   /** Earlier keepers that, as far as this keeper can tell, may still act. */
   readonly unresolved?: readonly UnresolvedKeeper[];
+  /**
+   * Whether a lapse of this keeper's authority lasts: it does not act again on
+   * the pledge of a process that started later. Missing in the records of earlier
+   * versions, which do.
+   */
+  readonly canLapse?: boolean;
 }
 
 /** A replaced keeper that may not have noticed its replacement. */
@@ -49,6 +55,8 @@
    * Missing in the records of earlier versions, and where nothing is known.
    */
   readonly replacedForMs?: number;
+  /** As in `KeeperClaim`. */
+  readonly canLapse?: boolean;
 }
 
 /**
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -69,6 +69,14 @@
 /** Which instances have to pledge: the witnesses, or all that are known. */
 export type PledgeScope = "witnesses" | "all-instances";
 
+/** What all pledges together let a keeper do; local clock. */
+export interface JointPledge {
+  /** When the first pledge runs out; -Infinity if one is missing. */
+  readonly untilMs: number;
+  /** The last start of a process that gave one; Infinity if one is unknown. */
+  readonly lastStartMs: number;
+}
+
 type StopReason = "replaced" | "no-authority" | "asked";
 
 export type KeeperEvent =
@@ -125,8 +133,8 @@
   readonly listWitnessesToRecord: () => readonly string[];
   /** Earlier keepers that may still act. */
   readonly listUnresolved: () => readonly UnresolvedKeeper[];
-  /** Whether others have pledged to let this keeper act without the store. */
-  readonly hasPledges: (from: PledgeScope) => boolean;
+  /** The pledges of others to let this keeper act without the store. */
+  readonly getPledge: (from: PledgeScope) => JointPledge;
   /**
    * When a read last showed that there is no newer claim, in the store's era of
    * the keeper's term; local clock.
@@ -213,6 +221,8 @@
   /** When the claim that the store accepted was sent; local clock. */
   #claimedAtMs: number;
   #lastContactAtMs: number;
+  /** Until when this keeper has had authority without a gap; local clock. */
+  #authorizedUntilMs = -Infinity;
   /** JSON text of the newest record of witnesses that the store accepted. */
   #lastWitnessesRecord = "";
   /**
@@ -359,19 +369,45 @@
    * was never asked waits for `maxAuthorityMs`.
    */
   #mayAct(): boolean {
-    const { clock, timing, getTrustedSinceMs, hasPledges } = this.#options;
+    const { clock, timing, getTrustedSinceMs } = this.#options;
     const { confirmedAtMs } = this;
     if (this.hasStopped || confirmedAtMs < getTrustedSinceMs()) {
       return false;
     }
-    const ageMs = clock.readMs() - confirmedAtMs;
-    if (ageMs < timing.authorityMs) {
-      return true;
-    }
-    return ageMs < timing.maxAuthorityMs && this.#hasTakenOver() &&
-      (this.#isSettled() || ageMs < timing.unsettledAuthorityMs
-        ? hasPledges("witnesses")
-        : hasPledges("all-instances"));
+    const nowMs = clock.readMs();
+    const confirmedUntilMs = confirmedAtMs + timing.authorityMs;
+    const untilMs = nowMs < confirmedUntilMs
+      ? confirmedUntilMs
+      : this.#computePledgedUntilMs(nowMs);
+    const mayAct = nowMs < untilMs;
+    this.#authorizedUntilMs = mayAct
+      ? Math.max(this.#authorizedUntilMs, untilMs)
+      : Math.min(this.#authorizedUntilMs, nowMs);
+    return mayAct;
+  }
+
+  /**
+   * Until when pledges let this keeper act. After a gap in its authority, only
+   * pledges of processes count that ran before it: a process that started later
+   * may have forgotten a newer claim, or its promise to a successor to give no
+   * pledge. A successor counts on this, so that a lapse lasts.
+   */
+  #computePledgedUntilMs(nowMs: number): number {
+    const { timing, getPledge } = this.#options;
+    const ageMs = nowMs - this.confirmedAtMs;
+    if (ageMs >= timing.maxAuthorityMs || !this.#hasTakenOver()) {
+      return -Infinity;
+    }
+    const isBrief = this.#isSettled() || ageMs < timing.unsettledAuthorityMs;
+    const pledge = getPledge(isBrief ? "witnesses" : "all-instances");
+    // No successor moves keys earlier than a hold after the end of authority.
+    const lapsedAtMs = Math.max(
+      this.#authorizedUntilMs,
+      this.confirmedAtMs + timing.authorityMs + timing.holdMs,
+    );
+    const isGap = nowMs > lapsedAtMs && pledge.lastStartMs > lapsedAtMs;
+    const longestMs = this.confirmedAtMs + timing.maxAuthorityMs;
+    return isGap ? -Infinity : Math.min(pledge.untilMs, longestMs);
   }
 
   /**
--- a/packages/ownership/src/key_keeper_test.ts
+++ b/packages/ownership/src/key_keeper_test.ts
@@ -77,7 +77,10 @@
       getPredecessor: () => predecessor,
       listWitnessesToRecord: () => [],
       listUnresolved: () => [],
-      hasPledges: () => this.hasPledges,
+      getPledge: () => ({
+        untilMs: this.hasPledges ? Infinity : -Infinity,
+        lastStartMs: -Infinity,
+      }),
       listServiceSnapshots: () => [{
         service: SERVICE,
         candidates: this.candidates,
--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -21,4 +21,5 @@
   "--test-reporter=spec",
   "packages/gateway/dist/keeper/keeper_fuzz_test.js",
   "packages/gateway/dist/keeper/store_restore_fuzz_test.js",
+  "packages/gateway/dist/keeper/ended_keeper_fuzz_test.js",
 ]);
