--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -54,11 +54,12 @@
 type KeeperState = Pick<PredecessorState, "kind" | "lastOrderAtMs">;
 
 /**
- * What bounds the time for which an unknown keeper may act. `own-pledge`: this
- * instance is a witness of it. `witness`: another witness has answered that its
- * pledge is over. `longest`: nothing but the longest time that any keeper acts.
+ * What bounds the time for which a keeper may act. `stopped`: it has stopped.
+ * `own-pledge`: this instance is a witness of it. `witness`: another witness has
+ * answered that its pledge is over. `longest`: nothing but the longest time that
+ * any keeper acts.
  */
-type WaitBound = "own-pledge" | "witness" | "longest";
+type WaitBound = "stopped" | "own-pledge" | "witness" | "longest";
 
 /** A predecessor that may have sent orders whose holds are still in force. */
 export interface UnresolvedPredecessor {
@@ -143,7 +144,7 @@
   describeUnresolved(): readonly UnresolvedPredecessor[] {
     return this.#listUnresolvedStates().map(({ keeper, kind, leftMs }) => {
       const { instance, incarnation, term } = keeper;
-      const bound = this.#findBound(keeper);
+      const bound = kind === "unknown" ? this.#findBound(keeper) : "stopped";
       const name = { instance, incarnation, term };
       return { ...name, kind, bound, leftMs: Math.round(leftMs) };
     });
