fix(gateway): count the end of an earlier process of this instance from its own start

It had ended when this process started, not only when this one claimed, so the wait for its holds ends that much earlier. Pledges to earlier keepers were bound by that start already. A pledge's age allows for clocks that differ by 2 %.

--- a/packages/gateway/src/keeper/keeper_exchange.ts
+++ b/packages/gateway/src/keeper/keeper_exchange.ts
@@ -165,6 +165,8 @@
  * A keeper relies on a pledge for 90% of its duration: clocks differ in rate.
  */
 const PLEDGE_SAFETY_FACTOR = 0.9;
+/** Another instance's clock may run this much faster. */
+const MIN_CLOCK_RATE = 0.98;
 /** Stop notices kept per partition, one for each keeper. */
 const MAX_STOP_NOTICES = 8;
 /** An expired pledge is kept until the holds granted on it have expired too. */
@@ -195,14 +197,14 @@
   readonly #stopNotices = new Map<number, Map<string, StopNotice>>();
   /** As a successor: pledges that are over, by partition and witness. */
   readonly #pledgeEnds = new Map<number, Map<string, PledgeEnd>>();
-  /** An earlier process of this instance gave no pledge after this time. */
-  readonly #startedAtMs: number;
+  /** An earlier process of this instance did nothing after this; own clock. */
+  readonly startedAtMs: number;
   /** Offset of the newest claim that other instances reported, by partition. */
   readonly #replacementTerms = new Map<number, number>();
 
   constructor(options: KeeperExchangeOptions) {
     this.#options = options;
-    this.#startedAtMs = options.clock.readMs();
+    this.startedAtMs = options.clock.readMs();
   }
 
   /**
@@ -249,7 +251,7 @@
       .filter(([term]) => term < belowTerm)
       .map(([, untilMs]) => untilMs);
     return Math.max(
-      this.#startedAtMs + this.#options.pledgeMs,
+      this.startedAtMs + this.#options.pledgeMs,
       ...pledges,
     );
   }
@@ -451,7 +453,7 @@
       const kind = "pledge-answered";
       this.#options.observe({ kind, part, keeper: from, term, isGiven });
     }
-    const ranForMs = Math.floor(nowMs - this.#startedAtMs);
+    const ranForMs = Math.floor(nowMs - this.startedAtMs);
     const kind = "pledge";
     const answer = { kind, part, number, isGiven, ranForMs } as const;
     send(from, { ...answer, from: claim.instance });
@@ -472,8 +474,10 @@
     const untilMs = request.sentAtMs +
       PLEDGE_SAFETY_FACTOR * this.#options.pledgeMs;
     if (untilMs > (pledges.get(from) ?? NO_PLEDGE).untilMs) {
-      const lastStartMs = this.#options.clock.readMs() -
-        (Number.isFinite(ranForMs) ? ranForMs! : -Infinity);
+      const nowMs = this.#options.clock.readMs();
+      const lastStartMs = ranForMs === undefined
+        ? Infinity
+        : nowMs - ranForMs * MIN_CLOCK_RATE;
       pledges.set(from, { untilMs, lastStartMs });
     }
   }
--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -224,10 +224,21 @@
         isOfEarlierEra(keeper.term, state.end),
       claimedAtMs: nowMs,
       replacedAtMs: nowMs - readReplacedForMs(keeper),
-      endedSeenAtMs: this.#hasEnded(keeper) ? nowMs : undefined,
+      endedSeenAtMs: this.#findEndSeenMs(keeper),
     }));
   }
 
+  /** By when the keeper's process is known to have ended, if it is. */
+  #findEndSeenMs(keeper: KeeperClaim): number | undefined {
+    const { claim, clock, exchange } = this.#options;
+    if (!this.#hasEnded(keeper)) {
+      return undefined;
+    }
+    const isEarlierProcess = keeper.instance === claim.instance &&
+      keeper.incarnation !== claim.incarnation;
+    return isEarlierProcess ? exchange.startedAtMs : clock.readMs();
+  }
+
   /**
    * Whether the keeper's process has ended: the claim is from this instance or
    * from an earlier incarnation of it, or a later incarnation of the keeper's
@@ -239,7 +250,7 @@
   }
 
   #computeKeeperState(keeper: TrackedPredecessor): KeeperState {
-    const { clock, exchange } = this.#options;
+    const { exchange } = this.#options;
     if (keeper.resigned) {
       return { kind: "resigned", lastOrderAtMs: keeper.claimedAtMs };
     }
@@ -249,9 +260,7 @@
       const kind = stopNotice.isClean ? "resigned" : "ended";
       return { kind, lastOrderAtMs: Math.min(latestMs, stopNotice.atMs) };
     }
-    if (keeper.endedSeenAtMs === undefined && this.#hasEnded(keeper)) {
-      keeper.endedSeenAtMs = clock.readMs();
-    }
+    keeper.endedSeenAtMs ??= this.#findEndSeenMs(keeper);
     return keeper.endedSeenAtMs === undefined
       ? { kind: "unknown", lastOrderAtMs: latestMs }
       : {
--- a/packages/gateway/src/peers/peer_message_check_test.ts
+++ b/packages/gateway/src/peers/peer_message_check_test.ts
@@ -68,3 +68,16 @@
     assert.ok(!accepts(target));
   }
 });
+
+test("messages about pledges are accepted only with a part and a term", () => {
+  const pledge = { kind: "pledge", from: "bole-1", part: 1, number: 2 };
+  assert.ok(isAccepted({ ...pledge, isGiven: true }));
+  assert.ok(isAccepted({ ...pledge, isGiven: true, ranForMs: 12 }));
+  assert.ok(!isAccepted({ ...pledge, isGiven: true, ranForMs: "12" }));
+  for (const kind of ["pledge-inquiry", "pledges-over"]) {
+    const message = { kind, from: "bole-1", part: 1, term: 23 };
+    assert.ok(isAccepted(message), kind);
+    assert.ok(!isAccepted({ ...message, term: "23" }), kind);
+    assert.ok(!isAccepted({ ...message, part: undefined }), kind);
+  }
+});
