fix(ownership): keep the last witnesses in the record while no instance is heard of

A keeper that lost the datagrams of all others recorded that nobody is its witness. When its machine was gone for good, nothing bounded the wait for it: 60 s. It now goes on naming, and asking, the last ones.

--- a/packages/gateway/src/keeper/ended_keeper_fuzz_test.ts
+++ b/packages/gateway/src/keeper/ended_keeper_fuzz_test.ts
@@ -146,3 +146,20 @@
     },
   );
 });
+
+test("counterexample: a keeper that heard of no other instance before its machine was gone", async () => {
+  // Found by seed 4902, 100 runs: its last record named no witness.
+  const calm: Episode = {
+    cutOff: [],
+    mood: "silent",
+    outageMs: 100,
+    steps: [],
+    gone: undefined,
+    goneMs: 50,
+    restartsAll: false,
+    downMs: 0,
+  };
+  const steps = [{ kind: "peers", instance: "one", reaches: false }] as const;
+  const episodes = [{ ...calm, steps }, { ...calm, gone: "one" }];
+  assert.deepEqual(await new Series().run(episodes), []);
+});
--- a/packages/ownership/src/key_keeper.ts
+++ b/packages/ownership/src/key_keeper.ts
@@ -231,6 +231,12 @@
    * ends this; local clock, Infinity while the newest record may list it.
    */
   readonly #recordedWitnesses = new Map<string, number>();
+  /**
+   * The witnesses that were last to be recorded. They stay while this keeper
+   * hears of no instance: nobody could end a successor's wait for a keeper that
+   * names nobody.
+   */
+  #lastWitnesses: readonly string[] = [];
   #nextWitnessesAtMs = 0;
   #nextAppendAtMs = -Infinity;
   #nextSettledAtMs = -Infinity;
@@ -648,7 +654,8 @@
       return;
     }
     this.#nextWitnessesAtMs = nowMs + WITNESSES_INTERVAL_MS;
-    const instances = listWitnesses();
+    const alive = listWitnesses();
+    const instances = alive.length > 0 ? alive : this.#lastWitnesses;
     const unresolved = listUnresolved();
     const record: KeeperWitnesses = {
       term: this.#term,
@@ -662,6 +669,7 @@
     // Until the store has confirmed the append, either record may be the
     // newest.
     instances.forEach((name) => this.#recordedWitnesses.set(name, Infinity));
+    this.#lastWitnesses = instances;
     if (await this.#append(WITNESSES_KEY, text)) {
       this.#lastWitnessesRecord = text;
       this.#expireWitnesses(instances);
