--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -25,6 +25,7 @@
   formatIncarnation,
   KEEPER_KEY,
   type KeeperClaim,
+  parseInstance,
 } from "@lentilspur/ownership/keeper_records";
 import {
   isClaimOfPresentEra,
@@ -158,6 +159,8 @@
  * instances.
  */
 const SENDS_PER_FULL_REQUEST = 5;
+/** Every so many sends, a keeper that waits asks its predecessors' witnesses. */
+const SENDS_PER_INQUIRY = 3;
 /** Interval between reads of the members by a keeper that waits. */
 const REFRESH_INTERVAL_MS = 2_000;
 /**
@@ -346,7 +349,12 @@
         const pledgers = this.#listPledgers(part, scope);
         this.#exchange.sendPledgeRequests(part, keeper.term, pledgers);
       }
-      const unresolved = this.#predecessors.get(part)!.describeUnresolved();
+      const predecessors = this.#predecessors.get(part)!;
+      if (this.#sendCount % SENDS_PER_INQUIRY === 0) {
+        const witnesses = predecessors.listWitnessesToAsk();
+        this.#exchange.sendInquiries(part, keeper.term, witnesses);
+      }
+      const unresolved = predecessors.describeUnresolved();
       if (unresolved.some(({ kind }) => kind === "unknown")) {
         this.#readMembers();
       }
@@ -377,8 +385,8 @@
     part: number,
     unresolved: readonly UnresolvedPredecessor[],
   ): void {
-    const description = unresolved.map(({ incarnation, kind }) =>
-      `${incarnation} ${kind}`
+    const description = unresolved.map(({ incarnation, kind, bound }) =>
+      `${incarnation} ${kind} ${bound}`
     )
       .join();
     if (description !== (this.#reportedUnresolved.get(part) ?? "")) {
@@ -518,7 +526,7 @@
 
   async #claim(part: number, view: PartitionView): Promise<void> {
     const { clock, store, topic, observe } = this.#options;
-    const claim = this.#createClaim();
+    const claim = { ...this.#createClaim(), witnesses: this.#listWitnesses() };
     const partition = { topic, part };
     // Reads the store again: records that other instances forwarded are good
     // enough for routing only.
@@ -563,13 +571,28 @@
     observe({ kind: "claimed", partition, term, predecessor });
     this.#options.onAppended?.(part, { offset: term, key: KEEPER_KEY, value });
     this.#options.onClaim?.(part, term);
-    this.#startKeeper({ part, term, view, state, predecessors, sentAtMs });
+    this.#startKeeper({
+      part,
+      term,
+      view,
+      state,
+      predecessors,
+      sentAtMs,
+      claim,
+    });
+  }
+
+  /** The instances that a keeper of this instance names as its witnesses. */
+  #listWitnesses(): readonly string[] {
+    return this.#options.listGlobalHeartbeatSenders().map(formatIncarnation)
+      .toSorted();
   }
 
   #createClaim(): KeeperClaim {
     const { claim, getStartNumber } = this.#options;
     const startNumber = getStartNumber();
-    return startNumber === undefined ? claim : { ...claim, startNumber };
+    const start = startNumber === undefined ? {} : { startNumber };
+    return { ...claim, ...start, canLapse: true };
   }
 
   /** Whether the store was restored since the newest claim that is known. */
@@ -622,8 +645,9 @@
     readonly state: PartitionState;
     readonly predecessors: PredecessorTracker;
     readonly sentAtMs: number;
+    readonly claim: KeeperClaim;
   }): void {
-    const { part, term, view, state, predecessors, sentAtMs } = options;
+    const { part, term, view, state, predecessors, sentAtMs, claim } = options;
     const {
       clock,
       store,
@@ -642,17 +666,15 @@
       timing,
       term,
       claimSentAtMs: sentAtMs,
-      claim: this.#createClaim(),
+      claim,
       tables: state.tables,
       getPredecessor: () => predecessors.computeState(),
       listServiceSnapshots: () => listServiceSnapshots(part),
       hasEnded,
-      listWitnessesToRecord: () =>
-        this.#options.listGlobalHeartbeatSenders().map(formatIncarnation)
-          .toSorted(),
+      listWitnessesToRecord: () => this.#listWitnesses(),
       listUnresolved: () => predecessors.listUnresolved(),
-      hasPledges: (from) =>
-        this.#exchange.hasPledges(part, this.#listPledgers(part, from)),
+      getPledge: (from) =>
+        this.#exchange.computePledge(part, this.#listPledgers(part, from)),
       getConfirmedAtMs: () =>
         getEra(view.end) === getEra(keeper.term)
           ? view.storeConfirmedAtMs
@@ -693,8 +715,3 @@
   const record = view.getRecord(KEEPER_KEY);
   return record && (parseClaim(record.value)?.term ?? record.offset);
 }
-
-/** Returns the instance in a text made by `formatIncarnation`. */
-function parseInstance(text: string): string {
-  return text.slice(0, text.lastIndexOf("/"));
-}
