--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -77,6 +77,13 @@
     labelNames: ["service"] as const,
     registers: [this.#registry],
   });
+  readonly retryClaims = new Counter({
+    name: "lentilspur_retry_claims_total",
+    help:
+      "Retries that the budget granted and that were sent, by the part that they were taken from, and requests that failed after it refused one",
+    labelNames: ["service", "decision"] as const,
+    registers: [this.#registry],
+  });
   readonly storeCalls = new Counter({
     name: "lentilspur_store_calls_total",
     help: "Calls to the store, by call and outcome",
@@ -100,6 +107,13 @@
     registers: [this.#registry],
   });
 
+  readonly plannedKeys = new Counter({
+    name: "lentilspur_planned_keys_total",
+    help: "Keys that this instance as keeper moved to another owner, by reason",
+    labelNames: ["reason"] as const,
+    registers: [this.#registry],
+  });
+
   readonly evacuations = new Counter({
     name: "lentilspur_evacuations_total",
     help: "Data centres evacuated or restored, by state",
--- a/packages/gateway/src/keeper/predecessor_tracker.ts
+++ b/packages/gateway/src/keeper/predecessor_tracker.ts
@@ -6,7 +6,9 @@
  * grants because it does not know that it was replaced. There can be several
  * such predecessors, if each was lost before it learned whether the one before
  * it had stopped. The records of the partition name them, and the one that may
- * act the longest determines how long the successor waits.
+ * act the longest determines how long the successor waits. Each record says for
+ * how long a keeper had been replaced, so that the next successor does not count
+ * from the beginning.
  *
  * After a restore of the store, keepers may act whose claims are lost, and the
  * tables may lack the last moves. All of them are waited for together, as one
@@ -17,6 +19,7 @@
   formatIncarnation,
   type KeeperClaim,
   LOST_KEEPERS,
+  parseInstance,
   type UnresolvedKeeper,
 } from "@lentilspur/ownership/keeper_records";
 import {
@@ -42,21 +45,37 @@
    * When this instance learned that the store accepted its claim; own clock.
    */
   readonly claimedAtMs: number;
+  /** By when the keeper had been replaced, as far as known; own clock. */
+  readonly replacedAtMs: number;
   /** When this instance first learned that the process has ended; own clock. */
   endedSeenAtMs: number | undefined;
 }
 
 type KeeperState = Pick<PredecessorState, "kind" | "lastOrderAtMs">;
 
+/**
+ * What bounds the time for which a keeper may act. `stopped`: it has stopped.
+ * `own-pledge`: this instance is a witness of it. `witness`: another witness has
+ * answered that its pledge is over. `longest`: nothing but the longest time that
+ * any keeper acts.
+ */
+type WaitBound = "stopped" | "own-pledge" | "witness" | "longest";
+
 /** A predecessor that may have sent orders whose holds are still in force. */
 export interface UnresolvedPredecessor {
   readonly instance: string;
   readonly incarnation: string;
   readonly term: number;
   readonly kind: PredecessorState["kind"];
+  readonly bound: WaitBound;
   readonly leftMs: number;
 }
 
+/** Each step of a keeper that is waited for costs one append. */
+const REPLACED_STEP_MS = 5_000;
+/** Clocks differ in rate. */
+const MIN_CLOCK_RATE = 0.98;
+
 export interface PredecessorTrackerOptions {
   readonly clock: Clock;
   readonly timing: KeeperTiming;
@@ -90,9 +109,11 @@
    */
   recordClaimed(): void {
     const claimedAtMs = this.#options.clock.readMs();
-    this.#predecessors = this.#predecessors.map((predecessor) => ({
+    this.#predecessors = this.#predecessors.map((predecessor, index) => ({
       ...predecessor,
       claimedAtMs,
+      // The first one was the keeper until now.
+      replacedAtMs: index === 0 ? claimedAtMs : predecessor.replacedAtMs,
     }));
   }
 
@@ -102,17 +123,30 @@
    */
   listUnresolved(): readonly UnresolvedKeeper[] {
     return this.#listUnresolvedStates().map(({ keeper }) =>
-      toUnresolved(keeper)
+      this.#toRecorded(keeper)
     );
   }
 
+  /** Witnesses whose answers would bound the wait, without duplicates. */
+  listWitnessesToAsk(): readonly string[] {
+    const witnesses = this.#listUnresolvedStates()
+      .filter(({ keeper, kind }) =>
+        kind === "unknown" && keeper.canLapse === true &&
+        this.#findBound(keeper) === "longest"
+      )
+      .flatMap(({ keeper }) => keeper.witnesses.map(parseInstance));
+    return [...new Set(witnesses)];
+  }
+
   /**
    * The unresolved predecessors, each with its state and the time left to wait.
    */
   describeUnresolved(): readonly UnresolvedPredecessor[] {
     return this.#listUnresolvedStates().map(({ keeper, kind, leftMs }) => {
       const { instance, incarnation, term } = keeper;
-      return { instance, incarnation, term, kind, leftMs: Math.round(leftMs) };
+      const bound = kind === "unknown" ? this.#findBound(keeper) : "stopped";
+      const name = { instance, incarnation, term };
+      return { ...name, kind, bound, leftMs: Math.round(leftMs) };
     });
   }
 
@@ -123,7 +157,15 @@
    */
   listAll(): readonly UnresolvedKeeper[] {
     return this.#predecessors.filter(({ resigned }) => !resigned)
-      .map(toUnresolved);
+      .map((keeper) => this.#toRecorded(keeper));
+  }
+
+  /** The longest known time since the replacement is recorded, in steps. */
+  #toRecorded(keeper: TrackedPredecessor): UnresolvedKeeper {
+    const ageMs = this.#options.clock.readMs() - keeper.replacedAtMs;
+    const steps = Math.floor(ageMs * MIN_CLOCK_RATE / REPLACED_STEP_MS);
+    const age = steps > 0 ? { replacedForMs: steps * REPLACED_STEP_MS } : {};
+    return { ...toUnresolved(keeper), ...age };
   }
 
   /**
@@ -181,10 +223,22 @@
       isOfEarlierEra: keeper.incarnation === LOST_KEEPERS ||
         isOfEarlierEra(keeper.term, state.end),
       claimedAtMs: nowMs,
-      endedSeenAtMs: this.#hasEnded(keeper) ? nowMs : undefined,
+      replacedAtMs: nowMs - readReplacedForMs(keeper),
+      endedSeenAtMs: this.#findEndSeenMs(keeper),
     }));
   }
 
+  /** By when the keeper's process is known to have ended, if it is. */
+  #findEndSeenMs(keeper: KeeperClaim): number | undefined {
+    const { claim, clock, exchange } = this.#options;
+    if (!this.#hasEnded(keeper)) {
+      return undefined;
+    }
+    const isEarlierProcess = keeper.instance === claim.instance &&
+      keeper.incarnation !== claim.incarnation;
+    return isEarlierProcess ? exchange.startedAtMs : clock.readMs();
+  }
+
   /**
    * Whether the keeper's process has ended: the claim is from this instance or
    * from an earlier incarnation of it, or a later incarnation of the keeper's
@@ -196,7 +250,7 @@
   }
 
   #computeKeeperState(keeper: TrackedPredecessor): KeeperState {
-    const { clock, exchange } = this.#options;
+    const { exchange } = this.#options;
     if (keeper.resigned) {
       return { kind: "resigned", lastOrderAtMs: keeper.claimedAtMs };
     }
@@ -206,9 +260,7 @@
       const kind = stopNotice.isClean ? "resigned" : "ended";
       return { kind, lastOrderAtMs: Math.min(latestMs, stopNotice.atMs) };
     }
-    if (keeper.endedSeenAtMs === undefined && this.#hasEnded(keeper)) {
-      keeper.endedSeenAtMs = clock.readMs();
-    }
+    keeper.endedSeenAtMs ??= this.#findEndSeenMs(keeper);
     return keeper.endedSeenAtMs === undefined
       ? { kind: "unknown", lastOrderAtMs: latestMs }
       : {
@@ -220,24 +272,61 @@
   /**
    * Latest time at which a keeper that has sent no stop notice may have acted.
    *
-   * A keeper that names this instance as a witness needs its pledge to act for
-   * longer than `authorityMs`, so the last pledge that this instance gave is
-   * the bound. A keeper that does not name this instance may act for up to
-   * `maxAuthorityMs`.
+   * To act for longer than `authorityMs`, a keeper needs the pledges of all
+   * instances that it names as witnesses, in whichever incarnation. So it has
+   * stopped once the pledge of one of them is over: of this instance, or of one
+   * that has answered so. Any other keeper may act for up to `maxAuthorityMs`,
+   * and so may one of an earlier version: it may act again on the pledge of a
+   * process that started later.
    */
-  #computeLatestOrderMs(
-    { claimedAtMs, witnesses, incarnation }: TrackedPredecessor,
-  ): number {
-    const { timing, claim, exchange, eraSeenAtMs } = this.#options;
+  #computeLatestOrderMs(keeper: TrackedPredecessor): number {
+    const { timing, eraSeenAtMs } = this.#options;
+    const { replacedAtMs, incarnation } = keeper;
     if (incarnation === LOST_KEEPERS) {
       return eraSeenAtMs + timing.unsettledAuthorityMs;
     }
-    return witnesses.includes(formatIncarnation(claim))
+    return Math.min(
+      replacedAtMs + timing.maxAuthorityMs,
+      Math.max(
+        replacedAtMs + timing.authorityMs,
+        this.#computePledgesOverMs(keeper),
+      ),
+    );
+  }
+
+  /** When a pledge that the keeper needs is over; Infinity if unknown. */
+  #computePledgesOverMs(keeper: TrackedPredecessor): number {
+    const { exchange, timing } = this.#options;
+    const ownMs = this.#isWitness(keeper)
+      ? exchange.computePledgedUntilMs(this.#part, Infinity)
+      : Infinity;
+    // By then, the keeper can no longer begin to act on pledges.
+    const witnessMs = keeper.canLapse === true
       ? Math.max(
-        claimedAtMs + timing.authorityMs,
-        exchange.getPledgedUntilMs(this.#part),
+        keeper.replacedAtMs + timing.pledgeMs,
+        exchange.computePledgesOverMs(this.#part, keeper),
       )
-      : claimedAtMs + timing.maxAuthorityMs;
+      : Infinity;
+    return Math.min(ownMs, witnessMs);
+  }
+
+  #findBound(keeper: TrackedPredecessor): WaitBound {
+    if (this.#isWitness(keeper)) {
+      return "own-pledge";
+    }
+    return this.#computePledgesOverMs(keeper) < Infinity
+      ? "witness"
+      : "longest";
+  }
+
+  /** Whether the keeper needs pledges of this instance. */
+  #isWitness({ witnesses, canLapse }: UnresolvedKeeper): boolean {
+    const { claim } = this.#options;
+    return witnesses.some((witness) =>
+      canLapse === true
+        ? parseInstance(witness) === claim.instance
+        : witness === formatIncarnation(claim)
+    );
   }
 }
 
@@ -262,12 +351,19 @@
   return term === undefined && tables.size === 0 ? [] : [last, ...unresolved];
 }
 
+/** Records say nothing about the time of a replacement in other forms. */
+function readReplacedForMs({ replacedForMs }: UnresolvedKeeper): number {
+  return Number.isFinite(replacedForMs) ? Math.max(0, replacedForMs!) : 0;
+}
+
 /** From least to most certain that the keeper has stopped. */
 const KINDS_LEAST_CERTAIN_FIRST = ["unknown", "ended", "resigned"] as const;
 
 function toUnresolved(
-  { instance, incarnation, startNumber, term, witnesses }: UnresolvedKeeper,
+  { instance, incarnation, startNumber, term, witnesses, canLapse }:
+    UnresolvedKeeper,
 ): UnresolvedKeeper {
   const start = startNumber === undefined ? {} : { startNumber };
-  return { instance, incarnation, ...start, term, witnesses };
+  const lapse = canLapse === true ? { canLapse } : {};
+  return { instance, incarnation, ...start, term, witnesses, ...lapse };
 }
--- a/packages/ownership/src/keeper_records.ts
+++ b/packages/ownership/src/keeper_records.ts
@@ -33,6 +33,14 @@
   readonly resigned?: boolean;
   /** Earlier keepers that, as far as this keeper can tell, may still act. */
   readonly unresolved?: readonly UnresolvedKeeper[];
+  /**
+   * Whether a lapse of this keeper's authority lasts: it does not act again on
+   * the pledge of a process that started later. Missing in the records of earlier
+   * versions, which do.
+   */
+  readonly canLapse?: boolean;
+  /** Its witnesses until its first record of them; as in `KeeperWitnesses`. */
+  readonly witnesses?: readonly string[];
 }
 
 /** A replaced keeper that may not have noticed its replacement. */
@@ -44,6 +52,13 @@
   readonly term: number;
   /** Incarnations that this keeper asks for pledges. */
   readonly witnesses: readonly string[];
+  /**
+   * How long before this record, at least, the keeper had been replaced.
+   * Missing in the records of earlier versions, and where nothing is known.
+   */
+  readonly replacedForMs?: number;
+  /** As in `KeeperClaim`. */
+  readonly canLapse?: boolean;
 }
 
 /**
@@ -76,3 +91,8 @@
 ): string {
   return `${instance}/${incarnation}`;
 }
+
+/** Returns the instance in a text made by `formatIncarnation`. */
+export function parseInstance(text: string): string {
+  return text.slice(0, text.lastIndexOf("/"));
+}
--- a/packages/ownership/src/key_planner.ts
+++ b/packages/ownership/src/key_planner.ts
@@ -15,7 +15,6 @@
   isSameEndpoint,
   type KeyTable,
   type OwnedRange,
-  type Reassignment,
 } from "./key_table.ts";
 import { planMerges } from "./merge_plan.ts";
 import { planOrphans } from "./orphan_plan.ts";
@@ -23,6 +22,7 @@
   chooseLeastUtilized,
   computeAverageUtilization,
   computeCapacity,
+  computeThroughput,
   createOwnerLoads,
   createRateIndexes,
   type KeyRateIndexes,
@@ -39,9 +39,21 @@
   type Subrange,
   toSubrange,
 } from "./subrange_selection.ts";
+import {
+  createWeightedCandidates,
+  MIN_WEIGHTED_PLACES,
+} from "./weighted_capacity.ts";
+import type { MoveReason, PlannedMove } from "./planned_move.ts";
 
 /** Share of a target with one place that should be free on average. */
 const SINGLE_PLACE_HEADROOM = 0.57;
+/**
+ * The same for targets with several places. Service times are those without
+ * queueing at usual speed, and a fifth of the time a target is three times
+ * slower: what looks like 0.7 of its capacity is all of it. Few places leave no
+ * choice.
+ */
+const SEVERAL_PLACES_HEADROOM = 1.1;
 /**
  * An owner is relieved only if its utilization exceeds the average by this
  * factor.
@@ -88,13 +100,14 @@
  */
 export function planReassignments(
   table: KeyTable,
-  candidates: readonly OwnerCandidate[],
+  targets: readonly OwnerCandidate[],
   rates: readonly KeyRate[],
   { rebalance }: PlanOptions = { rebalance: true },
-): readonly Reassignment[] {
-  if (candidates.length === 0) {
+): readonly PlannedMove[] {
+  if (targets.length === 0) {
     return [];
   }
+  const candidates = createWeightedCandidates(targets);
   if (rebalance && rates.length === 0 && hasNewTarget(table, candidates)) {
     return planEvenDistribution(table, candidates);
   }
@@ -133,7 +146,7 @@
 function planEvenDistribution(
   table: KeyTable,
   candidates: readonly OwnerCandidate[],
-): readonly Reassignment[] {
+): readonly PlannedMove[] {
   return createKeyTable(candidates, 0).ranges
     .filter((assigned) =>
       table.ranges.some((range) =>
@@ -141,15 +154,20 @@
         !isSameEndpoint(range.owner, assigned.owner)
       )
     )
-    .map(({ from, to, owner }) => ({ from, to, owner }));
+    .map(({ from, to, owner }) => ({
+      from,
+      to,
+      owner,
+      reason: "undistributed",
+    }));
 }
 
 function planBalance(
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rateIndexes: KeyRateIndexes,
   hasTooManyRanges: boolean,
-): readonly Reassignment[] {
-  const changes: Reassignment[] = [];
+): readonly PlannedMove[] {
+  const changes: PlannedMove[] = [];
   const maxMoves = Math.max(DEFAULT_MAX_MOVES, ownerLoads.size);
   while (changes.length < maxMoves) {
     const change = planOneMove(ownerLoads, rateIndexes, hasTooManyRanges);
@@ -165,7 +183,7 @@
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rateIndexes: KeyRateIndexes,
   hasTooManyRanges: boolean,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const average = computeAverageUtilization(ownerLoads);
   const sources = [...ownerLoads.values()]
     .filter((ownerLoad) => isOverloaded(ownerLoad, average))
@@ -206,20 +224,20 @@
  */
 function planHotKey(
   { source, ownerLoads, rateIndexes }: ReliefOptions,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const rates = chooseRates(source, rateIndexes);
   const hot = findHottest(source, rates);
   if (
     hot === undefined ||
-    hot.perSecond < HOT_KEY_SHARE * computeCapacity(source.candidate)
+    hot.perSecond < HOT_KEY_SHARE * computeThroughput(source.candidate)
   ) {
     return undefined;
   }
-  const destination = chooseHighestCapacity(ownerLoads, rates);
+  const destination = chooseFastest(ownerLoads, rates);
   if (
     destination === undefined ||
-    computeCapacity(destination.candidate) <
-      MIN_SPEEDUP * computeCapacity(source.candidate)
+    computeThroughput(destination.candidate) <
+      MIN_SPEEDUP * computeThroughput(source.candidate)
   ) {
     return undefined;
   }
@@ -228,21 +246,22 @@
     source,
     destination,
     keys: { from: key, to: key, perSecond },
+    reason: "hot-key",
   });
 }
 
-/** The target with the highest capacity that does not yet own a hot key. */
-function chooseHighestCapacity(
+/** The target with the highest throughput that does not yet own a hot key. */
+function chooseFastest(
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rates: KeyRateIndex,
 ): OwnerLoad | undefined {
   return [...ownerLoads.values()]
     .filter((ownerLoad) => {
       const perSecond = findHottest(ownerLoad, rates)?.perSecond ?? 0;
-      return perSecond < HOT_KEY_SHARE * computeCapacity(ownerLoad.candidate);
+      return perSecond < HOT_KEY_SHARE * computeThroughput(ownerLoad.candidate);
     })
     .sort((left, right) =>
-      computeCapacity(right.candidate) - computeCapacity(left.candidate)
+      computeThroughput(right.candidate) - computeThroughput(left.candidate)
     )[0];
 }
 
@@ -266,7 +285,7 @@
 
 function planRelief(
   { source, ownerLoads, rateIndexes, average, hasTooManyRanges }: ReliefOptions,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const destination = chooseLeastUtilized(ownerLoads);
   if (source === destination) {
     return undefined;
@@ -287,6 +306,7 @@
     wantedRate,
     rates,
     hasTooManyRanges,
+    reason: source.isHotspot ? "hot-range" : "overload",
   });
 }
 
@@ -297,7 +317,7 @@
   ownerLoads: ReadonlyMap<string, OwnerLoad>,
   rates: KeyRateIndex,
   average: number,
-): Reassignment | undefined {
+): PlannedMove | undefined {
   const destination = [...ownerLoads.values()]
     .find((ownerLoad) => ownerLoad.ranges.length === 0);
   const source = [...ownerLoads.values()]
@@ -314,6 +334,7 @@
     wantedRate,
     rates,
     hasTooManyRanges: false,
+    reason: "new-target",
   });
 }
 
@@ -324,14 +345,15 @@
   readonly wantedRate: number;
   readonly rates: KeyRateIndex;
   readonly hasTooManyRanges: boolean;
+  readonly reason: MoveReason;
 }
 
-function moveSubrange(options: SubrangeOptions): Reassignment | undefined {
-  const { source, destination } = options;
+function moveSubrange(options: SubrangeOptions): PlannedMove | undefined {
+  const { source, destination, reason } = options;
   const keys = findNarrowestSufficient(options) ?? findBusiestRange(options);
   return keys === undefined
     ? undefined
-    : moveKeys({ source, destination, keys });
+    : moveKeys({ source, destination, keys, reason });
 }
 
 /**
@@ -396,5 +418,8 @@
  * place grows faster than the load. More places allow a higher utilization.
  */
 function computeMaxUtilization({ places }: OwnerCandidate): number {
-  return 1 - SINGLE_PLACE_HEADROOM / Math.sqrt(Math.max(1, places));
+  const headroom = places < MIN_WEIGHTED_PLACES
+    ? SINGLE_PLACE_HEADROOM
+    : SEVERAL_PLACES_HEADROOM;
+  return 1 - headroom / Math.sqrt(Math.max(1, places));
 }
--- a/packages/ownership/src/owner_load.ts
+++ b/packages/ownership/src/owner_load.ts
@@ -13,10 +13,11 @@
   isSameEndpoint,
   type KeyTable,
   type OwnedRange,
-  type Reassignment,
 } from "./key_table.ts";
 import { KeyRateIndex } from "./key_rate_index.ts";
 import type { Subrange } from "./subrange_selection.ts";
+import { MIN_WEIGHTED_PLACES } from "./weighted_capacity.ts";
+import type { MoveReason, PlannedMove } from "./planned_move.ts";
 
 /** A target that may own keys, and what determines its capacity. */
 export interface OwnerCandidate extends Assignee {
@@ -25,6 +26,8 @@
   readonly serviceMs: number;
   /** Requests per second that the target accepts, whatever its capacity. */
   readonly limitPerSecond?: number;
+  /** What its capacity counts for when keys are distributed; 1 if undefined. */
+  readonly weight?: number;
 }
 
 /**
@@ -32,6 +35,12 @@
  * receives 20 requests in a quiet second, plus or minus 4.
  */
 const RECENT_DEVIATIONS = 1.5;
+/**
+ * The same where a hotspot is certain: what it brings an owner is estimated,
+ * since a lower bound of each small part of it would let one target after the
+ * other take more than it can serve.
+ */
+const HOTSPOT_DEVIATIONS = 0.5;
 /** The same for the long-term rate. */
 const LONG_TERM_DEVIATIONS = 0.7;
 /**
@@ -90,6 +99,14 @@
     RECENT_TIME_CONSTANT_MS,
     RECENT_DEVIATIONS,
   );
+  const isHotspot = recentLowerBound > longTerm;
+  const recentEstimate = isHotspot && candidate.places >= MIN_WEIGHTED_PLACES
+    ? estimateRateLowerBound(
+      recent,
+      RECENT_TIME_CONSTANT_MS,
+      HOTSPOT_DEVIATIONS,
+    )
+    : recentLowerBound;
   const longTermLowerBound = estimateRateLowerBound(
     longTerm,
     LONG_TERM_TIME_CONSTANT_MS,
@@ -99,13 +116,13 @@
     candidate,
     utilization: computeUtilization(
       candidate,
-      Math.max(longTerm, recentLowerBound),
+      Math.max(longTerm, recentEstimate),
     ),
     utilizationLowerBound: computeUtilization(
       candidate,
       Math.max(longTermLowerBound, recentLowerBound),
     ),
-    isHotspot: recentLowerBound > longTerm,
+    isHotspot,
     ranges,
   };
 }
@@ -161,11 +178,18 @@
   return rate === 0 ? 0 : load / rate;
 }
 
+/** Requests per second that a candidate is planned to serve. */
+export function computeCapacity(candidate: OwnerCandidate): number {
+  const { weight = 1, limitPerSecond = Infinity } = candidate;
+  const throughput = weight * computeThroughput(candidate);
+  return Math.min(throughput, Math.max(MIN_LIMIT, limitPerSecond));
+}
+
 /**
  * Requests per second that a candidate can serve: the throughput of all its
  * places, or its limit if that is lower.
  */
-export function computeCapacity(candidate: OwnerCandidate): number {
+export function computeThroughput(candidate: OwnerCandidate): number {
   const { places, serviceMs, limitPerSecond = Infinity } = candidate;
   const throughput = places * 1_000 / Math.max(1, serviceMs);
   return Math.min(throughput, Math.max(MIN_LIMIT, limitPerSecond));
@@ -182,11 +206,12 @@
  * Applies a move to both owners at once, so that the next move of the same plan
  * takes it into account.
  */
-export function moveKeys({ source, destination, keys }: {
+export function moveKeys({ source, destination, keys, reason }: {
   readonly source: OwnerLoad;
   readonly destination: OwnerLoad;
   readonly keys: Subrange;
-}): Reassignment {
+  readonly reason: MoveReason;
+}): PlannedMove {
   const { from, to } = keys;
   source.utilization -= computeUtilization(source.candidate, keys.perSecond);
   source.utilizationLowerBound -= computeUtilization(
@@ -210,5 +235,5 @@
     // Marks the range as in transfer: a plan does not move a key twice.
     former: [{ ...source.candidate, token: 0 }],
   });
-  return { from, to, owner: destination.candidate };
+  return { from, to, owner: destination.candidate, reason };
 }
