fix(gateway): claim no retry for a request that can't be answered any more

Cause: a send that ended silent at its deadline claimed a retry although no time was left. The claim was held until the request ended, or counted as refused, and a request with a little time left looked for another place in vain and was then reported as lost instead of late.

Change: after an unknown outcome a retry is claimed only if the time left is more than the usual processing time, or if a retry is held already.

--- a/packages/gateway/src/requests/outcome_handler.ts
+++ b/packages/gateway/src/requests/outcome_handler.ts
@@ -197,7 +197,8 @@
       context.excludedTargets.add(target.id);
     }
     const mayRetry = context.route.idempotent &&
-      outcome.cause !== "cancelled" && this.claimRetry(context);
+      outcome.cause !== "cancelled" && this.#isInTime(context) &&
+      this.claimRetry(context);
     if (mayRetry) {
       return { kind: "again", pauseMs: 0 };
     }
@@ -209,6 +210,16 @@
     return { kind: "done", response: createFailure(failure, outcome.message) };
   }
 
+  /** Whether a further send can usually be answered before the deadline. */
+  #isInTime({ service, deadlineAtMs, heldRetry }: RequestContext): boolean {
+    if (heldRetry !== null) {
+      // The last send was given up for the next one.
+      return true;
+    }
+    const serviceMs = this.#services.getAverageServiceMs(service) ?? 0;
+    return this.#clock.readMs() + serviceMs < deadlineAtMs;
+  }
+
   /** Creates the final response of a request that another instance refused. */
   createRefusedResponse(context: RequestContext, refused: {
     readonly failure: ErrorKind;
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -333,6 +333,17 @@
   assert.notEqual(fixture.sent[0]!.targetId, fixture.sent[1]!.targetId);
 });
 
+test("a request with too little time for another answer ends as late, not as lost", async () => {
+  const fixture = new RouterFixture((_request, attempt) =>
+    attempt === 1 ? RESPONSE : { ...RESET, cause: "silent" }
+  );
+  fixture.setRoute({ idempotent: true });
+  await fixture.send();
+  const response = await fixture.send({ deadlineMs: 45 });
+  assert.equal(fixture.sent.length, 2);
+  assert.equal(getFailure(response), "answer-late");
+});
+
 test("a refused request is sent at most `maxAttempts` times", async () => {
   const fixture = new RouterFixture(() => FULL);
   fixture.setRoute({ idempotent: false, maxAttempts: 2 });
