test(routing): hold the retry budget at instances with uneven shares

The reserve is divided equally, and instances differ by seven times in the requests that they get. The test has more than half of all requests ask for a retry after calm seconds, at 12, 85 and 300 instances: never over the limit of a window, and more than 0.9 of it used in one.

--- a/packages/routing/src/retry_budget_test.ts
+++ b/packages/routing/src/retry_budget_test.ts
@@ -9,6 +9,8 @@
 /** A process that has run for long and rounds its part down. */
 const SETTLED = { startedAtMs: -Infinity, random: { draw: () => 0 } };
 const PROPERTY_RUNS = 200;
+/** Requests of one instance on average. */
+const UNEVEN_REQUESTS_PER_SECOND = 8;
 
 /** Claims a retry and sends it at once; returns whether it was granted. */
 function sendRetry(
@@ -54,6 +56,43 @@
   });
 }
 
+/**
+ * Has half of the requests retried after calm seconds. The instances get the
+ * requests at random, one up to seven times as many as another. Returns the
+ * largest number of retries in a window.
+ */
+function countRetriesAtUnevenInstances(instances: number): number {
+  const random = new SeededRandom(1);
+  const unevens = Array.from({ length: instances }, () => ({
+    budget: new RetryBudget(LIMITS, { startedAtMs: -Infinity, random }),
+    weight: 0.2 + 1.15 * random.draw(),
+  }));
+  const shares = unevens.flatMap(({ budget, weight }) =>
+    Array.from({ length: Math.round(20 * weight) }, () => budget)
+  );
+  const sentMs: number[] = [];
+  const intervalMs = 1_000 / (UNEVEN_REQUESTS_PER_SECOND * instances);
+  for (let nowMs = 0; nowMs < 40_000; nowMs += intervalMs) {
+    const budget = shares[Math.floor(random.draw() * shares.length)]!;
+    budget.recordRequest(nowMs);
+    const isRefused = nowMs >= 20_000 && random.draw() < 0.55;
+    if (isRefused && sendRetry(budget, instances, nowMs)) {
+      sentMs.push(nowMs);
+    }
+  }
+  return countMaxInWindow(sentMs, LIMITS.windowMs);
+}
+
+for (const instances of [12, 85, 300]) {
+  test(`${instances} instances with uneven shares of the requests stay within the limit and use most of it`, () => {
+    const most = countRetriesAtUnevenInstances(instances);
+    const requests = UNEVEN_REQUESTS_PER_SECOND * instances * 10;
+    const allowed = LIMITS.ratio * requests + LIMITS.reserve;
+    assert.ok(most <= allowed, `${most} retries, allowed ${allowed}`);
+    assert.ok(most > 0.9 * allowed, `${most} of ${allowed}`);
+  });
+}
+
 test("retries outside the window no longer count", () => {
   const budget = new RetryBudget(
     { ...LIMITS, ratio: 0, reserve: 2 },
