feat(transport): return a large response while it still arrives

A response was held whole before its first byte went on, 540 KB at most and 16 MB by the limit, and nothing bounded their sum. A request may now name a budget: a response above 64 KiB is returned with a stream, which is read ahead as long as the budget has room, so that the target's connection is free while the caller has not read it. Smaller responses are held whole as before.

--- a/packages/transport/src/connection_pool.ts
+++ b/packages/transport/src/connection_pool.ts
@@ -4,6 +4,7 @@
  */
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
+import type { StreamBreak } from "@lentilspur/ports/response_stream";
 import {
   HttpConnection,
   openConnection,
@@ -13,6 +14,7 @@
   HttpRequest,
   HttpResponse,
   SendFailure,
+  SendFailureCause,
 } from "./http_exchange.ts";
 
 export interface PoolOptions {
@@ -98,20 +100,50 @@
     const sentAtMs = this.#options.clock.readMs();
     const sent = await connection.send(request);
     if (!sent.ok) {
-      const isAbandoned = sent.val.cause !== "reset" &&
-        sent.val.cause !== "cut";
-      this.#mayHaveRestarted ||= !isAbandoned ||
-        this.#lastResponseAtMs < sentAtMs;
-      this.#remove(connection);
+      this.#removeFailed(connection, sent.val.cause, sentAtMs);
       return Err({ stage: "sending", ...sent.val });
     }
+    if (sent.val.stream === undefined) {
+      this.#handleResponse(connection, sent.val);
+    } else {
+      void this.#handleStream(connection, sent.val, sentAtMs);
+    }
+    return Ok(sent.val);
+  }
+
+  /** Takes the connection back when the response has arrived completely. */
+  async #handleStream(
+    connection: HttpConnection,
+    response: HttpResponse,
+    sentAtMs: number,
+  ): Promise<void> {
+    const end = await response.stream?.ended;
+    if (end?.kind === "broken") {
+      this.#removeFailed(connection, end.cause, sentAtMs);
+    } else {
+      this.#handleResponse(connection, response);
+    }
+  }
+
+  #handleResponse(connection: HttpConnection, response: HttpResponse): void {
     this.#lastResponseAtMs = this.#options.clock.readMs();
-    if (isLastResponse(sent.val)) {
+    if (isLastResponse(response)) {
       this.#remove(connection);
     } else {
       this.#addIdle(connection);
     }
-    return Ok(sent.val);
+  }
+
+  #removeFailed(
+    connection: HttpConnection,
+    cause: SendFailureCause | StreamBreak,
+    sentAtMs: number,
+  ): void {
+    const isAbandoned = cause !== "reset" && cause !== "cut" &&
+      cause !== "unread";
+    this.#mayHaveRestarted ||= !isAbandoned ||
+      this.#lastResponseAtMs < sentAtMs;
+    this.#remove(connection);
   }
 
   async #open(): Promise<Result<HttpConnection, OpenFailure>> {
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -10,6 +10,7 @@
 import { type buildConnector, Client } from "undici";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
+import type { ResponseStream } from "@lentilspur/ports/response_stream";
 import type {
   HttpRequest,
   HttpResponse,
@@ -67,13 +68,16 @@
     return this.#lastResponseAtMs;
   }
 
-  /** Sends one request; the connection is unusable after a failure. */
+  /**
+   * Sends one request; the connection is unusable after a failure, and in use
+   * until the stream of its response has ended.
+   */
   async send(request: HttpRequest): Promise<Result<HttpResponse, SendFailure>> {
     const writtenBefore = this.#socket.bytesWritten;
-    const collector = new ResponseCollector(
-      request,
-      () => timeout.recordData(),
-    );
+    const collector = new ResponseCollector(request, {
+      observeData: () => timeout.recordData(),
+      hasReceivedFin: () => this.#hasReceivedFin,
+    });
     const timeout = new ResponseTimeout(
       request,
       (message) => collector.fail("silent", message),
@@ -87,24 +91,35 @@
       this.#dispatch(request, collector);
     }
     const outcome = await collector.outcome;
-    timeout.clear();
     request.signal?.removeEventListener("abort", cancel);
-    if (
-      outcome.kind === "answered" && !outcome.response.isSelfDelimited &&
-      !this.#hasReceivedFin
-    ) {
+    if (outcome.kind === "failed") {
+      timeout.clear();
+      // Unless the count is unchanged, the request counts as written.
+      const written = this.#socket.bytesWritten !== writtenBefore;
       this.reset();
-      const message = "The connection was lost before the end of the response";
-      return Err({ written: true, cause: "cut", message });
+      return Err({ written, cause: outcome.cause, message: outcome.message });
     }
-    if (outcome.kind === "answered") {
+    const { response } = outcome;
+    if (response.stream === undefined) {
+      timeout.clear();
       this.#lastResponseAtMs = this.#clock.readMs();
-      return Ok(outcome.response);
+    } else {
+      void this.#handleStreamEnd(response.stream, timeout);
+    }
+    return Ok(response);
+  }
+
+  async #handleStreamEnd(
+    stream: ResponseStream,
+    timeout: ResponseTimeout,
+  ): Promise<void> {
+    const end = await stream.ended;
+    timeout.clear();
+    if (end.kind === "broken") {
+      this.reset();
+      return;
     }
-    // Unless the count is unchanged, the request counts as written.
-    const written = this.#socket.bytesWritten !== writtenBefore;
-    this.reset();
-    return Err({ written, cause: outcome.cause, message: outcome.message });
+    this.#lastResponseAtMs = this.#clock.readMs();
   }
 
   /**
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -1,5 +1,7 @@
 /** Types of one HTTP request, its response and its failures. */
 import type { HeaderField } from "@lentilspur/ports/header_field";
+import type { ResponseStream } from "@lentilspur/ports/response_stream";
+import type { ReadAheadBudget } from "./read_ahead_budget.ts";
 import type { ResponseLimits } from "./response_timeout.ts";
 
 /**
@@ -22,6 +24,12 @@
    * complete only if the peer closed the connection; a reset truncates it.
    */
   readonly acceptsCloseDelimited?: boolean;
+  /**
+   * If it is set, a large response is returned while it still arrives, with the
+   * body as a stream that is read ahead into this budget.
+   */
+  readonly readAhead?: ReadAheadBudget;
+  /** Cancels the request until its response is returned. */
   readonly signal?: AbortSignal;
   /** Called with the size of each part of the response body that arrives. */
   readonly onData?: (bytes: number) => void;
@@ -34,7 +42,13 @@
 export interface HttpResponse {
   readonly status: number;
   readonly headers: readonly HeaderField[];
+  /** The whole body; empty if there is a stream. */
   readonly body: Uint8Array;
+  /**
+   * The body of a large response. Its reader reads it to its end or cancels it;
+   * its connection is in use until then.
+   */
+  readonly stream?: ResponseStream;
   /** Whether the response marks its own end, by a length or a last chunk. */
   readonly isSelfDelimited: boolean;
 }
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -1,9 +1,11 @@
 /**
  * Collects one HTTP response and distinguishes complete from truncated
- * responses.
+ * responses. A large response becomes a stream once its first part has arrived,
+ * if the sender of the request allows it.
  */
 import type { Dispatcher } from "undici";
 import type { HeaderField } from "@lentilspur/ports/header_field";
+import { BufferedStream } from "./buffered_stream.ts";
 import type {
   HttpRequest,
   HttpResponse,
@@ -24,40 +26,55 @@
 /** Responses with these statuses have no body, whatever their headers say. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const FIRST_FINAL_STATUS = 200;
+/**
+ * Responses up to this size are held whole, so that one that breaks off can be
+ * requested again.
+ */
+const MAX_WHOLE_BYTES = 64 * 1024;
+
+export interface CollectorOptions {
+  /**
+   * Called for each part of the response that arrives, its head included.
+   */
+  readonly observeData: () => void;
+  /** Whether the target has closed its side of the connection in order. */
+  readonly hasReceivedFin: () => boolean;
+}
 
 export class ResponseCollector {
-  /** Resolves once, with the complete response or the first failure. */
+  /**
+   * Resolves once, with the complete response, one that has a stream, or the
+   * first failure.
+   */
   readonly outcome: Promise<ResponseOutcome>;
   /** Callbacks that `undici` invokes as the response arrives. */
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => this.#checkStart(controller),
     onResponseStart: (controller, status) =>
       this.#addHead(status, controller.rawHeaders),
-    onResponseData: (_controller, chunk) => this.#addChunk(chunk),
+    onResponseData: (controller, chunk) => this.#addChunk(controller, chunk),
     onResponseEnd: () => this.#handleEnd(),
     onResponseError: (_controller, error) =>
       this.fail(this.#status === 0 ? "reset" : "cut", error.message),
   };
   readonly #request: HttpRequest;
-  readonly #observeData: () => void;
+  readonly #options: CollectorOptions;
   readonly #chunks: Uint8Array[] = [];
   #resolve: (outcome: ResponseOutcome) => void = () => undefined;
   #status = 0;
   #headers: readonly HeaderField[] = [];
   #length = 0;
+  #stream: BufferedStream | undefined;
 
-  /**
-   * Calls `observeData` for each part of the response that arrives, its head
-   * included.
-   */
-  constructor(request: HttpRequest, observeData: () => void) {
+  constructor(request: HttpRequest, options: CollectorOptions) {
     this.#request = request;
-    this.#observeData = observeData;
+    this.#options = options;
     this.outcome = new Promise((resolve) => this.#resolve = resolve);
   }
 
   /** Ends the request with a failure, unless it has ended already. */
   fail(cause: SendFailureCause, message: string): void {
+    this.#stream?.fail(cause === "reset" ? "cut" : cause, message);
     this.#resolve({ kind: "failed", cause, message });
   }
 
@@ -75,23 +92,90 @@
     status: number,
     raw: Dispatcher.DispatchController["rawHeaders"],
   ): void {
-    this.#observeData();
+    this.#options.observeData();
     if (status >= FIRST_FINAL_STATUS) {
       this.#status = status;
       this.#headers = listFields(raw);
     }
   }
 
-  #addChunk(chunk: Uint8Array): void {
+  #addChunk(
+    controller: Dispatcher.DispatchController,
+    chunk: Uint8Array,
+  ): void {
     this.#length += chunk.length;
     if (this.#length > this.#request.maxResponseBytes) {
-      const limit = this.#request.maxResponseBytes;
-      this.fail("too-large", `The response is longer than ${limit} bytes`);
+      this.#failTooLarge();
       return;
     }
-    this.#chunks.push(chunk);
-    this.#observeData();
+    this.#options.observeData();
     this.#request.onData?.(chunk.length);
+    if (this.#stream !== undefined) {
+      this.#stream.add(chunk);
+      return;
+    }
+    this.#chunks.push(chunk);
+    if (this.#length > MAX_WHOLE_BYTES || this.#isShortOfMemory()) {
+      this.#startStream(controller);
+    }
+  }
+
+  /**
+   * Whether a response that will be large should no longer be held: as a
+   * stream, its read pauses.
+   */
+  #isShortOfMemory(): boolean {
+    return this.#request.readAhead?.isUsedUp === true &&
+      (this.#findLength() ?? 0) > MAX_WHOLE_BYTES;
+  }
+
+  #failTooLarge(): void {
+    const limit = this.#request.maxResponseBytes;
+    this.fail("too-large", `The response is longer than ${limit} bytes`);
+  }
+
+  #startStream(controller: Dispatcher.DispatchController): void {
+    const { readAhead: budget, maxResponseBytes } = this.#request;
+    const isSelfDelimited = this.#isSelfDelimited();
+    if (
+      budget === undefined ||
+      (!isSelfDelimited && this.#request.acceptsCloseDelimited !== true)
+    ) {
+      return;
+    }
+    const length = this.#findLength();
+    if (length !== undefined && length > maxResponseBytes) {
+      this.#failTooLarge();
+      return;
+    }
+    this.#stream = new BufferedStream({
+      budget,
+      source: {
+        pause: () => controller.pause(),
+        resume: () => controller.resume(),
+      },
+      length,
+    });
+    this.#stream.add(Buffer.concat(this.#chunks.splice(0), this.#length));
+    this.#resolve({
+      kind: "answered",
+      response: {
+        status: this.#status,
+        headers: this.#headers,
+        body: new Uint8Array(0),
+        stream: this.#stream,
+        isSelfDelimited,
+      },
+    });
+  }
+
+  /** The length that the target announced; `undici` checks that it is true. */
+  #findLength(): number | undefined {
+    if (this.#hasHeader("transfer-encoding")) {
+      return undefined;
+    }
+    const field = this.#headers.find(({ name }) => name === "content-length");
+    return field === undefined ? undefined : Number(field.value);
   }
 
   #handleEnd(): void {
@@ -103,6 +187,15 @@
       );
       return;
     }
+    if (!isSelfDelimited && !this.#options.hasReceivedFin()) {
+      const message = "The connection was lost before the end of the response";
+      this.fail("cut", message);
+      return;
+    }
+    if (this.#stream !== undefined) {
+      this.#stream.recordEnd();
+      return;
+    }
     const response: HttpResponse = {
       status: this.#status,
       headers: this.#headers,
@@ -121,9 +214,12 @@
   #isSelfDelimited(): boolean {
     return this.#request.method === "HEAD" ||
       BODILESS_STATUSES.has(this.#status) ||
-      this.#headers.some((field) =>
-        field.name === "content-length" || field.name === "transfer-encoding"
-      );
+      this.#hasHeader("content-length") ||
+      this.#hasHeader("transfer-encoding");
+  }
+
+  #hasHeader(name: string): boolean {
+    return this.#headers.some((field) => field.name === name);
   }
 }
 
