feat(gateway): pass large responses on as they arrive

The entry writes a large response part by part, each when the last has left the process, and resets the caller's connection if it breaks off: fewer bytes than the length, no last chunk, or no orderly end. Nothing is passed on behind it on its connection; one with requests running behind it is read whole, so that it cannot cut them off. Its caller's leaving stops the target; a caller that takes nothing for the idle timeout loses its connection. The place, the load, and the send and final lines are recorded when the target has finished. Downloads are refused at once while the memory (8 % of memory_mb, at most 32 MB) is used up. Requests forwarded by another instance are answered whole, as before.

A connection must not be reset while it is being shut down, as after its caller closed its side: Node then leaks the socket, and the process spins on it.

--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -3,7 +3,11 @@
  * Reports all faults at once, so that an operator need not restart the process
  * for each of them.
  */
-import type { ResolvedGatewaySettings } from "@lentilspur/gateway/gateway_settings";
+import {
+  computeReadAheadBytes,
+  DEFAULT_MEMORY_MB,
+  type ResolvedGatewaySettings,
+} from "@lentilspur/gateway/gateway_settings";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import { MIN_GRACE_PERIOD_MS } from "@lentilspur/gateway/entry/graceful_shutdown";
 import {
@@ -121,6 +125,7 @@
       instance: values.instanceName,
       dataCentre: values.dataCentre,
       cores: values.cores,
+      readAheadBytes: computeReadAheadBytes(DEFAULT_MEMORY_MB),
       host: values.host,
       requestPort: values.port,
       readyPort: values.statusPort,
--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -53,6 +53,8 @@
     (mayRespond: boolean) => void
   >();
   #isDraining = false;
+  /** The request whose response is passed on while it still arrives. */
+  #streamed: ConnectionRequest | undefined;
   /** Whether no further request is passed on. */
   #isClosing = false;
   #hasEnded = false;
@@ -123,6 +125,14 @@
       .some(({ stage }) => stage === "running");
   }
 
+  /**
+   * Passes nothing on behind a request until its response has been written: the
+   * response may break off, and the connection with it.
+   */
+  reserveFor(request: ConnectionRequest): void {
+    this.#streamed = request;
+  }
+
   /** Marks the response to a request as the last one of the connection. */
   closeAfter(request: ConnectionRequest): void {
     this.#isClosing = true;
@@ -136,6 +146,9 @@
       return;
     }
     this.#entries.splice(index, 1);
+    if (this.#streamed === request) {
+      this.#streamed = undefined;
+    }
     request.end();
     this.#advance();
   }
@@ -196,7 +209,7 @@
 
   /** `index` is the number of earlier requests; all of them are running. */
   #mayRun(options: TurnOptions, index: number): boolean {
-    if (this.#isClosing) {
+    if (this.#isClosing || this.#streamed !== undefined) {
       return false;
     }
     const runsAlone = this.#isDraining || !options.isIdempotent;
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -49,6 +49,7 @@
           }));
       });
     },
+    observeDelivery: () => undefined,
     reportFailure: () => undefined,
   });
   await server.open();
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -27,6 +27,11 @@
 } from "./caller_request.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
+import {
+  readWhole,
+  type StreamDelivery,
+  writeStream,
+} from "./stream_writer.ts";
 
 export interface RequestServerOptions {
   readonly clock: Clock;
@@ -38,6 +43,10 @@
   /** Whether a request may run more than once. */
   readonly isIdempotent: (request: CallerRequest) => boolean;
   readonly handle: (request: CallerRequest) => Promise<FinalResponse>;
+  /** Called when a response that was passed on in parts has ended. */
+  readonly observeDelivery: (
+    delivery: StreamDelivery & { readonly requestId: string | undefined },
+  ) => void;
   readonly reportFailure: (failure: {
     readonly requestId: string | undefined;
     readonly kind: ErrorKind;
@@ -45,6 +54,16 @@
   }) => void;
 }
 
+/** Where the response to a request is written. */
+interface Reply {
+  readonly requestId: string | undefined;
+  readonly request: ConnectionRequest;
+  readonly connection: CallerConnection;
+  readonly response: ServerResponse;
+  /** Aborts when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
 export interface ServerLimits {
   readonly maxBodyBytes: number;
   readonly headTimeoutMs: number;
@@ -223,15 +242,44 @@
     }
     const finalResponse = await this.#run(read);
     if (!await connection.requests.waitForResponseTurn(request)) {
+      cancelStream(finalResponse);
       return;
     }
     const requestId = "failure" in read ? undefined : read.requestId;
-    this.#writeResponse(finalResponse, {
-      requestId,
-      request,
-      connection,
-      response,
-    });
+    const { signal } = controller;
+    const reply = { requestId, request, connection, response, signal };
+    this.#writeResponse(
+      await this.#collectIfNeeded(finalResponse, reply),
+      reply,
+    );
+  }
+
+  /**
+   * Reads a large response to its end before it is passed on if others behind
+   * it have been passed on: it may break off, and would cut them off.
+   */
+  async #collectIfNeeded(
+    finalResponse: FinalResponse,
+    { requestId, request, connection: { requests }, signal }: Reply,
+  ): Promise<FinalResponse> {
+    if (
+      finalResponse.kind !== "answered" || finalResponse.stream === undefined
+    ) {
+      return finalResponse;
+    }
+    requests.reserveFor(request);
+    if (requests.mayClose(request)) {
+      return finalResponse;
+    }
+    const { stream, ...head } = finalResponse;
+    if (isCloseDelimited(finalResponse)) {
+      stream.cancel("The response would cut off the requests behind it");
+      return this.#fail(requestId, "answer-lost");
+    }
+    const body = await readWhole(stream, signal);
+    return body === undefined
+      ? this.#fail(requestId, "answer-lost")
+      : { ...head, body };
   }
 
   async #run(
@@ -322,14 +370,11 @@
 
   #writeResponse(
     finalResponse: FinalResponse,
-    { requestId, request, connection: { requests }, response }: {
-      readonly requestId: string | undefined;
-      readonly request: ConnectionRequest;
-      readonly connection: CallerConnection;
-      readonly response: ServerResponse;
-    },
+    reply: Reply,
   ): void {
+    const { requestId, request, connection: { requests }, response } = reply;
     if (response.destroyed) {
+      cancelStream(finalResponse);
       return;
     }
     const mayClose = requests.mayClose(request);
@@ -348,7 +393,11 @@
     }
     switch (finalResponse.kind) {
       case "answered":
-        writeTargetResponse(finalResponse, response);
+        if (finalResponse.stream === undefined) {
+          writeTargetResponse(finalResponse, response);
+        } else {
+          void this.#writeStream(finalResponse, reply);
+        }
         return;
       case "failed":
         writeFailure(finalResponse, requestId, response);
@@ -356,6 +405,27 @@
     }
   }
 
+  async #writeStream(
+    finalResponse: FinalResponse & { readonly kind: "answered" },
+    { requestId, response, signal }: Reply,
+  ): Promise<void> {
+    const { stream, isSelfDelimited } = finalResponse;
+    if (stream === undefined) {
+      return;
+    }
+    setTargetHead(finalResponse, response);
+    if (!isSelfDelimited) {
+      writeHeadWithoutLength(response);
+    } else if (stream.length !== undefined) {
+      response.setHeader("Content-Length", stream.length);
+    }
+    const delivery = await writeStream(stream, response, {
+      signal,
+      stallTimeoutMs: this.#limits.idleTimeoutMs,
+    });
+    this.#options.observeDelivery({ ...delivery, requestId });
+  }
+
   /**
    * Answers a request that is not valid HTTP, after those before it on its
    * connection.
@@ -387,7 +457,14 @@
     !STATUSES_WITHOUT_BODY.has(finalResponse.status);
 }
 
-function writeTargetResponse(
+/** Ends the target's work on a response that can no longer be passed on. */
+function cancelStream(finalResponse: FinalResponse): void {
+  if (finalResponse.kind === "answered") {
+    finalResponse.stream?.cancel("The caller has left");
+  }
+}
+
+function setTargetHead(
   finalResponse: FinalResponse & { readonly kind: "answered" },
   response: ServerResponse,
 ): void {
@@ -398,6 +475,13 @@
   }
   response.setHeader(OUTCOME_HEADER, "ran");
   response.statusCode = finalResponse.status;
+}
+
+function writeTargetResponse(
+  finalResponse: FinalResponse & { readonly kind: "answered" },
+  response: ServerResponse,
+): void {
+  setTargetHead(finalResponse, response);
   if (STATUSES_WITHOUT_BODY.has(finalResponse.status)) {
     response.end();
     return;
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -31,6 +31,7 @@
     }),
     isIdempotent: ({ method }) => method === "GET",
     handle: async (request) => await handle(request),
+    observeDelivery: () => undefined,
     reportFailure: () => undefined,
   });
   await server.open();
--- /dev/null
+++ b/packages/gateway/src/entry/stream_writer.ts
@@ -0,0 +1,136 @@
+/**
+ * Writes a large response to its caller while the target still sends it. The
+ * caller's speed sets the pace; a response that breaks off ends with a reset
+ * connection, so that it never looks complete.
+ */
+import type { ServerResponse } from "node:http";
+import type { ResponseStream } from "@lentilspur/ports/response_stream";
+
+/** How the delivery of a streamed response ended. */
+export type StreamDeliveryResult =
+  | "complete"
+  /** The response broke off before its end. */
+  | "broken-off"
+  | "caller-left"
+  /** The caller took nothing for too long. */
+  | "caller-stalled";
+
+export interface StreamDelivery {
+  readonly result: StreamDeliveryResult;
+  /** Bytes of the body that were passed to the caller's connection. */
+  readonly bytes: number;
+  /** Why the response broke off. */
+  readonly message?: string;
+}
+
+export interface StreamWriterOptions {
+  /** Aborts when the caller leaves. */
+  readonly signal: AbortSignal;
+  /** A caller that takes nothing for this long loses its connection. */
+  readonly stallTimeoutMs: number;
+}
+
+/** Writes the body after the head has been set. */
+export async function writeStream(
+  stream: ResponseStream,
+  response: ServerResponse,
+  { signal, stallTimeoutMs }: StreamWriterOptions,
+): Promise<StreamDelivery> {
+  cancelOnAbort(stream, signal);
+  let bytes = 0;
+  for (;;) {
+    const part = await stream.read();
+    if (signal.aborted) {
+      resetConnection(response);
+      return { result: "caller-left", bytes };
+    }
+    switch (part.kind) {
+      case "data": {
+        const written = await writePart(response, part.bytes, stallTimeoutMs);
+        if (written !== "written") {
+          stream.cancel("The caller did not take the response");
+          resetConnection(response);
+          return { result: written, bytes };
+        }
+        bytes += part.bytes.byteLength;
+        break;
+      }
+      case "end":
+        response.end();
+        return { result: "complete", bytes };
+      case "broken":
+        resetConnection(response);
+        return { result: "broken-off", bytes, message: part.message };
+    }
+  }
+}
+
+/**
+ * Resets the caller's connection; a plain close would end a response without a
+ * length in order. Node leaks a socket that is reset while it is being shut
+ * down, which it is once the caller has closed its side.
+ */
+function resetConnection({ socket }: ServerResponse): void {
+  if (socket?.writableEnded === true) {
+    socket.destroy();
+  } else {
+    socket?.resetAndDestroy();
+  }
+}
+
+/** Waits until the part has left this process. */
+function writePart(
+  response: ServerResponse,
+  bytes: Uint8Array,
+  stallTimeoutMs: number,
+): Promise<"written" | "caller-left" | "caller-stalled"> {
+  return new Promise((resolve) => {
+    const handleClose = () => settle("caller-left");
+    const timer = setTimeout(() => settle("caller-stalled"), stallTimeoutMs);
+    const settle = (
+      result: "written" | "caller-left" | "caller-stalled",
+    ): void => {
+      clearTimeout(timer);
+      response.off("close", handleClose);
+      resolve(result);
+    };
+    response.once("close", handleClose);
+    response.write(
+      bytes,
+      (error) =>
+        settle(
+          error === undefined || error === null ? "written" : "caller-left",
+        ),
+    );
+  });
+}
+
+/** Reads a stream to its end into memory; undefined if it breaks off. */
+export async function readWhole(
+  stream: ResponseStream,
+  signal: AbortSignal,
+): Promise<Uint8Array | undefined> {
+  cancelOnAbort(stream, signal);
+  const parts: Uint8Array[] = [];
+  for (;;) {
+    const part = await stream.read();
+    switch (part.kind) {
+      case "data":
+        parts.push(part.bytes);
+        break;
+      case "end":
+        return Buffer.concat(parts);
+      case "broken":
+        return undefined;
+    }
+  }
+}
+
+function cancelOnAbort(stream: ResponseStream, signal: AbortSignal): void {
+  const cancel = () => stream.cancel("The caller has left");
+  if (signal.aborted) {
+    cancel();
+  } else {
+    signal.addEventListener("abort", cancel, { once: true });
+  }
+}
--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -5,6 +5,7 @@
  */
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { StoreEraChange } from "@lentilspur/ports/store";
+import type { StreamDelivery } from "./entry/stream_writer.ts";
 import type { CatalogueEvent } from "./views/catalogue_event.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { KeeperServiceEvent } from "./keeper/keeper_service.ts";
@@ -76,6 +77,19 @@
     }
   }
 
+  observeDelivery(
+    { requestId, result, bytes, message }: StreamDelivery & {
+      readonly requestId: string | undefined;
+    },
+  ): void {
+    this.#metrics.streamedResponses.inc({ result });
+    this.#metrics.streamedBytes.inc(bytes);
+    // The `final` line tells enough of a response that was delivered whole.
+    if (result !== "complete") {
+      this.#log("streamed", { requestId, result, bytes, message });
+    }
+  }
+
   observeCatalogue(event: CatalogueEvent): void {
     const { kind, ...fields } = event;
     this.#logger.log(kind, "notable", fields);
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -10,6 +10,7 @@
   waiting: 0,
   openRequests: 0,
   heldRequests: 0,
+  readAheadBytes: 0,
   targets: 0,
   configurationVersion: 0,
   droppedLines: 0,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -20,6 +20,7 @@
   readonly waiting: number;
   readonly openRequests: number;
   readonly heldRequests: number;
+  readonly readAheadBytes: number;
   readonly targets: number;
   readonly configurationVersion: number;
   readonly droppedLines: number;
@@ -65,6 +66,17 @@
     labelNames: ["service", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly streamedResponses = new Counter({
+    name: "lentilspur_streamed_responses_total",
+    help: "Responses that were passed on in parts, by how that ended",
+    labelNames: ["result"] as const,
+    registers: [this.#registry],
+  });
+  readonly streamedBytes = new Counter({
+    name: "lentilspur_streamed_bytes_total",
+    help: "Bytes of responses that were passed on in parts",
+    registers: [this.#registry],
+  });
   readonly retries = new Counter({
     name: "lentilspur_retries_total",
     help: "Sends after the first of their request, by service and outcome",
@@ -153,6 +165,11 @@
       "Requests that wait for earlier ones of their connections",
       () => readGauges().heldRequests,
     );
+    this.#addGauge(
+      "lentilspur_read_ahead_bytes",
+      "Memory of large responses that callers have not taken yet",
+      () => readGauges().readAheadBytes,
+    );
     this.#addGauge(
       "lentilspur_targets",
       "Targets that this instance knows",
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -1,11 +1,22 @@
 /** The settings of an instance at its start, resolved and frozen. */
 import type { RetryLimits } from "@lentilspur/routing/retry_budget";
 
+/** Memory of an instance whose settings do not state it. */
+export const DEFAULT_MEMORY_MB = 250;
+/** Leaves the rest to the process itself and to requests that wait. */
+const READ_AHEAD_SHARE = 0.08;
+const MAX_READ_AHEAD_BYTES = 32_000_000;
+
 export interface ResolvedGatewaySettings {
   readonly instance: string;
   readonly dataCentre: string;
   /** Processor time that the process may use, in cores. */
   readonly cores: number;
+  /**
+   * Memory for large responses that are read faster than their callers take
+   * them.
+   */
+  readonly readAheadBytes: number;
   /** Address of the machine; all listeners bind to it. */
   readonly host: string;
   readonly requestPort: number;
@@ -51,3 +62,8 @@
    */
   readonly owners: { readonly topic: string; readonly parts: number };
 }
+
+export function computeReadAheadBytes(memoryMb: number): number {
+  const bytes = Math.floor(memoryMb * 1_000_000 * READ_AHEAD_SHARE);
+  return Math.min(bytes, MAX_READ_AHEAD_BYTES);
+}
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import type { StoreRecord } from "@lentilspur/ports/store";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
+import { ReadAheadBudget } from "@lentilspur/transport/read_ahead_budget";
 import { AccountDemands } from "./entry/account_demands.ts";
 import { AccountAdmission } from "./entry/account_admission.ts";
 import { Catalogue } from "./views/catalogue.ts";
@@ -89,6 +90,7 @@
   readonly #logger: StructuredLogger;
   readonly #metrics: GatewayMetrics;
   readonly #reporter: EventReporter;
+  readonly #readAhead: ReadAheadBudget;
   readonly #adapter: InstanceAdapter;
   readonly #catalogue: Catalogue;
   readonly #directory = new KeyDirectory();
@@ -137,7 +139,9 @@
     });
     this.#metrics = new GatewayMetrics(() => this.#status.readGauges());
     this.#reporter = new EventReporter(this.#logger, this.#metrics);
+    this.#readAhead = new ReadAheadBudget(settings.readAheadBytes);
     this.#adapter = options.createAdapter({
+      readAhead: this.#readAhead,
       observeStoreCall: (call, outcome) =>
         this.#metrics.storeCalls.inc({ call, outcome }),
       observeStoreEra: (change) => this.#reporter.observeStoreEra(change),
@@ -431,6 +435,7 @@
       isStopping: () => this.#isStopping,
       getWithdrawalGraceMs: (reason) => this.#getWithdrawalGraceMs(reason),
       observe: (event) => this.#reporter.observeRequest(event),
+      isReadAheadUsedUp: () => this.#readAhead.isUsedUp,
     });
   }
 
@@ -487,6 +492,7 @@
       isIdempotent: (request) =>
         this.#catalogue.match(request)?.route.idempotent === true,
       handle: (request) => this.#router.handle(request),
+      observeDelivery: (delivery) => this.#reporter.observeDelivery(delivery),
       reportFailure: (failure) => this.#reporter.reportEarlyFailure(failure),
     });
   }
@@ -679,6 +685,7 @@
       listDuties: () => this.#duties.listDuties(),
       countOpenRequests: () => this.#server.openRequests,
       countHeldRequests: () => this.#server.heldRequests,
+      countReadAheadBytes: () => this.#readAhead.claimedBytes,
       countWaitingRequests: () => this.#services.waiting,
       countQuarantinedRequests: () => this.#quarantine.countQuarantined(),
       countLimitedTargets: () => this.#limits.count,
--- a/packages/gateway/src/instance_options.ts
+++ b/packages/gateway/src/instance_options.ts
@@ -10,6 +10,7 @@
   RoutingTarget,
 } from "@lentilspur/ports/routing_table";
 import type { Store, StoreEraChange } from "@lentilspur/ports/store";
+import type { ReadAheadBudget } from "@lentilspur/transport/read_ahead_budget";
 import type { RequestMetadata } from "./entry/caller_request.ts";
 import type {
   ResolvedGatewaySettings,
@@ -43,6 +44,8 @@
 export interface AdapterTools {
   readonly observeStoreCall: (call: string, outcome: string) => void;
   readonly observeStoreEra: (change: StoreEraChange) => void;
+  /** Memory for large responses that are read ahead. */
+  readonly readAhead: ReadAheadBudget;
 }
 
 /** The ports of one instance that are in use. */
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -20,6 +20,8 @@
   /** Requests without an answer yet. */
   readonly countOpenRequests: () => number;
   readonly countHeldRequests: () => number;
+  /** Memory of large responses that are read ahead. */
+  readonly countReadAheadBytes: () => number;
   /** Requests that wait for a place at a target. */
   readonly countWaitingRequests: () => number;
   readonly countQuarantinedRequests: () => number;
@@ -90,6 +92,7 @@
       logger,
       countOpenRequests,
       countHeldRequests,
+      countReadAheadBytes,
       countWaitingRequests,
       countQuarantinedRequests,
       countLimitedTargets,
@@ -99,6 +102,7 @@
       waiting: countWaitingRequests(),
       openRequests: countOpenRequests(),
       heldRequests: countHeldRequests(),
+      readAheadBytes: countReadAheadBytes(),
       targets: catalogue.targetCount,
       configurationVersion: catalogue.routingTable?.version ?? 0,
       droppedLines: logger.droppedCount,
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -8,6 +8,7 @@
   RequestSender,
   SendOutcome,
 } from "@lentilspur/ports/request_sender";
+import type { StreamEnd } from "@lentilspur/ports/response_stream";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
 import type { PermitDecision } from "@lentilspur/routing/request_pacer";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
@@ -227,25 +228,39 @@
       remainingMs,
       timeoutMs: remainingMs,
       idempotent: route.idempotent,
+      // A peer passes on whole responses only.
+      mayStream: context.origin === null,
       signal: abortController.signal,
     });
     abortController.stop();
     const isOverdue = abortController.isOverdue();
-    this.#recordOutcome(context, placed, { outcome, sentAtMs, isOverdue });
+    // A send is given up only before its first byte, so this time counts.
     this.#overdue.recordOutcome(context, outcome, {
       elapsedMs: clock.readMs() - sentAtMs,
       expectedMs,
       isOverdue,
     });
-    this.#tools.reporter.reportSend(context, {
-      placed,
-      owner,
-      outcome,
-      sentAtMs,
-      remainingMs,
-      overdueExpectedMs: isOverdue ? expectedMs : undefined,
-      retryClaim,
-    });
+    const recordEnd = (outcome: SendOutcome, end?: StreamEnd): void => {
+      this.#recordOutcome(context, placed, { outcome, sentAtMs, isOverdue });
+      this.#tools.reporter.reportSend(context, {
+        placed,
+        owner,
+        outcome,
+        sentAtMs,
+        remainingMs,
+        overdueExpectedMs: isOverdue ? expectedMs : undefined,
+        retryClaim,
+        end,
+      });
+    };
+    if (outcome.kind === "answered" && outcome.stream !== undefined) {
+      // The place is taken until the target has sent the last byte.
+      void outcome.stream.ended.then((end) =>
+        recordEnd(toStreamedOutcome(outcome, end), end)
+      );
+    } else {
+      recordEnd(outcome);
+    }
     return {
       kind: "sent",
       target,
@@ -277,3 +292,25 @@
     }
   }
 }
+
+/** What the end of a streamed response says about its target. */
+function toStreamedOutcome(
+  outcome: SendOutcome & { readonly kind: "answered" },
+  end: StreamEnd,
+): SendOutcome {
+  if (end.kind === "complete") {
+    return outcome;
+  }
+  const { cause, message } = end;
+  switch (cause) {
+    case "cut":
+    case "silent":
+      return { kind: "unknown", cause, message };
+    case "too-large":
+      return { kind: "unknown", cause: "garbled", message };
+    case "cancelled":
+    case "unread":
+      // Says nothing about the target: its caller was too slow or has left.
+      return { kind: "unknown", cause: "cancelled", message };
+  }
+}
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -1,6 +1,7 @@
 /** Reports each send of a request and its final response. */
 import type { Clock } from "@lentilspur/ports/clock";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { StreamBreak, StreamEnd } from "@lentilspur/ports/response_stream";
 import type { RetryClaim } from "@lentilspur/routing/retry_budget";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
 import type { CallerRequest, FinalResponse } from "../entry/caller_request.ts";
@@ -34,6 +35,10 @@
     readonly tookMs: number;
     /** The usual time; set if the send was given up as overdue. */
     readonly expectedMs?: number;
+    /** Bytes that arrived of a response that was passed on in parts. */
+    readonly streamedBytes?: number;
+    /** Why such a response broke off. */
+    readonly brokenOff?: StreamBreak;
     /**
      * Requests per second that the target accepts from all instances together.
      */
@@ -85,7 +90,10 @@
     /** The last decision of the retry budget, if the request has failed. */
     readonly retryClaim?: RetryClaim;
     readonly sends: number;
+    /** Until the target had sent the whole response, if it was streamed. */
     readonly tookMs: number;
+    readonly streamedBytes?: number;
+    readonly brokenOff?: StreamBreak;
   };
 
 export class RequestReporter {
@@ -106,9 +114,10 @@
     /** The expected response time, if the send was given up as overdue. */
     readonly overdueExpectedMs: number | undefined;
     readonly retryClaim: RetryClaim | undefined;
+    readonly end: StreamEnd | undefined;
   }): void {
     const { placed, owner, outcome, sentAtMs, remainingMs, retryClaim } = sent;
-    const { overdueExpectedMs } = sent;
+    const { overdueExpectedMs, end } = sent;
     const { request } = context;
     this.#observe({
       kind: "send",
@@ -135,6 +144,7 @@
       ...(overdueExpectedMs === undefined
         ? {}
         : { expectedMs: Math.round(overdueExpectedMs) }),
+      ...describeEnd(end),
       ...(outcome.kind === "unknown" || outcome.limitPerSecond === undefined
         ? {}
         : { limitPerSecond: outcome.limitPerSecond }),
@@ -179,6 +189,7 @@
     request: CallerRequest,
     context: RequestContext | undefined,
     answer: FinalResponse,
+    end?: StreamEnd,
   ): void {
     this.#observe({
       kind: "final",
@@ -190,8 +201,12 @@
         : {}),
       sends: context?.sends ?? 0,
       tookMs: Math.round(this.#clock.readMs() - request.arrivedAtMs),
+      ...describeEnd(end),
       ...(answer.kind === "answered"
-        ? { outcome: "answered", status: answer.status }
+        ? {
+          outcome: end?.kind === "broken" ? "broken-off" : "answered",
+          status: answer.status,
+        }
         : {
           outcome: answer.failure,
           message: answer.message,
@@ -231,3 +246,15 @@
       return { cause: result.message };
   }
 }
+
+function describeEnd(
+  end: StreamEnd | undefined,
+): { readonly streamedBytes?: number; readonly brokenOff?: StreamBreak } {
+  if (end === undefined) {
+    return {};
+  }
+  return {
+    streamedBytes: end.bytes,
+    ...(end.kind === "broken" ? { brokenOff: end.cause } : {}),
+  };
+}
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -9,6 +9,7 @@
  * outdated configuration.
  */
 import type { Random } from "@lentilspur/ports/clock";
+import type { StreamEnd } from "@lentilspur/ports/response_stream";
 import type { Route } from "@lentilspur/ports/routing_table";
 import type { MatchedRoute } from "@lentilspur/routing/route_index";
 import type { AccountAdmission } from "../entry/account_admission.ts";
@@ -52,6 +53,8 @@
   /** How long after its withdrawal an owner may still be sent requests. */
   readonly getWithdrawalGraceMs: (reason: WithdrawalReason) => number;
   readonly observe: (event: RequestEvent) => void;
+  /** Whether the memory for large responses is used up. */
+  readonly isReadAheadUsedUp: () => boolean;
 }
 
 /** How a request gets to a target. */
@@ -82,6 +85,9 @@
  * the move may be over and its notice lost.
  */
 const TYPICAL_MOVE_MS = 200;
+/** Slow callers take a moment; another instance may have memory left. */
+const USED_UP_RETRY_MS = 250;
+
 export class RequestRouter {
   readonly #options: RequestRouterOptions;
   readonly #ownerFinder: OwnerFinder;
@@ -116,14 +122,29 @@
       return context;
     }
     const response = await this.#run(context);
-    this.#options.accounts.release(context.admission);
     if (context.heldRetry !== null) {
       this.#options.services.releaseRetry(context.heldRetry);
     }
-    this.#reporter.reportFinal(request, context, response);
+    if (response.kind === "answered" && response.stream !== undefined) {
+      void response.stream.ended.then((end) =>
+        this.#recordEnd(context, response, end)
+      );
+    } else {
+      this.#recordEnd(context, response);
+    }
     return response;
   }
 
+  /** Records the end of a request, and of its stream if it has one. */
+  #recordEnd(
+    context: RequestContext,
+    response: FinalResponse,
+    end?: StreamEnd,
+  ): void {
+    this.#options.accounts.release(context.admission);
+    this.#reporter.reportFinal(context.request, context, response, end);
+  }
+
   /** Carries out one attempt of a request that another instance forwards. */
   handleForwarded(
     request: ForwardedRequest,
@@ -164,6 +185,12 @@
       const message = `The body is larger than ${maxBytes} bytes`;
       return createFailure("body-too-large", message);
     }
+    if (
+      matched.route.isDownload === true && this.#options.isReadAheadUsedUp()
+    ) {
+      const message = "Slow callers use up the memory for large responses";
+      return createFailure("overloaded", message, USED_UP_RETRY_MS);
+    }
     return this.#admit(request, matched, table.version);
   }
 
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -5,6 +5,7 @@
   OutgoingRequest,
   SendOutcome,
 } from "@lentilspur/ports/request_sender";
+import type { StreamEnd } from "@lentilspur/ports/response_stream";
 import type { Route, RoutingTable } from "@lentilspur/ports/routing_table";
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
@@ -28,6 +29,7 @@
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
 import { computeFingerprint } from "./request_fingerprint.ts";
 import { RequestQuarantine } from "./request_quarantine.ts";
+import type { RequestEvent } from "./request_reporter.ts";
 import { RequestRouter } from "./request_router.ts";
 import { ServiceRegistry } from "./service_registry.ts";
 
@@ -70,7 +72,9 @@
   readonly accounts = new AccountAdmission(this.clock);
   readonly #router: RequestRouter;
   readonly quarantine: RequestQuarantine;
+  readonly events: RequestEvent[] = [];
   isStopping = false;
+  isReadAheadUsedUp = false;
   #version = 0;
 
   constructor(
@@ -187,7 +191,8 @@
       },
       getWithdrawalGraceMs: () => 1_000,
       isStopping: () => this.isStopping,
-      observe: () => undefined,
+      isReadAheadUsedUp: () => this.isReadAheadUsedUp,
+      observe: (event) => this.events.push(event),
     });
     for (const id of ["a", "b"]) {
       this.setTarget(id);
@@ -524,3 +529,68 @@
   );
   assert.equal(failure, "owner-changing");
 });
+
+/** Answers with a stream whose end the test determines. */
+function createStreamedResponse(): {
+  readonly outcome: SendOutcome;
+  readonly end: (end: StreamEnd) => void;
+} {
+  let resolve: (end: StreamEnd) => void = () => undefined;
+  const ended = new Promise<StreamEnd>((settle) => resolve = settle);
+  const stream = {
+    length: 100_000,
+    ended,
+    read: () => Promise.resolve({ kind: "end" as const }),
+    cancel: () => undefined,
+  };
+  return {
+    outcome: { ...RESPONSE, kind: "answered", stream } as SendOutcome,
+    end: resolve,
+  };
+}
+
+test("a response that breaks off after its first byte is not requested again", async () => {
+  const { outcome, end } = createStreamedResponse();
+  const fixture = new RouterFixture(() => outcome);
+  fixture.setRoute({ idempotent: true });
+  const response = await fixture.send();
+  assert.equal(response?.kind, "answered");
+  end({ kind: "broken", cause: "cut", message: "lost", bytes: 70_000 });
+  await fixture.clock.advance(2_000);
+  assert.equal(fixture.sent.length, 1);
+  const [sent, final] = fixture.events;
+  assert.equal(sent?.kind === "send" && sent.cause, "cut");
+  assert.equal(final?.outcome, "broken-off");
+  assert.equal(final?.kind === "final" && final.streamedBytes, 70_000);
+});
+
+test("a streamed response holds its place until the target has sent the last byte", async () => {
+  const streams = Array.from({ length: 20 }, () => createStreamedResponse());
+  const fixture = new RouterFixture((_request, attempt) =>
+    streams[attempt - 1]!.outcome
+  );
+  fixture.setRoute({ idempotent: true, timeoutMs: 60_000, goalMs: 60_000 });
+  for (const index of streams.keys()) {
+    await fixture.send({ requestId: `r${index}`, deadlineMs: 60_000 }, 30);
+  }
+  const busy = fixture.sent.length;
+  assert.ok(busy >= 4 && busy < 10, `${busy} sends at 4 places`);
+  assert.ok(fixture.events.every(({ kind }) => kind !== "send"));
+  streams[0]!.end({ kind: "complete", bytes: 100_000 });
+  await fixture.clock.advance(100);
+  assert.equal(fixture.sent.length, busy + 1);
+  const sends = fixture.events.filter(({ kind }) => kind === "send");
+  assert.deepEqual(sends.map(({ outcome }) => outcome), ["answered"]);
+});
+
+test("a download is refused at once while the memory for large responses is used up", async () => {
+  const fixture = new RouterFixture(() => RESPONSE);
+  fixture.isReadAheadUsedUp = true;
+  fixture.setRoute({ isDownload: true });
+  const response = await fixture.send({}, 0);
+  assert.equal(getFailure(response), "overloaded");
+  assert.ok(response?.kind === "failed" && response.retryAfterMs! > 0);
+  assert.equal(fixture.sent.length, 0);
+  fixture.setRoute({});
+  assert.equal((await fixture.send())?.kind, "answered");
+});
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -426,6 +426,7 @@
       },
       getWithdrawalGraceMs: () => 1_000,
       isStopping: () => false,
+      isReadAheadUsedUp: () => false,
       observe: () => undefined,
     });
     return { ...components, catalogue, directory, services, paths, router };
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -1,5 +1,6 @@
 /** Interface for sending a request to a target, and the possible outcomes. */
 import type { HeaderField } from "./header_field.ts";
+import type { ResponseStream } from "./response_stream.ts";
 
 /** Statuses from this one on mean that the target itself has failed. */
 const FIRST_FAILED_STATUS = 500;
@@ -24,6 +25,9 @@
   readonly timeoutMs: number;
   /** Whether the request may run more than once. */
   readonly idempotent: boolean;
+  /** Whether a large response may be returned while it still arrives. */
+  readonly mayStream: boolean;
+  /** Cancels the send until its response is returned. */
   readonly signal: AbortSignal;
 }
 
@@ -54,7 +58,10 @@
 export interface TargetResponse {
   readonly status: number;
   readonly headers: readonly HeaderField[];
+  /** The whole body; empty if there is a stream. */
   readonly body: Uint8Array;
+  /** The body of a large response, which is read to its end or cancelled. */
+  readonly stream?: ResponseStream;
   /**
    * Whether the response itself marks its end. If not, it ended when the
    * connection closed and may be incomplete, so it must not be forwarded with a
@@ -64,7 +71,10 @@
 }
 
 export type SendOutcome =
-  /** The complete response of the target, to be forwarded unchanged. */
+  /**
+   * The response of the target, to be forwarded unchanged; complete unless it
+   * has a stream.
+   */
   | (TargetResponse & TargetReport & { readonly kind: "answered" })
   /**
    * The request is proved not to have run, and never will: no connection to the
--- a/packages/ports/src/routing_table.ts
+++ b/packages/ports/src/routing_table.ts
@@ -31,6 +31,11 @@
   readonly match: RouteMatch;
   /** Whether a request may run more than once. */
   readonly idempotent: boolean;
+  /**
+   * Whether its responses are large; its requests are refused while the memory
+   * for large responses is used up.
+   */
+  readonly isDownload?: boolean;
   /** Maximum time that a caller waits for a response. */
   readonly timeoutMs: number;
   /** A response within this time is worth the most to the caller. */
