test(transport): wait for the pause of a read instead of some turns

The test of an unread response and that of a held request now wait for what they are about, so that a busy machine does not change their result.

--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -296,7 +296,7 @@
   await waitUntil(() => trial.body.length === PART.length);
   trial.caller.write(formatRequest());
   await waitUntil(() => trial.server.heldRequests === 1);
-  assert.equal(trial.targets.length, 1);
+  assert.equal(trial.requests, 1);
   trial.targets[0]!.write(PART);
   await waitUntil(() => trial.server.heldRequests === 0);
   trial.close();
--- a/packages/transport/src/response_stream_test.ts
+++ b/packages/transport/src/response_stream_test.ts
@@ -80,6 +80,12 @@
   }
 }
 
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) {
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
 async function waitForTurns(): Promise<void> {
   for (let turn = 0; turn < 50; turn++) {
     await new Promise((resolve) => setTimeout(resolve, 1));
@@ -157,7 +163,7 @@
     socket.write(Buffer.alloc(8_000_000));
   }, 200_000);
   const { stream } = (await trial.send()).unwrap();
-  await waitForTurns();
+  await waitUntil(() => trial.budget.isUsedUp);
   sockets[0]!.resetAndDestroy();
   await waitForTurns();
   for (;;) {
