--- a/packages/gateway/src/keeper/ended_keeper_test.ts
+++ b/packages/gateway/src/keeper/ended_keeper_test.ts
@@ -91,8 +91,7 @@
 });
 
 test("an instance that came later waits for a keeper that acts on pledges", async () => {
-  // The keeper and its witnesses lack the store; the keeper reaches target "c",
-  // which the successor does not reach.
+  // The keeper and its witnesses lack the store; only the keeper reaches "c".
   for (let claimedAfterMs = 0; claimedAfterMs <= 3_000; claimedAfterMs += 300) {
     const { simulation } = await startInstances();
     NAMES.forEach((name) => simulation.store.setFaultMode(name, "silent"));
@@ -127,8 +126,7 @@
 for (const successor of ["two", "four"]) {
   const role = successor === "four" ? "no witness" : "a witness";
   test(`a keeper does not act again on pledges of restarted witnesses, after a successor that was ${role}`, async () => {
-    // The keeper is cut off together with target "c"; its successor moves the
-    // keys of "c" and is killed; the witnesses restart without the store.
+    // The keeper is cut off with "c"; the successor moves its keys and is killed.
     const simulation = new KeeperSimulation(["a", "b", "c"]);
     simulation.start("one");
     await simulation.clock.advance(3_000);
