--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -113,8 +113,7 @@
 });
 
 test("requests that were passed on before a stop are all answered", async () => {
-  // Failure case: the first response after the stop closed the connection, and
-  // three requests that targets were running were cut off.
+  // The first response after the stop closed the connection of three others.
   const trial = await openTrial();
   trial.caller.write(formatRequests([1, 2, 3, 4]));
   await waitUntil(() => trial.requests.length === 4);
@@ -179,8 +178,7 @@
 });
 
 test("a request that may run once only is not passed on behind another", async () => {
-  // If the connection breaks, its caller takes it for not read and sends it
-  // again.
+  // If the connection breaks, its caller sends it again as not read.
   const trial = await openTrial();
   trial.caller.write(
     formatRequests([1]) + formatRequests([2], { method: "POST" }) +
@@ -257,8 +255,7 @@
 });
 
 test("invalid bytes behind a request do not answer it", async () => {
-  // The answer 400 or 408 to what follows was taken for that of the request,
-  // and tells its caller that it has not run.
+  // The answer 400 or 408 would tell the caller that its request has not run.
   const trial = await openTrial();
   trial.caller.write(formatRequests([1, 2]) + "nothing of HTTP\r\n\r\n");
   await waitUntil(() => trial.requests.length === 2);
--- a/packages/ownership/src/owner_simulation_test.ts
+++ b/packages/ownership/src/owner_simulation_test.ts
@@ -22,8 +22,7 @@
 }
 
 test("callers of uneven targets that are used to less than half are answered in time, and few keys move", () => {
-  // Equal utilization leaves 17% late or refused; 11% is possible if the speeds
-  // are known exactly.
+  // Equal utilization leaves 17% late or refused, known speeds 11%.
   const outcomes = measureSeeds("even");
   const unmet = computeMean(outcomes.map(({ inTime }) => 1 - inTime));
   const moved = computeMean(outcomes.map(({ moved }) => moved));
--- a/packages/routing/src/retry_budget_test.ts
+++ b/packages/routing/src/retry_budget_test.ts
@@ -151,8 +151,7 @@
 );
 
 test("a process that restarts at any time keeps the budget of its requests", () => {
-  // The load is even, as that of all instances together is: a window before a
-  // restart has earned what the one after it may not use again.
+  // The load is even, as that of all instances together is.
   fc.assert(
     fc.property(steps, fc.integer({ min: 5, max: 40 }), (demands, load) => {
       const limits = { ...LIMITS, reserve: 0 };
