fix(routing): give up no overdue send for a target that takes nothing now

Cause: whether there is room for another send counted targets that are suspended, ask for a pause, have lost paths or have failed the request already. A send was given up for them, and the request then refused or held, although its first run could still have been answered. Change: room counts only at targets that would get the request at once. The new test calls the decision with the new arguments, so it did not run on the old code.

--- a/packages/gateway/src/requests/overdue_responses.ts
+++ b/packages/gateway/src/requests/overdue_responses.ts
@@ -130,7 +130,9 @@
       if (deadlineAtMs - clock.readMs() < expectedMs) {
         return;
       }
-      if (services.hasRoom(service, owner)) {
+      const excluded = context.excludedTargets;
+      const sought = owner === undefined ? { excluded } : { owner, excluded };
+      if (services.hasRoom(service, sought)) {
         if (this.#claimRetry(context)) {
           abortController.cancelOverdue();
         }
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -321,10 +321,13 @@
       ?.estimateResponseMs(this.#options.clock.readMs(), usualMs) ?? 0;
   }
 
-  /** Whether a request that only `owner`, or any target, may run finds room. */
-  hasRoom(service: string, owner: string | undefined): boolean {
+  /** Whether a request would be placed at once. */
+  hasRoom(
+    service: string,
+    request: Pick<PlaceRequest, "owner" | "excluded">,
+  ): boolean {
     const places = this.#getPlaces(service);
-    return places.hasRoom(owner, this.#options.clock.readMs());
+    return places.hasRoom(request, this.#options.clock.readMs());
   }
 
   /**
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -229,18 +229,23 @@
     return [...this.#loads.values()];
   }
 
-  /** Whether the owner, or any target if there is none, has room. */
-  hasRoom(owner: string | undefined, nowMs: number): boolean {
-    if (owner !== undefined) {
-      const load = this.#loads.get(owner);
-      return load !== undefined && hasRoom(load, OWNER_OVERCOMMIT, nowMs);
-    }
-    for (const load of this.#loads.values()) {
-      if (!load.target.leaving && hasRoom(load, OVERCOMMIT, nowMs)) {
-        return true;
-      }
-    }
-    return false;
+  /**
+   * Whether a target that may run the request and takes it now has room: the
+   * owner, or any that is not excluded if there is none.
+   */
+  hasRoom(
+    { owner, excluded }: Pick<PlaceRequest, "owner" | "excluded">,
+    nowMs: number,
+  ): boolean {
+    const overcommit = owner === undefined ? OVERCOMMIT : OWNER_OVERCOMMIT;
+    return this.listLoads().some((load) =>
+      (owner === undefined
+        ? !load.target.leaving && !excluded.has(load.target.id)
+        : load.target.id === owner) &&
+      !load.isSuspended(nowMs) && load.getBackoffMs(nowMs) === 0 &&
+      !this.#options.isPathLost(load.target) &&
+      hasRoom(load, overcommit, nowMs)
+    );
   }
 
   /** Decides at once, or queues the request and calls `callback` later. */
--- a/packages/routing/src/service_places_test.ts
+++ b/packages/routing/src/service_places_test.ts
@@ -238,3 +238,15 @@
     "a target that has become slow is detected",
   );
 });
+
+test("a send is not given up for a target that wants a pause, does not respond or is excluded", () => {
+  const places = createPlaces(createTarget("a"), createTarget("b"));
+  const excluded = new Set(["b"]);
+  assert.ok(places.hasRoom({ excluded }, 0));
+  places.recordBackoff("a", 100, 0);
+  assert.ok(!places.hasRoom({ excluded }, 0));
+  assert.ok(!places.hasRoom({ owner: "a", excluded }, 0));
+  assert.ok(places.hasRoom({ excluded }, 100));
+  places.getLoad("a")!.recordUnresponsive(100);
+  assert.ok(!places.hasRoom({ owner: "a", excluded }, 100));
+});
