--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,35 +1,50 @@
 /**
- * An upstream answers downloads without a length: the end of its connection
- * marks the end of the answer. The router is killed while it passes one on.
+ * Few of the upstreams' answers to downloads have no length: the end of their
+ * connection marks the end of the answer. A router is killed while it passes such
+ * an answer on, among others.
  */
 import { request } from "node:http";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { createRequestId } from "../lib/client.mjs";
-import { Deployment, HOST, Recorder, sleep } from "../lib/deployment.mjs";
-import { Upstream } from "../lib/upstream.mjs";
+import {
+  Deployment,
+  HOST,
+  nowMs,
+  Recorder,
+  sleep,
+} from "../lib/deployment.mjs";
+import { AnswerShare, Upstream } from "../lib/upstream.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 /** The largest download of the sheets. */
 const BODY_BYTES = 540_000;
 const PIECE_BYTES = 18_000;
 const PIECE_EVERY_MS = 50;
-const CLIENTS = 4;
-/** The router is killed this long after the clients have sent. */
-const KILL_AFTER_MS = 900;
+const UPSTREAMS = 8;
+/** Upstreams of which some answers have no length, the share, and how long. */
+const UNFRAMED_UPSTREAMS = 4;
+const UNFRAMED_SHARE = 0.05;
+const WINDOW_MS = 5_000;
+const SEND_EVERY_MS = 50;
+/** The router is killed this long after an answer without a length has begun. */
+const KILL_AFTER_MS = 700;
 const DEADLINE_MS = 10_000;
 
 const recorder = new Recorder(dirname(fileURLToPath(import.meta.url)));
 const deployment = new Deployment();
 const upstreams = [];
 const results = [];
+const unframed = new AnswerShare(UNFRAMED_SHARE);
+let unframedAtMs = Infinity;
 
 function observe(event) {
-  if (event.kind === "run" || event.kind === "ran") {
-    recorder.add(
-      `${event.upstream} ${event.kind === "run" ? "begins" : "ends"} ` +
-        event.requestId,
-    );
+  if (event.kind === "answer") {
+    const length = event.hasLength ? "with its length" : "without a length";
+    recorder.add(`${event.upstream} answers ${event.requestId} ${length}`);
+    if (!event.hasLength) {
+      unframedAtMs = Math.min(unframedAtMs, nowMs());
+    }
   }
 }
 
@@ -101,7 +116,7 @@
       idle_timeout: "15s",
     },
   });
-  for (let index = 0; index < 3; index++) {
+  for (let index = 0; index < UPSTREAMS; index++) {
     const upstream = new Upstream({
       id: `i-${index}`,
       ip: deployment.takeIp(),
@@ -114,11 +129,12 @@
       observe,
       mayRepeat: () => false,
       workMs: () => 100,
-      unframed: {
+      trickle: {
         bytes: BODY_BYTES,
         pieceBytes: PIECE_BYTES,
         everyMs: PIECE_EVERY_MS,
       },
+      ...(index < UNFRAMED_UPSTREAMS ? { unframed } : {}),
     });
     await upstream.open();
     upstreams.push(upstream);
@@ -129,12 +145,19 @@
     deployment.routers.map((one) => deployment.waitUntilReady(one)),
   );
   await sleep(4_000);
-  const pending = Array.from({ length: CLIENTS }, () => download(router));
-  await sleep(KILL_AFTER_MS);
-  if (HAS_TROUBLE) {
-    router.child.kill("SIGKILL");
-    recorder.add("SIGKILL to router-0");
+  const pending = [];
+  const endMs = nowMs() + WINDOW_MS;
+  unframed.open();
+  while (nowMs() < endMs && router.exit === null) {
+    pending.push(download(router));
+    await sleep(SEND_EVERY_MS);
+    if (HAS_TROUBLE && nowMs() > unframedAtMs + KILL_AFTER_MS) {
+      router.child.kill("SIGKILL");
+      recorder.add("SIGKILL to router-0");
+      break;
+    }
   }
+  unframed.close();
   results.push(...await Promise.all(pending));
 }
 
@@ -163,8 +186,12 @@
   await run();
   const broken = judge();
   broken.forEach((line) => recorder.say(line));
-  recorder.say(`${results.length} downloads`);
-  code = broken.length > 0 ? 1 : results.length > 0 ? 0 : 2;
+  recorder.say(
+    `${results.length} downloads, ${unframed.taken} of ${unframed.answers} ` +
+      `answers without a length, ` +
+      `${results.filter(({ isComplete }) => isComplete).length} complete`,
+  );
+  code = broken.length > 0 ? 1 : unframed.taken > 0 ? 0 : 2;
 } catch (error) {
   recorder.say(`The case could not run: ${error.stack}`);
 } finally {
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -16,14 +16,14 @@
 const ID = "Lentilspur-Request-Id";
 
 /**
- * Lets at most `share` of the answers get an extra copy, and none outside of
- * its windows.
+ * Lets a disruption have at most `share` of the answers, and none outside of its
+ * windows.
  */
-export class ExtraAnswers {
+export class AnswerShare {
   #share;
   #credit = 0;
   answers = 0;
-  sent = 0;
+  taken = 0;
   isOpen = false;
 
   constructor(share) {
@@ -42,7 +42,7 @@
       return false;
     }
     this.#credit--;
-    this.sent++;
+    this.taken++;
     return true;
   }
 
@@ -76,10 +76,10 @@
 
   /**
    * `options`: id, ip, service, zone, slots, queue, keyed, deployment, recorder,
-   * workMs(request), observe (events), extra (`ExtraAnswers`), mayRepeat(last,
+   * workMs(request), observe (events), extra (`AnswerShare`), mayRepeat(last,
    * message), createBody(request), closes() (whether an answer to a request has
-   * `Connection: close`), unframed (bytes, pieceBytes, everyMs: answers without a
-   * length).
+   * `Connection: close`), trickle (bytes, pieceBytes, everyMs: sends its answers
+   * piece by piece), unframed (`AnswerShare`: these have no length).
    */
   constructor(options) {
     this.#options = options;
@@ -185,7 +185,7 @@
       extra !== undefined && last !== undefined && mayRepeat(last, message) &&
       extra.take()
     ) {
-      connection.socket.write(last.bytes);
+      writeWhole(connection.socket, last);
       observe({ kind: "extra", upstream: this.id, last, message });
     }
     const { headers, path } = message;
@@ -281,9 +281,9 @@
     end();
     this.#waiting.shift()?.();
     observe({ kind: "ran", upstream: this.id, requestId, key });
-    const { createBody, closes, unframed } = this.#options;
-    if (unframed !== undefined) {
-      await this.#answerUnframed(connection, message, unframed);
+    const { createBody, closes, trickle } = this.#options;
+    if (trickle !== undefined) {
+      await this.#trickle(connection, message, trickle);
       return;
     }
     const body = createBody?.(message) ?? `${this.id} ran ${requestId}`;
@@ -299,23 +299,34 @@
     }
   }
 
-  /** Answers without a length, piece by piece; the connection's end ends it. */
-  async #answerUnframed(
+  /** Answers piece by piece; without a length, the connection ends the answer. */
+  async #trickle(
     { socket },
     { headers },
     { bytes, pieceBytes, everyMs },
   ) {
-    const id = headers["lentilspur-request-id"];
+    const { unframed, observe } = this.#options;
+    const requestId = headers["lentilspur-request-id"];
+    unframed?.recordAnswer();
+    const hasLength = unframed?.take() !== true;
+    observe({ kind: "answer", upstream: this.id, requestId, hasLength });
     socket.write(
-      `HTTP/1.1 200 OK\r\n${ID}: ${id}\r\n` +
-        `Lentilspur-Response-Signature: ${this.id}.${id}\r\n` +
-        `Lentilspur-Instance-Id: ${this.id}\r\n\r\n`,
+      [
+        "HTTP/1.1 200 OK",
+        `${ID}: ${requestId}`,
+        `Lentilspur-Response-Signature: ${this.id}.${requestId}`,
+        `Lentilspur-Instance-Id: ${this.id}`,
+        ...(hasLength ? [`Content-Length: ${bytes}`] : []),
+        "\r\n",
+      ].join("\r\n"),
     );
     for (let sent = 0; sent < bytes && !socket.destroyed; sent += pieceBytes) {
       socket.write(Buffer.alloc(Math.min(pieceBytes, bytes - sent), "plan "));
       await new Promise((resolve) => setTimeout(resolve, everyMs));
     }
-    socket.end();
+    if (!hasLength) {
+      socket.end();
+    }
   }
 
   #refuse(connection, message, status, why) {
@@ -336,13 +347,20 @@
       ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
       `Content-Length: ${Buffer.byteLength(body)}`,
     ];
-    const bytes = `${lines.join("\r\n")}\r\n\r\n${body}`;
+    const bytes = `${lines.join("\r\n")}\r\n\r\n`;
     this.#options.extra?.recordAnswer();
-    connection.last = { path: message.path, id, status, bytes };
-    connection.socket.write(bytes);
+    connection.last = { path: message.path, id, status, bytes, body };
+    writeWhole(connection.socket, connection.last);
   }
 }
 
+function writeWhole(socket, { bytes, body }) {
+  socket.cork();
+  socket.write(bytes);
+  socket.write(body);
+  socket.uncork();
+}
+
 /** Takes one whole message from a connection's buffer. */
 function takeMessage(connection) {
   const end = connection.buffer.indexOf("\r\n\r\n");
