--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -61,6 +61,9 @@
           { service, outcome },
           event.tookMs / 1_000,
         );
+        if (event.isCloseDelimited === true) {
+          this.#metrics.closeDelimitedResponses.inc({ service });
+        }
         return;
     }
   }
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -4,6 +4,7 @@
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { EventReporter } from "./event_reporter.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
+import { RequestReporter } from "./requests/request_reporter.ts";
 import { StructuredLogger } from "./structured_logger.ts";
 
 const GAUGES = {
@@ -20,6 +21,19 @@
   lostPaths: 0,
   evacuated: 0,
 };
+const REQUEST = {
+  requestId: "1",
+  deadlineMs: undefined,
+  key: undefined,
+  credential: undefined,
+  method: "GET",
+  host: "a",
+  path: "/",
+  headers: [],
+  body: new Uint8Array(0),
+  arrivedAtMs: 0,
+  signal: new AbortController().signal,
+};
 const PARTITION = { topic: "owners", part: 3 };
 
 test("the log line of a key order has its time of writing and the order's duration", async () => {
@@ -56,3 +70,38 @@
   assert.equal(line.elapsedMs, 5_000);
   assert.equal(line.tookMs, 12);
 });
+
+test("a response that ended with its target's connection is told from the others", async () => {
+  const stream = new PassThrough();
+  const metrics = new GatewayMetrics(() => GAUGES);
+  const logger = new StructuredLogger({
+    clock: new VirtualClock(),
+    instance: "a",
+    incarnation: "b",
+    stream,
+  });
+  const reporter = new EventReporter(logger, metrics);
+  const requestReporter = new RequestReporter(
+    new VirtualClock(),
+    (event) => reporter.observeRequest(event),
+  );
+  for (const isSelfDelimited of [true, false, false]) {
+    requestReporter.reportFinal(REQUEST, undefined, {
+      kind: "answered",
+      status: 200,
+      headers: [],
+      body: new Uint8Array(0),
+      isSelfDelimited,
+    });
+  }
+  logger.flush();
+  const lines = String(stream.read()).trim().split("\n");
+  assert.deepEqual(
+    lines.map((line) => JSON.parse(line).isCloseDelimited),
+    [undefined, true, true],
+  );
+  assert.match(
+    await metrics.render(),
+    /lentilspur_close_delimited_responses_total\{service=""\} 2/,
+  );
+});
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -84,6 +84,12 @@
     labelNames: ["service", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly closeDelimitedResponses = new Counter({
+    name: "lentilspur_close_delimited_responses_total",
+    help: "Responses that ended with the target's connection, by service",
+    labelNames: ["service"] as const,
+    registers: [this.#registry],
+  });
   readonly overdueSends = new Counter({
     name: "lentilspur_overdue_sends_total",
     help: "Sends that were given up because their response was overdue",
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -94,6 +94,8 @@
     readonly tookMs: number;
     readonly streamedBytes?: number;
     readonly brokenOff?: StreamBreak;
+    /** Set if only the end of the target's connection ended the response. */
+    readonly isCloseDelimited?: true;
   };
 
 export class RequestReporter {
@@ -206,6 +208,9 @@
         ? {
           outcome: end?.kind === "broken" ? "broken-off" : "answered",
           status: answer.status,
+          ...(answer.isSelfDelimited
+            ? {}
+            : { isCloseDelimited: true as const }),
         }
         : {
           outcome: answer.failure,
