fix(gateway): show callers of responses without a length that this process ended

Cause: a target's response without a length ends with its connection, and goes on without a length as well, since no end of the target's connection proves that it is whole. So the end of the caller's connection is its only mark, and the kernel closes the connections of a process that ends in order, as a response that is whole ends. The same holds for chunks passed on to HTTP/1.0 callers, for whole responses that are being flushed, and for the head of one whose body has not been written yet.

Change, two parts: - From before the first byte until the last one is written, the connection has SO_LINGER with a timeout of 0, so that the kernel resets it if the process ends. Node.js has no interface for this; koffi calls setsockopt. Where that fails, a response is held whole. - The response is held until it is whole, as far as the memory for reading ahead allows, and then written at once. So the time in which a part is at the caller is as short as possible, and one that the target breaks off is answered with 502 instead of a part.

--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -51,6 +51,7 @@
     },
     observeDelivery: () => undefined,
     reportFailure: () => undefined,
+    reportFault: () => undefined,
   });
   await server.open();
   const caller = connect(server.port, "127.0.0.1");
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -15,6 +15,8 @@
   type Socket,
 } from "node:net";
 import type { HeaderField } from "@lentilspur/ports/header_field";
+import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
+import type { Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
   ERROR_RESPONSES,
@@ -27,9 +29,11 @@
 } from "./caller_request.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
+import { ConnectionResets } from "./connection_resets.ts";
 import {
   readWhole,
   type StreamDelivery,
+  waitUntilBuffered,
   writeStream,
 } from "./stream_writer.ts";
 
@@ -52,8 +56,13 @@
     readonly kind: ErrorKind;
     readonly message: string;
   }) => void;
+  readonly reportFault: (message: string) => void;
+  /** Replaces the socket option of this system. */
+  readonly loadResetOnClose?: () => Promise<Result<ResetOnClose, string>>;
 }
 
+type AnsweredResponse = FinalResponse & { readonly kind: "answered" };
+
 /** Where the response to a request is written. */
 interface Reply {
   readonly requestId: string | undefined;
@@ -110,6 +119,7 @@
   readonly #options: RequestServerOptions;
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #resets: ConnectionResets;
   #limits = DEFAULT_LIMITS;
   #isDraining = false;
   #isRefusing = false;
@@ -118,6 +128,10 @@
 
   constructor(options: RequestServerOptions) {
     this.#options = options;
+    this.#resets = new ConnectionResets({
+      load: options.loadResetOnClose ?? ResetOnClose.load,
+      reportFault: options.reportFault,
+    });
     this.#server = createServer({
       headersTimeout: DEFAULT_LIMITS.headTimeoutMs,
       requestTimeout: DEFAULT_LIMITS.headTimeoutMs + BODY_TIMEOUT_MS,
@@ -271,11 +285,24 @@
     if (requests.mayClose(request)) {
       return finalResponse;
     }
-    const { stream, ...head } = finalResponse;
-    if (isCloseDelimited(finalResponse)) {
-      stream.cancel("The response would cut off the requests behind it");
+    if (!finalResponse.isSelfDelimited) {
+      finalResponse.stream.cancel(
+        "The response would cut off the requests behind it",
+      );
       return this.#fail(requestId, "answer-lost");
     }
+    return await this.#collect(finalResponse, requestId, signal);
+  }
+
+  /** Reads a response to its end; a failure if it breaks off. */
+  async #collect(
+    { stream, ...head }: AnsweredResponse,
+    requestId: string | undefined,
+    signal: AbortSignal,
+  ): Promise<FinalResponse> {
+    if (stream === undefined) {
+      return head;
+    }
     const body = await readWhole(stream, signal);
     return body === undefined
       ? this.#fail(requestId, "answer-lost")
@@ -378,7 +405,8 @@
       return;
     }
     const mayClose = requests.mayClose(request);
-    if (isCloseDelimited(finalResponse) && !mayClose) {
+    const endsConnection = isCloseDelimited(finalResponse, response);
+    if (endsConnection && !mayClose) {
       // Closing the connection would cut the requests behind this one.
       const failure = this.#fail(requestId, "answer-lost");
       writeFailure(failure, requestId, response);
@@ -388,16 +416,14 @@
     if (mayClose && (this.#isDraining || !request.isRead())) {
       response.setHeader("Connection", "close");
       requests.closeAfter(request);
-    } else if (isCloseDelimited(finalResponse)) {
+    } else if (endsConnection) {
       requests.closeAfter(request);
     }
     switch (finalResponse.kind) {
       case "answered":
-        if (finalResponse.stream === undefined) {
-          writeTargetResponse(finalResponse, response);
-        } else {
-          void this.#writeStream(finalResponse, reply);
-        }
+        void (endsConnection
+          ? this.#writeCloseDelimited(finalResponse, reply)
+          : this.#writeTargetResponse(finalResponse, reply));
         return;
       case "failed":
         writeFailure(finalResponse, requestId, response);
@@ -405,16 +431,74 @@
     }
   }
 
-  async #writeStream(
-    finalResponse: FinalResponse & { readonly kind: "answered" },
+  /**
+   * Writes a response that only the end of the caller's connection ends. It is
+   * held until it is whole, as far as memory allows, so that it is incomplete at
+   * the caller for as short a time as possible: some callers take a reset for
+   * the end of the response.
+   */
+  async #writeCloseDelimited(
+    answered: AnsweredResponse,
+    reply: Reply,
+  ): Promise<void> {
+    const { response, signal } = reply;
+    const { stream } = answered;
+    const buffered = stream === undefined
+      ? "whole"
+      : await waitUntilBuffered(stream, signal);
+    const isReset = await this.#resets.reserveFor(response);
+    if (response.destroyed) {
+      cancelStream(answered);
+      return;
+    }
+    if (buffered === "broken-off") {
+      this.#writeLastFailure(reply);
+    } else if (isReset || buffered === "whole") {
+      await this.#writeTargetResponse(answered, reply);
+    } else {
+      await this.#writeCollected(answered, reply);
+    }
+  }
+
+  /** Reads a response to its end before its first byte is written. */
+  async #writeCollected(
+    answered: AnsweredResponse,
+    reply: Reply,
+  ): Promise<void> {
+    const { requestId, response, signal } = reply;
+    const collected = await this.#collect(answered, requestId, signal);
+    if (response.destroyed) {
+      return;
+    }
+    switch (collected.kind) {
+      case "answered":
+        writeWholeResponse(collected, response);
+        return;
+      case "failed":
+        response.shouldKeepAlive = false;
+        writeFailure(collected, requestId, response);
+        return;
+    }
+  }
+
+  /** Tells the caller that its response was lost, and closes the connection. */
+  #writeLastFailure({ requestId, response }: Reply): void {
+    response.shouldKeepAlive = false;
+    const failure = this.#fail(requestId, "answer-lost");
+    writeFailure(failure, requestId, response);
+  }
+
+  async #writeTargetResponse(
+    answered: AnsweredResponse,
     { requestId, response, signal }: Reply,
   ): Promise<void> {
-    const { stream, isSelfDelimited } = finalResponse;
+    const { stream } = answered;
     if (stream === undefined) {
+      writeWholeResponse(answered, response);
       return;
     }
-    setTargetHead(finalResponse, response);
-    if (!isSelfDelimited) {
+    setTargetHead(answered, response);
+    if (!answered.isSelfDelimited) {
       writeHeadWithoutLength(response);
     } else if (stream.length !== undefined) {
       response.setHeader("Content-Length", stream.length);
@@ -452,9 +536,20 @@
 }
 
 /** Whether only the end of the connection marks the end of the response. */
-function isCloseDelimited(finalResponse: FinalResponse): boolean {
-  return finalResponse.kind === "answered" && !finalResponse.isSelfDelimited &&
-    !STATUSES_WITHOUT_BODY.has(finalResponse.status);
+function isCloseDelimited(
+  finalResponse: FinalResponse,
+  { useChunkedEncodingByDefault: hasChunks }: ServerResponse,
+): boolean {
+  if (
+    finalResponse.kind !== "answered" ||
+    STATUSES_WITHOUT_BODY.has(finalResponse.status)
+  ) {
+    return false;
+  }
+  const { isSelfDelimited, stream } = finalResponse;
+  // Chunks cannot be sent to a caller that speaks HTTP/1.0.
+  const needsChunks = stream !== undefined && stream.length === undefined;
+  return !isSelfDelimited || (needsChunks && !hasChunks);
 }
 
 /** Ends the target's work on a response that can no longer be passed on. */
@@ -465,7 +560,7 @@
 }
 
 function setTargetHead(
-  finalResponse: FinalResponse & { readonly kind: "answered" },
+  finalResponse: AnsweredResponse,
   response: ServerResponse,
 ): void {
   for (const { name, value } of finalResponse.headers) {
@@ -477,8 +572,8 @@
   response.statusCode = finalResponse.status;
 }
 
-function writeTargetResponse(
-  finalResponse: FinalResponse & { readonly kind: "answered" },
+function writeWholeResponse(
+  finalResponse: AnsweredResponse,
   response: ServerResponse,
 ): void {
   setTargetHead(finalResponse, response);
@@ -489,6 +584,8 @@
   if (finalResponse.isSelfDelimited) {
     response.setHeader("Content-Length", finalResponse.body.byteLength);
   } else {
+    // The head and the body leave in one system call.
+    response.cork();
     writeHeadWithoutLength(response);
   }
   response.end(finalResponse.body);
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -33,6 +33,7 @@
     handle: async (request) => await handle(request),
     observeDelivery: () => undefined,
     reportFailure: () => undefined,
+    reportFault: () => undefined,
   });
   await server.open();
   return server;
--- a/packages/gateway/src/entry/stream_writer.ts
+++ b/packages/gateway/src/entry/stream_writer.ts
@@ -105,6 +105,25 @@
   });
 }
 
+export type BufferedResponse =
+  | "whole"
+  /** Memory is short, so that the caller has to take a part first. */
+  | "partial"
+  | "broken-off";
+
+/** Waits until the response has arrived, as far as memory allows. */
+export async function waitUntilBuffered(
+  stream: ResponseStream,
+  signal: AbortSignal,
+): Promise<BufferedResponse> {
+  cancelOnAbort(stream, signal);
+  if (!await stream.buffered) {
+    return "partial";
+  }
+  const { kind } = await stream.ended;
+  return kind === "complete" ? "whole" : "broken-off";
+}
+
 /** Reads a stream to its end into memory; undefined if it breaks off. */
 export async function readWhole(
   stream: ResponseStream,
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -501,6 +501,7 @@
       handle: (request) => this.#router.handle(request),
       observeDelivery: (delivery) => this.#reporter.observeDelivery(delivery),
       reportFailure: (failure) => this.#reporter.reportEarlyFailure(failure),
+      reportFault: (message) => this.#reporter.reportFault(message),
     });
   }
 
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -621,6 +621,7 @@
   const stream = {
     length: 100_000,
     ended,
+    buffered: ended.then(() => true),
     read: () => Promise.resolve({ kind: "end" as const }),
     cancel: () => undefined,
   };
--- a/packages/ports/src/response_stream.ts
+++ b/packages/ports/src/response_stream.ts
@@ -41,6 +41,11 @@
   readonly length: number | undefined;
   /** Resolves when the target has sent the last byte, or never will. */
   readonly ended: Promise<StreamEnd>;
+  /**
+   * Resolves when no more of the response arrives until it is read: with true
+   * if it has ended, with false if memory is short.
+   */
+  readonly buffered: Promise<boolean>;
   /**
    * Waits for the next part. The memory of a part is counted until the next
    * call.
--- a/packages/transport/src/buffered_stream.ts
+++ b/packages/transport/src/buffered_stream.ts
@@ -24,11 +24,13 @@
 export class BufferedStream implements ResponseStream {
   readonly length: number | undefined;
   readonly ended: Promise<StreamEnd>;
+  readonly buffered: Promise<boolean>;
   readonly #budget: ReadAheadBudget;
   readonly #source: StreamSource;
   readonly #parts: Uint8Array[] = [];
   readonly #resume = () => this.#resumeReading();
   #resolveEnded: (end: StreamEnd) => void = () => undefined;
+  #resolveBuffered: (hasEnded: boolean) => void = () => undefined;
   #resolveRead: ((part: StreamPart) => void) | undefined;
   #end: StreamEnd | undefined;
   #receivedBytes = 0;
@@ -48,6 +50,7 @@
     this.#source = options.source;
     this.length = options.length;
     this.ended = new Promise((resolve) => this.#resolveEnded = resolve);
+    this.buffered = new Promise((resolve) => this.#resolveBuffered = resolve);
   }
 
   /** Adds a part that has arrived; pauses the source if memory is short. */
@@ -64,6 +67,7 @@
       this.#isPaused = true;
       this.#wasPaused = true;
       this.#source.pause();
+      this.#resolveBuffered(false);
       this.#budget.waitForRoom(this.#resume);
     }
   }
@@ -115,6 +119,7 @@
       this.#releaseParts();
     }
     this.#settleRead();
+    this.#resolveBuffered(true);
     this.#resolveEnded(end);
   }
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -37,6 +37,8 @@
   bundle: true,
   platform: "node",
   target: "node20",
+  // Loads a native library from its own package.
+  external: ["koffi"],
   format: "cjs",
   alias: {
     "ts-results": "./scripts/ts_results_default.mjs",
