fix(transport): limit what a response may have besides its body

Cause: the HTTP parser limits headers and trailers, and maxResponseBytes limits the body. Status lines, interim responses, chunk sizes and chunk extensions had no limit in bytes, and each interim response restarted the stall timeout.

Change: HttpConnection counts what its parser has received, and a response with more than 64 KiB besides its body, or eight bytes for each byte of it if that is more, or with more than maxResponseBytes and 64 KiB in all, is failed at once and its connection reset. This holds for every connection that an instance opens: requests, health checks, orders, the store, peers. Interim responses no longer restart the stall timeout. `send` lines tell what is wrong with a response that is not valid.

--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -31,6 +31,8 @@
     readonly remainingMs: number;
     readonly outcome: string;
     readonly cause?: string;
+    /** What is wrong with a response that is not a valid one. */
+    readonly message?: string;
     readonly status?: number;
     readonly tookMs: number;
     /** The usual time; set if the send was given up as overdue. */
@@ -142,6 +144,9 @@
       ...(outcome.kind === "answered"
         ? { status: outcome.status }
         : { cause: outcome.cause }),
+      ...(outcome.kind === "unknown" && outcome.cause === "garbled"
+        ? { message: outcome.message }
+        : {}),
       tookMs: Math.round(this.#clock.readMs() - sentAtMs),
       ...(overdueExpectedMs === undefined
         ? {}
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -40,6 +40,8 @@
   #lastResponseAtMs: number;
   #isSocketTaken = false;
   #hasReceivedFin = false;
+  /** Called before each part that has arrived is parsed. */
+  #checkFraming: () => void = () => undefined;
 
   constructor(socket: Socket, address: string, clock: Clock) {
     this.#socket = socket;
@@ -68,6 +70,11 @@
     return this.#lastResponseAtMs;
   }
 
+  /** Bytes that the HTTP parser has received. */
+  get #parsedBytes(): number {
+    return this.#socket.bytesRead - this.#socket.readableLength;
+  }
+
   /**
    * Sends one request; the connection is unusable after a failure, and in use
    * until the stream of its response has ended.
@@ -78,6 +85,9 @@
       observeData: () => timeout.recordData(),
       hasReceivedFin: () => this.#hasReceivedFin,
     });
+    const receivedBefore = this.#parsedBytes;
+    this.#checkFraming = () =>
+      collector.checkFraming(this.#parsedBytes - receivedBefore);
     const timeout = new ResponseTimeout(
       request,
       (message) => collector.fail("silent", message),
@@ -168,7 +178,10 @@
     }
     this.#isSocketTaken = true;
     // `undici` ignores a callback that is invoked before its call returns.
-    queueMicrotask(() => callback(null, this.#socket));
+    queueMicrotask(() => {
+      this.#socket.on("readable", () => this.#checkFraming());
+      callback(null, this.#socket);
+    });
   }
 }
 
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -31,10 +31,19 @@
  * requested again.
  */
 const MAX_WHOLE_BYTES = 64 * 1024;
+/**
+ * Bytes of a response besides its body: status line, headers, interim
+ * responses, chunk framing and trailers. The HTTP parser limits only headers and
+ * trailers.
+ */
+const MAX_FRAMING_BYTES = 64 * 1024;
+/** Chunks of a single byte have five bytes of framing each. */
+const MAX_FRAMING_PER_BODY_BYTE = 8;
 
 export interface CollectorOptions {
   /**
-   * Called for each part of the response that arrives, its head included.
+   * Called for each part of the response that arrives, its head included;
+   * interim responses do not count.
    */
   readonly observeData: () => void;
   /** Whether the target has closed its side of the connection in order. */
@@ -78,6 +87,23 @@
     this.#resolve({ kind: "failed", cause, message });
   }
 
+  /**
+   * Fails a response of which this many bytes have been parsed, if it has too
+   * many besides its body: a faulty peer may send them without end.
+   */
+  checkFraming(receivedBytes: number): void {
+    const framingBytes = receivedBytes - this.#length;
+    const allowedBytes = MAX_FRAMING_BYTES +
+      MAX_FRAMING_PER_BODY_BYTE * this.#length;
+    const maxBytes = MAX_FRAMING_BYTES + this.#request.maxResponseBytes;
+    if (framingBytes > allowedBytes || receivedBytes > maxBytes) {
+      this.fail(
+        "too-large",
+        `The response has ${framingBytes} bytes besides its body`,
+      );
+    }
+  }
+
   /**
    * Aborts a request that may no longer be written. `undici` writes the request
    * synchronously after this method returns, so the check still holds then.
@@ -92,8 +118,8 @@
     status: number,
     raw: Dispatcher.DispatchController["rawHeaders"],
   ): void {
-    this.#options.observeData();
     if (status >= FIRST_FINAL_STATUS) {
+      this.#options.observeData();
       this.#status = status;
       this.#headers = listFields(raw);
     }
