--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -6,7 +6,11 @@
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { createMember } from "../members/member_fixtures.ts";
 import type { Member } from "../members/members.ts";
-import type { ForwardedRequest, ForwardReply } from "./forwarded_request.ts";
+import {
+  encodeForwardReply,
+  type ForwardedRequest,
+  type ForwardReply,
+} from "./forwarded_request.ts";
 import { type HopResult, HttpForwardingClient } from "./forwarding_client.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 
@@ -132,6 +136,36 @@
   assert.equal(result.kind, "lost");
 });
 
+test("a peer that ends within its reply leaves no part of a response", async () => {
+  const reply = encodeForwardReply({
+    kind: "sent",
+    targetId: "t3",
+    isOverdue: false,
+    outcome: {
+      kind: "answered",
+      status: 200,
+      headers: [],
+      body: Buffer.alloc(100_000, "x"),
+      isSelfDelimited: false,
+    },
+  });
+  const server = createServer((socket) =>
+    socket.once("data", () => {
+      const head = `Content-Length: ${reply.byteLength}\r\n\r\n`;
+      socket.write(`HTTP/1.1 200 OK\r\n${head}`);
+      socket.end(reply.subarray(0, 50_000));
+    })
+  );
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpForwardingClient(new SystemClock());
+  const result = await client
+    .forward(createPeer(port), REQUEST, new AbortController().signal);
+  client.close();
+  server.close();
+  assert.equal(result.kind, "lost");
+});
+
 test("a peer learns that the instance which forwarded a request has given up", async () => {
   const caller = new AbortController();
   let peerSignal: AbortSignal | undefined;
