fix(build): load the native library from the daemon's bundle

Cause: esbuild keeps dynamic imports for Node.js, and the launcher compiles the bundle as a script without a callback for them.

Change: the bundle requires the library.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -39,6 +39,8 @@
   target: "node20",
   // Loads a native library from its own package.
   external: ["koffi"],
+  // The script that starts the bundle has no callback for dynamic imports.
+  supported: { "dynamic-import": false },
   format: "cjs",
   alias: {
     "ts-results": "./scripts/ts_results_default.mjs",
