fix(transport): keep no response in memory on an idle connection

Cause: the check of a response's framing held on to the response until the next one on its connection, up to 64 KiB and its headers for each idle connection (read in the diff, not measured).

Change: the check ends with the response.

--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -433,15 +433,14 @@
 
   /**
    * Writes a response that only the end of the caller's connection ends. It is
-   * held until it is whole, as far as memory allows, so that it is incomplete at
-   * the caller for as short a time as possible: some callers take a reset for
-   * the end of the response.
+   * held until it is whole, as far as memory allows: some callers take a reset
+   * within it for its end.
    */
   async #writeCloseDelimited(
     answered: AnsweredResponse,
     reply: Reply,
   ): Promise<void> {
-    const { response, signal } = reply;
+    const { requestId, response, signal } = reply;
     const { stream } = answered;
     const buffered = stream === undefined
       ? "whole"
@@ -452,7 +451,8 @@
       return;
     }
     if (buffered === "broken-off") {
-      this.#writeLastFailure(reply);
+      const failure = this.#fail(requestId, "answer-lost");
+      writeLastFailure(failure, requestId, response);
     } else if (isReset || buffered === "whole") {
       await this.#writeTargetResponse(answered, reply);
     } else {
@@ -475,19 +475,11 @@
         writeWholeResponse(collected, response);
         return;
       case "failed":
-        response.shouldKeepAlive = false;
-        writeFailure(collected, requestId, response);
+        writeLastFailure(collected, requestId, response);
         return;
     }
   }
 
-  /** Tells the caller that its response was lost, and closes the connection. */
-  #writeLastFailure({ requestId, response }: Reply): void {
-    response.shouldKeepAlive = false;
-    const failure = this.#fail(requestId, "answer-lost");
-    writeFailure(failure, requestId, response);
-  }
-
   async #writeTargetResponse(
     answered: AnsweredResponse,
     { requestId, response, signal }: Reply,
@@ -624,6 +616,16 @@
   response.end(body);
 }
 
+/** Writes a failure, and closes the connection after it. */
+function writeLastFailure(
+  finalResponse: FinalResponse & { readonly kind: "failed" },
+  requestId: string | undefined,
+  response: ServerResponse,
+): void {
+  response.shouldKeepAlive = false;
+  writeFailure(finalResponse, requestId, response);
+}
+
 /**
  * Answers a request that is not valid HTTP, if the connection still allows it.
  */
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -40,8 +40,8 @@
   #lastResponseAtMs: number;
   #isSocketTaken = false;
   #hasReceivedFin = false;
-  /** Called before each part that has arrived is parsed. */
-  #checkFraming: () => void = () => undefined;
+  /** Called before each part of a response that has arrived is parsed. */
+  #checkFraming: (() => void) | undefined;
 
   constructor(socket: Socket, address: string, clock: Clock) {
     this.#socket = socket;
@@ -112,7 +112,7 @@
     const { response } = outcome;
     if (response.stream === undefined) {
       timeout.clear();
-      this.#lastResponseAtMs = this.#clock.readMs();
+      this.#recordResponse();
     } else {
       void this.#handleStreamEnd(response.stream, timeout);
     }
@@ -129,7 +129,13 @@
       this.reset();
       return;
     }
+    this.#recordResponse();
+  }
+
+  #recordResponse(): void {
     this.#lastResponseAtMs = this.#clock.readMs();
+    // An idle connection would keep the response in memory.
+    this.#checkFraming = undefined;
   }
 
   /**
@@ -179,7 +185,7 @@
     this.#isSocketTaken = true;
     // `undici` ignores a callback that is invoked before its call returns.
     queueMicrotask(() => {
-      this.#socket.on("readable", () => this.#checkFraming());
+      this.#socket.on("readable", () => this.#checkFraming?.());
       callback(null, this.#socket);
     });
   }
