test(gateway): hold a response without a length where connections cannot be reset

Cause: the way of a system without the socket option had no test, and its fault line told of the remedy instead of what may happen.

--- a/packages/gateway/src/entry/connection_resets.ts
+++ b/packages/gateway/src/entry/connection_resets.ts
@@ -43,7 +43,7 @@
     const loaded = await load();
     if (!loaded.ok) {
       reportFault(
-        `Responses without a length are held whole before they are passed on: ${loaded.val}`,
+        `A response without a length may look complete if this process ends within it: ${loaded.val}`,
       );
       return undefined;
     }
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -9,6 +9,8 @@
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { ConnectionPool } from "@lentilspur/transport/connection_pool";
 import { ReadAheadBudget } from "@lentilspur/transport/read_ahead_budget";
+import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
+import { Err } from "@lentilspur/outcomes/result";
 import type { FinalResponse } from "./caller_request.ts";
 import { RequestServer } from "./request_server.ts";
 import type { StreamDelivery } from "./stream_writer.ts";
@@ -41,7 +43,12 @@
   #pool: ConnectionPool | undefined;
   #caller: Socket | undefined;
 
-  constructor(handle?: () => FinalResponse) {
+  readonly faults: string[] = [];
+
+  constructor(
+    handle?: () => FinalResponse,
+    loadResetOnClose = ResetOnClose.load,
+  ) {
     this.server = new RequestServer({
       clock: new SystemClock(),
       host: "127.0.0.1",
@@ -57,7 +64,8 @@
       handle: async () => handle?.() ?? await this.#send(),
       observeDelivery: (delivery) => this.deliveries.push(delivery),
       reportFailure: ({ kind }) => this.failures.push(kind),
-      reportFault: () => undefined,
+      reportFault: (message) => this.faults.push(message),
+      loadResetOnClose,
     });
   }
 
@@ -246,6 +254,26 @@
   trial.close();
 });
 
+test("a response without a length is held whole without memory if connections cannot be reset", async () => {
+  const trial = new StreamTrial(
+    undefined,
+    () => Promise.resolve(Err("not supported")),
+  );
+  trial.budget.claim(1_000_000);
+  await trial.open();
+  trial.startReading();
+  const ended = waitForEnd(trial.caller);
+  await waitUntil(() => trial.requests === 1);
+  trial.targets[0]!.write(`${HEAD}\r\n`);
+  trial.targets[0]!.write(PART);
+  await waitUntil(() => trial.faults.length === 1);
+  assert.equal(trial.text, "");
+  trial.targets[0]!.end(PART);
+  assert.equal(await ended, true);
+  assert.equal(trial.body.length, 2 * PART.length);
+  trial.close();
+});
+
 test("a caller that leaves while its response is held stops the target", async () => {
   const trial = new StreamTrial();
   await trial.open();
