test(gateway): report an idle entry process whatever its requests take

Cause: the process sampled its open requests every 5 ms, and a request between two samples would have gone unseen, so that the test would wait for ever (read, not seen).

--- a/packages/gateway/src/entry/ended_process_test.ts
+++ b/packages/gateway/src/entry/ended_process_test.ts
@@ -96,7 +96,7 @@
     this.#closed = new Promise((resolve) => caller.on("close", resolve));
     await once(this.#caller, "connect");
     this.#caller.pause();
-    this.#caller.write(`GET / HTTP/${version}\r\nHost: a\r\nx-id: 1\r\n\r\n`);
+    this.#caller.write(`GET / HTTP/${version}\r\nHost: a\r\n\r\n`);
   }
 
   recordAnswer(): void {
--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -28,6 +28,7 @@
 const TIMEOUT_MS = 60_000;
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+let hasRequests = false;
 const clock = new SystemClock();
 const pool = new ConnectionPool(`127.0.0.1:${port}`, {
   clock,
@@ -51,6 +52,7 @@
   }),
   isIdempotent: () => true,
   handle: async () => {
+    hasRequests = true;
     const sent = await pool.send({
       method: "GET",
       path: "/",
@@ -77,13 +79,11 @@
   }
 });
 process.on("disconnect", () => process.exit(0));
-let hadRequests = false;
 setInterval(() => {
-  const isIdle = server.openRequests === 0;
-  if (hadRequests && isIdle) {
+  if (hasRequests && server.openRequests === 0) {
+    hasRequests = false;
     sendReport({ kind: "idle" });
   }
-  hadRequests = !isIdle;
 }, CHECK_INTERVAL_MS);
 
 function sendReport(report: ProcessReport): void {
