fix(transport): end no process with a paused response that ends with its connection

Cause: undici takes the close of such a connection for the end of the response and asserts that its parser is not paused. Three events lead there: a reset by this instance, which has no error; ECONNRESET by the target, which undici treats as an end; the target's close in order while nothing more is left to read.

Change: a reset here has an error, ECONNRESET gets another code before undici sees it, and a close in order resumes the parser first. A resumed parser begins with an empty part, which no longer pauses the read again.

--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -40,14 +40,21 @@
   #lastResponseAtMs: number;
   #isSocketTaken = false;
   #hasReceivedFin = false;
-  /** Called before each part of a response that has arrived is parsed. */
-  #checkFraming: (() => void) | undefined;
+  /** Collects the response that is arriving. */
+  #collector: ResponseCollector | undefined;
+  /** Bytes that the parser had received before that response. */
+  #receivedBefore = 0;
 
   constructor(socket: Socket, address: string, clock: Clock) {
     this.#socket = socket;
-    // This listener must run before those of `undici`, which reports a response
-    // without a length as complete however its connection ended.
-    socket.on("end", () => this.#hasReceivedFin = true);
+    // These listeners must run before those of `undici`, which reports a
+    // response that ends with its connection as complete however that ended, and
+    // asserts that its read is not paused.
+    socket.on("end", () => {
+      this.#hasReceivedFin = true;
+      this.#collector?.resumeReading();
+    });
+    socket.on("error", markPeerReset);
     this.#clock = clock;
     this.#lastResponseAtMs = clock.readMs();
     this.#client = new Client(`http://${address}`, {
@@ -85,9 +92,8 @@
       observeData: () => timeout.recordData(),
       hasReceivedFin: () => this.#hasReceivedFin,
     });
-    const receivedBefore = this.#parsedBytes;
-    this.#checkFraming = () =>
-      collector.checkFraming(this.#parsedBytes - receivedBefore);
+    this.#collector = collector;
+    this.#receivedBefore = this.#parsedBytes;
     const timeout = new ResponseTimeout(
       request,
       (message) => collector.fail("silent", message),
@@ -135,7 +141,11 @@
   #recordResponse(): void {
     this.#lastResponseAtMs = this.#clock.readMs();
     // An idle connection would keep the response in memory.
-    this.#checkFraming = undefined;
+    this.#collector = undefined;
+  }
+
+  #checkFraming(): void {
+    this.#collector?.checkFraming(this.#parsedBytes - this.#receivedBefore);
   }
 
   /**
@@ -145,6 +155,9 @@
    * later.
    */
   reset(): void {
+    // Without an error, `undici` takes a response that ends with its connection
+    // for whole.
+    this.#socket.emit("error", new Error("The connection was reset here"));
     this.#socket.resetAndDestroy();
     this.#client.destroy().catch(() => undefined);
   }
@@ -185,12 +198,22 @@
     this.#isSocketTaken = true;
     // `undici` ignores a callback that is invoked before its call returns.
     queueMicrotask(() => {
-      this.#socket.on("readable", () => this.#checkFraming?.());
+      this.#socket.on("readable", () => this.#checkFraming());
       callback(null, this.#socket);
     });
   }
 }
 
+/**
+ * Keeps `undici` from taking a response that ends with its connection for whole
+ * when the peer resets the connection.
+ */
+function markPeerReset(error: NodeJS.ErrnoException): void {
+  if (error.code === "ECONNRESET") {
+    error.code = "PEER_RESET";
+  }
+}
+
 export interface OpenOptions {
   readonly timeoutMs: number;
   readonly clock: Clock;
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -74,6 +74,7 @@
   #headers: readonly HeaderField[] = [];
   #length = 0;
   #stream: BufferedStream | undefined;
+  #controller: Dispatcher.DispatchController | undefined;
 
   constructor(request: HttpRequest, options: CollectorOptions) {
     this.#request = request;
@@ -87,6 +88,11 @@
     this.#resolve({ kind: "failed", cause, message });
   }
 
+  /** Resumes a paused read, since nothing follows what has arrived. */
+  resumeReading(): void {
+    this.#controller?.resume();
+  }
+
   /**
    * Fails a response of which this many bytes have been parsed, if it has too
    * many besides its body: a faulty peer may send them without end.
@@ -129,6 +135,10 @@
     controller: Dispatcher.DispatchController,
     chunk: Uint8Array,
   ): void {
+    if (chunk.length === 0) {
+      // A paused read that resumes begins with an empty part.
+      return;
+    }
     this.#length += chunk.length;
     if (this.#length > this.#request.maxResponseBytes) {
       this.#failTooLarge();
@@ -174,6 +184,7 @@
       this.#failTooLarge();
       return;
     }
+    this.#controller = controller;
     this.#stream = new BufferedStream({
       budget,
       source: {
--- a/packages/transport/src/response_stream_test.ts
+++ b/packages/transport/src/response_stream_test.ts
@@ -50,6 +50,7 @@
       path: "/",
       timeoutMs: 60_000,
       maxResponseBytes,
+      acceptsCloseDelimited: true,
       readAhead: this.budget,
     });
   }
@@ -219,3 +220,49 @@
   assert.equal(trial.budget.claimedBytes, 0);
   trial.close();
 });
+
+/** Heads of responses that end with their connection. */
+const LAST_HEADS: Readonly<Record<string, string>> = {
+  "no length": "HTTP/1.1 200 OK\r\n\r\n",
+  "Connection: close":
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9000000\r\n\r\n",
+};
+/** Ways in which a response ends while its read is paused. */
+const PAUSED_ENDS: Readonly<
+  Record<string, (stream: ResponseStream, target: Socket) => void>
+> = {
+  "its caller leaves": (stream) => stream.cancel("The caller has left"),
+  "its target resets the connection": (_stream, target) =>
+    void target.resetAndDestroy(),
+  "its target closes the connection": (_stream, target) => void target.end(),
+};
+
+for (const [headName, head] of Object.entries(LAST_HEADS)) {
+  for (const [endName, end] of Object.entries(PAUSED_ENDS)) {
+    for (const bytes of [70_000, 140_000, 8_000_000]) {
+      test(`a paused response with ${headName} and ${bytes} bytes does not end the process if ${endName}`, async () => {
+        const sockets: Socket[] = [];
+        const trial = await PoolTrial.open((socket) => {
+          sockets.push(socket);
+          socket.write(head);
+          socket.write(Buffer.alloc(bytes));
+        }, 1);
+        const { stream } = (await trial.send()).unwrap();
+        await waitUntil(() => trial.budget.isUsedUp);
+        await waitForTurns();
+        end(stream!, sockets[0]!);
+        await waitForTurns();
+        for (;;) {
+          const part = await stream!.read();
+          if (part.kind !== "data") {
+            break;
+          }
+        }
+        await stream!.ended;
+        await waitForTurns();
+        assert.equal(trial.budget.claimedBytes, 0);
+        trial.close();
+      });
+    }
+  }
+}
