--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -1,8 +1,8 @@
 /**
  * An entry server in a process of its own, for tests that end the process while
  * it passes on responses. All requests go to the target whose port is given as
- * an argument. The parent learns the port of the server and the number of
- * answered requests, and may order the process to stop.
+ * an argument. The parent learns the port of the server and when all requests
+ * are answered, and may order the process to stop.
  */
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { ConnectionPool } from "@lentilspur/transport/connection_pool";
