fix(transport): bound what a held response takes of the memory of the others

What callers would see: two endless responses without a length, held up to 16 MB each, use up the memory for reading ahead of an instance (8 % of its memory), and downloads of all others are refused meanwhile. Found by reading.

Cause: the hold was bounded by the memory of all responses only.

Change: a response of more than 1 MiB is passed on as it arrives, with a reset if the process ends.

Evidence: the new test with an endless response failed without the bound and passes with it. The test of one that breaks off for want of memory checks again all that the replaced one did (one send, no last chunk, memory), under a name that says what it plays.

--- a/packages/gateway/src/entry/stream_writer.ts
+++ b/packages/gateway/src/entry/stream_writer.ts
@@ -107,7 +107,7 @@
 
 export type BufferedResponse =
   | "whole"
-  /** Memory is short, so that the caller has to take a part first. */
+  /** It is large or memory is short, so that the caller takes a part first. */
   | "partial"
   | "broken-off";
 
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -27,7 +27,7 @@
 /** A server whose requests go to a target that the test controls. */
 class StreamTrial {
   readonly deliveries: StreamDelivery[] = [];
-  readonly budget = new ReadAheadBudget(1_000_000);
+  readonly budget: ReadAheadBudget;
   readonly failures: string[] = [];
   /** Connections to the target, one per request in their order. */
   readonly targets: Socket[] = [];
@@ -48,7 +48,9 @@
   constructor(
     handle?: () => FinalResponse,
     loadResetOnClose = ResetOnClose.load,
+    budgetBytes = 1_000_000,
   ) {
+    this.budget = new ReadAheadBudget(budgetBytes);
     this.server = new RequestServer({
       clock: new SystemClock(),
       host: "127.0.0.1",
@@ -234,7 +236,7 @@
   trial.close();
 });
 
-test("a response without a length that breaks off for want of memory never looks complete", async () => {
+test("a response without a length that is passed on for want of memory never looks complete if it breaks off", async () => {
   const trial = new StreamTrial();
   trial.budget.claim(1_000_000);
   await trial.open();
@@ -247,10 +249,30 @@
   trial.targets[0]!.resetAndDestroy();
   assert.equal(await ended, false, "the connection is reset");
   assert.ok(trial.body.length < 2 * PART.length);
+  assert.doesNotMatch(trial.text, /\r\n0\r\n\r\n$/);
   assert.deepEqual(
     trial.deliveries.map(({ result }) => result),
     ["broken-off"],
   );
+  assert.equal(trial.targets.length, 1);
+  assert.equal(trial.budget.claimedBytes, 1_000_000);
+  trial.close();
+});
+
+test("an endless response without a length does not take the memory of the others", async () => {
+  const trial = new StreamTrial(undefined, undefined, 8_000_000);
+  await trial.open();
+  trial.startReading();
+  await waitUntil(() => trial.requests === 1);
+  trial.targets[0]!.write(`${HEAD}\r\n`);
+  let mostBytes = 0;
+  for (let part = 0; part < 60; part++) {
+    trial.targets[0]!.write(PART);
+    await new Promise((resolve) => setTimeout(resolve, 2));
+    mostBytes = Math.max(mostBytes, trial.budget.claimedBytes);
+  }
+  assert.ok(mostBytes < 4_000_000, `${mostBytes} bytes claimed`);
+  await waitUntil(() => trial.body.length > 5_000_000);
   trial.close();
 });
 
--- a/packages/ports/src/response_stream.ts
+++ b/packages/ports/src/response_stream.ts
@@ -42,8 +42,8 @@
   /** Resolves when the target has sent the last byte, or never will. */
   readonly ended: Promise<StreamEnd>;
   /**
-   * Resolves when no more of the response arrives until it is read: with true
-   * if it has ended, with false if memory is short.
+   * Resolves when the response should be read: with true if it has ended, with
+   * false if it is large or memory is short.
    */
   readonly buffered: Promise<boolean>;
   /**
--- a/packages/transport/src/buffered_stream.ts
+++ b/packages/transport/src/buffered_stream.ts
@@ -20,6 +20,11 @@
 
 /** Memory that is reserved for the next part; Node reads at most this much. */
 const PART_BYTES = 64 * 1024;
+/**
+ * A larger response does not wait until it is whole; otherwise a few endless
+ * ones would take the memory of all others.
+ */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
 
 export class BufferedStream implements ResponseStream {
   readonly length: number | undefined;
@@ -63,6 +68,9 @@
     this.#budget.claim(bytes.byteLength);
     this.#parts.push(bytes);
     this.#settleRead();
+    if (this.#receivedBytes > MAX_BUFFERED_BYTES) {
+      this.#resolveBuffered(false);
+    }
     if (!this.#mayReadOn()) {
       this.#isPaused = true;
       this.#wasPaused = true;
