feat(gateway): count responses of targets that are not valid

Cause: the message of such a response is in its send line, but no metric showed how many there are.

Evidence: tests of the reporter pass; the counter has no test of its own.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -44,6 +44,9 @@
     switch (event.kind) {
       case "send":
         this.#metrics.sends.inc({ service, outcome });
+        if (event.cause === "garbled") {
+          this.#metrics.invalidResponses.inc({ service });
+        }
         if (event.expectedMs !== undefined) {
           this.#metrics.overdueSends.inc({ service });
         }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -90,6 +90,12 @@
     labelNames: ["service"] as const,
     registers: [this.#registry],
   });
+  readonly invalidResponses = new Counter({
+    name: "lentilspur_invalid_responses_total",
+    help: "Responses of targets that were not valid or too large, by service",
+    labelNames: ["service"] as const,
+    registers: [this.#registry],
+  });
   readonly overdueSends = new Counter({
     name: "lentilspur_overdue_sends_total",
     help: "Sends that were given up because their response was overdue",
