fix(forwarding): limit what is read of a peer's message

What would be seen: a peer, or any process that reaches the port between instances, that sends a body without end fills the memory of the instance.

Cause: bodies of forwarded requests and of reach queries were read whole, without a limit. Found by reading.

Change: 65 MiB for a forwarded request, above the largest body that an entry accepts, and 64 KiB for a query; beyond it the connection is closed, with a fault line.

Evidence: two new tests, which time out on the code before and pass now, with the others of forwarding.

--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import type { Clock } from "@lentilspur/ports/clock";
@@ -166,6 +166,38 @@
   assert.equal(result.kind, "lost");
 });
 
+for (const path of ["/forward", "/reach"]) {
+  test(`an endless body of a message to ${path} is read up to its limit only`, async () => {
+    const faults: string[] = [];
+    const server = new ForwardingServer({
+      clock: new SystemClock(),
+      host: "127.0.0.1",
+      port: 0,
+      readStallMs: () => 0,
+      handle: () => Promise.resolve({ kind: "unable", reason: "stopping" }),
+      answerReach: () => Promise.resolve("reached"),
+      reportFault: (message) => faults.push(message),
+    });
+    await server.open();
+    const socket = connect(server.port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    socket.write(
+      `POST ${path} HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n`,
+    );
+    const chunk = `10000\r\n${"x".repeat(65_536)}\r\n`;
+    const writeMore = () => {
+      while (!socket.destroyed && socket.write(chunk)) {
+        // The socket takes more.
+      }
+    };
+    socket.on("drain", writeMore);
+    writeMore();
+    await new Promise((resolve) => socket.on("close", resolve));
+    assert.match(faults.join(), /larger than/);
+    server.close();
+  });
+}
+
 test("a peer learns that the instance which forwarded a request has given up", async () => {
   const caller = new AbortController();
   let peerSignal: AbortSignal | undefined;
--- a/packages/gateway/src/forwarding/forwarding_server.ts
+++ b/packages/gateway/src/forwarding/forwarding_server.ts
@@ -6,7 +6,6 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import { buffer as readBody, text as readText } from "node:stream/consumers";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
   decodeForwardedRequest,
@@ -36,6 +35,9 @@
 /** Longer than a peer keeps an idle connection for reuse. */
 const IDLE_TIMEOUT_MS = 10_000;
 const NOT_FOUND = 404;
+/** The largest body that an entry accepts, and what is told of its request. */
+const MAX_REQUEST_BYTES = 65 * 1024 * 1024;
+const MAX_QUERY_BYTES = 64 * 1024;
 
 export class ForwardingServer {
   readonly #options: ForwardingServerOptions;
@@ -91,10 +93,17 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const query = parseReachQuery(await readText(message).catch(() => ""));
-    response.end(
-      query === undefined ? "unknown" : await this.#options.answerReach(query),
-    );
+    const { answerReach, reportFault } = this.#options;
+    try {
+      const bytes = await readBody(message, MAX_QUERY_BYTES);
+      const query = parseReachQuery(bytes.toString("utf8"));
+      response.end(
+        query === undefined ? "unknown" : await answerReach(query),
+      );
+    } catch (error) {
+      reportFault(`A reach query was not read: ${String(error)}`);
+      response.destroy();
+    }
   }
 
   async #handleRequest(
@@ -111,7 +120,9 @@
     });
     this.#openRequests++;
     try {
-      const request = decodeForwardedRequest(await readBody(message));
+      const request = decodeForwardedRequest(
+        await readBody(message, MAX_REQUEST_BYTES),
+      );
       const reply: ForwardReply = request === undefined
         ? { kind: "unable", reason: "malformed" }
         : await handle(request, { receivedAtMs, signal: controller.signal });
@@ -119,9 +130,26 @@
       response.setHeader("Content-Length", body.byteLength);
       response.end(body);
     } catch (error) {
-      // The sender has closed the connection.
+      // The sender has closed the connection or sends without end.
       reportFault(`A forwarded request was not read: ${String(error)}`);
       response.destroy();
     }
   }
 }
+
+/** Rejects if the sender closes the connection or the body is too large. */
+async function readBody(
+  message: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of message) {
+    size += chunk.byteLength;
+    if (size > maxBytes) {
+      throw new Error(`The body is larger than ${maxBytes} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks, size);
+}
