--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -105,3 +105,36 @@
     /lentilspur_close_delimited_responses_total\{service=""\} 2/,
   );
 });
+
+test("responses that are not valid are counted apart from lost ones", async () => {
+  const metrics = new GatewayMetrics(() => GAUGES);
+  const logger = new StructuredLogger({
+    clock: new VirtualClock(),
+    instance: "a",
+    incarnation: "b",
+    stream: new PassThrough(),
+  });
+  const reporter = new EventReporter(logger, metrics);
+  for (const cause of ["garbled", "cut", "garbled"]) {
+    reporter.observeRequest({
+      kind: "send",
+      requestId: "1",
+      attempt: 1,
+      route: "a",
+      service: "files",
+      targetId: "file-1",
+      idempotent: true,
+      configurationVersion: 1,
+      occupancy: 0,
+      waitedMs: 0,
+      remainingMs: 1,
+      outcome: "unknown",
+      cause,
+      tookMs: 1,
+    });
+  }
+  assert.match(
+    await metrics.render(),
+    /lentilspur_invalid_responses_total\{service="files"\} 2/,
+  );
+});
