feat(gateway): log each send that does not count as a crash, and each quarantine's start and end

request-crash names the request id; request-crash-dismissed says why a send does not count; request-quarantined and request-released say when and why a quarantine began and ended at an instance. lentilspur_suspicions_total has the reason as a label. What counts is unchanged.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -125,7 +125,10 @@
   }
 
   observeQuarantine(event: QuarantineEvent): void {
-    this.#metrics.suspicions.inc({ event: event.kind });
+    this.#metrics.suspicions.inc({
+      event: event.kind,
+      reason: "reason" in event ? event.reason : "",
+    });
     this.#log(`request-${event.kind}`, event);
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -159,8 +159,8 @@
   readonly suspicions = new Counter({
     name: "lentilspur_suspicions_total",
     help:
-      "Crashes of targets on requests, trials of quarantined requests, and requests cleared",
-    labelNames: ["event"] as const,
+      "Crashes of targets on requests, sends that do not count as crashes, and quarantines that began, were tried or ended",
+    labelNames: ["event", "reason"] as const,
     registers: [this.#registry],
   });
 
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -12,12 +12,14 @@
   type SendOutcome,
 } from "@lentilspur/ports/request_sender";
 import {
+  type DismissalReason,
   type UnansweredSend,
   UnansweredSends,
 } from "@lentilspur/routing/unanswered_sends";
 import {
   CrashSuspects,
   type SuspectDecision,
+  type SuspectEvent,
   type SuspectReport,
 } from "@lentilspur/routing/crash_suspects";
 import {
@@ -35,13 +37,24 @@
 type SuspectsMessage = PeerMessage & { readonly kind: "suspects" };
 
 export type QuarantineEvent =
+  /** A quarantine has begun or ended at this instance. */
+  | SuspectEvent
   /** A target ended while it ran the request. */
   | {
     readonly kind: "crash";
     readonly fingerprint: string;
+    readonly requestId: string;
     readonly targetId: string;
     readonly isQuarantined: boolean;
   }
+  /** An unanswered send does not count as a crash. */
+  | {
+    readonly kind: "crash-dismissed";
+    readonly fingerprint: string;
+    readonly requestId: string;
+    readonly targetId: string;
+    readonly reason: DismissalReason;
+  }
   /** The request is sent once, to see whether it still crashes its target. */
   | {
     readonly kind: "trial";
@@ -88,14 +101,18 @@
 
 export class RequestQuarantine {
   readonly #options: RequestQuarantineOptions;
-  readonly #unansweredSends = new UnansweredSends();
-  readonly #suspects = new CrashSuspects();
+  readonly #unansweredSends: UnansweredSends;
+  readonly #suspects: CrashSuspects;
   /** End of the repeated reports of an observed change, by fingerprint. */
   readonly #recentChanges = new Map<string, number>();
   #lastListedAtMs = -Infinity;
 
   constructor(options: RequestQuarantineOptions) {
     this.#options = options;
+    this.#unansweredSends = new UnansweredSends({
+      onDismissed: (send, reason) => this.#reportDismissed(send, reason),
+    });
+    this.#suspects = new CrashSuspects(options.observe);
   }
 
   countQuarantined(): number {
@@ -143,6 +160,7 @@
           const fingerprint = getFingerprint(context);
           this.#unansweredSends.record({
             fingerprint,
+            requestId: context.request.requestId,
             target,
             sentAtMs,
             atMs: nowMs,
@@ -195,7 +213,11 @@
       case "missing": {
         const ended = this.#unansweredSends.takeEnded(targetId, nowMs);
         // A leaving target ends by itself, not by a crash.
-        this.#recordCrashes(target?.leaving === true ? [] : ended);
+        if (target?.leaving === true) {
+          ended.forEach((send) => this.#reportDismissed(send, "target-left"));
+        } else {
+          this.#recordCrashes(ended);
+        }
         return;
       }
       case "leaving":
@@ -273,19 +295,58 @@
   }
 
   #recordCrashes(sends: readonly UnansweredSend[]): void {
-    for (const { fingerprint, target, ...times } of sends) {
-      if (
-        this.#suspects.recordCrash(fingerprint, hashIncarnation(target), times)
-      ) {
-        const isQuarantined = this.#suspects.isQuarantined(fingerprint);
-        const { id: targetId } = target;
-        this.#options
-          .observe({ kind: "crash", fingerprint, targetId, isQuarantined });
-        this.#report(fingerprint);
+    const nowMs = this.#options.clock.readMs();
+    for (const send of sends) {
+      const { fingerprint, target, sentAtMs, atMs } = send;
+      const decision = this.#suspects.recordCrash(
+        fingerprint,
+        hashIncarnation(target),
+        { sentAtMs, atMs, nowMs },
+      );
+      switch (decision.kind) {
+        case "recorded":
+          if (decision.isCounted) {
+            this.#reportCounted(send);
+          } else {
+            this.#reportDismissed(send, "target-had-ended");
+          }
+          this.#report(fingerprint);
+          break;
+        case "dismissed":
+          this.#reportDismissed(send, decision.reason);
+          break;
+        case "known":
+          break;
       }
     }
   }
 
+  #reportCounted({ fingerprint, requestId, target }: UnansweredSend): void {
+    const isQuarantined = this.#suspects.isQuarantined(fingerprint);
+    const { id: targetId } = target;
+    this.#options.observe({
+      kind: "crash",
+      fingerprint,
+      requestId,
+      targetId,
+      isQuarantined,
+    });
+  }
+
+  #reportDismissed(
+    { fingerprint, requestId, target }: UnansweredSend,
+    reason: DismissalReason,
+  ): void {
+    const { id: targetId } = target;
+    this.#options.observe({
+      kind: "crash-dismissed",
+      fingerprint,
+      requestId,
+      targetId,
+      reason,
+    });
+  }
+
   #clear(context: RequestContext): void {
     if (this.#suspects.isEmpty) {
       return;
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -13,6 +13,8 @@
  * request is sent once as a trial.
  */
 
+import type { DismissalReason } from "./unanswered_sends.ts";
+
 /**
  * What instances report to each other about one request; ages in milliseconds.
  */
@@ -44,6 +46,37 @@
     readonly retryAfterMs: number;
   };
 
+/** The start or end of a quarantine at this instance. */
+export type SuspectEvent =
+  | {
+    readonly kind: "quarantined";
+    readonly fingerprint: string;
+    readonly crashes: number;
+  }
+  | {
+    readonly kind: "released";
+    readonly fingerprint: string;
+    readonly reason: ReleaseReason;
+    readonly afterMs: number;
+  };
+
+export type ReleaseReason =
+  /** The request was answered, here or at another instance. */
+  | "answered"
+  /** Crashes of it do not count any more. */
+  | "crashes-dismissed"
+  /** Its crashes are too old. */
+  | "expired"
+  /** Too many others are kept. */
+  | "table-full";
+
+/** What becomes of a reported crash. */
+export type CrashDecision =
+  /** It is news; it may not count by what is known of the target's end. */
+  | { readonly kind: "recorded"; readonly isCounted: boolean }
+  | { readonly kind: "known" }
+  | { readonly kind: "dismissed"; readonly reason: DismissalReason };
+
 /** A send whose target process ended; this instance's clock. */
 export interface Crash {
   readonly sentAtMs: number;
@@ -99,6 +132,13 @@
    * failed.
    */
   readonly #endedAtMs = new Map<string, number>();
+  /** Since when each quarantined request is quarantined. */
+  readonly #quarantinedAtMs = new Map<string, number>();
+  readonly #observe: (event: SuspectEvent) => void;
+
+  constructor(observe: (event: SuspectEvent) => void = () => undefined) {
+    this.#observe = observe;
+  }
 
   /** Whether there are no suspects, so that callers need no fingerprint. */
   get isEmpty(): boolean {
@@ -111,12 +151,30 @@
   }
 
   /**
-   * Records a crash. Returns false if it adds nothing: it is known already, a
-   * response has cleared the request since, or `MAX_KEPT_CRASHES` are recorded.
+   * Records a crash. It is dismissed if a response has cleared the request
+   * since, or `MAX_KEPT_CRASHES` are recorded.
    */
-  recordCrash(fingerprint: string, incarnation: string, crash: Crash): boolean {
+  recordCrash(
+    fingerprint: string,
+    incarnation: string,
+    { nowMs, ...crash }: Crash & { readonly nowMs: number },
+  ): CrashDecision {
     this.#recordEnd(incarnation, crash.atMs);
-    const { crashes, clearedAtMs } = this.#getSuspect(fingerprint);
+    const decision = this.#addCrash(fingerprint, incarnation, crash);
+    this.#updateQuarantine(fingerprint, "crashes-dismissed", nowMs);
+    for (const other of this.#quarantinedAtMs.keys()) {
+      this.#updateQuarantine(other, "crashes-dismissed", nowMs);
+    }
+    return decision;
+  }
+
+  #addCrash(
+    fingerprint: string,
+    incarnation: string,
+    crash: Crash,
+  ): CrashDecision {
+    const suspect = this.#getSuspect(fingerprint);
+    const { crashes, clearedAtMs } = suspect;
     const known = crashes.get(incarnation);
     if (known !== undefined) {
       // The report with the shortest latency has the most accurate times.
@@ -124,13 +182,17 @@
         sentAtMs: Math.min(known.sentAtMs, crash.sentAtMs),
         atMs: Math.min(known.atMs, crash.atMs),
       });
-      return false;
+      return { kind: "known" };
+    }
+    if (crash.atMs <= clearedAtMs) {
+      return { kind: "dismissed", reason: "request-answered" };
     }
-    if (crash.atMs <= clearedAtMs || crashes.size >= MAX_KEPT_CRASHES) {
-      return false;
+    if (crashes.size >= MAX_KEPT_CRASHES) {
+      return { kind: "dismissed", reason: "table-full" };
     }
     crashes.set(incarnation, crash);
-    return true;
+    const isCounted = this.#listCrashes(suspect).includes(crash);
+    return { kind: "recorded", isCounted };
   }
 
   /** Clears the request's crashes after a response and returns their number. */
@@ -140,6 +202,7 @@
     if (suspect !== undefined && crashes > 0) {
       suspect.clearedAtMs = nowMs;
       suspect.crashes.clear();
+      this.#updateQuarantine(fingerprint, "answered", nowMs);
     }
     return crashes;
   }
@@ -182,12 +245,16 @@
     if (clearedAtMs > suspect.clearedAtMs) {
       isChange = removeUntil(suspect.crashes, clearedAtMs);
       suspect.clearedAtMs = clearedAtMs;
+      this.#updateQuarantine(fingerprint, "answered", nowMs);
     }
     suspect.trialAtMs = Math.max(suspect.trialAtMs, toTime(trialAgeMs, nowMs));
     for (const [incarnation, ageMs, sentAgeMs] of crashes) {
       const crash = { sentAtMs: nowMs - sentAgeMs, atMs: nowMs - ageMs };
-      const isNew = this.recordCrash(fingerprint, incarnation, crash);
-      isChange ||= isNew;
+      const { kind } = this.recordCrash(fingerprint, incarnation, {
+        ...crash,
+        nowMs,
+      });
+      isChange ||= kind === "recorded";
     }
     return isChange;
   }
@@ -225,10 +292,39 @@
         : nowMs - findLastCrashMs([...crashes.values()]) > CRASH_RETENTION_MS;
       if (isOver) {
         this.#suspects.delete(fingerprint);
+        this.#updateQuarantine(fingerprint, "expired", nowMs);
       }
     }
   }
 
+  /** Reports the start or the end of a quarantine, if it has just happened. */
+  #updateQuarantine(
+    fingerprint: string,
+    reason: ReleaseReason,
+    nowMs: number,
+  ): void {
+    const suspect = this.#suspects.get(fingerprint);
+    const crashes = suspect === undefined
+      ? 0
+      : this.#listCrashes(suspect).length;
+    const sinceMs = this.#quarantinedAtMs.get(fingerprint);
+    if (sinceMs === undefined && crashes >= CRASHES_TO_QUARANTINE) {
+      this.#quarantinedAtMs.set(fingerprint, nowMs);
+      this.#observe({ kind: "quarantined", fingerprint, crashes });
+    } else if (sinceMs !== undefined && crashes < CRASHES_TO_QUARANTINE) {
+      this.#quarantinedAtMs.delete(fingerprint);
+      const afterMs = Math.round(nowMs - sinceMs);
+      this.#observe({
+        kind: "released",
+        fingerprint,
+        reason: suspect === undefined && reason !== "expired"
+          ? "table-full"
+          : reason,
+        afterMs,
+      });
+    }
+  }
+
   #isQuarantined(suspect: Suspect): boolean {
     return this.#listCrashes(suspect).length >= CRASHES_TO_QUARANTINE;
   }
--- a/packages/routing/src/unanswered_sends.ts
+++ b/packages/routing/src/unanswered_sends.ts
@@ -11,12 +11,32 @@
 
 export interface UnansweredSend {
   readonly fingerprint: string;
+  readonly requestId: string;
   readonly target: TargetIncarnation;
   readonly sentAtMs: number;
   /** When the send failed or timed out; this instance's clock. */
   readonly atMs: number;
 }
 
+/** Why an unanswered send does not count as a crash of its target. */
+export type DismissalReason =
+  /** The target responded to a later send. */
+  | "target-responded"
+  /** The request got a response after the failure. */
+  | "request-answered"
+  /** The target had ended before the request was sent. */
+  | "target-had-ended"
+  /** The target had announced that it leaves. */
+  | "target-left"
+  /** Whether the target has ended was not known in time. */
+  | "expired"
+  /** Too many others are kept. */
+  | "table-full";
+
+export interface UnansweredSendsOptions {
+  readonly onDismissed: (send: UnansweredSend, reason: DismissalReason) => void;
+}
+
 /** A send that was answered. */
 interface AnsweredSend {
   readonly targetId: string;
@@ -33,6 +53,7 @@
 const MAX_TARGETS = 256;
 
 export class UnansweredSends {
+  readonly #options: UnansweredSendsOptions;
   readonly #byTarget = new Map<string, UnansweredSend[]>();
   /**
    * The latest answered send of each of the last two targets that answered;
@@ -40,6 +61,10 @@
    */
   #answered: readonly AnsweredSend[] = [];
 
+  constructor(options: UnansweredSendsOptions) {
+    this.#options = options;
+  }
+
   /**
    * Records an unanswered send. Ignores a send that started after the target's
    * first recorded failure: the target had ended by then, so that send cannot
@@ -47,14 +72,20 @@
    */
   record(send: UnansweredSend): void {
     const { target: { id }, sentAtMs, atMs } = send;
-    const sends = (this.#byTarget.get(id) ?? [])
-      .filter((other) => atMs - other.atMs <= RETENTION_MS);
+    const sends = this.#listRecent(id, atMs);
     if (sends.length > 0 && sentAtMs > sends[0]!.atMs) {
+      this.#options.onDismissed(send, "target-had-ended");
       return;
     }
-    this.#byTarget.set(id, [...sends, send].slice(0, MAX_PER_TARGET));
+    if (sends.length < MAX_PER_TARGET) {
+      this.#byTarget.set(id, [...sends, send]);
+    } else {
+      this.#options.onDismissed(send, "table-full");
+    }
     if (this.#byTarget.size > MAX_TARGETS) {
-      this.#byTarget.delete(this.#byTarget.keys().next().value!);
+      const [oldest] = this.#byTarget.keys();
+      this.#reportDismissed(this.#byTarget.get(oldest!)!, "table-full");
+      this.#byTarget.delete(oldest!);
     }
   }
 
@@ -69,6 +100,10 @@
     this.#answered = [{ targetId, sentAtMs }, ...others.slice(0, 1)];
     const sends = this.#byTarget.get(targetId);
     if (sends !== undefined) {
+      this.#reportDismissed(
+        sends.filter(({ atMs }) => atMs < sentAtMs),
+        "target-responded",
+      );
       this.#set(targetId, sends.filter(({ atMs }) => atMs >= sentAtMs));
     }
   }
@@ -111,12 +146,26 @@
     nowMs: number,
     hasEnded: (send: UnansweredSend) => boolean,
   ): readonly UnansweredSend[] {
-    const sends = (this.#byTarget.get(targetId) ?? [])
-      .filter(({ atMs }) => nowMs - atMs <= RETENTION_MS);
+    const sends = this.#listRecent(targetId, nowMs);
     this.#set(targetId, sends.filter((send) => !hasEnded(send)));
     return sends.filter(hasEnded);
   }
 
+  /** Lists the unanswered sends of a target, and dismisses the expired ones. */
+  #listRecent(targetId: string, nowMs: number): readonly UnansweredSend[] {
+    const sends = this.#byTarget.get(targetId) ?? [];
+    const isRecent = ({ atMs }: UnansweredSend) => nowMs - atMs <= RETENTION_MS;
+    this.#reportDismissed(sends.filter((send) => !isRecent(send)), "expired");
+    return sends.filter(isRecent);
+  }
+
+  #reportDismissed(
+    sends: readonly UnansweredSend[],
+    reason: DismissalReason,
+  ): void {
+    sends.forEach((send) => this.#options.onDismissed(send, reason));
+  }
+
   #set(targetId: string, sends: UnansweredSend[]): void {
     if (sends.length === 0) {
       this.#byTarget.delete(targetId);
