--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -137,6 +137,8 @@
   readonly disconnected = new Set<string>();
   /** Whether permit requests from one instance to another are delivered. */
   isPermitRequestDelivered = (_from: string, _to: string): boolean => true;
+  /** Whether the connection is reset after the target has run the request. */
+  isResponseLost = (_request: OutgoingRequest): boolean => false;
   readonly #options: RequestSimulationOptions;
   readonly #random = new SeededRandom(1);
   readonly #instances = new Map<string, SimulatedInstance>();
@@ -713,6 +715,9 @@
     if (typeof reply === "string") {
       return createUnknownOutcome(request, sending.aborted ? "aborted" : reply);
     }
+    if (reply.kind === "ran" && this.isResponseLost(request)) {
+      return createUnknownOutcome(request, "reset");
+    }
     const received = await path.transfer(sending);
     if (received !== "passed") {
       return createUnknownOutcome(request, received);
