fix(routing): count crashes whatever other requests failed at the target before

Callers saw targets crash again and again: a request that crashes targets was sent on after its quarantine, since crashes that were reported stopped to count.

Cause: a target's end was taken to be the earliest failure that any instance had reported of it, and a crash whose send began later did not count. A lost, cut or overdue response of a target that lived on moved the end to before the fatal request was sent, at any time and at any instance, and so took back what was known. Five such crashes filled the table, after which no further one was taken. A response that came before the report of a crash was not remembered, and reports moved the time of a response forward by their latency at each instance.

Now what is known only grows: crashes, named by their sends, and the names of those that a response has refuted. An instance refutes a crash only by a response of its own, whose time it knows exactly. A crash does not count only if another request that crashes targets repeatedly had failed on the same target before this one was sent. Crashes that do not count give way to others in the table.

The test of the order of reports now shuffles refutations too, in place of ages.

--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -45,6 +45,8 @@
     readonly fingerprint: string;
     readonly requestId: string;
     readonly targetId: string;
+    /** Targets that count against the request now. */
+    readonly crashes: number;
     readonly isQuarantined: boolean;
   }
   /** An unanswered send does not count as a crash. */
@@ -97,7 +99,7 @@
 /** How long this instance repeats the report of a change that it observed. */
 const REPEAT_REPORT_MS = 3_000;
 /** Number of reports that fit into one datagram. */
-const REPORTS_PER_MESSAGE = 4;
+const REPORTS_PER_MESSAGE = 3;
 
 export class RequestQuarantine {
   readonly #options: RequestQuarantineOptions;
@@ -235,8 +237,16 @@
   apply(message: SuspectsMessage): void {
     const { clock, duties, send } = this.#options;
     const nowMs = clock.readMs();
-    const changes = message.reports
-      .filter((report) => this.#suspects.merge(report, nowMs));
+    const changes: SuspectReport[] = [];
+    for (const report of message.reports) {
+      const result = this.#suspects.merge(report, nowMs);
+      if (result.isNews) {
+        changes.push(report);
+      }
+      if (result.isRefutationDue) {
+        this.#sendReport(report.fingerprint);
+      }
+    }
     if (changes.length > 0) {
       const receivers = duties.listForwardReceivers(message.dataCentre);
       send(receivers, { ...message, reports: changes });
@@ -276,12 +286,20 @@
     this.#send([...reports.values()]);
   }
 
-  /** Reports to all instances what this instance knows of a request. */
+  /**
+   * Reports to all instances what this instance knows of a request, and repeats
+   * it for a while.
+   */
   #report(fingerprint: string): void {
+    const nowMs = this.#options.clock.readMs();
+    this.#recentChanges.set(fingerprint, nowMs + REPEAT_REPORT_MS);
+    this.#sendReport(fingerprint);
+  }
+
+  #sendReport(fingerprint: string): void {
     const nowMs = this.#options.clock.readMs();
     const report = this.#suspects.createReport(fingerprint, nowMs);
     if (report !== undefined) {
-      this.#recentChanges.set(fingerprint, nowMs + REPEAT_REPORT_MS);
       this.#send([report]);
     }
   }
@@ -295,29 +313,31 @@
   }
 
   #recordCrashes(sends: readonly UnansweredSend[]): void {
-    const nowMs = this.#options.clock.readMs();
-    for (const send of sends) {
-      const { fingerprint, target, sentAtMs, atMs } = send;
-      const decision = this.#suspects.recordCrash(
-        fingerprint,
-        hashIncarnation(target),
-        { sentAtMs, atMs, nowMs },
-      );
-      switch (decision.kind) {
-        case "recorded":
-          if (decision.isCounted) {
-            this.#reportCounted(send);
-          } else {
-            this.#reportDismissed(send, "target-had-ended");
-          }
-          this.#report(fingerprint);
-          break;
-        case "dismissed":
-          this.#reportDismissed(send, decision.reason);
-          break;
-        case "known":
-          break;
-      }
+    sends.forEach((send) => this.#recordCrash(send));
+  }
+
+  #recordCrash(send: UnansweredSend): void {
+    const { fingerprint, requestId, target, sentAtMs, atMs } = send;
+    const incarnation = hashIncarnation(target);
+    const decision = this.#suspects.recordCrash(fingerprint, {
+      send: hashToShortText(`${requestId} ${incarnation} ${sentAtMs}`),
+      incarnation,
+      sentAtMs,
+      atMs,
+      nowMs: this.#options.clock.readMs(),
+    });
+    switch (decision.kind) {
+      case "recorded":
+        if (decision.isCounted) {
+          this.#reportCounted(send);
+        } else {
+          this.#reportDismissed(send, "target-had-ended");
+        }
+        this.#report(fingerprint);
+        return;
+      case "dismissed":
+        this.#reportDismissed(send, decision.reason);
+        return;
     }
   }
 
@@ -329,6 +349,7 @@
       fingerprint,
       requestId,
       targetId,
+      crashes: this.#suspects.countCrashes(fingerprint),
       isQuarantined,
     });
   }
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -200,16 +200,18 @@
   );
 });
 
-test("a response that is lost before a crash does not hide the crash", {
-  todo: "KNOWN-RED.txt",
-}, async () => {
-  const simulation = createSimulation(true);
-  simulation.isResponseLost = ({ path }) => path === HARMLESS;
-  for (let round = 0; round < 12; round++) {
-    void simulation.send("kirkos-1", { path: HARMLESS });
-    await simulation.clock.advance(400);
-    await sendRepeatedly(simulation, { everyMs: 3_300, count: 1 });
-  }
-  const late = countLateSends(simulation);
-  assert.ok(late <= ALLOWED_SENDS, `${late} sends after the third crash`);
-});
+test(
+  "a response that is lost before a crash does not hide the crash",
+  {},
+  async () => {
+    const simulation = createSimulation(true);
+    simulation.isResponseLost = ({ path }) => path === HARMLESS;
+    for (let round = 0; round < 12; round++) {
+      void simulation.send("kirkos-1", { path: HARMLESS });
+      await simulation.clock.advance(400);
+      await sendRepeatedly(simulation, { everyMs: 3_300, count: 1 });
+    }
+    const late = countLateSends(simulation);
+    assert.ok(late <= ALLOWED_SENDS, `${late} sends after the third crash`);
+  },
+);
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -9,28 +9,37 @@
  * others observe.
  *
  * An innocent request may have been running on a target that crashed. One
- * successful response at any instance clears it. When the quarantine ends, the
- * request is sent once as a trial.
+ * successful response at any instance refutes its crashes. When the quarantine
+ * ends, the request is sent once as a trial.
+ *
+ * What is known only grows: crashes, and the names of those that a response has
+ * refuted. It does not depend on the order or the delay of reports. An instance
+ * refutes a crash only by a response of its own, whose time it knows exactly.
  */
-
 import type { DismissalReason } from "./unanswered_sends.ts";
 
+/** A crash as instances report it to each other. */
+export type ReportedCrash = readonly [
+  incarnation: string,
+  ageMs: number,
+  /** Time since the request was sent to that target. */
+  sentAgeMs: number,
+  /** Name of the send; missing from earlier versions. */
+  send?: string,
+];
+
 /**
  * What instances report to each other about one request; ages in milliseconds.
  */
 export interface SuspectReport {
   readonly fingerprint: string;
+  readonly crashes: readonly ReportedCrash[];
+  /** Sends whose crashes were refuted; missing from earlier versions. */
+  readonly refuted?: readonly string[];
   /**
-   * For each crash: the name of the target's incarnation, the age of the crash,
-   * and the age of the send.
+   * Time since the last response here that refuted crashes; null if none. Only
+   * earlier versions use it.
    */
-  readonly crashes: readonly (readonly [
-    incarnation: string,
-    ageMs: number,
-    /** Time since the request was sent to that target. */
-    sentAgeMs: number,
-  ])[];
-  /** Time since the last response that cleared the request; null if none. */
   readonly clearedAgeMs: number | null;
   /** Time since its last trial; null if none. */
   readonly trialAgeMs: number | null;
@@ -63,33 +72,57 @@
 export type ReleaseReason =
   /** The request was answered, here or at another instance. */
   | "answered"
-  /** Crashes of it do not count any more. */
+  /** Crashes of it are explained by another request. */
   | "crashes-dismissed"
   /** Its crashes are too old. */
   | "expired"
   /** Too many others are kept. */
   | "table-full";
 
-/** What becomes of a reported crash. */
+/** What becomes of a crash that this instance has observed. */
 export type CrashDecision =
-  /** It is news; it may not count by what is known of the target's end. */
+  /** It is news; it does not count if another request explains it. */
   | { readonly kind: "recorded"; readonly isCounted: boolean }
-  | { readonly kind: "known" }
   | { readonly kind: "dismissed"; readonly reason: DismissalReason };
 
+/** What a report from another instance has added. */
+export interface MergeResult {
+  readonly isNews: boolean;
+  /**
+   * Whether other instances have to know that this instance has refuted
+   * reported crashes, since these quarantine the request.
+   */
+  readonly isRefutationDue: boolean;
+}
+
 /** A send whose target process ended; this instance's clock. */
 export interface Crash {
+  readonly incarnation: string;
   readonly sentAtMs: number;
   readonly atMs: number;
 }
 
+/** A crash that this instance has observed. */
+export interface ObservedCrash extends Crash {
+  /** Name of the send, which no other send has. */
+  readonly send: string;
+  readonly nowMs: number;
+}
+
 interface Suspect {
-  /** By target incarnation. */
+  /** By the name of the send. */
   readonly crashes: Map<string, Crash>;
+  /** When each refutation became known, by the name of the send. */
+  readonly refutedAtMs: Map<string, number>;
   clearedAtMs: number;
   trialAtMs: number;
 }
 
+interface Quarantine {
+  readonly sinceMs: number;
+  readonly crashes: readonly Crash[];
+}
+
 /** Crashes that put a request into quarantine; fewer may be a coincidence. */
 const CRASHES_TO_QUARANTINE = 3;
 /**
@@ -105,22 +138,24 @@
 /** A request without a crash for this long is forgotten. */
 const CRASH_RETENTION_MS = 24 * 3_600_000;
 /**
- * How long a cleared request is remembered: older crash reports may still be in
- * flight, but for less than this.
+ * How long a refutation and a response are remembered: reports of older crashes
+ * may still be in flight, but for less than this.
  */
-const CLEARED_RETENTION_MS = 60_000;
+const REFUTATION_RETENTION_MS = 60_000;
 const MAX_SUSPECTS = 1_024;
+const MAX_RESPONSES = 1_024;
 /**
- * A request that was sent more than this after its target process had ended
- * cannot have crashed it. Times from other instances are late by the latency of
- * their datagrams.
+ * A request that was sent more than this after its target had failed under
+ * another request did not reach it. Times from other instances are late by the
+ * latency of their datagrams.
  */
 const LATE_SEND_MS = 100;
-const MAX_INCARNATIONS = 1_024;
-/** Further crashes change no decision. */
-const MAX_KEPT_CRASHES = 5;
+/** More than enough for the longest quarantine, whichever of them count. */
+const MAX_KEPT_CRASHES = 8;
+/** The most that change a decision. */
+const MAX_REPORTED_CRASHES = 5;
 /**
- * Maximum number of reports that are repeated each second. Four of them fit
+ * Maximum number of reports that are repeated each second. Three of them fit
  * into one datagram.
  */
 const MAX_REPORTS = 12;
@@ -128,12 +163,15 @@
 export class CrashSuspects {
   readonly #suspects = new Map<string, Suspect>();
   /**
-   * When each target incarnation ended: the time of the first send to it that
-   * failed.
+   * Suspects with enough crashes for a quarantine if all of them count, by the
+   * incarnations that ended.
    */
-  readonly #endedAtMs = new Map<string, number>();
-  /** Since when each quarantined request is quarantined. */
-  readonly #quarantinedAtMs = new Map<string, number>();
+  readonly #repeatedByIncarnation = new Map<string, Set<string>>();
+  readonly #quarantines = new Map<string, Quarantine>();
+  /** Incarnations whose crashes have changed since the last update. */
+  readonly #changedIncarnations = new Set<string>();
+  /** When this instance last got a response, by fingerprint. */
+  readonly #answeredAtMs = new Map<string, number>();
   readonly #observe: (event: SuspectEvent) => void;
 
   constructor(observe: (event: SuspectEvent) => void = () => undefined) {
@@ -146,70 +184,59 @@
   }
 
   countQuarantined(): number {
-    return [...this.#suspects.values()]
-      .filter((suspect) => this.#isQuarantined(suspect)).length;
+    return this.#quarantines.size;
   }
 
-  /**
-   * Records a crash. It is dismissed if a response has cleared the request
-   * since, or `MAX_KEPT_CRASHES` are recorded.
-   */
-  recordCrash(
-    fingerprint: string,
-    incarnation: string,
-    { nowMs, ...crash }: Crash & { readonly nowMs: number },
-  ): CrashDecision {
-    this.#recordEnd(incarnation, crash.atMs);
-    const decision = this.#addCrash(fingerprint, incarnation, crash);
-    this.#updateQuarantine(fingerprint, "crashes-dismissed", nowMs);
-    for (const other of this.#quarantinedAtMs.keys()) {
-      this.#updateQuarantine(other, "crashes-dismissed", nowMs);
-    }
-    return decision;
+  /** Counts the crashes of a request that it may have caused. */
+  countCrashes(fingerprint: string): number {
+    const suspect = this.#suspects.get(fingerprint);
+    return suspect === undefined
+      ? 0
+      : countIncarnations(this.#listCounted(fingerprint, suspect));
   }
 
-  #addCrash(
+  /** Records a crash that this instance has observed. */
+  recordCrash(
     fingerprint: string,
-    incarnation: string,
-    crash: Crash,
+    { send, nowMs, ...crash }: ObservedCrash,
   ): CrashDecision {
-    const suspect = this.#getSuspect(fingerprint);
-    const { crashes, clearedAtMs } = suspect;
-    const known = crashes.get(incarnation);
-    if (known !== undefined) {
-      // The report with the shortest latency has the most accurate times.
-      crashes.set(incarnation, {
-        sentAtMs: Math.min(known.sentAtMs, crash.sentAtMs),
-        atMs: Math.min(known.atMs, crash.atMs),
-      });
-      return { kind: "known" };
-    }
-    if (crash.atMs <= clearedAtMs) {
+    const suspect = this.#getSuspect(fingerprint, nowMs);
+    if (this.#isRefuted(fingerprint, send, crash)) {
       return { kind: "dismissed", reason: "request-answered" };
     }
-    if (crashes.size >= MAX_KEPT_CRASHES) {
+    if (!this.#addCrash(fingerprint, suspect, { send, crash })) {
       return { kind: "dismissed", reason: "table-full" };
     }
-    crashes.set(incarnation, crash);
-    const isCounted = this.#listCrashes(suspect).includes(crash);
+    this.#updateQuarantines(fingerprint, "crashes-dismissed", nowMs);
+    const isCounted = !this.#isExplained(fingerprint, crash);
     return { kind: "recorded", isCounted };
   }
 
-  /** Clears the request's crashes after a response and returns their number. */
+  /**
+   * Records a response to the request at this instance, which refutes all of
+   * its crashes so far. Returns the number of targets that these concern.
+   */
   recordAnswered(fingerprint: string, nowMs: number): number {
+    this.#answeredAtMs.delete(fingerprint);
+    this.#answeredAtMs.set(fingerprint, nowMs);
+    removeOldest(this.#answeredAtMs, MAX_RESPONSES);
     const suspect = this.#suspects.get(fingerprint);
-    const crashes = suspect?.crashes.size ?? 0;
-    if (suspect !== undefined && crashes > 0) {
-      suspect.clearedAtMs = nowMs;
-      suspect.crashes.clear();
-      this.#updateQuarantine(fingerprint, "answered", nowMs);
+    if (suspect === undefined || suspect.crashes.size === 0) {
+      return 0;
     }
-    return crashes;
+    const { crashes, refutedAtMs } = suspect;
+    const count = countIncarnations([...crashes.values()]);
+    for (const send of crashes.keys()) {
+      refutedAtMs.set(send, nowMs);
+    }
+    suspect.clearedAtMs = nowMs;
+    this.#removeCrashes(suspect, [...crashes.keys()]);
+    this.#updateQuarantines(fingerprint, "answered", nowMs);
+    return count;
   }
 
   isQuarantined(fingerprint: string): boolean {
-    const suspect = this.#suspects.get(fingerprint);
-    return suspect !== undefined && this.#isQuarantined(suspect);
+    return this.#quarantines.has(fingerprint);
   }
 
   /**
@@ -218,45 +245,51 @@
    */
   admit(fingerprint: string, nowMs: number): SuspectDecision {
     const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined || !this.#isQuarantined(suspect)) {
+    const quarantine = this.#quarantines.get(fingerprint);
+    if (suspect === undefined || quarantine === undefined) {
       return { kind: "admitted" };
     }
-    const crashes = this.#listCrashes(suspect);
+    const crashes = countIncarnations(quarantine.crashes);
     const endsAtMs = Math.max(
-      computeQuarantineEnd(crashes),
+      computeQuarantineEnd(quarantine.crashes),
       suspect.trialAtMs + MIN_TRIAL_INTERVAL_MS,
     );
     if (nowMs >= endsAtMs) {
       suspect.trialAtMs = nowMs;
       return { kind: "trial" };
     }
-    const retryAfterMs = endsAtMs - nowMs;
-    return { kind: "quarantined", crashes: crashes.length, retryAfterMs };
+    return { kind: "quarantined", crashes, retryAfterMs: endsAtMs - nowMs };
   }
 
-  /**
-   * Merges a report from another instance; returns whether it added anything.
-   */
-  merge(report: SuspectReport, nowMs: number): boolean {
-    const { fingerprint, crashes, clearedAgeMs, trialAgeMs } = report;
-    const suspect = this.#getSuspect(fingerprint);
-    let isChange = false;
-    const clearedAtMs = toTime(clearedAgeMs, nowMs);
-    if (clearedAtMs > suspect.clearedAtMs) {
-      isChange = removeUntil(suspect.crashes, clearedAtMs);
-      suspect.clearedAtMs = clearedAtMs;
-      this.#updateQuarantine(fingerprint, "answered", nowMs);
-    }
+  /** Merges a report from another instance. */
+  merge(report: SuspectReport, nowMs: number): MergeResult {
+    const { fingerprint, trialAgeMs } = report;
+    const suspect = this.#getSuspect(fingerprint, nowMs);
     suspect.trialAtMs = Math.max(suspect.trialAtMs, toTime(trialAgeMs, nowMs));
-    for (const [incarnation, ageMs, sentAgeMs] of crashes) {
-      const crash = { sentAtMs: nowMs - sentAgeMs, atMs: nowMs - ageMs };
-      const { kind } = this.recordCrash(fingerprint, incarnation, {
-        ...crash,
-        nowMs,
-      });
-      isChange ||= kind === "recorded";
-    }
-    return isChange;
+    const hasNewRefutations = this.#mergeRefuted(report, suspect, nowMs);
+    const reported = report.crashes.map((one) => toCrash(one, nowMs));
+    const refuted = reported.filter(({ send, crash }) =>
+      this.#isRefuted(fingerprint, send, crash)
+    );
+    const hasOwnRefutations = refuted
+      .some(({ send }) => !suspect.refutedAtMs.has(send));
+    refuted.forEach(({ send }) => suspect.refutedAtMs.set(send, nowMs));
+    this.#removeCrashes(suspect, refuted.map(({ send }) => send));
+    const hasNewCrashes = reported
+      .filter((one) => !refuted.includes(one))
+      .map((one) => this.#addCrash(fingerprint, suspect, one))
+      .includes(true);
+    this.#updateQuarantines(
+      fingerprint,
+      hasNewRefutations ? "answered" : "crashes-dismissed",
+      nowMs,
+    );
+    const isEnough = countIncarnations(reported.map(({ crash }) => crash)) >=
+      CRASHES_TO_QUARANTINE;
+    return {
+      isNews: hasNewCrashes || hasNewRefutations,
+      isRefutationDue: hasOwnRefutations && isEnough,
+    };
   }
 
   createReport(fingerprint: string, nowMs: number): SuspectReport | undefined {
@@ -272,8 +305,8 @@
    */
   listReports(nowMs: number): readonly SuspectReport[] {
     return [...this.#suspects]
-      .filter(([, suspect]) =>
-        this.#isQuarantined(suspect) || suspect.crashes.size === 0
+      .filter(([fingerprint, { crashes }]) =>
+        this.#quarantines.has(fingerprint) || crashes.size === 0
       )
       .slice(-MAX_REPORTS)
       .map(([fingerprint, suspect]) =>
@@ -282,69 +315,204 @@
   }
 
   /**
-   * Removes suspects whose crashes are too old, and cleared requests that need
-   * no longer be remembered.
+   * Removes suspects whose crashes are too old, and responses and refutations
+   * that need no longer be remembered.
    */
   expire(nowMs: number): void {
-    for (const [fingerprint, { crashes, clearedAtMs }] of this.#suspects) {
+    const oldestMs = nowMs - REFUTATION_RETENTION_MS;
+    removeBefore(this.#answeredAtMs, oldestMs);
+    for (const [fingerprint, suspect] of this.#suspects) {
+      const { crashes, refutedAtMs } = suspect;
+      removeBefore(refutedAtMs, oldestMs);
       const isOver = crashes.size === 0
-        ? nowMs - clearedAtMs > CLEARED_RETENTION_MS
+        ? refutedAtMs.size === 0
         : nowMs - findLastCrashMs([...crashes.values()]) > CRASH_RETENTION_MS;
       if (isOver) {
-        this.#suspects.delete(fingerprint);
-        this.#updateQuarantine(fingerprint, "expired", nowMs);
+        this.#removeSuspect(fingerprint, "expired", nowMs);
       }
     }
   }
 
-  /** Reports the start or the end of a quarantine, if it has just happened. */
-  #updateQuarantine(
-    fingerprint: string,
-    reason: ReleaseReason,
+  /** Whether the request got a response here after the crash, or elsewhere. */
+  #isRefuted(fingerprint: string, send: string, { atMs }: Crash): boolean {
+    return this.#suspects.get(fingerprint)?.refutedAtMs.has(send) === true ||
+      atMs <= (this.#answeredAtMs.get(fingerprint) ?? -Infinity);
+  }
+
+  /** Merges the refutations of a report; returns whether any of them is new. */
+  #mergeRefuted(
+    { refuted = [] }: SuspectReport,
+    suspect: Suspect,
     nowMs: number,
-  ): void {
-    const suspect = this.#suspects.get(fingerprint);
-    const crashes = suspect === undefined
-      ? 0
-      : this.#listCrashes(suspect).length;
-    const sinceMs = this.#quarantinedAtMs.get(fingerprint);
-    if (sinceMs === undefined && crashes >= CRASHES_TO_QUARANTINE) {
-      this.#quarantinedAtMs.set(fingerprint, nowMs);
-      this.#observe({ kind: "quarantined", fingerprint, crashes });
-    } else if (sinceMs !== undefined && crashes < CRASHES_TO_QUARANTINE) {
-      this.#quarantinedAtMs.delete(fingerprint);
-      const afterMs = Math.round(nowMs - sinceMs);
-      this.#observe({
-        kind: "released",
-        fingerprint,
-        reason: suspect === undefined && reason !== "expired"
-          ? "table-full"
-          : reason,
-        afterMs,
+  ): boolean {
+    const news = refuted.filter((send) => !suspect.refutedAtMs.has(send));
+    news.forEach((send) => suspect.refutedAtMs.set(send, nowMs));
+    this.#removeCrashes(suspect, news);
+    return news.length > 0;
+  }
+
+  /**
+   * Adds a crash, or the times of a further report of it; returns whether the
+   * crash is new.
+   */
+  #addCrash(
+    fingerprint: string,
+    suspect: Suspect,
+    { send, crash }: { readonly send: string; readonly crash: Crash },
+  ): boolean {
+    const { crashes } = suspect;
+    const known = crashes.get(send);
+    if (known !== undefined) {
+      this.#changedIncarnations.add(crash.incarnation);
+      // The report with the shortest latency has the most accurate times.
+      crashes.set(send, {
+        incarnation: known.incarnation,
+        sentAtMs: Math.min(known.sentAtMs, crash.sentAtMs),
+        atMs: Math.min(known.atMs, crash.atMs),
       });
+      return false;
+    }
+    if (crashes.size >= MAX_KEPT_CRASHES) {
+      const replaceable = this.#findReplaceable(fingerprint, suspect);
+      if (replaceable === undefined) {
+        return false;
+      }
+      this.#removeCrashes(suspect, [replaceable]);
+    }
+    crashes.set(send, crash);
+    this.#changedIncarnations.add(crash.incarnation);
+    return true;
+  }
+
+  /** Finds a kept crash that changes no decision. */
+  #findReplaceable(
+    fingerprint: string,
+    { crashes }: Suspect,
+  ): string | undefined {
+    const incarnations = new Set<string>();
+    for (const [send, crash] of [...crashes].reverse()) {
+      if (
+        incarnations.has(crash.incarnation) ||
+        this.#isExplained(fingerprint, crash)
+      ) {
+        return send;
+      }
+      incarnations.add(crash.incarnation);
     }
+    return undefined;
   }
 
-  #isQuarantined(suspect: Suspect): boolean {
-    return this.#listCrashes(suspect).length >= CRASHES_TO_QUARANTINE;
+  #removeCrashes({ crashes }: Suspect, sends: readonly string[]): void {
+    for (const send of sends) {
+      const crash = crashes.get(send);
+      if (crash !== undefined) {
+        crashes.delete(send);
+        this.#changedIncarnations.add(crash.incarnation);
+      }
+    }
   }
 
   /** Lists the crashes that the request may have caused. */
-  #listCrashes({ crashes }: Suspect): readonly Crash[] {
-    return [...crashes]
-      .filter(([incarnation, { sentAtMs }]) =>
-        sentAtMs <=
-          (this.#endedAtMs.get(incarnation) ?? Infinity) + LATE_SEND_MS
+  #listCounted(
+    fingerprint: string,
+    { crashes }: Suspect,
+  ): readonly Crash[] {
+    return [...crashes.values()]
+      .filter((crash) => !this.#isExplained(fingerprint, crash));
+  }
+
+  /**
+   * Whether another request that crashes targets repeatedly had ended the target
+   * before this one was sent to it.
+   */
+  #isExplained(
+    fingerprint: string,
+    { incarnation, sentAtMs }: Crash,
+  ): boolean {
+    const repeated = this.#repeatedByIncarnation.get(incarnation) ?? [];
+    return [...repeated].some((other) =>
+      other !== fingerprint &&
+      [...this.#suspects.get(other)!.crashes.values()].some((crash) =>
+        crash.incarnation === incarnation &&
+        crash.atMs + LATE_SEND_MS < sentAtMs
       )
-      .map(([, crash]) => crash);
+    );
   }
 
-  #recordEnd(incarnation: string, atMs: number): void {
-    const known = this.#endedAtMs.get(incarnation) ?? Infinity;
-    this.#endedAtMs.delete(incarnation);
-    this.#endedAtMs.set(incarnation, Math.min(known, atMs));
-    if (this.#endedAtMs.size > MAX_INCARNATIONS) {
-      this.#endedAtMs.delete(this.#endedAtMs.keys().next().value!);
+  /**
+   * Updates the quarantine of a request whose crashes have changed, and those of
+   * the requests whose crashes it explains.
+   */
+  #updateQuarantines(
+    fingerprint: string,
+    reason: ReleaseReason,
+    nowMs: number,
+  ): void {
+    const suspect = this.#suspects.get(fingerprint);
+    const crashes = [...suspect?.crashes.values() ?? []];
+    const ended = new Set(crashes.map(({ incarnation }) => incarnation));
+    const isRepeated = ended.size >= CRASHES_TO_QUARANTINE;
+    const affected = new Set([fingerprint]);
+    for (
+      const incarnation of new Set([...this.#changedIncarnations, ...ended])
+    ) {
+      this.#setRepeated(
+        fingerprint,
+        incarnation,
+        isRepeated && ended.has(incarnation),
+      );
+      for (const other of this.#repeatedByIncarnation.get(incarnation) ?? []) {
+        affected.add(other);
+      }
+    }
+    this.#changedIncarnations.clear();
+    for (const one of affected) {
+      const why = one === fingerprint ? reason : "crashes-dismissed";
+      this.#updateQuarantine(one, why, nowMs);
+    }
+  }
+
+  /** Reports the start or the end of a quarantine, if it has just happened. */
+  #updateQuarantine(
+    fingerprint: string,
+    reason: ReleaseReason,
+    nowMs: number,
+  ): void {
+    const suspect = this.#suspects.get(fingerprint);
+    const counted = suspect === undefined
+      ? []
+      : this.#listCounted(fingerprint, suspect);
+    const crashes = countIncarnations(counted);
+    const known = this.#quarantines.get(fingerprint);
+    if (crashes >= CRASHES_TO_QUARANTINE) {
+      const sinceMs = known?.sinceMs ?? nowMs;
+      this.#quarantines.set(fingerprint, { sinceMs, crashes: counted });
+      if (known === undefined) {
+        this.#observe({ kind: "quarantined", fingerprint, crashes });
+      }
+    } else if (known !== undefined) {
+      this.#quarantines.delete(fingerprint);
+      const afterMs = Math.round(nowMs - known.sinceMs);
+      this.#observe({ kind: "released", fingerprint, reason, afterMs });
+    }
+  }
+
+  #setRepeated(
+    fingerprint: string,
+    incarnation: string,
+    isRepeated: boolean,
+  ): void {
+    const requests = this.#repeatedByIncarnation.get(incarnation) ??
+      new Set<string>();
+    if (isRepeated) {
+      requests.add(fingerprint);
+    } else {
+      requests.delete(fingerprint);
+    }
+    if (requests.size > 0) {
+      this.#repeatedByIncarnation.set(incarnation, requests);
+    } else {
+      this.#repeatedByIncarnation.delete(incarnation);
     }
   }
 
@@ -352,20 +520,33 @@
    * Gets or creates a suspect. When the table is full, evicts the one with the
    * fewest crashes.
    */
-  #getSuspect(fingerprint: string): Suspect {
+  #getSuspect(fingerprint: string, nowMs: number): Suspect {
     const suspect = this.#suspects.get(fingerprint) ?? {
       crashes: new Map<string, Crash>(),
+      refutedAtMs: new Map<string, number>(),
       clearedAtMs: -Infinity,
       trialAtMs: -Infinity,
     };
     this.#suspects.delete(fingerprint);
     if (this.#suspects.size >= MAX_SUSPECTS) {
-      this.#suspects.delete(this.#findEvictionCandidate());
+      this.#removeSuspect(this.#findEvictionCandidate(), "table-full", nowMs);
     }
     this.#suspects.set(fingerprint, suspect);
     return suspect;
   }
 
+  #removeSuspect(
+    fingerprint: string,
+    reason: ReleaseReason,
+    nowMs: number,
+  ): void {
+    const suspect = this.#suspects.get(fingerprint)!;
+    const sends = [...suspect.crashes.keys()];
+    this.#removeCrashes(suspect, sends);
+    this.#suspects.delete(fingerprint);
+    this.#updateQuarantines(fingerprint, reason, nowMs);
+  }
+
   #findEvictionCandidate(): string {
     let candidate = "";
     let fewest = Infinity;
@@ -380,33 +561,53 @@
 }
 
 function computeQuarantineEnd(crashes: readonly Crash[]): number {
-  const durationMs =
-    QUARANTINE_DURATIONS_MS[crashes.length - CRASHES_TO_QUARANTINE] ??
-      CRASH_RETENTION_MS;
+  const count = countIncarnations(crashes);
+  const durationMs = QUARANTINE_DURATIONS_MS[count - CRASHES_TO_QUARANTINE] ??
+    CRASH_RETENTION_MS;
   return findLastCrashMs(crashes) + durationMs;
 }
 
+function countIncarnations(crashes: readonly Crash[]): number {
+  return new Set(crashes.map(({ incarnation }) => incarnation)).size;
+}
+
 function findLastCrashMs(crashes: readonly Crash[]): number {
   return Math.max(...crashes.map(({ atMs }) => atMs));
 }
 
 function createReport(
   fingerprint: string,
-  { crashes, clearedAtMs, trialAtMs }: Suspect,
+  { crashes, refutedAtMs, clearedAtMs, trialAtMs }: Suspect,
   nowMs: number,
 ): SuspectReport {
+  const reported = [...crashes].slice(-MAX_REPORTED_CRASHES);
   return {
     fingerprint,
-    crashes: [...crashes].map(([incarnation, { sentAtMs, atMs }]) => [
+    crashes: reported.map(([send, { incarnation, sentAtMs, atMs }]) => [
       incarnation,
       Math.floor(nowMs - atMs),
       Math.floor(nowMs - sentAtMs),
+      send,
     ]),
+    refuted: [...refutedAtMs.keys()].slice(-MAX_REPORTED_CRASHES),
     clearedAgeMs: toAge(clearedAtMs, nowMs),
     trialAgeMs: toAge(trialAtMs, nowMs),
   };
 }
 
+/** A crash without the name of a send counts as one per incarnation. */
+function toCrash(
+  [incarnation, ageMs, sentAgeMs, send = incarnation]: ReportedCrash,
+  nowMs: number,
+): { readonly send: string; readonly crash: Crash } {
+  const crash = {
+    incarnation,
+    sentAtMs: nowMs - sentAgeMs,
+    atMs: nowMs - ageMs,
+  };
+  return { send, crash };
+}
+
 function toAge(atMs: number, nowMs: number): number | null {
   return Number.isFinite(atMs) ? Math.floor(nowMs - atMs) : null;
 }
@@ -415,13 +616,16 @@
   return ageMs === null ? -Infinity : nowMs - ageMs;
 }
 
-/** Returns whether any crash was removed. */
-function removeUntil(crashes: Map<string, Crash>, untilMs: number): boolean {
-  const before = crashes.size;
-  for (const [incarnation, { atMs }] of crashes) {
-    if (atMs <= untilMs) {
-      crashes.delete(incarnation);
+function removeBefore(times: Map<string, number>, oldestMs: number): void {
+  for (const [name, atMs] of times) {
+    if (atMs < oldestMs) {
+      times.delete(name);
     }
   }
-  return crashes.size < before;
+}
+
+function removeOldest(times: Map<string, number>, maxSize: number): void {
+  if (times.size > maxSize) {
+    times.delete(times.keys().next().value!);
+  }
 }
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import {
-  type Crash,
   CrashSuspects,
+  type ObservedCrash,
   type SuspectReport,
 } from "./crash_suspects.ts";
 
@@ -13,8 +13,14 @@
 const FLOOD = 5_000;
 
 /** A crash at `atMs` of a target that had received the request 30 ms before. */
-function createCrash(atMs: number): Crash & { readonly nowMs: number } {
-  return { sentAtMs: atMs - 30, atMs, nowMs: atMs };
+function createCrash(incarnation: string, atMs: number): ObservedCrash {
+  return {
+    send: `send to ${incarnation}`,
+    incarnation,
+    sentAtMs: atMs - 30,
+    atMs,
+    nowMs: atMs,
+  };
 }
 
 function recordCrashes(
@@ -23,11 +29,8 @@
   fromMs = 0,
 ): void {
   for (let nth = 0; nth < count; nth++) {
-    suspects.recordCrash(
-      FATAL,
-      `incarnation ${fromMs} ${nth}`,
-      createCrash(fromMs + nth),
-    );
+    const incarnation = `incarnation ${fromMs} ${nth}`;
+    suspects.recordCrash(FATAL, createCrash(incarnation, fromMs + nth));
   }
 }
 
@@ -35,7 +38,7 @@
   const suspects = new CrashSuspects();
   recordCrashes(suspects, 2);
   assert.equal(suspects.admit(FATAL, 10).kind, "admitted");
-  suspects.recordCrash(FATAL, "incarnation 0 0", createCrash(5));
+  suspects.recordCrash(FATAL, createCrash("incarnation 0 0", 5));
   assert.equal(
     suspects.admit(FATAL, 10).kind,
     "admitted",
@@ -56,7 +59,7 @@
     assert.notEqual(kind, "admitted");
     if (kind === "trial") {
       trials++;
-      suspects.recordCrash(FATAL, `incarnation ${nowMs}`, createCrash(nowMs));
+      suspects.recordCrash(FATAL, createCrash(`incarnation ${nowMs}`, nowMs));
     }
   }
   assert.ok(trials <= 3, `${trials} trials`);
@@ -75,7 +78,7 @@
   recordCrashes(suspects, 3);
   const old = suspects.createReport(FATAL, 100)!;
   assert.equal(suspects.recordAnswered(FATAL, 100), 3);
-  assert.equal(suspects.merge(old, 100), false);
+  assert.equal(suspects.merge(old, 100).isNews, false);
   assert.equal(suspects.admit(FATAL, 110).kind, "admitted");
 });
 
@@ -92,22 +95,20 @@
   const suspects = new CrashSuspects();
   recordCrashes(suspects, 3);
   for (let nth = 0; nth < FLOOD; nth++) {
-    suspects.recordCrash(`flood ${nth}`, "incarnation", createCrash(1));
+    suspects.recordCrash(`flood ${nth}`, createCrash("incarnation", 1));
   }
   assert.ok(suspects.isQuarantined(FATAL));
   assert.ok(suspects.listReports(10).length <= 12);
 });
 
 test("instances agree whatever the order in which they receive crash reports", () => {
+  const sends = ["a", "b", "c", "d"];
   const report: fc.Arbitrary<SuspectReport> = fc.record({
     fingerprint: fc.constant(FATAL),
-    // An incarnation of a target ends only once.
-    crashes: fc.subarray<[string, number, number]>([
-      ["a", 2, 3],
-      ["b", 4, 5],
-      ["c", 6, 7],
-      ["d", 8, 9],
-    ]),
+    crashes: fc.subarray(sends).map((names) =>
+      names.map((name) => [`incarnation ${name}`, 2, 3, name] as const)
+    ),
+    refuted: fc.subarray(sends),
     clearedAgeMs: fc.option(fc.integer({ min: 0, max: 9 })),
     trialAgeMs: fc.constant(null),
   });
@@ -136,10 +137,55 @@
   for (let nth = 0; nth < 3; nth++) {
     const incarnation = `incarnation ${nth}`;
     const atMs = 3_000 * nth;
-    const late = { sentAtMs: atMs + 400, atMs: atMs + 404, nowMs: atMs + 404 };
-    suspects.recordCrash("innocent", incarnation, late);
-    suspects.recordCrash(FATAL, incarnation, createCrash(atMs));
+    suspects.recordCrash("innocent", {
+      ...createCrash(incarnation, atMs + 404),
+      send: `late ${nth}`,
+      sentAtMs: atMs + 400,
+    });
+    suspects.recordCrash(FATAL, createCrash(incarnation, atMs));
   }
   assert.ok(suspects.isQuarantined(FATAL));
   assert.ok(!suspects.isQuarantined("innocent"));
 });
+
+test("a harmless request's lost response does not take back a counted crash", () => {
+  const suspects = new CrashSuspects();
+  recordCrashes(suspects, 3, 1_000);
+  for (let nth = 0; nth < 3; nth++) {
+    const incarnation = `incarnation 1000 ${nth}`;
+    suspects.recordCrash(`lost ${nth}`, createCrash(incarnation, 200));
+  }
+  assert.ok(suspects.isQuarantined(FATAL));
+});
+
+test("crashes that do not count leave room for those that do", () => {
+  const suspects = new CrashSuspects();
+  recordCrashes(suspects, 5, 1_000);
+  for (let nth = 0; nth < 5; nth++) {
+    const incarnation = `incarnation 1000 ${nth}`;
+    suspects.recordCrash("second", createCrash(incarnation, 2_000));
+  }
+  assert.ok(!suspects.isQuarantined("second"));
+  for (let nth = 0; nth < 8; nth++) {
+    suspects.recordCrash("second", createCrash(`another ${nth}`, 3_000 + nth));
+  }
+  assert.ok(suspects.isQuarantined("second"));
+});
+
+test("a response refutes crashes that are reported after it", () => {
+  const suspects = new CrashSuspects();
+  suspects.recordAnswered(FATAL, 500);
+  recordCrashes(suspects, 3, 100);
+  assert.equal(suspects.admit(FATAL, 510).kind, "admitted");
+});
+
+test("a late report of a response does not refute later crashes", () => {
+  const suspects = new CrashSuspects();
+  const other = new CrashSuspects();
+  other.recordCrash(FATAL, createCrash("first", 10));
+  other.recordAnswered(FATAL, 20);
+  const late = other.createReport(FATAL, 20)!;
+  recordCrashes(suspects, 3, 1_000);
+  suspects.merge(late, 9_000);
+  assert.ok(suspects.isQuarantined(FATAL));
+});
