fix(routing): keep unanswered sends until it is proved whether their target has ended

Callers saw a fatal request sent to further targets, since crashes of it were never recorded. Five ways led there:

- a send that began after another one to the same target had failed was dropped, though the other one may have lost only its response;
- a response under the id of the target removed its unanswered sends, also if its next incarnation gave it before its entry was read;
- all were forgotten after 6 s, while the store may be away for longer;
- a send that failed after the end was known was kept and never counted;
- 32 failed sends to a target kept out all later ones.

A removed entry was taken for an end, though it may come back after an outage. Now an end is an entry that is gone for good, a new incarnation, or a target that no instance reaches. Sends are kept for 30 s, and those to earlier incarnations count whatever has responded since. A request that gets a response here has ended no target before.

--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -100,6 +100,8 @@
 const REPEAT_REPORT_MS = 3_000;
 /** Number of reports that fit into one datagram. */
 const REPORTS_PER_MESSAGE = 3;
+/** More than leave at one time. */
+const MAX_LEAVING = 256;
 
 export class RequestQuarantine {
   readonly #options: RequestQuarantineOptions;
@@ -107,6 +109,8 @@
   readonly #suspects: CrashSuspects;
   /** End of the repeated reports of an observed change, by fingerprint. */
   readonly #recentChanges = new Map<string, number>();
+  /** Incarnations of targets that have announced that they leave. */
+  readonly #leaving = new Set<string>();
   #lastListedAtMs = -Infinity;
 
   constructor(options: RequestQuarantineOptions) {
@@ -159,9 +163,8 @@
         return;
       case "unknown":
         if (hasNoResponse(completed)) {
-          const fingerprint = getFingerprint(context);
-          this.#unansweredSends.record({
-            fingerprint,
+          this.#recordUnanswered({
+            fingerprint: getFingerprint(context),
             requestId: context.request.requestId,
             target,
             sentAtMs,
@@ -181,50 +184,44 @@
     { id }: TargetIncarnation,
     { isConfirmed }: { readonly isConfirmed: boolean },
   ): void {
-    const { clock, findTarget } = this.#options;
     // A leaving target ends by itself, not by a crash.
-    if (findTarget(id)?.leaving === true) {
+    if (this.#options.findTarget(id)?.leaving === true) {
       return;
     }
-    const nowMs = clock.readMs();
-    this.#recordCrashes(
+    this.#handleEnded(
       isConfirmed
-        ? this.#unansweredSends.takeEnded(id, nowMs)
-        : this.#unansweredSends.takeUnreachable(id, nowMs),
+        ? this.#unansweredSends.takeEnded(id)
+        : this.#unansweredSends.takeUnreachable(id),
     );
   }
 
   /**
    * Records a crash if the event shows that a target has ended: its entry is
-   * gone or names another incarnation.
+   * gone for good or names another incarnation.
    */
   handleCatalogueEvent(event: CatalogueEvent): void {
     if (event.kind !== "target") {
       return;
     }
-    const { clock, findTarget } = this.#options;
     const { targetId, state } = event;
-    const target = findTarget(targetId);
-    const nowMs = clock.readMs();
+    const target = this.#options.findTarget(targetId);
     switch (state) {
-      case "present":
-        this.#recordCrashes(
-          this.#unansweredSends.takeEnded(targetId, nowMs, target),
-        );
+      case "leaving":
+      case "reported-leaving":
+        if (target !== undefined) {
+          this.#recordLeaving(target);
+        }
         return;
-      case "missing": {
-        const ended = this.#unansweredSends.takeEnded(targetId, nowMs);
-        // A leaving target ends by itself, not by a crash.
-        if (target?.leaving === true) {
-          ended.forEach((send) => this.#reportDismissed(send, "target-left"));
-        } else {
-          this.#recordCrashes(ended);
+      case "present":
+        if (target !== undefined) {
+          this.#handleEnded(this.#unansweredSends.takeReplaced(target));
         }
         return;
-      }
-      case "leaving":
-      case "reported-leaving":
       case "gone":
+        this.#handleEnded(this.#unansweredSends.takeEnded(targetId));
+        return;
+      case "missing":
+        // It may come back.
         return;
     }
   }
@@ -255,6 +252,7 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.#unansweredSends.expire(this.#options.clock.readMs());
       if (!this.#suspects.isEmpty) {
         this.#sendRepeats();
       }
@@ -312,8 +310,32 @@
     }
   }
 
-  #recordCrashes(sends: readonly UnansweredSend[]): void {
-    sends.forEach((send) => this.#recordCrash(send));
+  #recordUnanswered(send: UnansweredSend): void {
+    const current = this.#options.findTarget(send.target.id);
+    if (current?.bornMs === send.target.bornMs && current !== undefined) {
+      this.#unansweredSends.record(send);
+    } else {
+      this.#handleEnded([send]);
+    }
+  }
+
+  #recordLeaving(target: TargetIncarnation): void {
+    this.#leaving.add(formatTargetIncarnation(target));
+    if (this.#leaving.size > MAX_LEAVING) {
+      this.#leaving.delete(this.#leaving.values().next().value!);
+    }
+  }
+
+  /** Handles unanswered sends whose targets have ended. */
+  #handleEnded(sends: readonly UnansweredSend[]): void {
+    for (const send of sends) {
+      if (this.#leaving.has(formatTargetIncarnation(send.target))) {
+        // It has ended by itself.
+        this.#reportDismissed(send, "target-left");
+      } else {
+        this.#recordCrash(send);
+      }
+    }
   }
 
   #recordCrash(send: UnansweredSend): void {
@@ -369,11 +391,12 @@
   }
 
   #clear(context: RequestContext): void {
-    if (this.#suspects.isEmpty) {
+    if (this.#suspects.isEmpty && this.#unansweredSends.isEmpty) {
       return;
     }
     const { clock, observe } = this.#options;
     const fingerprint = getFingerprint(context);
+    this.#unansweredSends.recordRequestAnswered(fingerprint);
     const crashes = this.#suspects.recordAnswered(fingerprint, clock.readMs());
     if (crashes > 0) {
       observe({ kind: "cleared", fingerprint, crashes });
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -79,6 +79,13 @@
   readonly idleTimeoutMs?: number;
   /** Share of the datagrams between instances that are lost. */
   readonly lostDatagrams?: number;
+  /** Delay after which instances read what changes in the store. */
+  readonly entryDelayMs?: number;
+  /**
+   * Whether a target comes back under its id, before its entry would be removed;
+   * by default, it has a new id and comes back later.
+   */
+  readonly restartsUnderSameId?: boolean;
 }
 
 /** A request that reached a target. */
@@ -126,6 +133,8 @@
 const KEYS_MOVED_MS = 1_000;
 const ENTRY_GONE_MS = 2_400;
 const RESTARTED_MS = 3_300;
+/** The same for a target that comes back under its id. */
+const SOON_RESTARTED_MS = 1_800;
 
 export class RequestSimulation {
   readonly clock = new VirtualClock();
@@ -151,6 +160,8 @@
   readonly backoffsMs = new Map<string, number>();
   /** Limits in requests per second that targets name in their responses. */
   readonly #limits = new Map<string, number>();
+  /** When each target last started. */
+  readonly #bornMs = new Map<string, number>();
   #startedTargets = 0;
   #sentRequests = 0;
   #token = 0;
@@ -164,7 +175,8 @@
       );
     }
     for (let count = 0; count < options.targets; count++) {
-      this.#startTarget();
+      const id = this.#addTarget();
+      this.#applyEntry(id, this.#createEntry(id));
     }
     this.#assignKeys();
     void this.#runHeartbeats();
@@ -755,8 +767,7 @@
     };
   }
 
-  #startTarget(): void {
-    const id = `t${++this.#startedTargets}`;
+  #startTarget(id: string): void {
     const target = new FakeTarget({
       clock: this.clock,
       id,
@@ -768,18 +779,35 @@
       observeCrash: () => void this.#restartTarget(id),
     });
     this.#targets.set(id, target);
-    this.#applyEntry(id, this.#createEntry(id));
+    this.#bornMs.set(id, this.clock.readMs());
   }
 
   async #restartTarget(id: string): Promise<void> {
+    const { restartsUnderSameId = false, entryDelayMs = 0 } = this.#options;
     this.crashes.push({ targetId: id, atMs: this.clock.readMs() });
     await this.clock.sleep(KEYS_MOVED_MS);
     this.#targets.delete(id);
     this.#assignKeys();
+    if (restartsUnderSameId) {
+      await this.clock.sleep(SOON_RESTARTED_MS - KEYS_MOVED_MS);
+      this.#startTarget(id);
+      await this.clock.sleep(entryDelayMs);
+      this.#applyEntry(id, this.#createEntry(id));
+      return;
+    }
     await this.clock.sleep(ENTRY_GONE_MS - KEYS_MOVED_MS);
-    this.#applyEntry(id, "");
+    void this.clock.sleep(entryDelayMs).then(() => this.#applyEntry(id, ""));
     await this.clock.sleep(RESTARTED_MS - ENTRY_GONE_MS);
-    this.#startTarget();
+    const newId = this.#addTarget();
+    await this.clock.sleep(entryDelayMs);
+    this.#applyEntry(newId, this.#createEntry(newId));
+  }
+
+  /** Starts a target with a new id, and returns the id. */
+  #addTarget(): string {
+    const id = `t${++this.#startedTargets}`;
+    this.#startTarget(id);
+    return id;
   }
 
   #createEntry(id: string, { leaving = false, coldMs = 0 } = {}): string {
@@ -788,6 +816,7 @@
       address: `${id}:80`,
       dataCentre: this.getDataCentre(id),
       places: 2,
+      bornMs: this.#bornMs.get(id),
       leaving,
       coldMs,
     });
--- a/packages/routing/src/unanswered_sends.ts
+++ b/packages/routing/src/unanswered_sends.ts
@@ -1,11 +1,15 @@
 /**
- * Keeps sends that got no response until it is known whether their target
+ * Keeps sends that got no response until it is proved whether their target
  * process has ended.
  *
  * A connection breaks for many reasons: an overloaded target resets it, a link
- * fails, a response is lost. A target that answers a later send has not ended.
- * A target has ended if its store entry is removed, or if nothing listens at
- * its address any more.
+ * fails, a response is lost. So a failed send proves no end, and tells nothing
+ * about the sends after it. A target has ended if its store entry is gone for
+ * good, if another incarnation or another target is at its address, or if no
+ * instance reaches it. All sends that got no response by then may have ended it.
+ *
+ * A target that answers a later send has not ended, unless its next incarnation
+ * has answered: its id may be the same, and its entry may be read later.
  */
 import type { TargetIncarnation } from "./target_incarnation.ts";
 
@@ -24,7 +28,7 @@
   | "target-responded"
   /** The request got a response after the failure. */
   | "request-answered"
-  /** The target had ended before the request was sent. */
+  /** Another request had ended the target before this one was sent. */
   | "target-had-ended"
   /** The target had announced that it leaves. */
   | "target-left"
@@ -37,6 +41,11 @@
   readonly onDismissed: (send: UnansweredSend, reason: DismissalReason) => void;
 }
 
+interface KeptSend extends UnansweredSend {
+  /** Whether a process at the target's address has responded since. */
+  hasRespondedSince: boolean;
+}
+
 /** A send that was answered. */
 interface AnsweredSend {
   readonly targetId: string;
@@ -44,17 +53,17 @@
 }
 
 /**
- * Longer than it takes until the store entry of an ended target is removed,
- * which is after three missed heartbeats (about 3 s).
+ * Longer than it takes until an ended target is known to have ended where the
+ * store is away meanwhile.
  */
-const RETENTION_MS = 6_000;
+const RETENTION_MS = 30_000;
 /** More than a target runs and queues at one time. */
-const MAX_PER_TARGET = 32;
+const MAX_PER_TARGET = 64;
 const MAX_TARGETS = 256;
 
 export class UnansweredSends {
   readonly #options: UnansweredSendsOptions;
-  readonly #byTarget = new Map<string, UnansweredSend[]>();
+  readonly #byTarget = new Map<string, readonly KeptSend[]>();
   /**
    * The latest answered send of each of the last two targets that answered;
    * recorded only while unanswered sends are kept.
@@ -65,46 +74,51 @@
     this.#options = options;
   }
 
-  /**
-   * Records an unanswered send. Ignores a send that started after the target's
-   * first recorded failure: the target had ended by then, so that send cannot
-   * have ended it.
-   */
+  get isEmpty(): boolean {
+    return this.#byTarget.size === 0;
+  }
+
+  /** Records an unanswered send to a target that is not known to have ended. */
   record(send: UnansweredSend): void {
-    const { target: { id }, sentAtMs, atMs } = send;
-    const sends = this.#listRecent(id, atMs);
-    if (sends.length > 0 && sentAtMs > sends[0]!.atMs) {
-      this.#options.onDismissed(send, "target-had-ended");
-      return;
-    }
-    if (sends.length < MAX_PER_TARGET) {
-      this.#byTarget.set(id, [...sends, send]);
-    } else {
-      this.#options.onDismissed(send, "table-full");
-    }
+    const { target: { id } } = send;
+    const sends = this.#byTarget.get(id) ?? [];
+    const kept = [...sends, { ...send, hasRespondedSince: false }];
+    const excess = Math.max(0, kept.length - MAX_PER_TARGET);
+    this.#reportDismissed(kept.slice(0, excess), "table-full");
+    this.#byTarget.delete(id);
+    this.#byTarget.set(id, kept.slice(excess));
     if (this.#byTarget.size > MAX_TARGETS) {
-      const [oldest] = this.#byTarget.keys();
-      this.#reportDismissed(this.#byTarget.get(oldest!)!, "table-full");
-      this.#byTarget.delete(oldest!);
+      const oldest = this.#byTarget.keys().next().value!;
+      this.#reportDismissed(this.#byTarget.get(oldest)!, "table-full");
+      this.#byTarget.delete(oldest);
     }
   }
 
   /** Records that the target answered a send that started at `sentAtMs`. */
   recordAnswered(targetId: string, sentAtMs: number): void {
-    if (this.#byTarget.size === 0) {
+    if (this.isEmpty) {
       return;
     }
     const others = this.#answered.filter((other) =>
       other.targetId !== targetId
     );
     this.#answered = [{ targetId, sentAtMs }, ...others.slice(0, 1)];
-    const sends = this.#byTarget.get(targetId);
-    if (sends !== undefined) {
-      this.#reportDismissed(
-        sends.filter(({ atMs }) => atMs < sentAtMs),
-        "target-responded",
+    for (const send of this.#byTarget.get(targetId) ?? []) {
+      send.hasRespondedSince ||= send.atMs < sentAtMs;
+    }
+  }
+
+  /** Removes the sends of a request that has got a response. */
+  recordRequestAnswered(fingerprint: string): void {
+    for (const [targetId, sends] of this.#byTarget) {
+      const [answered, kept] = split(
+        sends,
+        (send) => send.fingerprint === fingerprint,
       );
-      this.#set(targetId, sends.filter(({ atMs }) => atMs >= sentAtMs));
+      if (answered.length > 0) {
+        this.#reportDismissed(answered, "request-answered");
+        this.#set(targetId, kept);
+      }
     }
   }
 
@@ -113,50 +127,53 @@
    * could not be opened. A send stays if no other target has answered a later
    * send: this instance's own link may be down.
    */
-  takeUnreachable(targetId: string, nowMs: number): readonly UnansweredSend[] {
+  takeUnreachable(targetId: string): readonly UnansweredSend[] {
     return this.#take(
       targetId,
-      nowMs,
-      ({ atMs }) =>
+      ({ hasRespondedSince, atMs }) =>
+        !hasRespondedSince &&
         this.#answered.some((other) =>
           other.targetId !== targetId && other.sentAtMs >= atMs
         ),
     );
   }
 
+  /** Removes and returns the unanswered sends to a target that has ended. */
+  takeEnded(targetId: string): readonly UnansweredSend[] {
+    return this.#take(targetId, ({ hasRespondedSince }) => !hasRespondedSince);
+  }
+
   /**
-   * Removes and returns the target's unanswered sends after the target has
-   * ended, except those to `newIncarnation`, which has just started.
+   * Removes and returns the unanswered sends to earlier incarnations of a
+   * target. Responses since may have been those of the new incarnation.
    */
-  takeEnded(
-    targetId: string,
-    nowMs: number,
-    newIncarnation?: TargetIncarnation,
-  ): readonly UnansweredSend[] {
-    return this.#take(
-      targetId,
-      nowMs,
-      ({ target }) =>
-        newIncarnation === undefined || target.bornMs !== newIncarnation.bornMs,
-    );
+  takeReplaced({ id, bornMs }: TargetIncarnation): readonly UnansweredSend[] {
+    return this.#take(id, ({ target }) => target.bornMs !== bornMs);
+  }
+
+  /** Removes sends that have been kept for too long. */
+  expire(nowMs: number): void {
+    for (const [targetId, sends] of this.#byTarget) {
+      const [expired, kept] = split(
+        sends,
+        ({ atMs }) => nowMs - atMs > RETENTION_MS,
+      );
+      for (const send of expired) {
+        const reason = send.hasRespondedSince ? "target-responded" : "expired";
+        this.#reportDismissed([send], reason);
+      }
+      this.#set(targetId, kept);
+    }
   }
 
   #take(
     targetId: string,
-    nowMs: number,
-    hasEnded: (send: UnansweredSend) => boolean,
+    hasEnded: (send: KeptSend) => boolean,
   ): readonly UnansweredSend[] {
-    const sends = this.#listRecent(targetId, nowMs);
-    this.#set(targetId, sends.filter((send) => !hasEnded(send)));
-    return sends.filter(hasEnded);
-  }
-
-  /** Lists the unanswered sends of a target, and dismisses the expired ones. */
-  #listRecent(targetId: string, nowMs: number): readonly UnansweredSend[] {
     const sends = this.#byTarget.get(targetId) ?? [];
-    const isRecent = ({ atMs }: UnansweredSend) => nowMs - atMs <= RETENTION_MS;
-    this.#reportDismissed(sends.filter((send) => !isRecent(send)), "expired");
-    return sends.filter(isRecent);
+    const [ended, kept] = split(sends, hasEnded);
+    this.#set(targetId, kept);
+    return ended;
   }
 
   #reportDismissed(
@@ -166,7 +183,7 @@
     sends.forEach((send) => this.#options.onDismissed(send, reason));
   }
 
-  #set(targetId: string, sends: UnansweredSend[]): void {
+  #set(targetId: string, sends: readonly KeptSend[]): void {
     if (sends.length === 0) {
       this.#byTarget.delete(targetId);
     } else {
@@ -174,3 +191,14 @@
     }
   }
 }
+
+/** Returns the sends for which the condition holds, and the others. */
+function split(
+  sends: readonly KeptSend[],
+  condition: (send: KeptSend) => boolean,
+): readonly [readonly KeptSend[], readonly KeptSend[]] {
+  return [
+    sends.filter(condition),
+    sends.filter((send) => !condition(send)),
+  ];
+}
