fix(routing): refute a crash only where the target's end was proved before the send

A report now says when its sender proved the target's end. An instance whose own send began after that refutes its crash, and tells the others where these would quarantine the request. It knows the time of its own send exactly, and times from others are never too early, so that a crash is never refuted by a delay.

The test that requests sent to ended targets are not quarantined now gives the times of the proofs, learned before or after the sends; a second one checks that the other instances are told.

--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -151,14 +151,14 @@
     const nowMs = this.#options.clock.readMs();
     switch (outcome.kind) {
       case "answered":
-        this.#unansweredSends.recordAnswered(target.id, sentAtMs);
+        this.#recordResponse(target, sentAtMs);
         if (isSuccessful(outcome)) {
           this.#clear(context);
         }
         return;
       case "not-run":
         if (!isUnsent(outcome) && outcome.cause !== "replaced") {
-          this.#unansweredSends.recordAnswered(target.id, sentAtMs);
+          this.#recordResponse(target, sentAtMs);
         }
         return;
       case "unknown":
@@ -234,16 +234,9 @@
   apply(message: SuspectsMessage): void {
     const { clock, duties, send } = this.#options;
     const nowMs = clock.readMs();
-    const changes: SuspectReport[] = [];
-    for (const report of message.reports) {
-      const result = this.#suspects.merge(report, nowMs);
-      if (result.isNews) {
-        changes.push(report);
-      }
-      if (result.isRefutationDue) {
-        this.#sendReport(report.fingerprint);
-      }
-    }
+    const changes = message.reports
+      .filter((report) => this.#suspects.merge(report, nowMs));
+    this.#sendDueReports();
     if (changes.length > 0) {
       const receivers = duties.listForwardReceivers(message.dataCentre);
       send(receivers, { ...message, reports: changes });
@@ -302,6 +295,12 @@
     }
   }
 
+  #sendDueReports(): void {
+    for (const fingerprint of this.#suspects.takeDueReports()) {
+      this.#sendReport(fingerprint);
+    }
+  }
+
   #send(reports: readonly SuspectReport[]): void {
     const { instance: from, dataCentre, duties, send } = this.#options;
     for (const batch of splitReports(reports, REPORTS_PER_MESSAGE)) {
@@ -310,6 +309,13 @@
     }
   }
 
+  #recordResponse(target: TargetIncarnation, sentAtMs: number): void {
+    this.#unansweredSends.recordAnswered(target.id, sentAtMs);
+    if (!this.#suspects.isEmpty) {
+      this.#suspects.recordAlive(hashIncarnation(target), sentAtMs);
+    }
+  }
+
   #recordUnanswered(send: UnansweredSend): void {
     const current = this.#options.findTarget(send.target.id);
     if (current?.bornMs === send.target.bornMs && current !== undefined) {
@@ -350,12 +356,9 @@
     });
     switch (decision.kind) {
       case "recorded":
-        if (decision.isCounted) {
-          this.#reportCounted(send);
-        } else {
-          this.#reportDismissed(send, "target-had-ended");
-        }
+        this.#reportCounted(send);
         this.#report(fingerprint);
+        this.#sendDueReports();
         return;
       case "dismissed":
         this.#reportDismissed(send, decision.reason);
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -12,9 +12,11 @@
  * successful response at any instance refutes its crashes. When the quarantine
  * ends, the request is sent once as a trial.
  *
- * What is known only grows: crashes, and the names of those that a response has
- * refuted. It does not depend on the order or the delay of reports. An instance
- * refutes a crash only by a response of its own, whose time it knows exactly.
+ * What is known only grows: crashes, and the names of those that are refuted. It
+ * does not depend on the order or the delay of reports, since times from other
+ * instances are never too early. An instance refutes a crash only by a response
+ * of its own, or, if the send was its own, because the target's end had been
+ * proved before it.
  */
 import type { DismissalReason } from "./unanswered_sends.ts";
 
@@ -26,6 +28,8 @@
   sentAgeMs: number,
   /** Name of the send; missing from earlier versions. */
   send?: string,
+  /** Time since the target's end was proved; missing from earlier versions. */
+  provedAgeMs?: number,
 ];
 
 /**
@@ -72,7 +76,7 @@
 export type ReleaseReason =
   /** The request was answered, here or at another instance. */
   | "answered"
-  /** Crashes of it are explained by another request. */
+  /** Targets had ended before the request was sent to them. */
   | "crashes-dismissed"
   /** Its crashes are too old. */
   | "expired"
@@ -81,31 +85,27 @@
 
 /** What becomes of a crash that this instance has observed. */
 export type CrashDecision =
-  /** It is news; it does not count if another request explains it. */
-  | { readonly kind: "recorded"; readonly isCounted: boolean }
+  | { readonly kind: "recorded" }
   | { readonly kind: "dismissed"; readonly reason: DismissalReason };
 
-/** What a report from another instance has added. */
-export interface MergeResult {
-  readonly isNews: boolean;
-  /**
-   * Whether other instances have to know that this instance has refuted
-   * reported crashes, since these quarantine the request.
-   */
-  readonly isRefutationDue: boolean;
-}
-
 /** A send whose target process ended; this instance's clock. */
-export interface Crash {
+interface Crash {
   readonly incarnation: string;
   readonly sentAtMs: number;
+  /** When the send failed. */
   readonly atMs: number;
+  /** Whether this instance sent the request. */
+  readonly isOwn: boolean;
 }
 
-/** A crash that this instance has observed. */
-export interface ObservedCrash extends Crash {
+/** A crash that this instance has observed, now that the end is proved. */
+export interface ObservedCrash {
   /** Name of the send, which no other send has. */
   readonly send: string;
+  readonly incarnation: string;
+  readonly sentAtMs: number;
+  /** When the send failed. */
+  readonly atMs: number;
   readonly nowMs: number;
 }
 
@@ -114,6 +114,8 @@
   readonly crashes: Map<string, Crash>;
   /** When each refutation became known, by the name of the send. */
   readonly refutedAtMs: Map<string, number>;
+  /** The incarnations under which it is listed as repeated. */
+  repeatedOn: ReadonlySet<string>;
   clearedAtMs: number;
   trialAtMs: number;
 }
@@ -144,13 +146,8 @@
 const REFUTATION_RETENTION_MS = 60_000;
 const MAX_SUSPECTS = 1_024;
 const MAX_RESPONSES = 1_024;
-/**
- * A request that was sent more than this after its target had failed under
- * another request did not reach it. Times from other instances are late by the
- * latency of their datagrams.
- */
-const LATE_SEND_MS = 100;
-/** More than enough for the longest quarantine, whichever of them count. */
+const MAX_INCARNATIONS = 1_024;
+/** More than the longest quarantine takes. */
 const MAX_KEPT_CRASHES = 8;
 /** The most that change a decision. */
 const MAX_REPORTED_CRASHES = 5;
@@ -170,6 +167,10 @@
   readonly #quarantines = new Map<string, Quarantine>();
   /** Incarnations whose crashes have changed since the last update. */
   readonly #changedIncarnations = new Set<string>();
+  /** When the end of each incarnation was proved, as early as is known. */
+  readonly #endedAtMs = new Map<string, number>();
+  /** Requests of which other instances have to know what is refuted here. */
+  readonly #dueReports = new Set<string>();
   /** When this instance last got a response, by fingerprint. */
   readonly #answeredAtMs = new Map<string, number>();
   readonly #observe: (event: SuspectEvent) => void;
@@ -187,29 +188,41 @@
     return this.#quarantines.size;
   }
 
-  /** Counts the crashes of a request that it may have caused. */
+  /** Counts the targets that crashed while they ran a request. */
   countCrashes(fingerprint: string): number {
     const suspect = this.#suspects.get(fingerprint);
-    return suspect === undefined
-      ? 0
-      : countIncarnations(this.#listCounted(fingerprint, suspect));
+    return countIncarnations([...suspect?.crashes.values() ?? []]);
   }
 
   /** Records a crash that this instance has observed. */
   recordCrash(
     fingerprint: string,
-    { send, nowMs, ...crash }: ObservedCrash,
+    { send, nowMs, ...times }: ObservedCrash,
   ): CrashDecision {
     const suspect = this.#getSuspect(fingerprint, nowMs);
+    const crash = { ...times, isOwn: true };
+    if (this.#isSentAfterEnd(crash)) {
+      return { kind: "dismissed", reason: "target-had-ended" };
+    }
+    this.#recordEnd(crash.incarnation, nowMs);
     if (this.#isRefuted(fingerprint, send, crash)) {
       return { kind: "dismissed", reason: "request-answered" };
     }
-    if (!this.#addCrash(fingerprint, suspect, { send, crash })) {
+    if (!this.#addCrash(suspect, { send, crash })) {
       return { kind: "dismissed", reason: "table-full" };
     }
     this.#updateQuarantines(fingerprint, "crashes-dismissed", nowMs);
-    const isCounted = !this.#isExplained(fingerprint, crash);
-    return { kind: "recorded", isCounted };
+    return { kind: "recorded" };
+  }
+
+  /**
+   * Records that a target whose end had been proved has responded to a request
+   * that was sent later.
+   */
+  recordAlive(incarnation: string, sentAtMs: number): void {
+    if (sentAtMs > (this.#endedAtMs.get(incarnation) ?? Infinity)) {
+      this.#endedAtMs.delete(incarnation);
+    }
   }
 
   /**
@@ -224,13 +237,10 @@
     if (suspect === undefined || suspect.crashes.size === 0) {
       return 0;
     }
-    const { crashes, refutedAtMs } = suspect;
+    const { crashes } = suspect;
     const count = countIncarnations([...crashes.values()]);
-    for (const send of crashes.keys()) {
-      refutedAtMs.set(send, nowMs);
-    }
     suspect.clearedAtMs = nowMs;
-    this.#removeCrashes(suspect, [...crashes.keys()]);
+    this.#refute(suspect, [...crashes.keys()], nowMs);
     this.#updateQuarantines(fingerprint, "answered", nowMs);
     return count;
   }
@@ -250,10 +260,7 @@
       return { kind: "admitted" };
     }
     const crashes = countIncarnations(quarantine.crashes);
-    const endsAtMs = Math.max(
-      computeQuarantineEnd(quarantine.crashes),
-      suspect.trialAtMs + MIN_TRIAL_INTERVAL_MS,
-    );
+    const endsAtMs = computeTrialTime(suspect, quarantine);
     if (nowMs >= endsAtMs) {
       suspect.trialAtMs = nowMs;
       return { kind: "trial" };
@@ -261,42 +268,54 @@
     return { kind: "quarantined", crashes, retryAfterMs: endsAtMs - nowMs };
   }
 
-  /** Merges a report from another instance. */
-  merge(report: SuspectReport, nowMs: number): MergeResult {
+  /** Merges a report from another instance; returns whether it adds anything. */
+  merge(report: SuspectReport, nowMs: number): boolean {
     const { fingerprint, trialAgeMs } = report;
     const suspect = this.#getSuspect(fingerprint, nowMs);
     suspect.trialAtMs = Math.max(suspect.trialAtMs, toTime(trialAgeMs, nowMs));
     const hasNewRefutations = this.#mergeRefuted(report, suspect, nowMs);
     const reported = report.crashes.map((one) => toCrash(one, nowMs));
+    reported.forEach(({ crash, provedAtMs }) =>
+      this.#recordEnd(crash.incarnation, provedAtMs)
+    );
     const refuted = reported.filter(({ send, crash }) =>
       this.#isRefuted(fingerprint, send, crash)
     );
     const hasOwnRefutations = refuted
       .some(({ send }) => !suspect.refutedAtMs.has(send));
-    refuted.forEach(({ send }) => suspect.refutedAtMs.set(send, nowMs));
-    this.#removeCrashes(suspect, refuted.map(({ send }) => send));
+    this.#refute(suspect, refuted.map(({ send }) => send), nowMs);
     const hasNewCrashes = reported
       .filter((one) => !refuted.includes(one))
-      .map((one) => this.#addCrash(fingerprint, suspect, one))
+      .map((one) => this.#addCrash(suspect, one))
       .includes(true);
+    const isEnough = countIncarnations(reported.map(({ crash }) => crash)) >=
+      CRASHES_TO_QUARANTINE;
+    if (hasOwnRefutations && isEnough) {
+      this.#dueReports.add(fingerprint);
+    }
     this.#updateQuarantines(
       fingerprint,
       hasNewRefutations ? "answered" : "crashes-dismissed",
       nowMs,
     );
-    const isEnough = countIncarnations(reported.map(({ crash }) => crash)) >=
-      CRASHES_TO_QUARANTINE;
-    return {
-      isNews: hasNewCrashes || hasNewRefutations,
-      isRefutationDue: hasOwnRefutations && isEnough,
-    };
+    return hasNewCrashes || hasNewRefutations;
+  }
+
+  /**
+   * Returns the requests of which others have to be told, since this instance
+   * has refuted crashes for which they quarantine them.
+   */
+  takeDueReports(): readonly string[] {
+    const due = [...this.#dueReports];
+    this.#dueReports.clear();
+    return due;
   }
 
   createReport(fingerprint: string, nowMs: number): SuspectReport | undefined {
     const suspect = this.#suspects.get(fingerprint);
     return suspect === undefined
       ? undefined
-      : createReport(fingerprint, suspect, nowMs);
+      : this.#createReport(fingerprint, suspect, nowMs);
   }
 
   /**
@@ -310,7 +329,7 @@
       )
       .slice(-MAX_REPORTS)
       .map(([fingerprint, suspect]) =>
-        createReport(fingerprint, suspect, nowMs)
+        this.#createReport(fingerprint, suspect, nowMs)
       );
   }
 
@@ -339,6 +358,11 @@
       atMs <= (this.#answeredAtMs.get(fingerprint) ?? -Infinity);
   }
 
+  /** Whether the target's end was proved before this instance sent the request. */
+  #isSentAfterEnd({ isOwn, incarnation, sentAtMs }: Crash): boolean {
+    return isOwn && sentAtMs > (this.#endedAtMs.get(incarnation) ?? Infinity);
+  }
+
   /** Merges the refutations of a report; returns whether any of them is new. */
   #mergeRefuted(
     { refuted = [] }: SuspectReport,
@@ -346,17 +370,28 @@
     nowMs: number,
   ): boolean {
     const news = refuted.filter((send) => !suspect.refutedAtMs.has(send));
-    news.forEach((send) => suspect.refutedAtMs.set(send, nowMs));
-    this.#removeCrashes(suspect, news);
+    this.#refute(suspect, news, nowMs);
     return news.length > 0;
   }
 
+  #refute(suspect: Suspect, sends: readonly string[], nowMs: number): void {
+    sends.forEach((send) => suspect.refutedAtMs.set(send, nowMs));
+    this.#removeCrashes(suspect, sends);
+  }
+
+  #recordEnd(incarnation: string, provedAtMs: number): void {
+    const known = this.#endedAtMs.get(incarnation) ?? Infinity;
+    this.#endedAtMs.delete(incarnation);
+    this.#endedAtMs.set(incarnation, Math.min(known, provedAtMs));
+    removeOldest(this.#endedAtMs, MAX_INCARNATIONS);
+    this.#changedIncarnations.add(incarnation);
+  }
+
   /**
    * Adds a crash, or the times of a further report of it; returns whether the
    * crash is new.
    */
   #addCrash(
-    fingerprint: string,
     suspect: Suspect,
     { send, crash }: { readonly send: string; readonly crash: Crash },
   ): boolean {
@@ -366,14 +401,14 @@
       this.#changedIncarnations.add(crash.incarnation);
       // The report with the shortest latency has the most accurate times.
       crashes.set(send, {
-        incarnation: known.incarnation,
+        ...known,
         sentAtMs: Math.min(known.sentAtMs, crash.sentAtMs),
         atMs: Math.min(known.atMs, crash.atMs),
       });
       return false;
     }
     if (crashes.size >= MAX_KEPT_CRASHES) {
-      const replaceable = this.#findReplaceable(fingerprint, suspect);
+      const replaceable = findRepeated(crashes);
       if (replaceable === undefined) {
         return false;
       }
@@ -384,24 +419,6 @@
     return true;
   }
 
-  /** Finds a kept crash that changes no decision. */
-  #findReplaceable(
-    fingerprint: string,
-    { crashes }: Suspect,
-  ): string | undefined {
-    const incarnations = new Set<string>();
-    for (const [send, crash] of [...crashes].reverse()) {
-      if (
-        incarnations.has(crash.incarnation) ||
-        this.#isExplained(fingerprint, crash)
-      ) {
-        return send;
-      }
-      incarnations.add(crash.incarnation);
-    }
-    return undefined;
-  }
-
   #removeCrashes({ crashes }: Suspect, sends: readonly string[]): void {
     for (const send of sends) {
       const crash = crashes.get(send);
@@ -412,64 +429,28 @@
     }
   }
 
-  /** Lists the crashes that the request may have caused. */
-  #listCounted(
-    fingerprint: string,
-    { crashes }: Suspect,
-  ): readonly Crash[] {
-    return [...crashes.values()]
-      .filter((crash) => !this.#isExplained(fingerprint, crash));
-  }
-
-  /**
-   * Whether another request that crashes targets repeatedly had ended the target
-   * before this one was sent to it.
-   */
-  #isExplained(
-    fingerprint: string,
-    { incarnation, sentAtMs }: Crash,
-  ): boolean {
-    const repeated = this.#repeatedByIncarnation.get(incarnation) ?? [];
-    return [...repeated].some((other) =>
-      other !== fingerprint &&
-      [...this.#suspects.get(other)!.crashes.values()].some((crash) =>
-        crash.incarnation === incarnation &&
-        crash.atMs + LATE_SEND_MS < sentAtMs
-      )
-    );
-  }
-
   /**
    * Updates the quarantine of a request whose crashes have changed, and those of
-   * the requests whose crashes it explains.
+   * the requests that ran on the same targets.
    */
   #updateQuarantines(
     fingerprint: string,
     reason: ReleaseReason,
     nowMs: number,
   ): void {
-    const suspect = this.#suspects.get(fingerprint);
-    const crashes = [...suspect?.crashes.values() ?? []];
-    const ended = new Set(crashes.map(({ incarnation }) => incarnation));
-    const isRepeated = ended.size >= CRASHES_TO_QUARANTINE;
     const affected = new Set([fingerprint]);
-    for (
-      const incarnation of new Set([...this.#changedIncarnations, ...ended])
-    ) {
-      this.#setRepeated(
-        fingerprint,
-        incarnation,
-        isRepeated && ended.has(incarnation),
-      );
+    for (const incarnation of this.#changedIncarnations) {
       for (const other of this.#repeatedByIncarnation.get(incarnation) ?? []) {
         affected.add(other);
       }
     }
-    this.#changedIncarnations.clear();
     for (const one of affected) {
+      this.#refuteLate(one, nowMs);
+      this.#updateRepeated(one);
       const why = one === fingerprint ? reason : "crashes-dismissed";
       this.#updateQuarantine(one, why, nowMs);
     }
+    this.#changedIncarnations.clear();
   }
 
   /** Reports the start or the end of a quarantine, if it has just happened. */
@@ -479,9 +460,7 @@
     nowMs: number,
   ): void {
     const suspect = this.#suspects.get(fingerprint);
-    const counted = suspect === undefined
-      ? []
-      : this.#listCounted(fingerprint, suspect);
+    const counted = [...suspect?.crashes.values() ?? []];
     const crashes = countIncarnations(counted);
     const known = this.#quarantines.get(fingerprint);
     if (crashes >= CRASHES_TO_QUARANTINE) {
@@ -497,23 +476,46 @@
     }
   }
 
-  #setRepeated(
-    fingerprint: string,
-    incarnation: string,
-    isRepeated: boolean,
-  ): void {
-    const requests = this.#repeatedByIncarnation.get(incarnation) ??
-      new Set<string>();
-    if (isRepeated) {
-      requests.add(fingerprint);
-    } else {
-      requests.delete(fingerprint);
+  /**
+   * Refutes crashes of targets whose ends turn out to have been proved before
+   * this instance sent the request to them.
+   */
+  #refuteLate(fingerprint: string, nowMs: number): void {
+    const suspect = this.#suspects.get(fingerprint);
+    const late = [...suspect?.crashes ?? []]
+      .filter(([, crash]) => this.#isSentAfterEnd(crash))
+      .map(([send]) => send);
+    if (suspect !== undefined && late.length > 0) {
+      this.#refute(suspect, late, nowMs);
+      this.#dueReports.add(fingerprint);
     }
-    if (requests.size > 0) {
-      this.#repeatedByIncarnation.set(incarnation, requests);
-    } else {
-      this.#repeatedByIncarnation.delete(incarnation);
+  }
+
+  /** Lists a request under its targets while it may be quarantined. */
+  #updateRepeated(fingerprint: string): void {
+    const suspect = this.#suspects.get(fingerprint);
+    if (suspect === undefined) {
+      return;
     }
+    const ended = new Set(
+      [...suspect.crashes.values()].map(({ incarnation }) => incarnation),
+    );
+    const repeatedOn = ended.size >= CRASHES_TO_QUARANTINE
+      ? ended
+      : new Set<string>();
+    for (const incarnation of suspect.repeatedOn) {
+      const requests = this.#repeatedByIncarnation.get(incarnation);
+      requests?.delete(fingerprint);
+      if (requests?.size === 0) {
+        this.#repeatedByIncarnation.delete(incarnation);
+      }
+    }
+    for (const incarnation of repeatedOn) {
+      const requests = this.#repeatedByIncarnation.get(incarnation) ??
+        new Set<string>();
+      this.#repeatedByIncarnation.set(incarnation, requests.add(fingerprint));
+    }
+    suspect.repeatedOn = repeatedOn;
   }
 
   /**
@@ -524,6 +526,7 @@
     const suspect = this.#suspects.get(fingerprint) ?? {
       crashes: new Map<string, Crash>(),
       refutedAtMs: new Map<string, number>(),
+      repeatedOn: new Set<string>(),
       clearedAtMs: -Infinity,
       trialAtMs: -Infinity,
     };
@@ -543,8 +546,31 @@
     const suspect = this.#suspects.get(fingerprint)!;
     const sends = [...suspect.crashes.keys()];
     this.#removeCrashes(suspect, sends);
+    this.#updateRepeated(fingerprint);
     this.#suspects.delete(fingerprint);
-    this.#updateQuarantines(fingerprint, reason, nowMs);
+    this.#updateQuarantine(fingerprint, reason, nowMs);
+  }
+
+  #createReport(
+    fingerprint: string,
+    suspect: Suspect,
+    nowMs: number,
+  ): SuspectReport {
+    const { crashes, refutedAtMs, clearedAtMs, trialAtMs } = suspect;
+    const reported = [...crashes].slice(-MAX_REPORTED_CRASHES);
+    return {
+      fingerprint,
+      crashes: reported.map(([send, { incarnation, sentAtMs, atMs }]) => [
+        incarnation,
+        Math.floor(nowMs - atMs),
+        Math.floor(nowMs - sentAtMs),
+        send,
+        Math.floor(nowMs - (this.#endedAtMs.get(incarnation) ?? nowMs)),
+      ]),
+      refuted: [...refutedAtMs.keys()].slice(-MAX_REPORTED_CRASHES),
+      clearedAgeMs: toAge(clearedAtMs, nowMs),
+      trialAgeMs: toAge(trialAtMs, nowMs),
+    };
   }
 
   #findEvictionCandidate(): string {
@@ -560,11 +586,18 @@
   }
 }
 
-function computeQuarantineEnd(crashes: readonly Crash[]): number {
+/** Returns when the quarantined request may be sent as a trial. */
+function computeTrialTime(
+  { trialAtMs }: Suspect,
+  { crashes }: Quarantine,
+): number {
   const count = countIncarnations(crashes);
   const durationMs = QUARANTINE_DURATIONS_MS[count - CRASHES_TO_QUARANTINE] ??
     CRASH_RETENTION_MS;
-  return findLastCrashMs(crashes) + durationMs;
+  return Math.max(
+    findLastCrashMs(crashes) + durationMs,
+    trialAtMs + MIN_TRIAL_INTERVAL_MS,
+  );
 }
 
 function countIncarnations(crashes: readonly Crash[]): number {
@@ -575,37 +608,38 @@
   return Math.max(...crashes.map(({ atMs }) => atMs));
 }
 
-function createReport(
-  fingerprint: string,
-  { crashes, refutedAtMs, clearedAtMs, trialAtMs }: Suspect,
+/** A crash without the name of a send counts as one per incarnation. */
+function toCrash(
+  [incarnation, ageMs, sentAgeMs, send = incarnation, provedAgeMs = 0]:
+    ReportedCrash,
   nowMs: number,
-): SuspectReport {
-  const reported = [...crashes].slice(-MAX_REPORTED_CRASHES);
+): {
+  readonly send: string;
+  readonly crash: Crash;
+  readonly provedAtMs: number;
+} {
   return {
-    fingerprint,
-    crashes: reported.map(([send, { incarnation, sentAtMs, atMs }]) => [
+    send,
+    crash: {
       incarnation,
-      Math.floor(nowMs - atMs),
-      Math.floor(nowMs - sentAtMs),
-      send,
-    ]),
-    refuted: [...refutedAtMs.keys()].slice(-MAX_REPORTED_CRASHES),
-    clearedAgeMs: toAge(clearedAtMs, nowMs),
-    trialAgeMs: toAge(trialAtMs, nowMs),
+      sentAtMs: nowMs - sentAgeMs,
+      atMs: nowMs - ageMs,
+      isOwn: false,
+    },
+    provedAtMs: nowMs - provedAgeMs,
   };
 }
 
-/** A crash without the name of a send counts as one per incarnation. */
-function toCrash(
-  [incarnation, ageMs, sentAgeMs, send = incarnation]: ReportedCrash,
-  nowMs: number,
-): { readonly send: string; readonly crash: Crash } {
-  const crash = {
-    incarnation,
-    sentAtMs: nowMs - sentAgeMs,
-    atMs: nowMs - ageMs,
-  };
-  return { send, crash };
+/** Finds a crash of a target that has another one. */
+function findRepeated(crashes: ReadonlyMap<string, Crash>): string | undefined {
+  const incarnations = new Set<string>();
+  for (const [send, { incarnation }] of crashes) {
+    if (incarnations.has(incarnation)) {
+      return send;
+    }
+    incarnations.add(incarnation);
+  }
+  return undefined;
 }
 
 function toAge(atMs: number, nowMs: number): number | null {
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -78,7 +78,7 @@
   recordCrashes(suspects, 3);
   const old = suspects.createReport(FATAL, 100)!;
   assert.equal(suspects.recordAnswered(FATAL, 100), 3);
-  assert.equal(suspects.merge(old, 100).isNews, false);
+  assert.equal(suspects.merge(old, 100), false);
   assert.equal(suspects.admit(FATAL, 110).kind, "admitted");
 });
 
@@ -133,19 +133,45 @@
 });
 
 test("a request sent to targets that had already ended is not quarantined", () => {
-  const suspects = new CrashSuspects();
-  for (let nth = 0; nth < 3; nth++) {
-    const incarnation = `incarnation ${nth}`;
-    const atMs = 3_000 * nth;
+  for (const isProofKnown of [true, false]) {
+    const suspects = new CrashSuspects();
+    const other = new CrashSuspects();
+    for (let nth = 0; nth < 3; nth++) {
+      const incarnation = `incarnation ${nth}`;
+      const atMs = 3_000 * nth;
+      other.recordCrash(FATAL, createCrash(incarnation, atMs));
+      if (isProofKnown) {
+        suspects.merge(other.createReport(FATAL, atMs)!, atMs);
+      }
+      suspects.recordCrash("innocent", {
+        ...createCrash(incarnation, atMs + 404),
+        send: `late ${nth}`,
+        sentAtMs: atMs + 400,
+      });
+      suspects.merge(other.createReport(FATAL, atMs + 600)!, atMs + 600);
+    }
+    assert.ok(suspects.isQuarantined(FATAL));
+    assert.ok(!suspects.isQuarantined("innocent"));
+  }
+});
+
+test("an instance tells others that targets had ended before its sends", () => {
+  const [suspects, other] = [new CrashSuspects(), new CrashSuspects()];
+  const incarnations = ["a", "b", "c"];
+  for (const incarnation of incarnations) {
+    other.recordCrash(FATAL, createCrash(incarnation, 100));
     suspects.recordCrash("innocent", {
-      ...createCrash(incarnation, atMs + 404),
-      send: `late ${nth}`,
-      sentAtMs: atMs + 400,
+      ...createCrash(incarnation, 404),
+      sentAtMs: 400,
     });
-    suspects.recordCrash(FATAL, createCrash(incarnation, atMs));
   }
-  assert.ok(suspects.isQuarantined(FATAL));
-  assert.ok(!suspects.isQuarantined("innocent"));
+  other.merge(suspects.createReport("innocent", 410)!, 410);
+  assert.ok(other.isQuarantined("innocent"));
+  suspects.merge(other.createReport(FATAL, 420)!, 420);
+  for (const fingerprint of suspects.takeDueReports()) {
+    other.merge(suspects.createReport(fingerprint, 430)!, 430);
+  }
+  assert.ok(!other.isQuarantined("innocent"));
 });
 
 test("a harmless request's lost response does not take back a counted crash", () => {
@@ -153,23 +179,29 @@
   recordCrashes(suspects, 3, 1_000);
   for (let nth = 0; nth < 3; nth++) {
     const incarnation = `incarnation 1000 ${nth}`;
-    suspects.recordCrash(`lost ${nth}`, createCrash(incarnation, 200));
+    const lost = createCrash(incarnation, 200);
+    suspects.recordCrash(`lost ${nth}`, { ...lost, nowMs: 3_000 });
   }
   assert.ok(suspects.isQuarantined(FATAL));
 });
 
-test("crashes that do not count leave room for those that do", () => {
+test("refuted crashes leave room for those that count", () => {
   const suspects = new CrashSuspects();
-  recordCrashes(suspects, 5, 1_000);
-  for (let nth = 0; nth < 5; nth++) {
-    const incarnation = `incarnation 1000 ${nth}`;
-    suspects.recordCrash("second", createCrash(incarnation, 2_000));
-  }
-  assert.ok(!suspects.isQuarantined("second"));
-  for (let nth = 0; nth < 8; nth++) {
-    suspects.recordCrash("second", createCrash(`another ${nth}`, 3_000 + nth));
+  recordCrashes(suspects, 8, 1_000);
+  suspects.recordAnswered(FATAL, 2_000);
+  recordCrashes(suspects, 3, 3_000);
+  assert.ok(suspects.isQuarantined(FATAL));
+});
+
+test("a request that was sent to one target by many instances leaves room for others", () => {
+  const suspects = new CrashSuspects();
+  for (let nth = 0; nth < 20; nth++) {
+    const crash = createCrash("incarnation", 100 + nth);
+    suspects.recordCrash(FATAL, { ...crash, send: `send ${nth}` });
   }
-  assert.ok(suspects.isQuarantined("second"));
+  assert.ok(!suspects.isQuarantined(FATAL));
+  recordCrashes(suspects, 2, 1_000);
+  assert.ok(suspects.isQuarantined(FATAL));
 });
 
 test("a response refutes crashes that are reported after it", () => {
