feat(routing): try a quarantined request early where another one may be to blame

Callers of a harmless request that was in flight on each of three targets that a fatal one had crashed were refused for 30 s, since no response can clear a request that is not sent.

Where another request that may be quarantined was running on each of the targets, the trial comes 0.8 to 2.3 s after the last crash, in one of four slots by fingerprint, so that it rarely meets the trial of the fatal one. At most two trials are early. The fatal one loses one more target at once and is then quarantined for 10 minutes, as before after its trial at 30 s.

--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -10,7 +10,9 @@
  *
  * An innocent request may have been running on a target that crashed. One
  * successful response at any instance refutes its crashes. When the quarantine
- * ends, the request is sent once as a trial.
+ * ends, the request is sent once as a trial. The trial is early where other
+ * quarantined requests were running on the same targets: most of them are
+ * innocent, and one more crash tells which one is not.
  *
  * What is known only grows: crashes, and the names of those that are refuted. It
  * does not depend on the order or the delay of reports, since times from other
@@ -47,6 +49,8 @@
   readonly clearedAgeMs: number | null;
   /** Time since its last trial; null if none. */
   readonly trialAgeMs: number | null;
+  /** Number of its trials; missing from earlier versions. */
+  readonly trials?: number;
 }
 
 export type SuspectDecision =
@@ -118,6 +122,8 @@
   repeatedOn: ReadonlySet<string>;
   clearedAtMs: number;
   trialAtMs: number;
+  /** As far as this instance knows; those at the same moment count as one. */
+  trials: number;
 }
 
 interface Quarantine {
@@ -137,6 +143,12 @@
  * has been reported by then.
  */
 const MIN_TRIAL_INTERVAL_MS = 6_000;
+/** The same for early trials. */
+const MIN_EARLY_TRIAL_INTERVAL_MS = 3_000;
+/** Time from the last crash to an early trial, by slot. */
+const EARLY_TRIAL_DELAYS_MS = [800, 1_300, 1_800, 2_300] as const;
+/** A further one, since the response to the first may be lost. */
+const MAX_EARLY_TRIALS = 2;
 /** A request without a crash for this long is forgotten. */
 const CRASH_RETENTION_MS = 24 * 3_600_000;
 /**
@@ -260,9 +272,12 @@
       return { kind: "admitted" };
     }
     const crashes = countIncarnations(quarantine.crashes);
-    const endsAtMs = computeTrialTime(suspect, quarantine);
+    const endsAtMs = this.#isAmbiguous(quarantine)
+      ? computeEarlyTrialTime(fingerprint, suspect, quarantine)
+      : computeTrialTime(suspect, quarantine);
     if (nowMs >= endsAtMs) {
       suspect.trialAtMs = nowMs;
+      suspect.trials++;
       return { kind: "trial" };
     }
     return { kind: "quarantined", crashes, retryAfterMs: endsAtMs - nowMs };
@@ -273,6 +288,7 @@
     const { fingerprint, trialAgeMs } = report;
     const suspect = this.#getSuspect(fingerprint, nowMs);
     suspect.trialAtMs = Math.max(suspect.trialAtMs, toTime(trialAgeMs, nowMs));
+    suspect.trials = Math.max(suspect.trials, report.trials ?? 0);
     const hasNewRefutations = this.#mergeRefuted(report, suspect, nowMs);
     const reported = report.crashes.map((one) => toCrash(one, nowMs));
     reported.forEach(({ crash, provedAtMs }) =>
@@ -429,6 +445,16 @@
     }
   }
 
+  /**
+   * Whether another request that may be quarantined was running on each of the
+   * targets.
+   */
+  #isAmbiguous({ crashes }: Quarantine): boolean {
+    return crashes.every(({ incarnation }) =>
+      (this.#repeatedByIncarnation.get(incarnation)?.size ?? 0) > 1
+    );
+  }
+
   /**
    * Updates the quarantine of a request whose crashes have changed, and those of
    * the requests that ran on the same targets.
@@ -529,6 +555,7 @@
       repeatedOn: new Set<string>(),
       clearedAtMs: -Infinity,
       trialAtMs: -Infinity,
+      trials: 0,
     };
     this.#suspects.delete(fingerprint);
     if (this.#suspects.size >= MAX_SUSPECTS) {
@@ -556,7 +583,7 @@
     suspect: Suspect,
     nowMs: number,
   ): SuspectReport {
-    const { crashes, refutedAtMs, clearedAtMs, trialAtMs } = suspect;
+    const { crashes, refutedAtMs, clearedAtMs, trialAtMs, trials } = suspect;
     const reported = [...crashes].slice(-MAX_REPORTED_CRASHES);
     return {
       fingerprint,
@@ -570,6 +597,7 @@
       refuted: [...refutedAtMs.keys()].slice(-MAX_REPORTED_CRASHES),
       clearedAgeMs: toAge(clearedAtMs, nowMs),
       trialAgeMs: toAge(trialAtMs, nowMs),
+      trials,
     };
   }
 
@@ -600,6 +628,26 @@
   );
 }
 
+/**
+ * The same where other requests may have caused all of the crashes. Their trials
+ * have different slots, so that none of them is at work on a target that the
+ * trial of the fatal one ends.
+ */
+function computeEarlyTrialTime(
+  fingerprint: string,
+  suspect: Suspect,
+  quarantine: Quarantine,
+): number {
+  const slot = fingerprint.charCodeAt(0) % EARLY_TRIAL_DELAYS_MS.length;
+  const delayMs = EARLY_TRIAL_DELAYS_MS[slot]!;
+  return suspect.trials >= MAX_EARLY_TRIALS
+    ? computeTrialTime(suspect, quarantine)
+    : Math.max(
+      findLastCrashMs(quarantine.crashes) + delayMs,
+      suspect.trialAtMs + MIN_EARLY_TRIAL_INTERVAL_MS,
+    );
+}
+
 function countIncarnations(crashes: readonly Crash[]): number {
   return new Set(crashes.map(({ incarnation }) => incarnation)).size;
 }
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -221,3 +221,19 @@
   suspects.merge(late, 9_000);
   assert.ok(suspects.isQuarantined(FATAL));
 });
+
+test("a harmless request is not held back with the fatal one it ran beside", () => {
+  const suspects = new CrashSuspects();
+  for (let nth = 0; nth < 3; nth++) {
+    const crash = createCrash(`incarnation ${nth}`, 100 * nth);
+    suspects.recordCrash(FATAL, crash);
+    suspects.recordCrash("beside", crash);
+  }
+  assert.equal(suspects.admit("beside", 300).kind, "quarantined");
+  assert.equal(suspects.admit("beside", 2_600).kind, "trial");
+  assert.equal(suspects.admit(FATAL, 2_600).kind, "trial");
+  suspects.recordAnswered("beside", 2_700);
+  suspects.recordCrash(FATAL, createCrash("incarnation 3", 2_700));
+  assert.equal(suspects.admit("beside", 2_800).kind, "admitted");
+  assert.equal(suspects.admit(FATAL, 5 * MINUTE_MS).kind, "quarantined");
+});
