test(gateway): search orders of losses, delays and restarts for fatal requests sent again

A fast-check property runs a fatal request and harmless ones through 2 to 81 instances in virtual time, with lost responses and datagrams, late entries, targets that come back under their ids, restarts and lost paths. It checks both sides: at most three sends later than 3 s after the third crash (later by the delay of the entries), and no harmless request refused for more than 5 s, counted the same way.

FUZZ_SEED and FUZZ_RUNS of npm run fuzz apply to it too.

--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -22,4 +22,5 @@
   "packages/gateway/dist/keeper/keeper_fuzz_test.js",
   "packages/gateway/dist/keeper/store_restore_fuzz_test.js",
   "packages/gateway/dist/keeper/ended_keeper_fuzz_test.js",
+  "packages/gateway/dist/requests/request_quarantine_fuzz_test.js",
 ]);
