fix(forwarding): pass the fingerprint of a request on with it

A request that crashes targets had two fingerprints where its caller has a credential, or its key comes from its path: the instance that carries out a forwarded request knows neither as the origin does. Each was counted by itself, so up to twice as many targets crashed, and a trial that was forwarded cleared nothing.

The origin now sends its fingerprint.

--- a/packages/gateway/src/forwarding/forwarded_request.ts
+++ b/packages/gateway/src/forwarding/forwarded_request.ts
@@ -31,6 +31,11 @@
   readonly excludedTargets: readonly string[];
   readonly refusingOwner: RefusingOwner | null;
   readonly isTrial: boolean;
+  /**
+   * The fingerprint of the request at the instance that forwards it, which knows
+   * its caller; missing from earlier versions.
+   */
+  readonly fingerprint?: string;
   readonly body: Uint8Array;
 }
 
@@ -185,6 +190,8 @@
     numbers.every((number) => Number.isFinite(number)) &&
     Array.isArray(fields.headers) && Array.isArray(fields.excludedTargets) &&
     typeof fields.isTrial === "boolean" &&
+    (fields.fingerprint === undefined ||
+      typeof fields.fingerprint === "string") &&
     (fields.key === undefined || Number.isInteger(fields.key));
 }
 
--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -86,7 +86,7 @@
     },
   ): RequestContext | undefined {
     const { catalogue } = this.#options;
-    const { service, share, remainingMs } = forwarded;
+    const { service, share, remainingMs, fingerprint } = forwarded;
     const request = {
       requestId: forwarded.requestId,
       deadlineMs: remainingMs,
@@ -125,6 +125,7 @@
       mayHaveRun: false,
       isTrial: forwarded.isTrial,
       isForwardDue: false,
+      ...(fingerprint === undefined ? {} : { fingerprint }),
       origin: forwarded.from,
       route,
       service,
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -15,7 +15,11 @@
   settleSentRetry,
   takeHeldRetry,
 } from "../requests/held_retry.ts";
-import { countRuns, type RequestContext } from "../requests/request_context.ts";
+import {
+  countRuns,
+  getFingerprint,
+  type RequestContext,
+} from "../requests/request_context.ts";
 import type { RequestReporter } from "../requests/request_reporter.ts";
 import { SendAbortController } from "../requests/send_abort_controller.ts";
 import type {
@@ -186,6 +190,7 @@
       excludedTargets: [...context.excludedTargets],
       refusingOwner: context.refusingOwner,
       isTrial: context.isTrial,
+      fingerprint: getFingerprint(context),
       body: request.body,
     };
   }
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -215,3 +215,19 @@
     assert.ok(late <= ALLOWED_SENDS, `${late} sends after the third crash`);
   },
 );
+
+test("a fatal request counts as the same whether it is forwarded or not", async () => {
+  const simulation = createSimulation(false);
+  simulation.setPaths("bole-1", "resetting");
+  for (let round = 0; round < 4; round++) {
+    for (const instance of ["bole-1", "yeka-1"]) {
+      void simulation.send(instance, { path: FATAL, credential: "caller" });
+      await simulation.clock.advance(1_700);
+    }
+  }
+  const fingerprints = simulation.events.flatMap((event) =>
+    event.kind === "crash" ? [event.fingerprint] : []
+  );
+  assert.ok(fingerprints.length >= ALLOWED_SENDS);
+  assert.equal(new Set(fingerprints).size, 1);
+});
