fix(gateway): count crashes of requests whose callers had left

A request that crashes targets was sent on where its callers gave up before the crash: a send that its caller cancelled was not kept, though the target goes on with it for a moment and ends.

Such a send is now kept like any other without a response, until its target is proved to have ended or the request is answered. One whose response had begun when its caller left says nothing, as before.

--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -236,7 +236,12 @@
       isOverdue,
     });
     const recordEnd = (outcome: SendOutcome, end?: StreamEnd): void => {
-      this.#recordOutcome(context, placed, { outcome, sentAtMs, isOverdue });
+      this.#recordOutcome(context, placed, {
+        outcome,
+        sentAtMs,
+        isOverdue,
+        hasResponded: end !== undefined,
+      });
       this.#tools.reporter.reportSend(context, {
         placed,
         owner,
@@ -268,6 +273,8 @@
     readonly outcome: SendOutcome;
     readonly sentAtMs: number;
     readonly isOverdue: boolean;
+    /** Whether the target had begun to respond. */
+    readonly hasResponded: boolean;
   }): void {
     const { services, catalogue, quarantine, limits, leaving, paths } =
       this.#options;
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -86,8 +86,8 @@
   readonly target: TargetIncarnation;
   readonly outcome: SendOutcome;
   readonly sentAtMs: number;
-  /** Whether the send was aborted because its response was overdue. */
-  readonly isOverdue: boolean;
+  /** Whether the target had begun to respond. */
+  readonly hasResponded: boolean;
 }
 
 const TICK_MS = 500;
@@ -408,8 +408,11 @@
   }
 }
 
-/** Whether no response arrived, so that the target may have ended. */
-function hasNoResponse({ outcome, isOverdue }: CompletedSend): boolean {
+/**
+ * Whether the send may have ended its target: no response arrived, or it broke
+ * off. A caller may leave before the target ends.
+ */
+function hasNoResponse({ outcome, hasResponded }: CompletedSend): boolean {
   if (outcome.kind !== "unknown") {
     return false;
   }
@@ -419,7 +422,7 @@
     case "silent":
       return true;
     case "cancelled":
-      return isOverdue;
+      return !hasResponded;
     case "garbled":
       return false;
   }
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -231,3 +231,18 @@
   assert.ok(fingerprints.length >= ALLOWED_SENDS);
   assert.equal(new Set(fingerprints).size, 1);
 });
+
+test("a fatal request is quarantined though its callers leave before the crash", async () => {
+  const simulation = createSimulation(true);
+  for (let round = 0; round < 12; round++) {
+    const leaving = new AbortController();
+    void simulation.send(INSTANCES[round % INSTANCES.length]!, {
+      path: FATAL,
+      signal: leaving.signal,
+    });
+    await simulation.clock.advance(15);
+    leaving.abort();
+    await simulation.clock.advance(3_300);
+  }
+  assert.ok(countLateSends(simulation) <= ALLOWED_SENDS);
+});
