fix(gateway): take another target's answer at the address for the end of a target

Unanswered sends to a target whose address another one has taken over were not counted as crashes until its entry was gone, which may take long while the store is away. That answer proves the end.

Evidence: the new test counted no crash before. Two more tests cover what changed in this class: a send that fails after the end is known, and an entry that may come back.

--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -157,7 +157,10 @@
         }
         return;
       case "not-run":
-        if (!isUnsent(outcome) && outcome.cause !== "replaced") {
+        if (outcome.cause === "replaced") {
+          // Another target is at its address.
+          this.#handleEnded(this.#unansweredSends.takeEnded(target.id));
+        } else if (!isUnsent(outcome)) {
           this.#recordResponse(target, sentAtMs);
         }
         return;
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -1,7 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { FinalResponse } from "../entry/caller_request.ts";
-import type { QuarantineEvent } from "./request_quarantine.ts";
+import { VirtualClock } from "@lentilspur/ports/virtual_clock";
+import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
+import { Duties } from "../members/duties.ts";
+import { createMember } from "../members/member_fixtures.ts";
+import { Members } from "../members/members.ts";
+import type { RequestContext } from "./request_context.ts";
+import {
+  type QuarantineEvent,
+  RequestQuarantine,
+} from "./request_quarantine.ts";
 import {
   RequestSimulation,
   type RequestSimulationOptions,
@@ -246,3 +256,84 @@
   }
   assert.ok(countLateSends(simulation) <= ALLOWED_SENDS);
 });
+
+const TARGET: TargetIncarnation = { id: "t1", bornMs: 5 };
+
+/** A quarantine of one instance, which knows of its targets by `known`. */
+class QuarantineFixture {
+  readonly clock = new VirtualClock();
+  readonly events: QuarantineEvent[] = [];
+  known: (TargetIncarnation & { readonly leaving: boolean }) | undefined = {
+    ...TARGET,
+    leaving: false,
+  };
+  readonly quarantine: RequestQuarantine;
+
+  constructor() {
+    const { clock } = this;
+    const self = createMember("bole-1");
+    const members = new Members(self);
+    this.quarantine = new RequestQuarantine({
+      clock,
+      instance: self.instance,
+      dataCentre: self.dataCentre,
+      duties: new Duties({
+        clock,
+        self,
+        members,
+        hasLostStore: () => false,
+        countLostPaths: () => 0,
+      }),
+      send: () => undefined,
+      findTarget: () => this.known,
+      observe: (event) => this.events.push(event),
+    });
+  }
+
+  /** Records how a send of a request to the target has ended. */
+  record(requestId: string, outcome: SendOutcome, sentAtMs: number): void {
+    const context = { request: { requestId }, fingerprint: requestId };
+    this.quarantine.recordOutcome(context as RequestContext, {
+      target: TARGET,
+      outcome,
+      sentAtMs,
+      hasResponded: false,
+    });
+  }
+
+  listCrashed(): readonly string[] {
+    return this.events.flatMap((event) =>
+      event.kind === "crash" ? [event.requestId] : []
+    );
+  }
+}
+
+const RESET: SendOutcome = { kind: "unknown", cause: "reset", message: "" };
+
+test("a send that fails after its target's end is known counts as a crash", () => {
+  const fixture = new QuarantineFixture();
+  fixture.known = undefined;
+  fixture.record("late", RESET, 0);
+  assert.deepEqual(fixture.listCrashed(), ["late"]);
+});
+
+test("a removed entry that may come back proves no end", () => {
+  const fixture = new QuarantineFixture();
+  const event = { kind: "target", targetId: "t1", service: "files" } as const;
+  fixture.record("lost", RESET, 0);
+  fixture.quarantine.handleCatalogueEvent({ ...event, state: "missing" });
+  assert.deepEqual(fixture.listCrashed(), []);
+  fixture.quarantine.handleCatalogueEvent({ ...event, state: "gone" });
+  assert.deepEqual(fixture.listCrashed(), ["lost"]);
+});
+
+test("another target at its address proves that a target has ended", () => {
+  const fixture = new QuarantineFixture();
+  fixture.record("fatal", RESET, 0);
+  fixture.record("other", {
+    kind: "not-run",
+    cause: "replaced",
+    message: "",
+  }, 10);
+  assert.deepEqual(fixture.listCrashed(), ["fatal"]);
+});
