fix(routing): refute crashes by proofs only, and report each target that crashed

Found on reading the change again:

- An instance that alone loses its path to a target, while no other can tell, takes the end as likely.
Shared as a proof, it could refute a later crash at other instances.
Only proofs are shared now, and an instance that gets a response after a reported end takes no further proofs of it.
- A report had the last five crashes; where many instances had sent a request to one target, these could all be of that target, and an instance that had just started did not learn of the quarantine.
It now has one for each target.
- Refutations of one request had no bound but their age; 32 are kept.
- Fields of reports that came with this change were not checked.

--- a/packages/gateway/src/peers/peer_message_check.ts
+++ b/packages/gateway/src/peers/peer_message_check.ts
@@ -105,11 +105,22 @@
 function isReport(report: SuspectReport | null): boolean {
   return typeof report?.fingerprint === "string" && report.fingerprint !== "" &&
     isAge(report.clearedAgeMs) && isAge(report.trialAgeMs) &&
-    Array.isArray(report.crashes) &&
-    report.crashes.every((one: unknown) =>
-      Array.isArray(one) && typeof one[0] === "string" &&
-      Number.isFinite(one[1]) && Number.isFinite(one[2])
-    );
+    (report.trials === undefined || Number.isInteger(report.trials)) &&
+    (report.refuted === undefined ||
+      (Array.isArray(report.refuted) &&
+        report.refuted.every((one) => typeof one === "string"))) &&
+    Array.isArray(report.crashes) && report.crashes.every(isReportedCrash);
+}
+
+/** Earlier versions leave out what follows the ages. */
+function isReportedCrash(crash: unknown): boolean {
+  if (!Array.isArray(crash)) {
+    return false;
+  }
+  const [incarnation, ageMs, sentAgeMs, send = "", provedAgeMs = null] = crash;
+  return typeof incarnation === "string" && Number.isFinite(ageMs) &&
+    Number.isFinite(sentAgeMs) && typeof send === "string" &&
+    isAge(provedAgeMs);
 }
 
 function isLimit(limit: LimitReport | null): boolean {
--- a/packages/gateway/src/peers/peer_message_check_test.ts
+++ b/packages/gateway/src/peers/peer_message_check_test.ts
@@ -27,7 +27,10 @@
 }
 
 test("complete messages about suspects, limits and permits are accepted", () => {
-  assert.ok(isAccepted({ kind: "suspects", ...FROM, reports: [SUSPECT] }));
+  const named = { ...SUSPECT, crashes: [["life", 20, 30, "send", 10]] };
+  for (const report of [SUSPECT, named, { ...named, refuted: ["a"] }]) {
+    assert.ok(isAccepted({ kind: "suspects", ...FROM, reports: [report] }));
+  }
   assert.ok(isAccepted({ kind: "limits", ...FROM, limits: [LIMIT] }));
   assert.ok(isAccepted({ ...QUOTA_REQUEST, limit: LIMIT }));
   assert.ok(isAccepted({ ...QUOTA_REQUEST, coldPerSecond: 5.3 }));
@@ -41,6 +44,10 @@
     { ...SUSPECT, fingerprint: "" },
     { ...SUSPECT, crashes: [["life", 20]] },
     { ...SUSPECT, crashes: "none" },
+    { ...SUSPECT, crashes: [["life", 20, 30, 7]] },
+    { ...SUSPECT, crashes: [["life", 20, 30, "send", "10"]] },
+    { ...SUSPECT, refuted: [7] },
+    { ...SUSPECT, trials: "1" },
     { ...SUSPECT, clearedAgeMs: "1" },
   ];
   for (const report of reports) {
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -191,11 +191,11 @@
     if (this.#options.findTarget(id)?.leaving === true) {
       return;
     }
-    this.#handleEnded(
-      isConfirmed
-        ? this.#unansweredSends.takeEnded(id)
-        : this.#unansweredSends.takeUnreachable(id),
-    );
+    if (isConfirmed) {
+      this.#handleEnded(this.#unansweredSends.takeEnded(id));
+    } else {
+      this.#handleEnded(this.#unansweredSends.takeUnreachable(id), false);
+    }
   }
 
   /**
@@ -335,19 +335,19 @@
     }
   }
 
-  /** Handles unanswered sends whose targets have ended. */
-  #handleEnded(sends: readonly UnansweredSend[]): void {
+  /** Handles unanswered sends whose targets have ended, or very likely have. */
+  #handleEnded(sends: readonly UnansweredSend[], isProved = true): void {
     for (const send of sends) {
       if (this.#leaving.has(formatTargetIncarnation(send.target))) {
         // It has ended by itself.
         this.#reportDismissed(send, "target-left");
       } else {
-        this.#recordCrash(send);
+        this.#recordCrash(send, isProved);
       }
     }
   }
 
-  #recordCrash(send: UnansweredSend): void {
+  #recordCrash(send: UnansweredSend, isProved: boolean): void {
     const { fingerprint, requestId, target, sentAtMs, atMs } = send;
     const incarnation = hashIncarnation(target);
     const decision = this.#suspects.recordCrash(fingerprint, {
@@ -355,6 +355,7 @@
       incarnation,
       sentAtMs,
       atMs,
+      isProved,
       nowMs: this.#options.clock.readMs(),
     });
     switch (decision.kind) {
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -30,8 +30,11 @@
   sentAgeMs: number,
   /** Name of the send; missing from earlier versions. */
   send?: string,
-  /** Time since the target's end was proved; missing from earlier versions. */
-  provedAgeMs?: number,
+  /**
+   * Time since the target's end was proved; null if it is not. Missing from
+   * earlier versions.
+   */
+  provedAgeMs?: number | null,
 ];
 
 /**
@@ -102,7 +105,7 @@
   readonly isOwn: boolean;
 }
 
-/** A crash that this instance has observed, now that the end is proved. */
+/** A crash that this instance has observed, now that the end is known. */
 export interface ObservedCrash {
   /** Name of the send, which no other send has. */
   readonly send: string;
@@ -110,6 +113,8 @@
   readonly sentAtMs: number;
   /** When the send failed. */
   readonly atMs: number;
+  /** Whether the target's end is proved, not just likely. */
+  readonly isProved: boolean;
   readonly nowMs: number;
 }
 
@@ -159,6 +164,8 @@
 const MAX_SUSPECTS = 1_024;
 const MAX_RESPONSES = 1_024;
 const MAX_INCARNATIONS = 1_024;
+/** Per request; those of crashes that are still reported are among them. */
+const MAX_REFUTATIONS = 32;
 /** More than the longest quarantine takes. */
 const MAX_KEPT_CRASHES = 8;
 /** The most that change a decision. */
@@ -181,6 +188,8 @@
   readonly #changedIncarnations = new Set<string>();
   /** When the end of each incarnation was proved, as early as is known. */
   readonly #endedAtMs = new Map<string, number>();
+  /** Incarnations that have responded here after a reported end. */
+  readonly #outlived = new Set<string>();
   /** Requests of which other instances have to know what is refuted here. */
   readonly #dueReports = new Set<string>();
   /** When this instance last got a response, by fingerprint. */
@@ -209,14 +218,16 @@
   /** Records a crash that this instance has observed. */
   recordCrash(
     fingerprint: string,
-    { send, nowMs, ...times }: ObservedCrash,
+    { send, isProved, nowMs, ...times }: ObservedCrash,
   ): CrashDecision {
     const suspect = this.#getSuspect(fingerprint, nowMs);
     const crash = { ...times, isOwn: true };
     if (this.#isSentAfterEnd(crash)) {
       return { kind: "dismissed", reason: "target-had-ended" };
     }
-    this.#recordEnd(crash.incarnation, nowMs);
+    if (isProved) {
+      this.#recordEnd(crash.incarnation, nowMs);
+    }
     if (this.#isRefuted(fingerprint, send, crash)) {
       return { kind: "dismissed", reason: "request-answered" };
     }
@@ -228,12 +239,14 @@
   }
 
   /**
-   * Records that a target whose end had been proved has responded to a request
-   * that was sent later.
+   * Records that a target has responded to a request. If it was sent after the
+   * target's end, the proof was wrong, and later ones count as little.
    */
   recordAlive(incarnation: string, sentAtMs: number): void {
     if (sentAtMs > (this.#endedAtMs.get(incarnation) ?? Infinity)) {
       this.#endedAtMs.delete(incarnation);
+      this.#outlived.add(incarnation);
+      removeOldest(this.#outlived, MAX_INCARNATIONS);
     }
   }
 
@@ -291,9 +304,11 @@
     suspect.trials = Math.max(suspect.trials, report.trials ?? 0);
     const hasNewRefutations = this.#mergeRefuted(report, suspect, nowMs);
     const reported = report.crashes.map((one) => toCrash(one, nowMs));
-    reported.forEach(({ crash, provedAtMs }) =>
-      this.#recordEnd(crash.incarnation, provedAtMs)
-    );
+    for (const { crash, provedAtMs } of reported) {
+      if (provedAtMs !== undefined) {
+        this.#recordEnd(crash.incarnation, provedAtMs);
+      }
+    }
     const refuted = reported.filter(({ send, crash }) =>
       this.#isRefuted(fingerprint, send, crash)
     );
@@ -391,11 +406,18 @@
   }
 
   #refute(suspect: Suspect, sends: readonly string[], nowMs: number): void {
-    sends.forEach((send) => suspect.refutedAtMs.set(send, nowMs));
+    for (const send of sends) {
+      suspect.refutedAtMs.delete(send);
+      suspect.refutedAtMs.set(send, nowMs);
+      removeOldest(suspect.refutedAtMs, MAX_REFUTATIONS);
+    }
     this.#removeCrashes(suspect, sends);
   }
 
   #recordEnd(incarnation: string, provedAtMs: number): void {
+    if (this.#outlived.has(incarnation)) {
+      return;
+    }
     const known = this.#endedAtMs.get(incarnation) ?? Infinity;
     this.#endedAtMs.delete(incarnation);
     this.#endedAtMs.set(incarnation, Math.min(known, provedAtMs));
@@ -584,15 +606,16 @@
     nowMs: number,
   ): SuspectReport {
     const { crashes, refutedAtMs, clearedAtMs, trialAtMs, trials } = suspect;
-    const reported = [...crashes].slice(-MAX_REPORTED_CRASHES);
     return {
       fingerprint,
-      crashes: reported.map(([send, { incarnation, sentAtMs, atMs }]) => [
+      crashes: listReported(crashes).map((
+        [send, { incarnation, sentAtMs, atMs }],
+      ) => [
         incarnation,
         Math.floor(nowMs - atMs),
         Math.floor(nowMs - sentAtMs),
         send,
-        Math.floor(nowMs - (this.#endedAtMs.get(incarnation) ?? nowMs)),
+        toAge(this.#endedAtMs.get(incarnation) ?? -Infinity, nowMs),
       ]),
       refuted: [...refutedAtMs.keys()].slice(-MAX_REPORTED_CRASHES),
       clearedAgeMs: toAge(clearedAtMs, nowMs),
@@ -658,13 +681,13 @@
 
 /** A crash without the name of a send counts as one per incarnation. */
 function toCrash(
-  [incarnation, ageMs, sentAgeMs, send = incarnation, provedAgeMs = 0]:
+  [incarnation, ageMs, sentAgeMs, send = incarnation, provedAgeMs = null]:
     ReportedCrash,
   nowMs: number,
 ): {
   readonly send: string;
   readonly crash: Crash;
-  readonly provedAtMs: number;
+  readonly provedAtMs: number | undefined;
 } {
   return {
     send,
@@ -674,10 +697,20 @@
       atMs: nowMs - ageMs,
       isOwn: false,
     },
-    provedAtMs: nowMs - provedAgeMs,
+    provedAtMs: provedAgeMs === null ? undefined : nowMs - provedAgeMs,
   };
 }
 
+/** Lists one crash for each target, of the last targets first. */
+function listReported(
+  crashes: ReadonlyMap<string, Crash>,
+): readonly (readonly [send: string, crash: Crash])[] {
+  const byIncarnation = new Map(
+    [...crashes].map((one) => [one[1].incarnation, one]),
+  );
+  return [...byIncarnation.values()].slice(-MAX_REPORTED_CRASHES);
+}
+
 /** Finds a crash of a target that has another one. */
 function findRepeated(crashes: ReadonlyMap<string, Crash>): string | undefined {
   const incarnations = new Set<string>();
@@ -706,8 +739,11 @@
   }
 }
 
-function removeOldest(times: Map<string, number>, maxSize: number): void {
-  if (times.size > maxSize) {
-    times.delete(times.keys().next().value!);
+function removeOldest(
+  names: Map<string, unknown> | Set<string>,
+  maxSize: number,
+): void {
+  if (names.size > maxSize) {
+    names.delete(names.keys().next().value!);
   }
 }
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -19,6 +19,7 @@
     incarnation,
     sentAtMs: atMs - 30,
     atMs,
+    isProved: true,
     nowMs: atMs,
   };
 }
@@ -193,6 +194,39 @@
   assert.ok(suspects.isQuarantined(FATAL));
 });
 
+test("an end that is only likely, or that the target has outlived, refutes no crash", () => {
+  const other = new CrashSuspects();
+  const suspects = new CrashSuspects();
+  const names = ["a", "b", "c"];
+  for (const name of names) {
+    other.recordCrash("lost", { ...createCrash(name, 100), isProved: false });
+    suspects.merge(other.createReport("lost", 110)!, 110);
+    suspects.recordCrash(FATAL, createCrash(name, 500));
+  }
+  assert.ok(suspects.isQuarantined(FATAL));
+  const third = new CrashSuspects();
+  for (const name of names) {
+    other.recordCrash("cut", { ...createCrash(name, 120), send: "cut" });
+    third.merge(other.createReport("cut", 130)!, 130);
+    third.recordAlive(name, 140);
+    third.merge(other.createReport("cut", 150)!, 150);
+    third.recordCrash(FATAL, createCrash(name, 500));
+  }
+  assert.ok(third.isQuarantined(FATAL));
+});
+
+test("a report names each target though many sends of a request met one of them", () => {
+  const suspects = new CrashSuspects();
+  recordCrashes(suspects, 3);
+  for (let nth = 0; nth < 6; nth++) {
+    const crash = createCrash("incarnation 0 2", 10 + nth);
+    suspects.recordCrash(FATAL, { ...crash, send: `send ${nth}` });
+  }
+  const started = new CrashSuspects();
+  started.merge(suspects.createReport(FATAL, 100)!, 100);
+  assert.ok(started.isQuarantined(FATAL));
+});
+
 test("a request that was sent to one target by many instances leaves room for others", () => {
   const suspects = new CrashSuspects();
   for (let nth = 0; nth < 20; nth++) {
