fix(gateway): look through unanswered sends only for requests that have one

Sends are now counted by fingerprint, and most responses end there. A target that comes back under its id and leaves at once now proves the end of its previous incarnation too; its test counted no crash before.

--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -211,14 +211,13 @@
     switch (state) {
       case "leaving":
       case "reported-leaving":
-        if (target !== undefined) {
-          this.#recordLeaving(target);
-        }
-        return;
       case "present":
         if (target !== undefined) {
           this.#handleEnded(this.#unansweredSends.takeReplaced(target));
         }
+        if (target !== undefined && state !== "present") {
+          this.#recordLeaving(target);
+        }
         return;
       case "gone":
         this.#handleEnded(this.#unansweredSends.takeEnded(targetId));
@@ -321,7 +320,7 @@
 
   #recordUnanswered(send: UnansweredSend): void {
     const current = this.#options.findTarget(send.target.id);
-    if (current?.bornMs === send.target.bornMs && current !== undefined) {
+    if (current !== undefined && current.bornMs === send.target.bornMs) {
       this.#unansweredSends.record(send);
     } else {
       this.#handleEnded([send]);
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -337,3 +337,16 @@
   }, 10);
   assert.deepEqual(fixture.listCrashed(), ["fatal"]);
 });
+
+test("a new incarnation that leaves at once proves the end of the previous one", () => {
+  const fixture = new QuarantineFixture();
+  fixture.record("fatal", RESET, 0);
+  fixture.known = { ...TARGET, bornMs: 6, leaving: true };
+  fixture.quarantine.handleCatalogueEvent({
+    kind: "target",
+    targetId: "t1",
+    service: "files",
+    state: "leaving",
+  });
+  assert.deepEqual(fixture.listCrashed(), ["fatal"]);
+});
--- a/packages/routing/src/unanswered_sends.ts
+++ b/packages/routing/src/unanswered_sends.ts
@@ -64,6 +64,8 @@
 export class UnansweredSends {
   readonly #options: UnansweredSendsOptions;
   readonly #byTarget = new Map<string, readonly KeptSend[]>();
+  /** Number of kept sends by fingerprint. */
+  readonly #counts = new Map<string, number>();
   /**
    * The latest answered send of each of the last two targets that answered;
    * recorded only while unanswered sends are kept.
@@ -84,13 +86,13 @@
     const sends = this.#byTarget.get(id) ?? [];
     const kept = [...sends, { ...send, hasRespondedSince: false }];
     const excess = Math.max(0, kept.length - MAX_PER_TARGET);
-    this.#reportDismissed(kept.slice(0, excess), "table-full");
     this.#byTarget.delete(id);
-    this.#byTarget.set(id, kept.slice(excess));
+    this.#byTarget.set(id, kept);
+    this.#updateCounts([send], 1);
+    this.#remove(id, kept.slice(0, excess), "table-full");
     if (this.#byTarget.size > MAX_TARGETS) {
       const oldest = this.#byTarget.keys().next().value!;
-      this.#reportDismissed(this.#byTarget.get(oldest)!, "table-full");
-      this.#byTarget.delete(oldest);
+      this.#remove(oldest, this.#byTarget.get(oldest)!, "table-full");
     }
   }
 
@@ -110,15 +112,12 @@
 
   /** Removes the sends of a request that has got a response. */
   recordRequestAnswered(fingerprint: string): void {
+    if (!this.#counts.has(fingerprint)) {
+      return;
+    }
     for (const [targetId, sends] of this.#byTarget) {
-      const [answered, kept] = split(
-        sends,
-        (send) => send.fingerprint === fingerprint,
-      );
-      if (answered.length > 0) {
-        this.#reportDismissed(answered, "request-answered");
-        this.#set(targetId, kept);
-      }
+      const answered = sends.filter((send) => send.fingerprint === fingerprint);
+      this.#remove(targetId, answered, "request-answered");
     }
   }
 
@@ -154,15 +153,11 @@
   /** Removes sends that have been kept for too long. */
   expire(nowMs: number): void {
     for (const [targetId, sends] of this.#byTarget) {
-      const [expired, kept] = split(
-        sends,
-        ({ atMs }) => nowMs - atMs > RETENTION_MS,
-      );
-      for (const send of expired) {
-        const reason = send.hasRespondedSince ? "target-responded" : "expired";
-        this.#reportDismissed([send], reason);
-      }
-      this.#set(targetId, kept);
+      const expired = sends.filter(({ atMs }) => nowMs - atMs > RETENTION_MS);
+      const isAlive = ({ hasRespondedSince }: KeptSend) => hasRespondedSince;
+      const isUnknown = (send: KeptSend) => !isAlive(send);
+      this.#remove(targetId, expired.filter(isAlive), "target-responded");
+      this.#remove(targetId, expired.filter(isUnknown), "expired");
     }
   }
 
@@ -170,35 +165,41 @@
     targetId: string,
     hasEnded: (send: KeptSend) => boolean,
   ): readonly UnansweredSend[] {
-    const sends = this.#byTarget.get(targetId) ?? [];
-    const [ended, kept] = split(sends, hasEnded);
-    this.#set(targetId, kept);
+    const ended = (this.#byTarget.get(targetId) ?? []).filter(hasEnded);
+    this.#remove(targetId, ended);
     return ended;
   }
 
-  #reportDismissed(
-    sends: readonly UnansweredSend[],
-    reason: DismissalReason,
+  /** Removes sends to a target; they do not count if a reason is given. */
+  #remove(
+    targetId: string,
+    removed: readonly KeptSend[],
+    reason?: DismissalReason,
   ): void {
-    sends.forEach((send) => this.#options.onDismissed(send, reason));
-  }
-
-  #set(targetId: string, sends: readonly KeptSend[]): void {
-    if (sends.length === 0) {
+    if (removed.length === 0) {
+      return;
+    }
+    const kept = this.#byTarget.get(targetId)!
+      .filter((send) => !removed.includes(send));
+    if (kept.length === 0) {
       this.#byTarget.delete(targetId);
     } else {
-      this.#byTarget.set(targetId, sends);
+      this.#byTarget.set(targetId, kept);
+    }
+    this.#updateCounts(removed, -1);
+    if (reason !== undefined) {
+      removed.forEach((send) => this.#options.onDismissed(send, reason));
     }
   }
-}
 
-/** Returns the sends for which the condition holds, and the others. */
-function split(
-  sends: readonly KeptSend[],
-  condition: (send: KeptSend) => boolean,
-): readonly [readonly KeptSend[], readonly KeptSend[]] {
-  return [
-    sends.filter(condition),
-    sends.filter((send) => !condition(send)),
-  ];
+  #updateCounts(sends: readonly UnansweredSend[], change: 1 | -1): void {
+    for (const { fingerprint } of sends) {
+      const count = (this.#counts.get(fingerprint) ?? 0) + change;
+      if (count === 0) {
+        this.#counts.delete(fingerprint);
+      } else {
+        this.#counts.set(fingerprint, count);
+      }
+    }
+  }
 }
