refactor(routing): separate trials, proofs of ends and reports from crash suspects

No change of behaviour: crash_suspects.ts had grown to 700 lines, and the times of trials, the proofs of ends and the form of reports can each be read by themselves.

--- a/packages/gateway/src/peers/peer_message.ts
+++ b/packages/gateway/src/peers/peer_message.ts
@@ -5,7 +5,7 @@
 import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
 import type { InstanceDemand } from "@lentilspur/routing/account_limiter";
 import type { PermitDecision } from "@lentilspur/routing/request_pacer";
-import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
+import type { SuspectReport } from "@lentilspur/routing/suspect_report";
 import type { Fragment } from "./datagram_fragments.ts";
 import type { KeeperMessage } from "../keeper/keeper_exchange.ts";
 import type { LoadCounts } from "./load_counts.ts";
--- a/packages/gateway/src/peers/peer_message_check.ts
+++ b/packages/gateway/src/peers/peer_message_check.ts
@@ -4,7 +4,7 @@
  */
 import type { TargetIncarnation } from "@lentilspur/routing/target_incarnation";
 import type { PermitDecision } from "@lentilspur/routing/request_pacer";
-import type { SuspectReport } from "@lentilspur/routing/crash_suspects";
+import type { SuspectReport } from "@lentilspur/routing/suspect_report";
 import type { Fragment } from "./datagram_fragments.ts";
 import type { PeerMessage, PeerStatus } from "./peer_message.ts";
 import type { LimitReport } from "../requests/limit_report.ts";
--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -20,8 +20,8 @@
   CrashSuspects,
   type SuspectDecision,
   type SuspectEvent,
-  type SuspectReport,
 } from "@lentilspur/routing/crash_suspects";
+import type { SuspectReport } from "@lentilspur/routing/suspect_report";
 import {
   formatTargetIncarnation,
   type TargetIncarnation,
@@ -314,7 +314,7 @@
   #recordResponse(target: TargetIncarnation, sentAtMs: number): void {
     this.#unansweredSends.recordAnswered(target.id, sentAtMs);
     if (!this.#suspects.isEmpty) {
-      this.#suspects.recordAlive(hashIncarnation(target), sentAtMs);
+      this.#suspects.recordResponse(hashIncarnation(target), sentAtMs);
     }
   }
 
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -10,9 +10,7 @@
  *
  * An innocent request may have been running on a target that crashed. One
  * successful response at any instance refutes its crashes. When the quarantine
- * ends, the request is sent once as a trial. The trial is early where other
- * quarantined requests were running on the same targets: most of them are
- * innocent, and one more crash tells which one is not.
+ * ends, the request is sent once as a trial.
  *
  * What is known only grows: crashes, and the names of those that are refuted. It
  * does not depend on the order or the delay of reports, since times from other
@@ -20,42 +18,27 @@
  * of its own, or, if the send was its own, because the target's end had been
  * proved before it.
  */
+import { removeBefore, removeOldest } from "./bounded_collections.ts";
+import {
+  countIncarnations,
+  type Crash,
+  findLastCrashMs,
+  findRepeatedCrash,
+} from "./crash.ts";
+import { ProvedEnds } from "./proved_ends.ts";
+import {
+  computeTrialTime,
+  CRASH_RETENTION_MS,
+  CRASHES_TO_QUARANTINE,
+} from "./quarantine_schedule.ts";
+import {
+  type SuspectReport,
+  toAge,
+  toReceivedCrash,
+  toTime,
+} from "./suspect_report.ts";
 import type { DismissalReason } from "./unanswered_sends.ts";
 
-/** A crash as instances report it to each other. */
-export type ReportedCrash = readonly [
-  incarnation: string,
-  ageMs: number,
-  /** Time since the request was sent to that target. */
-  sentAgeMs: number,
-  /** Name of the send; missing from earlier versions. */
-  send?: string,
-  /**
-   * Time since the target's end was proved; null if it is not. Missing from
-   * earlier versions.
-   */
-  provedAgeMs?: number | null,
-];
-
-/**
- * What instances report to each other about one request; ages in milliseconds.
- */
-export interface SuspectReport {
-  readonly fingerprint: string;
-  readonly crashes: readonly ReportedCrash[];
-  /** Sends whose crashes were refuted; missing from earlier versions. */
-  readonly refuted?: readonly string[];
-  /**
-   * Time since the last response here that refuted crashes; null if none. Only
-   * earlier versions use it.
-   */
-  readonly clearedAgeMs: number | null;
-  /** Time since its last trial; null if none. */
-  readonly trialAgeMs: number | null;
-  /** Number of its trials; missing from earlier versions. */
-  readonly trials?: number;
-}
-
 export type SuspectDecision =
   | { readonly kind: "admitted" }
   /** Sent once, to find out whether the request still crashes its target. */
@@ -95,16 +78,6 @@
   | { readonly kind: "recorded" }
   | { readonly kind: "dismissed"; readonly reason: DismissalReason };
 
-/** A send whose target process ended; this instance's clock. */
-interface Crash {
-  readonly incarnation: string;
-  readonly sentAtMs: number;
-  /** When the send failed. */
-  readonly atMs: number;
-  /** Whether this instance sent the request. */
-  readonly isOwn: boolean;
-}
-
 /** A crash that this instance has observed, now that the end is known. */
 export interface ObservedCrash {
   /** Name of the send, which no other send has. */
@@ -136,26 +109,6 @@
   readonly crashes: readonly Crash[];
 }
 
-/** Crashes that put a request into quarantine; fewer may be a coincidence. */
-const CRASHES_TO_QUARANTINE = 3;
-/**
- * Duration of the quarantine after the third crash and after the fourth. After
- * the fifth crash it lasts until the crashes are forgotten.
- */
-const QUARANTINE_DURATIONS_MS = [30_000, 600_000] as const;
-/**
- * Minimum time between two trials of a request. A crash caused by the first one
- * has been reported by then.
- */
-const MIN_TRIAL_INTERVAL_MS = 6_000;
-/** The same for early trials. */
-const MIN_EARLY_TRIAL_INTERVAL_MS = 3_000;
-/** Time from the last crash to an early trial, by slot. */
-const EARLY_TRIAL_DELAYS_MS = [800, 1_300, 1_800, 2_300] as const;
-/** A further one, since the response to the first may be lost. */
-const MAX_EARLY_TRIALS = 2;
-/** A request without a crash for this long is forgotten. */
-const CRASH_RETENTION_MS = 24 * 3_600_000;
 /**
  * How long a refutation and a response are remembered: reports of older crashes
  * may still be in flight, but for less than this.
@@ -163,7 +116,6 @@
 const REFUTATION_RETENTION_MS = 60_000;
 const MAX_SUSPECTS = 1_024;
 const MAX_RESPONSES = 1_024;
-const MAX_INCARNATIONS = 1_024;
 /** Per request; those of crashes that are still reported are among them. */
 const MAX_REFUTATIONS = 32;
 /** More than the longest quarantine takes. */
@@ -186,10 +138,7 @@
   readonly #quarantines = new Map<string, Quarantine>();
   /** Incarnations whose crashes have changed since the last update. */
   readonly #changedIncarnations = new Set<string>();
-  /** When the end of each incarnation was proved, as early as is known. */
-  readonly #endedAtMs = new Map<string, number>();
-  /** Incarnations that have responded here after a reported end. */
-  readonly #outlived = new Set<string>();
+  readonly #ends = new ProvedEnds();
   /** Requests of which other instances have to know what is refuted here. */
   readonly #dueReports = new Set<string>();
   /** When this instance last got a response, by fingerprint. */
@@ -238,16 +187,9 @@
     return { kind: "recorded" };
   }
 
-  /**
-   * Records that a target has responded to a request. If it was sent after the
-   * target's end, the proof was wrong, and later ones count as little.
-   */
-  recordAlive(incarnation: string, sentAtMs: number): void {
-    if (sentAtMs > (this.#endedAtMs.get(incarnation) ?? Infinity)) {
-      this.#endedAtMs.delete(incarnation);
-      this.#outlived.add(incarnation);
-      removeOldest(this.#outlived, MAX_INCARNATIONS);
-    }
+  /** Records that a target has responded to a request. */
+  recordResponse(incarnation: string, sentAtMs: number): void {
+    this.#ends.recordResponse(incarnation, sentAtMs);
   }
 
   /**
@@ -284,16 +226,23 @@
     if (suspect === undefined || quarantine === undefined) {
       return { kind: "admitted" };
     }
-    const crashes = countIncarnations(quarantine.crashes);
-    const endsAtMs = this.#isAmbiguous(quarantine)
-      ? computeEarlyTrialTime(fingerprint, suspect, quarantine)
-      : computeTrialTime(suspect, quarantine);
+    const endsAtMs = computeTrialTime({
+      fingerprint,
+      crashes: quarantine.crashes,
+      trialAtMs: suspect.trialAtMs,
+      trials: suspect.trials,
+      isAmbiguous: this.#isAmbiguous(quarantine),
+    });
     if (nowMs >= endsAtMs) {
       suspect.trialAtMs = nowMs;
       suspect.trials++;
       return { kind: "trial" };
     }
-    return { kind: "quarantined", crashes, retryAfterMs: endsAtMs - nowMs };
+    return {
+      kind: "quarantined",
+      crashes: countIncarnations(quarantine.crashes),
+      retryAfterMs: endsAtMs - nowMs,
+    };
   }
 
   /** Merges a report from another instance; returns whether it adds anything. */
@@ -303,7 +252,8 @@
     suspect.trialAtMs = Math.max(suspect.trialAtMs, toTime(trialAgeMs, nowMs));
     suspect.trials = Math.max(suspect.trials, report.trials ?? 0);
     const hasNewRefutations = this.#mergeRefuted(report, suspect, nowMs);
-    const reported = report.crashes.map((one) => toCrash(one, nowMs));
+    const reported = report.crashes
+      .map((one) => toReceivedCrash(one, nowMs));
     for (const { crash, provedAtMs } of reported) {
       if (provedAtMs !== undefined) {
         this.#recordEnd(crash.incarnation, provedAtMs);
@@ -391,7 +341,7 @@
 
   /** Whether the target's end was proved before this instance sent the request. */
   #isSentAfterEnd({ isOwn, incarnation, sentAtMs }: Crash): boolean {
-    return isOwn && sentAtMs > (this.#endedAtMs.get(incarnation) ?? Infinity);
+    return isOwn && this.#ends.isBefore(incarnation, sentAtMs);
   }
 
   /** Merges the refutations of a report; returns whether any of them is new. */
@@ -415,13 +365,7 @@
   }
 
   #recordEnd(incarnation: string, provedAtMs: number): void {
-    if (this.#outlived.has(incarnation)) {
-      return;
-    }
-    const known = this.#endedAtMs.get(incarnation) ?? Infinity;
-    this.#endedAtMs.delete(incarnation);
-    this.#endedAtMs.set(incarnation, Math.min(known, provedAtMs));
-    removeOldest(this.#endedAtMs, MAX_INCARNATIONS);
+    this.#ends.record(incarnation, provedAtMs);
     this.#changedIncarnations.add(incarnation);
   }
 
@@ -446,7 +390,7 @@
       return false;
     }
     if (crashes.size >= MAX_KEPT_CRASHES) {
-      const replaceable = findRepeated(crashes);
+      const replaceable = findRepeatedCrash(crashes);
       if (replaceable === undefined) {
         return false;
       }
@@ -615,7 +559,7 @@
         Math.floor(nowMs - atMs),
         Math.floor(nowMs - sentAtMs),
         send,
-        toAge(this.#endedAtMs.get(incarnation) ?? -Infinity, nowMs),
+        toAge(this.#ends.get(incarnation) ?? -Infinity, nowMs),
       ]),
       refuted: [...refutedAtMs.keys()].slice(-MAX_REPORTED_CRASHES),
       clearedAgeMs: toAge(clearedAtMs, nowMs),
@@ -637,71 +581,7 @@
   }
 }
 
-/** Returns when the quarantined request may be sent as a trial. */
-function computeTrialTime(
-  { trialAtMs }: Suspect,
-  { crashes }: Quarantine,
-): number {
-  const count = countIncarnations(crashes);
-  const durationMs = QUARANTINE_DURATIONS_MS[count - CRASHES_TO_QUARANTINE] ??
-    CRASH_RETENTION_MS;
-  return Math.max(
-    findLastCrashMs(crashes) + durationMs,
-    trialAtMs + MIN_TRIAL_INTERVAL_MS,
-  );
-}
-
-/**
- * The same where other requests may have caused all of the crashes. Their trials
- * have different slots, so that none of them is at work on a target that the
- * trial of the fatal one ends.
- */
-function computeEarlyTrialTime(
-  fingerprint: string,
-  suspect: Suspect,
-  quarantine: Quarantine,
-): number {
-  const slot = fingerprint.charCodeAt(0) % EARLY_TRIAL_DELAYS_MS.length;
-  const delayMs = EARLY_TRIAL_DELAYS_MS[slot]!;
-  return suspect.trials >= MAX_EARLY_TRIALS
-    ? computeTrialTime(suspect, quarantine)
-    : Math.max(
-      findLastCrashMs(quarantine.crashes) + delayMs,
-      suspect.trialAtMs + MIN_EARLY_TRIAL_INTERVAL_MS,
-    );
-}
-
-function countIncarnations(crashes: readonly Crash[]): number {
-  return new Set(crashes.map(({ incarnation }) => incarnation)).size;
-}
-
-function findLastCrashMs(crashes: readonly Crash[]): number {
-  return Math.max(...crashes.map(({ atMs }) => atMs));
-}
-
-/** A crash without the name of a send counts as one per incarnation. */
-function toCrash(
-  [incarnation, ageMs, sentAgeMs, send = incarnation, provedAgeMs = null]:
-    ReportedCrash,
-  nowMs: number,
-): {
-  readonly send: string;
-  readonly crash: Crash;
-  readonly provedAtMs: number | undefined;
-} {
-  return {
-    send,
-    crash: {
-      incarnation,
-      sentAtMs: nowMs - sentAgeMs,
-      atMs: nowMs - ageMs,
-      isOwn: false,
-    },
-    provedAtMs: provedAgeMs === null ? undefined : nowMs - provedAgeMs,
-  };
-}
-
-/** Lists one crash for each target, of the last targets first. */
+/** Lists one crash for each target, of the last targets. */
 function listReported(
   crashes: ReadonlyMap<string, Crash>,
 ): readonly (readonly [send: string, crash: Crash])[] {
@@ -710,40 +590,3 @@
   );
   return [...byIncarnation.values()].slice(-MAX_REPORTED_CRASHES);
 }
-
-/** Finds a crash of a target that has another one. */
-function findRepeated(crashes: ReadonlyMap<string, Crash>): string | undefined {
-  const incarnations = new Set<string>();
-  for (const [send, { incarnation }] of crashes) {
-    if (incarnations.has(incarnation)) {
-      return send;
-    }
-    incarnations.add(incarnation);
-  }
-  return undefined;
-}
-
-function toAge(atMs: number, nowMs: number): number | null {
-  return Number.isFinite(atMs) ? Math.floor(nowMs - atMs) : null;
-}
-
-function toTime(ageMs: number | null, nowMs: number): number {
-  return ageMs === null ? -Infinity : nowMs - ageMs;
-}
-
-function removeBefore(times: Map<string, number>, oldestMs: number): void {
-  for (const [name, atMs] of times) {
-    if (atMs < oldestMs) {
-      times.delete(name);
-    }
-  }
-}
-
-function removeOldest(
-  names: Map<string, unknown> | Set<string>,
-  maxSize: number,
-): void {
-  if (names.size > maxSize) {
-    names.delete(names.keys().next().value!);
-  }
-}
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import {
-  CrashSuspects,
-  type ObservedCrash,
-  type SuspectReport,
-} from "./crash_suspects.ts";
+import { CrashSuspects, type ObservedCrash } from "./crash_suspects.ts";
+import type { SuspectReport } from "./suspect_report.ts";
 
 const FATAL = "fatal";
 const MINUTE_MS = 60_000;
@@ -208,7 +205,7 @@
   for (const name of names) {
     other.recordCrash("cut", { ...createCrash(name, 120), send: "cut" });
     third.merge(other.createReport("cut", 130)!, 130);
-    third.recordAlive(name, 140);
+    third.recordResponse(name, 140);
     third.merge(other.createReport("cut", 150)!, 150);
     third.recordCrash(FATAL, createCrash(name, 500));
   }
