--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -12,11 +12,11 @@
  * successful response at any instance refutes its crashes. When the quarantine
  * ends, the request is sent once as a trial.
  *
- * What is known only grows: crashes, and the names of those that are refuted. It
- * does not depend on the order or the delay of reports, since times from other
- * instances are never too early. An instance refutes a crash only by a response
- * of its own, or, if the send was its own, because the target's end had been
- * proved before it.
+ * What an instance knows only grows: crashes, and the names of those that are
+ * refuted. So the order and the delay of reports do not matter. An instance
+ * refutes a crash only by a response that it got itself after the crash, or, if
+ * it sent the request itself, by a proof that the target had ended before. It
+ * knows its own time exactly, and takes the other one for too late at worst.
  */
 import { removeBefore, removeOldest } from "./bounded_collections.ts";
 import {
--- a/packages/routing/src/unanswered_sends.ts
+++ b/packages/routing/src/unanswered_sends.ts
@@ -28,7 +28,7 @@
   | "target-responded"
   /** The request got a response after the failure. */
   | "request-answered"
-  /** Another request had ended the target before this one was sent. */
+  /** The target's end had been proved before the request was sent. */
   | "target-had-ended"
   /** The target had announced that it leaves. */
   | "target-left"
@@ -42,7 +42,10 @@
 }
 
 interface KeptSend extends UnansweredSend {
-  /** Whether a process at the target's address has responded since. */
+  /**
+   * Whether a process at the target's address has responded since: the target,
+   * or its next incarnation under the same id.
+   */
   hasRespondedSince: boolean;
 }
 
