feat(routing): log crashes that counted and are refuted by a proof

An instance that learned that a target's end had been proved before its own send dropped the crash without a line, although it had logged it as counted. request-refuted and its counter say so now.

--- a/packages/gateway/src/requests/request_quarantine.ts
+++ b/packages/gateway/src/requests/request_quarantine.ts
@@ -37,7 +37,7 @@
 type SuspectsMessage = PeerMessage & { readonly kind: "suspects" };
 
 export type QuarantineEvent =
-  /** A quarantine has begun or ended at this instance. */
+  /** A quarantine has begun or ended here, or a crash counts no more. */
   | SuspectEvent
   /** A target ended while it ran the request. */
   | {
--- a/packages/routing/src/crash_suspects.ts
+++ b/packages/routing/src/crash_suspects.ts
@@ -49,8 +49,15 @@
     readonly retryAfterMs: number;
   };
 
-/** The start or end of a quarantine at this instance. */
+/** What becomes of a suspicion at this instance. */
 export type SuspectEvent =
+  /** Counted crashes under own sends that were sent after the targets' ends. */
+  | {
+    readonly kind: "refuted";
+    readonly fingerprint: string;
+    readonly reason: "target-had-ended";
+    readonly crashes: number;
+  }
   | {
     readonly kind: "quarantined";
     readonly fingerprint: string;
@@ -480,6 +487,12 @@
     if (suspect !== undefined && late.length > 0) {
       this.#refute(suspect, late, nowMs);
       this.#dueReports.add(fingerprint);
+      this.#observe({
+        kind: "refuted",
+        fingerprint,
+        reason: "target-had-ended",
+        crashes: late.length,
+      });
     }
   }
 
--- a/packages/routing/src/crash_suspects_test.ts
+++ b/packages/routing/src/crash_suspects_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { CrashSuspects, type ObservedCrash } from "./crash_suspects.ts";
+import {
+  CrashSuspects,
+  type ObservedCrash,
+  type SuspectEvent,
+} from "./crash_suspects.ts";
 import type { SuspectReport } from "./suspect_report.ts";
 
 const FATAL = "fatal";
@@ -154,7 +158,9 @@
 });
 
 test("an instance tells others that targets had ended before its sends", () => {
-  const [suspects, other] = [new CrashSuspects(), new CrashSuspects()];
+  const events: SuspectEvent[] = [];
+  const suspects = new CrashSuspects((event) => events.push(event));
+  const other = new CrashSuspects();
   const incarnations = ["a", "b", "c"];
   for (const incarnation of incarnations) {
     other.recordCrash(FATAL, createCrash(incarnation, 100));
@@ -170,6 +176,7 @@
     other.merge(suspects.createReport(fingerprint, 430)!, 430);
   }
   assert.ok(!other.isQuarantined("innocent"));
+  assert.ok(events.some(({ kind }) => kind === "refuted"));
 });
 
 test("a harmless request's lost response does not take back a counted crash", () => {
