feat(gateway): log the connection and the proof of each send, and keep the lines of repeated requests

The record of the incident names two requests that ran twice, and no line names them. Today's lines tell neither on which connection a request was sent, nor how much of it was written, nor what proved that a send had not run; and the lines of a request that is sent again share the limit of all others.

Each send has the number, local port, position and written bytes of its connection, and a send that has not run the proof; the type of the outcome asks for one at each place that concludes it. A hop that failed has the same. Lines of requests that are sent more than once and run at most once have a limit of their own. No logic changes.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -34,9 +34,7 @@
 
   observeRequest(event: RequestEvent): void {
     const { kind, ...fields } = event;
-    const isAnswered = event.outcome === "answered" ||
-      (event.kind === "forward" && event.sendOutcome === "answered");
-    this.#logger.log(kind, isAnswered ? "routine" : "notable", fields);
+    this.#logger.log(kind, choosePriority(event), fields);
     const { service, outcome } = event;
     if (event.kind !== "forward" && event.retryClaim !== undefined) {
       this.#countRetryClaim(event.kind, service, event.retryClaim);
@@ -44,6 +42,11 @@
     switch (event.kind) {
       case "send":
         this.#metrics.sends.inc({ service, outcome });
+        if (event.proof !== undefined) {
+          const { idempotent, proof } = event;
+          this.#metrics.notRunSends
+            .inc({ service, idempotent: String(idempotent), proof });
+        }
         if (event.cause === "garbled") {
           this.#metrics.invalidResponses.inc({ service });
         }
@@ -227,3 +230,24 @@
     this.#logger.log(event, priority, rest);
   }
 }
+
+function choosePriority(event: RequestEvent): LogPriority {
+  if (event.idempotent === false && isOfRepeatedRequest(event)) {
+    return "repeated";
+  }
+  const isAnswered = event.outcome === "answered" ||
+    (event.kind === "forward" && event.sendOutcome === "answered");
+  return isAnswered ? "routine" : "notable";
+}
+
+/** Whether the request was sent before, or may be sent again after this. */
+function isOfRepeatedRequest(event: RequestEvent): boolean {
+  switch (event.kind) {
+    case "send":
+      return event.attempt > 1 || event.proof !== undefined;
+    case "forward":
+      return true;
+    case "final":
+      return event.sends > 1;
+  }
+}
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -138,3 +138,58 @@
     /lentilspur_invalid_responses_total\{service="files"\} 2/,
   );
 });
+
+const REPEATED_SEND = {
+  kind: "send",
+  requestId: "1",
+  attempt: 1,
+  route: "a",
+  service: "deposits",
+  targetId: "deposit-1",
+  idempotent: false,
+  configurationVersion: 1,
+  occupancy: 0,
+  waitedMs: 0,
+  remainingMs: 1,
+  outcome: "not-run",
+  cause: "full",
+  proof: "refusal-with-id",
+  trace: { connection: 3, localPort: 40_000, position: 2, writtenBytes: 310 },
+  tookMs: 1,
+} as const;
+
+test("a flood of other lines hides no send of a request that is sent again and runs at most once", async () => {
+  const stream = new PassThrough();
+  const metrics = new GatewayMetrics(() => GAUGES);
+  const logger = new StructuredLogger({
+    clock: new VirtualClock(),
+    instance: "a",
+    incarnation: "b",
+    stream,
+  });
+  const reporter = new EventReporter(logger, metrics);
+  for (let index = 0; index < 1_000; index++) {
+    reporter.reportFault("another line");
+    reporter.observeRequest({ ...REPEATED_SEND, idempotent: true });
+  }
+  reporter.observeRequest(REPEATED_SEND);
+  const { proof: _proof, ...answered } = REPEATED_SEND;
+  reporter.observeRequest({
+    ...answered,
+    attempt: 2,
+    outcome: "answered",
+    status: 200,
+  });
+  logger.flush();
+  const lines = String(stream.read()).trim().split("\n")
+    .map((line) => JSON.parse(line))
+    .filter(({ idempotent }) => idempotent === false);
+  assert.deepEqual(
+    lines.map(({ proof, trace }) => [proof, trace.connection]),
+    [["refusal-with-id", 3], [undefined, 3]],
+  );
+  assert.match(
+    await metrics.render(),
+    /not_run_sends_total\{service="deposits",idempotent="false",proof="refusal-with-id"\} 1/,
+  );
+});
--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -4,6 +4,8 @@
  * written, it has not run; otherwise it may have.
  */
 import type { Clock } from "@lentilspur/ports/clock";
+import type { ConnectionTrace } from "@lentilspur/ports/connection_trace";
+import type { NotRunProof } from "@lentilspur/ports/request_sender";
 import {
   ConnectionPool,
   type PoolFailure,
@@ -22,12 +24,18 @@
 export type HopResult =
   | ForwardReply
   /** The request did not reach the peer. */
-  | { readonly kind: "unreached"; readonly message: string }
+  | {
+    readonly kind: "unreached";
+    readonly proof: NotRunProof & ("no-connection" | "nothing-written");
+    readonly message: string;
+  }
   /** The peer may have sent the request. */
   | {
     readonly kind: "lost";
     readonly cause: "silent" | "reset" | "cancelled";
     readonly message: string;
+    /** The connection to the peer, if the request was sent on one. */
+    readonly trace?: ConnectionTrace;
   };
 
 export interface ForwardingClient {
@@ -94,6 +102,7 @@
       kind: "lost",
       cause: "reset",
       message: `The reply of "${peer.instance}" is not valid`,
+      trace: sent.val.trace,
     };
   }
 
@@ -147,20 +156,19 @@
 function toHopFailure(failure: PoolFailure): HopResult {
   const { message } = failure;
   if (failure.stage === "opening") {
-    return { kind: "unreached", message };
+    return { kind: "unreached", proof: "no-connection", message };
+  }
+  const { cause, written, trace } = failure;
+  if (!written && cause !== "cancelled") {
+    return { kind: "unreached", proof: "nothing-written", message };
   }
-  switch (failure.cause) {
+  switch (cause) {
     case "cancelled":
-      return { kind: "lost", cause: "cancelled", message };
     case "silent":
-      return failure.written
-        ? { kind: "lost", cause: "silent", message }
-        : { kind: "unreached", message };
+      return { kind: "lost", cause, message, trace };
     case "reset":
     case "cut":
     case "too-large":
-      return failure.written
-        ? { kind: "lost", cause: "reset", message }
-        : { kind: "unreached", message };
+      return { kind: "lost", cause: "reset", message, trace };
   }
 }
--- a/packages/gateway/src/forwarding/path_checker_test.ts
+++ b/packages/gateway/src/forwarding/path_checker_test.ts
@@ -29,7 +29,12 @@
     instance: self.instance,
     incarnation: self.incarnation,
     client: {
-      forward: () => Promise.resolve({ kind: "unreached", message: "none" }),
+      forward: () =>
+        Promise.resolve({
+          kind: "unreached",
+          proof: "no-connection",
+          message: "none",
+        }),
       fetchReachability: () => Promise.resolve(remaining.shift()!),
     },
     peers: new ForwardingPeers({
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -60,6 +60,13 @@
     labelNames: ["service", "outcome"] as const,
     registers: [this.#registry],
   });
+  readonly notRunSends = new Counter({
+    name: "lentilspur_not_run_sends_total",
+    help:
+      "Sends that are proved not to have run, by service, whether the request may run twice, and proof",
+    labelNames: ["service", "idempotent", "proof"] as const,
+    registers: [this.#registry],
+  });
   readonly forwards = new Counter({
     name: "lentilspur_forwards_total",
     help:
--- a/packages/gateway/src/requests/request_quarantine_test.ts
+++ b/packages/gateway/src/requests/request_quarantine_test.ts
@@ -333,6 +333,7 @@
   fixture.record("other", {
     kind: "not-run",
     cause: "replaced",
+    proof: "refusal-with-id",
     message: "",
   }, 10);
   assert.deepEqual(fixture.listCrashed(), ["fatal"]);
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -1,6 +1,10 @@
 /** Reports each send of a request and its final response. */
 import type { Clock } from "@lentilspur/ports/clock";
-import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { ConnectionTrace } from "@lentilspur/ports/connection_trace";
+import type {
+  NotRunProof,
+  SendOutcome,
+} from "@lentilspur/ports/request_sender";
 import type { StreamBreak, StreamEnd } from "@lentilspur/ports/response_stream";
 import type { RetryClaim } from "@lentilspur/routing/retry_budget";
 import type { PlaceDecision } from "@lentilspur/routing/service_places";
@@ -31,6 +35,10 @@
     readonly remainingMs: number;
     readonly outcome: string;
     readonly cause?: string;
+    /** What proves that the request has not run. */
+    readonly proof?: NotRunProof;
+    /** The connection that carried the request, if one did. */
+    readonly trace?: ConnectionTrace;
     /** What is wrong with a response that is not a valid one. */
     readonly message?: string;
     readonly status?: number;
@@ -63,6 +71,7 @@
     readonly peer: string;
     readonly route: string;
     readonly service: string;
+    readonly idempotent: boolean;
     readonly key?: number;
     /** The owner of the key, as far as this instance knows. */
     readonly owner?: string;
@@ -77,6 +86,13 @@
     /** The target that the peer sent the request to, and how that ended. */
     readonly targetId?: string;
     readonly sendOutcome?: string;
+    /**
+     * What proves that the request has not run: at the target if the peer sent
+     * it, and otherwise on the way to the peer.
+     */
+    readonly proof?: NotRunProof;
+    /** The connection to the peer, if the peer did not tell what it did. */
+    readonly trace?: ConnectionTrace;
     readonly tookMs: number;
   }
   | {
@@ -84,6 +100,8 @@
     readonly requestId: string;
     readonly route: string;
     readonly service: string;
+    /** Undefined if no route matched. */
+    readonly idempotent?: boolean;
     readonly clientAccount?: string;
     readonly outcome: string;
     readonly status?: number;
@@ -144,6 +162,8 @@
       ...(outcome.kind === "answered"
         ? { status: outcome.status }
         : { cause: outcome.cause }),
+      ...(outcome.kind === "not-run" ? { proof: outcome.proof } : {}),
+      ...(outcome.trace === undefined ? {} : { trace: outcome.trace }),
       ...(outcome.kind === "unknown" && outcome.cause === "garbled"
         ? { message: outcome.message }
         : {}),
@@ -183,6 +203,7 @@
       peer: peer.instance,
       route: context.route.name,
       service: context.service,
+      idempotent: context.route.idempotent,
       ...(key === undefined ? {} : { key }),
       ...(owner.targetId === undefined ? {} : { owner: owner.targetId }),
       remainingMs: Math.round(context.deadlineAtMs - sentAtMs),
@@ -203,6 +224,9 @@
       requestId: request.requestId,
       route: context?.route.name ?? "",
       service: context?.service ?? "",
+      ...(context === undefined
+        ? {}
+        : { idempotent: context.route.idempotent }),
       ...(context?.admission.kind === "admitted"
         ? { clientAccount: context.admission.share.clientAccount }
         : {}),
@@ -235,7 +259,7 @@
   result: HopResult,
 ): Pick<
   RequestEvent & { readonly kind: "forward" },
-  "cause" | "targetId" | "sendOutcome"
+  "cause" | "targetId" | "sendOutcome" | "proof" | "trace"
 > {
   switch (result.kind) {
     case "sent": {
@@ -244,6 +268,7 @@
         targetId,
         sendOutcome: outcome.kind,
         ...(outcome.kind === "answered" ? {} : { cause: outcome.cause }),
+        ...(outcome.kind === "not-run" ? { proof: outcome.proof } : {}),
       };
     }
     case "refused":
@@ -251,9 +276,12 @@
     case "unable":
       return { cause: result.reason };
     case "lost":
-      return { cause: result.cause };
+      return {
+        cause: result.cause,
+        ...(result.trace === undefined ? {} : { trace: result.trace }),
+      };
     case "unreached":
-      return { cause: result.message };
+      return { cause: result.message, proof: result.proof };
   }
 }
 
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -51,15 +51,22 @@
   cause: "cancelled",
   message: "silent",
 };
-const FULL: SendOutcome = { kind: "not-run", cause: "full", message: "full" };
+const FULL: SendOutcome = {
+  kind: "not-run",
+  cause: "full",
+  proof: "refusal-with-id",
+  message: "full",
+};
 const NOT_OWNER: SendOutcome = {
   kind: "not-run",
   cause: "not-owner",
+  proof: "refusal-with-id",
   message: "not owner",
 };
 const NO_CONNECTION: SendOutcome = {
   kind: "not-run",
   cause: "unreachable",
+  proof: "no-connection",
   message: "refused",
 };
 
@@ -156,7 +163,12 @@
       instance: self.instance,
       incarnation: self.incarnation,
       client: {
-        forward: () => Promise.resolve({ kind: "unreached", message: "none" }),
+        forward: () =>
+          Promise.resolve({
+            kind: "unreached",
+            proof: "no-connection",
+            message: "none",
+          }),
         fetchReachability: () => Promise.resolve("unknown"),
       },
       peers: new ForwardingPeers({
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -641,7 +641,11 @@
     await this.clock.sleep(HOP_DELAY_MS);
     const instance = this.#instances.get(peer.instance);
     if (instance === undefined || this.disconnected.has(peer.instance)) {
-      return { kind: "unreached", message: "No connection" };
+      return {
+        kind: "unreached",
+        proof: "no-connection",
+        message: "No connection",
+      };
     }
     const receivedAtMs = this.clock.readMs();
     const ending = new AbortController();
@@ -678,6 +682,7 @@
       return {
         kind: "not-run",
         cause: "unreachable",
+        proof: "no-connection",
         message: "No connection",
       };
     }
@@ -900,8 +905,18 @@
     case "crashed":
       return { kind: "unknown", cause: "reset", message: "reset" };
     case "full":
-      return { kind: "not-run", cause: "full", message: "full" };
+      return {
+        kind: "not-run",
+        cause: "full",
+        proof: "refusal-with-id",
+        message: "full",
+      };
     case "not-owner":
-      return { kind: "not-run", cause: "not-owner", message: "not owner" };
+      return {
+        kind: "not-run",
+        cause: "not-owner",
+        proof: "refusal-with-id",
+        message: "not owner",
+      };
   }
 }
--- a/packages/gateway/src/structured_logger.ts
+++ b/packages/gateway/src/structured_logger.ts
@@ -18,8 +18,12 @@
 
 type CommonField = "time" | "elapsedMs" | "sequence" | "event";
 
-/** `routine` is for successes, `notable` for failures and changes. */
-export type LogPriority = "routine" | "notable";
+/**
+ * `routine` is for successes, `notable` for failures and changes. `repeated` is
+ * for requests that run at most once and are sent more than once: their lines
+ * prove that the earlier sends did not run.
+ */
+export type LogPriority = "routine" | "notable" | "repeated";
 
 export interface StructuredLoggerOptions {
   readonly clock: Clock;
@@ -35,16 +39,19 @@
  * Maximum lines of each priority in a second. The limit of routine lines is
  * twice the 75 requests a second that an instance takes.
  */
-const ROUTINE_PER_SECOND = 150;
-const NOTABLE_PER_SECOND = 300;
+const MAX_PER_SECOND: Readonly<Record<LogPriority, number>> = {
+  routine: 150,
+  notable: 300,
+  repeated: 300,
+};
 /** Maximum bytes that are buffered while nothing reads standard output. */
 const MAX_UNWRITTEN_BYTES = 512 * 1024;
 
 export class StructuredLogger {
   readonly #options: StructuredLoggerOptions;
   readonly #winston: winston.Logger;
-  readonly #countInSecond = { routine: 0, notable: 0 };
-  readonly #dropped = { routine: 0, notable: 0 };
+  readonly #countInSecond = { routine: 0, notable: 0, repeated: 0 };
+  readonly #dropped = { routine: 0, notable: 0, repeated: 0 };
   #secondStartedAtMs = -Infinity;
   /** Number of dropped lines that have been reported. */
   #reportedDrops = 0;
@@ -62,7 +69,8 @@
   }
 
   get droppedCount(): number {
-    return this.#dropped.routine + this.#dropped.notable;
+    const { routine, notable, repeated } = this.#dropped;
+    return routine + notable + repeated;
   }
 
   log(event: string, priority: LogPriority, fields: LogFields): void {
@@ -104,9 +112,7 @@
     if (nowMs - this.#secondStartedAtMs >= 1_000) {
       this.#startSecond(nowMs);
     }
-    const limit = priority === "routine"
-      ? ROUTINE_PER_SECOND
-      : NOTABLE_PER_SECOND;
+    const limit = MAX_PER_SECOND[priority];
     const unwritten = this.#getUnwrittenBytes();
     if (
       unwritten > MAX_UNWRITTEN_BYTES || this.#countInSecond[priority] >= limit
@@ -121,10 +127,10 @@
     this.#secondStartedAtMs = nowMs;
     this.#countInSecond.routine = 0;
     this.#countInSecond.notable = 0;
-    const { routine, notable } = this.#dropped;
-    if (routine + notable > this.#reportedDrops) {
-      this.#reportedDrops = routine + notable;
-      this.#add("lines-dropped", { routine, notable });
+    this.#countInSecond.repeated = 0;
+    if (this.droppedCount > this.#reportedDrops) {
+      this.#reportedDrops = this.droppedCount;
+      this.#add("lines-dropped", { ...this.#dropped });
     }
   }
 
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -1,4 +1,5 @@
 /** Interface for sending a request to a target, and the possible outcomes. */
+import type { ConnectionTrace } from "./connection_trace.ts";
 import type { HeaderField } from "./header_field.ts";
 import type { ResponseStream } from "./response_stream.ts";
 
@@ -70,12 +71,28 @@
   readonly isSelfDelimited: boolean;
 }
 
+/** What proves that a request has not run, and never will. */
+export type NotRunProof =
+  /** There was no connection, so nothing could be written. */
+  | "no-connection"
+  /** The connection was lost before the first byte was written. */
+  | "nothing-written"
+  /** The target refused the request, and its response echoes the id. */
+  | "refusal-with-id"
+  /** The same without an id. */
+  | "refusal-without-id";
+
+interface Traced {
+  /** The connection that carried the request, if one did. */
+  readonly trace?: ConnectionTrace;
+}
+
 export type SendOutcome =
   /**
    * The response of the target, to be forwarded unchanged; complete unless it
    * has a stream.
    */
-  | (TargetResponse & TargetReport & { readonly kind: "answered" })
+  | (TargetResponse & TargetReport & Traced & { readonly kind: "answered" })
   /**
    * The request is proved not to have run, and never will: no connection to the
    * target could be opened (`unreachable`), none was free or one was lost before
@@ -83,7 +100,7 @@
    * or does not hold its key (`not-owner`), or another process responds at the
    * address (`replaced`).
    */
-  | (TargetReport & {
+  | (TargetReport & Traced & {
     readonly kind: "not-run";
     readonly cause:
       | "unreachable"
@@ -91,6 +108,7 @@
       | "full"
       | "not-owner"
       | "replaced";
+    readonly proof: NotRunProof;
     readonly message: string;
   })
   /**
@@ -99,11 +117,11 @@
    * too large or not a valid one to this request (`garbled`), or the send was
    * cancelled (`cancelled`).
    */
-  | {
+  | (Traced & {
     readonly kind: "unknown";
     readonly cause: "silent" | "reset" | "cut" | "garbled" | "cancelled";
     readonly message: string;
-  };
+  });
 
 /** Whether none of the request has left this instance. */
 export function isUnsent(outcome: SendOutcome): boolean {
--- a/packages/proof/src/explain.ts
+++ b/packages/proof/src/explain.ts
@@ -109,9 +109,18 @@
   const owner = send.token === undefined
     ? ""
     : ` as the owner of key ${send.key} under token ${send.token}`;
-  const cause = send.cause === undefined ? "" : ` (${send.cause})`;
+  const reasons = [send.cause, send.proof].filter((one) => one !== undefined);
+  const cause = reasons.length === 0 ? "" : ` (${reasons.join(", ")})`;
   const status = send.status === undefined ? "" : ` with ${send.status}`;
-  return `send ${send.attempt} to ${send.targetId}${owner}, after ${send.waitedMs} ms of waiting: ${send.outcome}${status}${cause} in ${send.tookMs} ms`;
+  return `send ${send.attempt} to ${send.targetId}${owner}, after ${send.waitedMs} ms of waiting: ${send.outcome}${status}${cause} in ${send.tookMs} ms${
+    describeTrace(send)
+  }`;
+}
+
+function describeTrace({ trace }: SendLine): string {
+  return trace === undefined
+    ? ""
+    : `, ${trace.writtenBytes} bytes as request ${trace.position} of connection ${trace.connection}`;
 }
 
 function describeFinal(final: FinalLine): string {
--- a/packages/proof/src/log_line.ts
+++ b/packages/proof/src/log_line.ts
@@ -25,6 +25,14 @@
   token: z.int().optional(),
   outcome: z.enum(["answered", "not-run", "unknown"]),
   cause: z.string().optional(),
+  /** What proves that the request has not run. */
+  proof: z.string().optional(),
+  /** The connection that carried the request. */
+  trace: z.looseObject({
+    connection: z.int(),
+    position: z.int(),
+    writtenBytes: z.number(),
+  }).optional(),
   status: z.int().optional(),
   waitedMs: z.number(),
   tookMs: z.number(),
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -10,6 +10,7 @@
 import { type buildConnector, Client } from "undici";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
+import type { ConnectionTrace } from "@lentilspur/ports/connection_trace";
 import type { ResponseStream } from "@lentilspur/ports/response_stream";
 import type {
   HttpRequest,
@@ -34,6 +35,10 @@
 const TCP_KEEP_ALIVE_MS = 1_000;
 
 export class HttpConnection {
+  static #lastNumber = 0;
+  readonly #number = ++HttpConnection.#lastNumber;
+  readonly #localPort: number | undefined;
+  #requests = 0;
   readonly #socket: Socket;
   readonly #client: Client;
   readonly #clock: Clock;
@@ -47,6 +52,7 @@
 
   constructor(socket: Socket, address: string, clock: Clock) {
     this.#socket = socket;
+    this.#localPort = socket.localPort;
     // These listeners must run before those of `undici`, which reports a
     // response that ends with its connection as complete however that ended, and
     // asserts that its read is not paused.
@@ -88,6 +94,7 @@
    */
   async send(request: HttpRequest): Promise<Result<HttpResponse, SendFailure>> {
     const writtenBefore = this.#socket.bytesWritten;
+    this.#requests++;
     const collector = new ResponseCollector(request, {
       observeData: () => timeout.recordData(),
       hasReceivedFin: () => this.#hasReceivedFin,
@@ -108,14 +115,16 @@
     }
     const outcome = await collector.outcome;
     request.signal?.removeEventListener("abort", cancel);
+    const trace = this.#createTrace(writtenBefore);
     if (outcome.kind === "failed") {
       timeout.clear();
       // Unless the count is unchanged, the request counts as written.
       const written = this.#socket.bytesWritten !== writtenBefore;
       this.reset();
-      return Err({ written, cause: outcome.cause, message: outcome.message });
+      const { cause, message } = outcome;
+      return Err({ written, cause, message, trace });
     }
-    const { response } = outcome;
+    const response = { ...outcome.response, trace };
     if (response.stream === undefined) {
       timeout.clear();
       this.#recordResponse();
@@ -125,6 +134,15 @@
     return Ok(response);
   }
 
+  #createTrace(writtenBefore: number): ConnectionTrace {
+    return {
+      connection: this.#number,
+      localPort: this.#localPort,
+      position: this.#requests,
+      writtenBytes: this.#socket.bytesWritten - writtenBefore,
+    };
+  }
+
   async #handleStreamEnd(
     stream: ResponseStream,
     timeout: ResponseTimeout,
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -1,4 +1,5 @@
 /** Types of one HTTP request, its response and its failures. */
+import type { ConnectionTrace } from "@lentilspur/ports/connection_trace";
 import type { HeaderField } from "@lentilspur/ports/header_field";
 import type { ResponseStream } from "@lentilspur/ports/response_stream";
 import type { ReadAheadBudget } from "./read_ahead_budget.ts";
@@ -51,6 +52,7 @@
   readonly stream?: ResponseStream;
   /** Whether the response marks its own end, by a length or a last chunk. */
   readonly isSelfDelimited: boolean;
+  readonly trace: ConnectionTrace;
 }
 
 export type SendFailureCause =
@@ -74,4 +76,5 @@
   readonly written: boolean;
   readonly cause: SendFailureCause;
   readonly message: string;
+  readonly trace: ConnectionTrace;
 }
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -12,10 +12,12 @@
   SendFailureCause,
 } from "./http_exchange.ts";
 
+export type CollectedResponse = Omit<HttpResponse, "trace">;
+
 export type ResponseOutcome =
   | {
     readonly kind: "answered";
-    readonly response: HttpResponse;
+    readonly response: CollectedResponse;
   }
   | {
     readonly kind: "failed";
@@ -233,7 +235,7 @@
       this.#stream.recordEnd();
       return;
     }
-    const response: HttpResponse = {
+    const response: CollectedResponse = {
       status: this.#status,
       headers: this.#headers,
       body: Buffer.concat(this.#chunks, this.#length),
