fix(transport): attribute each response to its request before it proves anything

Callers saw: non-idempotent requests that ran twice, or were refused and ran.

Cause: a refusal proved "not run" if it echoed the id of the request or none. The id is the same for all sends of a request, and a refused request went out again on a connection that had carried it, so a late copy of the first refusal passed for the answer to the second send, which ran; a copy without an id passed for the answer to any request. After a response of another request, the connection went on, one answer behind.

Change: the transport asks whose a response is as soon as its head has arrived. A request is not sent on a connection on which its id was refused; a refusal without an id counts only on a connection that has carried nothing else, which is closed after it; any other response fails the send as unknown and resets the connection. What is remembered are ids of refused requests, 256 a connection at most, then it is replaced.

--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -169,6 +169,7 @@
     case "reset":
     case "cut":
     case "too-large":
+    case "foreign":
       return { kind: "lost", cause: "reset", message, trace };
   }
 }
--- a/packages/ports/src/request_sender.ts
+++ b/packages/ports/src/request_sender.ts
@@ -77,9 +77,12 @@
   | "no-connection"
   /** The connection was lost before the first byte was written. */
   | "nothing-written"
-  /** The target refused the request, and its response echoes the id. */
+  /**
+   * The target refused the request; its response echoes the id, under which
+   * nothing else was sent on the connection.
+   */
   | "refusal-with-id"
-  /** The same without an id. */
+  /** The same without an id; nothing else was sent on the connection. */
   | "refusal-without-id";
 
 interface Traced {
--- a/packages/transport/src/connection_pool.ts
+++ b/packages/transport/src/connection_pool.ts
@@ -75,10 +75,11 @@
 
   /** Sends a request on an idle connection or on a new one, and never twice. */
   async send(request: HttpRequest): Promise<Result<HttpResponse, PoolFailure>> {
-    const idle = this.#takeIdle();
+    const idle = this.#takeIdle(request.id);
     if (idle !== undefined) {
       return await this.#sendOn(idle, request);
     }
+    this.#removeIdleAtLimit();
     const opened = await this.#open();
     return opened.ok
       ? await this.#sendOn(opened.val, request)
@@ -127,7 +128,7 @@
 
   #handleResponse(connection: HttpConnection, response: HttpResponse): void {
     this.#lastResponseAtMs = this.#options.clock.readMs();
-    if (isLastResponse(response)) {
+    if (isLastResponse(response) || connection.isUsedUp) {
       this.#remove(connection);
     } else {
       this.#addIdle(connection);
@@ -168,22 +169,36 @@
   }
 
   /**
-   * Takes the last used connection, which the peer is least likely to have
-   * closed.
+   * Takes the last used connection that may carry a request with this id; the
+   * peer is least likely to have closed it.
    */
-  #takeIdle(): HttpConnection | undefined {
+  #takeIdle(id: string | undefined): HttpConnection | undefined {
     const oldestAtMs = this.#options.clock.readMs() - this.#options.maxIdleMs;
-    for (;;) {
-      const connection = this.#idle.pop();
-      if (connection === undefined) {
-        return undefined;
+    for (let index = this.#idle.length - 1; index >= 0; index--) {
+      const connection = this.#idle[index]!;
+      const isUsable = connection.isOpen &&
+        connection.lastResponseAtMs >= oldestAtMs;
+      if (isUsable && !connection.mayCarry(id)) {
+        continue;
       }
-      if (connection.isOpen && connection.lastResponseAtMs >= oldestAtMs) {
+      this.#idle.splice(index, 1);
+      if (isUsable) {
         return connection;
       }
       this.#mayHaveRestarted ||= !connection.isOpen;
       this.#remove(connection);
     }
+    return undefined;
+  }
+
+  /** Makes room for a new connection; idle ones must not carry the request. */
+  #removeIdleAtLimit(): void {
+    if (this.#connections >= this.#options.maxConnections) {
+      const connection = this.#idle.shift();
+      if (connection !== undefined) {
+        this.#remove(connection);
+      }
+    }
   }
 
   #addIdle(connection: HttpConnection): void {
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -15,6 +15,7 @@
 import type {
   HttpRequest,
   HttpResponse,
+  ResponseVerdict,
   SendFailure,
 } from "./http_exchange.ts";
 import { ResponseCollector } from "./response_collector.ts";
@@ -33,12 +34,17 @@
  * After this long without traffic the kernel probes whether the peer is alive.
  */
 const TCP_KEEP_ALIVE_MS = 1_000;
+/** A connection on which this many requests were refused is replaced. */
+const MAX_REFUSED_IDS = 256;
 
 export class HttpConnection {
   static #lastNumber = 0;
   readonly #number = ++HttpConnection.#lastNumber;
   readonly #localPort: number | undefined;
   #requests = 0;
+  /** Ids of requests that were refused and may be sent again. */
+  readonly #refusedIds = new Set<string>();
+  #isUsedUp = false;
   readonly #socket: Socket;
   readonly #client: Client;
   readonly #clock: Clock;
@@ -76,6 +82,19 @@
     return !this.#socket.destroyed && this.#socket.readyState === "open";
   }
 
+  /** Whether the connection may carry a request with this id. */
+  mayCarry(id: string | undefined): boolean {
+    return id === undefined || !this.#refusedIds.has(id);
+  }
+
+  /**
+   * Whether the connection must carry no further request, since a late copy of
+   * a response could not be told from the next response.
+   */
+  get isUsedUp(): boolean {
+    return this.#isUsedUp || this.#refusedIds.size >= MAX_REFUSED_IDS;
+  }
+
   /**
    * Clock time of the last complete response or, before one, of the opening.
    */
@@ -98,6 +117,7 @@
     const collector = new ResponseCollector(request, {
       observeData: () => timeout.recordData(),
       hasReceivedFin: () => this.#hasReceivedFin,
+      isFirst: this.#requests === 1,
     });
     this.#collector = collector;
     this.#receivedBefore = this.#parsedBytes;
@@ -125,6 +145,7 @@
       return Err({ written, cause, message, trace });
     }
     const response = { ...outcome.response, trace };
+    this.#recordVerdict(collector.verdict, request.id);
     if (response.stream === undefined) {
       timeout.clear();
       this.#recordResponse();
@@ -134,6 +155,22 @@
     return Ok(response);
   }
 
+  #recordVerdict(verdict: ResponseVerdict, id: string | undefined): void {
+    switch (verdict) {
+      case "own-refusal":
+        if (id !== undefined) {
+          this.#refusedIds.add(id);
+        }
+        return;
+      case "own-last":
+        this.#isUsedUp = true;
+        return;
+      case "own":
+      case "foreign":
+        return;
+    }
+  }
+
   #createTrace(writtenBefore: number): ConnectionTrace {
     return {
       connection: this.#number,
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -5,11 +5,52 @@
 import type { ReadAheadBudget } from "./read_ahead_budget.ts";
 import type { ResponseLimits } from "./response_timeout.ts";
 
+export interface ResponseHead {
+  readonly status: number;
+  readonly headers: readonly HeaderField[];
+}
+
+/** Whose response has arrived. */
+export type ResponseVerdict =
+  /** That of the request. */
+  | "own"
+  /** The same; the request may be sent again under its id. */
+  | "own-refusal"
+  /**
+   * The same; a late copy of it could pass for the response to any request, so
+   * the connection carries no further one.
+   */
+  | "own-last"
+  /** It may belong to another request or to none. */
+  | "foreign";
+
+/**
+ * Attributes a response to a request. A faulty peer may send a response twice,
+ * and the copy may arrive where the response to the next request is expected.
+ */
+export interface ResponseIdentity {
+  /**
+   * The request is not sent on a connection on which a request with this id was
+   * refused, since a late copy of the refusal would have the same id.
+   */
+  readonly id?: string;
+  /**
+   * Decides whose response has arrived, as soon as its head has; `isFirst` tells
+   * whether the connection has carried nothing before, so that nothing else can
+   * have been sent on it. The send fails if the response is `foreign`. If this is
+   * missing, each response counts as `own`.
+   */
+  readonly checkResponse?: (
+    head: ResponseHead,
+    connection: { readonly isFirst: boolean },
+  ) => ResponseVerdict;
+}
+
 /**
  * `timeoutMs` counts from the call of `HttpConnection.send`, `stallTimeoutMs`
  * from the last data received.
  */
-export interface HttpRequest extends ResponseLimits {
+export interface HttpRequest extends ResponseLimits, ResponseIdentity {
   readonly method: string;
   readonly path: string;
   readonly headers?: readonly HeaderField[];
@@ -69,6 +110,8 @@
    */
   | "cut"
   | "too-large"
+  /** The response may belong to another request or to none. */
+  | "foreign"
   | "cancelled";
 
 export interface SendFailure {
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -9,6 +9,7 @@
 import type {
   HttpRequest,
   HttpResponse,
+  ResponseVerdict,
   SendFailureCause,
 } from "./http_exchange.ts";
 
@@ -50,6 +51,8 @@
   readonly observeData: () => void;
   /** Whether the target has closed its side of the connection in order. */
   readonly hasReceivedFin: () => boolean;
+  /** Whether this is the first request of its connection. */
+  readonly isFirst: boolean;
 }
 
 export class ResponseCollector {
@@ -74,6 +77,7 @@
   #resolve: (outcome: ResponseOutcome) => void = () => undefined;
   #status = 0;
   #headers: readonly HeaderField[] = [];
+  #verdict: ResponseVerdict = "own";
   #length = 0;
   #stream: BufferedStream | undefined;
   #controller: Dispatcher.DispatchController | undefined;
@@ -84,9 +88,15 @@
     this.outcome = new Promise((resolve) => this.#resolve = resolve);
   }
 
+  /** Whose response has arrived; known once its head has. */
+  get verdict(): ResponseVerdict {
+    return this.#verdict;
+  }
+
   /** Ends the request with a failure, unless it has ended already. */
   fail(cause: SendFailureCause, message: string): void {
-    this.#stream?.fail(cause === "reset" ? "cut" : cause, message);
+    const isLost = cause === "reset" || cause === "foreign";
+    this.#stream?.fail(isLost ? "cut" : cause, message);
     this.#resolve({ kind: "failed", cause, message });
   }
 
@@ -130,6 +140,19 @@
       this.#options.observeData();
       this.#status = status;
       this.#headers = listFields(raw);
+      this.#checkOrigin();
+    }
+  }
+
+  #checkOrigin(): void {
+    const head = { status: this.#status, headers: this.#headers };
+    const { isFirst } = this.#options;
+    this.#verdict = this.#request.checkResponse?.(head, { isFirst }) ?? "own";
+    if (this.#verdict === "foreign") {
+      this.fail(
+        "foreign",
+        `The response with status ${this.#status} is not proved to be that of the request`,
+      );
     }
   }
 
