--- a/packages/transport/src/connection_pool.ts
+++ b/packages/transport/src/connection_pool.ts
@@ -75,7 +75,9 @@
 
   /** Sends a request on an idle connection or on a new one, and never twice. */
   async send(request: HttpRequest): Promise<Result<HttpResponse, PoolFailure>> {
-    const idle = this.#takeIdle(request.id);
+    const idle = request.needsNewConnection === true
+      ? undefined
+      : this.#takeIdle(request.id);
     if (idle !== undefined) {
       return await this.#sendOn(idle, request);
     }
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -34,6 +34,8 @@
    * refused, since a late copy of the refusal would have the same id.
    */
   readonly id?: string;
+  /** Whether the request is sent only on a connection that has carried none. */
+  readonly needsNewConnection?: boolean;
   /**
    * Decides whose response has arrived, as soon as its head has; `isFirst` tells
    * whether the connection has carried nothing before, so that nothing else can
