fix(forwarding): tell a peer's reply from one to another message on the connection

A peer's reply may prove that a request has not run (unable, refused, a refusal of the target), and nothing in it said which request it is the reply to.

Each message to a peer has an id, which the peer returns with its reply; a reply with another id loses the hop, so that the request may have run. Replies without an id come from earlier versions and count as before.

Evidence: a test in which a copy of "unable" arrives before the reply to the next request; the second hop was "unable" before and is lost now.

--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -3,6 +3,7 @@
  * request whose hop fails is the same as for a send to a target: if no byte was
  * written, it has not run; otherwise it may have.
  */
+import { randomUUID } from "node:crypto";
 import type { Clock } from "@lentilspur/ports/clock";
 import type { ConnectionTrace } from "@lentilspur/ports/connection_trace";
 import type { NotRunProof } from "@lentilspur/ports/request_sender";
@@ -10,6 +11,11 @@
   ConnectionPool,
   type PoolFailure,
 } from "@lentilspur/transport/connection_pool";
+import type {
+  HttpRequest,
+  ResponseHead,
+  ResponseVerdict,
+} from "@lentilspur/transport/http_exchange";
 import type { Member } from "../members/members.ts";
 import {
   decodeForwardReply,
@@ -52,6 +58,8 @@
 /** Paths of forwarded requests and of queries on the peers' port. */
 export const FORWARD_PATH = "/forward";
 export const REACH_PATH = "/reach";
+/** Identifies one message; a peer returns it with its reply. */
+export const MESSAGE_ID_HEADER = "lentilspur-message-id";
 /** Instances are reached within some milliseconds, or not at all. */
 const CONNECT_TIMEOUT_MS = 250;
 /** Below the time after which a peer closes an idle connection. */
@@ -82,8 +90,7 @@
   ): Promise<HopResult> {
     const createdAtMs = this.#clock.readMs();
     const sent = await this.#getPool(`${peer.host}:${peer.forwardPort}`).send({
-      method: "POST",
-      path: FORWARD_PATH,
+      ...createMessage(FORWARD_PATH),
       createBody: () =>
         encodeForwardedRequest(
           advanceTimes(request, this.#clock.readMs() - createdAtMs),
@@ -111,8 +118,7 @@
     query: ReachQuery,
   ): Promise<ReachAnswer> {
     const sent = await this.#getPool(`${peer.host}:${peer.forwardPort}`).send({
-      method: "POST",
-      path: REACH_PATH,
+      ...createMessage(REACH_PATH),
       body: Buffer.from(JSON.stringify(query)),
       timeoutMs: REACH_TIMEOUT_MS,
       maxResponseBytes: MAX_REACH_BYTES,
@@ -141,6 +147,24 @@
   }
 }
 
+function createMessage(
+  path: string,
+): Pick<HttpRequest, "method" | "path" | "headers" | "checkResponse"> {
+  const id = randomUUID();
+  return {
+    method: "POST",
+    path,
+    headers: [{ name: MESSAGE_ID_HEADER, value: id }],
+    checkResponse: (head) => checkReply(head, id),
+  };
+}
+
+/** Earlier versions return no id with their replies. */
+function checkReply({ headers }: ResponseHead, id: string): ResponseVerdict {
+  const returned = headers.find(({ name }) => name === MESSAGE_ID_HEADER);
+  return returned === undefined || returned.value === id ? "own" : "foreign";
+}
+
 /** Deducts the time that passed until a connection was open. */
 function advanceTimes(
   request: ForwardedRequest,
--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -214,3 +214,33 @@
   assert.equal(result.kind === "lost" && result.cause, "cancelled");
   assert.ok(peerSignal !== undefined);
 });
+
+test("a late copy of a peer's reply is not the reply to the next request", async () => {
+  let lastReply = "";
+  let replies = 0;
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.on("data", (bytes) => {
+      const id = /^lentilspur-message-id: (.*)\r\n/im.exec(String(bytes))?.[1];
+      const reply: ForwardReply = replies++ === 0
+        ? { kind: "unable", reason: "stopping" }
+        : { kind: "refused", failure: "overloaded", message: "ran, in fact" };
+      const body = encodeForwardReply(reply);
+      const head = `HTTP/1.1 200 OK\r\nlentilspur-message-id: ${id}\r\n` +
+        `content-length: ${body.byteLength}\r\n\r\n`;
+      const copy = lastReply;
+      lastReply = head + Buffer.from(body).toString();
+      socket.write(copy + lastReply);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpForwardingClient(new SystemClock());
+  const { signal } = new AbortController();
+  const first = await client.forward(createPeer(port), REQUEST, signal);
+  const second = await client.forward(createPeer(port), REQUEST, signal);
+  client.close();
+  server.close();
+  assert.equal(first.kind, "unable");
+  assert.equal(second.kind, "lost");
+});
--- a/packages/gateway/src/forwarding/forwarding_server.ts
+++ b/packages/gateway/src/forwarding/forwarding_server.ts
@@ -16,7 +16,11 @@
   type ReachAnswer,
   type ReachQuery,
 } from "./forwarded_request.ts";
-import { FORWARD_PATH, REACH_PATH } from "./forwarding_client.ts";
+import {
+  FORWARD_PATH,
+  MESSAGE_ID_HEADER,
+  REACH_PATH,
+} from "./forwarding_client.ts";
 
 export interface ForwardingServerOptions {
   readonly clock: Clock;
@@ -78,6 +82,10 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const messageId = message.headers[MESSAGE_ID_HEADER];
+    if (messageId !== undefined) {
+      response.setHeader(MESSAGE_ID_HEADER, messageId);
+    }
     switch (message.url) {
       case FORWARD_PATH:
         return await this.#handleRequest(message, response);
