test(trials): soak with targets that send copies of their responses late

Real processes, with a proxy between each instance and each target: every fourth message on a connection meets a copy of the connection's last response, before the response to it.

--- a/packages/trials/src/soak/faulty_link.ts
+++ b/packages/trials/src/soak/faulty_link.ts
@@ -20,9 +20,16 @@
   /** Resets new connections and passes bytes on those that are open. */
   | "refusing-new"
   /** Delays all bytes by 200 ms. */
-  | "delaying";
+  | "delaying"
+  /**
+   * Sends a copy of a response late: when the next message has arrived on its
+   * connection, before the response to it.
+   */
+  | "repeating";
 
 const DELAY_MS = 200;
+/** Every how many messages of a repeating link meet a copy. */
+const REPEAT_INTERVAL = 4;
 
 interface TransferOptions {
   /** Address that the connection came from. */
@@ -30,6 +37,12 @@
   readonly blockingModes: readonly LinkFaultMode[];
 }
 
+/** The response that a connection has brought since its last message. */
+interface LastResponse {
+  bytes: Buffer;
+  hasNewMessage: boolean;
+}
+
 interface BlockedTransfer {
   readonly source: string;
   readonly run: () => void;
@@ -47,6 +60,7 @@
    * Blocked transfers, in order, which run when the link passes bytes again.
    */
   #blockedTransfers: BlockedTransfer[] = [];
+  #messages = 0;
 
   constructor(farAddress: string) {
     this.#farAddress = farAddress;
@@ -123,10 +137,25 @@
     }
     const [host = "", port = ""] = this.#farAddress.split(":");
     const far = connect(Number(port), host);
+    const last: LastResponse = { bytes: Buffer.alloc(0), hasNewMessage: false };
+    near.on("data", () => this.#sendCopy(near, last));
+    far.on("data", (bytes) => recordResponse(last, bytes));
     this.#forward(near, far, { source, blockingModes: ["silent"] });
     this.#forward(far, near, { source, blockingModes: ["silent", "deaf"] });
   }
 
+  /** May send the last response again, since a message has arrived. */
+  #sendCopy(near: Socket, last: LastResponse): void {
+    const isRepeating = this.#getMode(near.remoteAddress ?? "") === "repeating";
+    if (
+      isRepeating && last.bytes.byteLength > 0 && !last.hasNewMessage &&
+      ++this.#messages % REPEAT_INTERVAL === 0
+    ) {
+      near.write(last.bytes);
+    }
+    last.hasNewMessage = true;
+  }
+
   #forward(from: Socket, to: Socket, options: TransferOptions): void {
     this.#sockets.set(from, options.source);
     from.on("data", (bytes) => this.#transfer(() => to.write(bytes), options));
@@ -147,3 +176,8 @@
     }
   }
 }
+
+function recordResponse(last: LastResponse, bytes: Buffer): void {
+  last.bytes = last.hasNewMessage ? bytes : Buffer.concat([last.bytes, bytes]);
+  last.hasNewMessage = false;
+}
--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -47,6 +47,7 @@
   "target-link-deaf",
   "target-link-resetting",
   "target-link-delaying",
+  "responses-repeated",
 ] as const;
 
 export type SoakFault = typeof SOAK_FAULTS[number];
@@ -87,6 +88,8 @@
 const PATH_LOSS_COUNTS = [1, 1, 3];
 const PATH_LOSSES_MS = [300, 1_500, 6_000, 12_000];
 const PATH_PAUSES_MS = [200, 1_500];
+/** How long targets send copies of responses. */
+const REPEATING_MS = [2_000, 5_000, 9_000];
 /** How often some instances are paused, and how long after the last time. */
 const SERIES_COUNTS = [1, 3, 6];
 const SERIES_INTERVALS_MS = [200, 600, 1_500];
@@ -192,6 +195,8 @@
         return await this.#failLink("target", "resetting");
       case "target-link-delaying":
         return await this.#failLink("target", "delaying");
+      case "responses-repeated":
+        return await this.#injectCopies();
     }
   }
 
@@ -584,6 +589,22 @@
     }
   }
 
+  /** All targets send copies of responses late. */
+  async #injectCopies(): Promise<string> {
+    if (this.#inUse.has("paths")) {
+      return `${SKIPPED}: paths are lost`;
+    }
+    this.#inUse.add("paths");
+    const { processes } = this.#trial;
+    const names = processes.instances.map(({ name }) => name);
+    const durationMs = this.#drawValue(REPEATING_MS);
+    this.#setPaths(names, "repeating");
+    await sleep(durationMs);
+    this.#setPaths(names, undefined);
+    this.#inUse.delete("paths");
+    return `${durationMs} ms`;
+  }
+
   #recordHeldUpOrders(fromMs: number, toMs: number): void {
     const { processes, targetDisturbances } = this.#trial;
     for (const { id: target } of processes.targets) {
