fix(proof): take a peer's dropped send line for missing, and keep such lines

The audit compares the lines of peers with what the forward lines report. The send of a forwarded request that runs at most once has the limit of repeated requests now. Evidence: a test with these lines, which found own-answer before.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -244,7 +244,8 @@
 function isOfRepeatedRequest(event: RequestEvent): boolean {
   switch (event.kind) {
     case "send":
-      return event.attempt > 1 || event.proof !== undefined;
+      return event.attempt > 1 || event.proof !== undefined ||
+        event.origin !== undefined;
     case "forward":
       return true;
     case "final":
--- a/packages/proof/src/audit_test.ts
+++ b/packages/proof/src/audit_test.ts
@@ -107,6 +107,21 @@
   );
 });
 
+test("does not find a response of a peer whose send line was dropped, after an unsent hop", () => {
+  const forward = { event: "forward", requestId: "r1", outcome: "sent" };
+  assert.deepEqual(
+    listPromises([
+      makeSend("r1", { outcome: "not-run", cause: "unreachable" }),
+      { ...forward, sendOutcome: "not-run" },
+      { ...forward, sendOutcome: "answered" },
+      makeFinal("r1", { sends: 2 }),
+    ], [
+      makeSend("r1", { outcome: "not-run", cause: "unreachable", origin: "a" }),
+    ]),
+    [],
+  );
+});
+
 test("finds a response that none of all sends of the request returned", () => {
   assert.deepEqual(
     listPromises([
