--- a/packages/proof/src/audit.ts
+++ b/packages/proof/src/audit.ts
@@ -48,6 +48,9 @@
   readonly unreadableLines: number;
 }
 
+/** Fields of a report of dropped lines, each a total. */
+const PRIORITIES = ["routine", "notable", "repeated"] as const;
+
 interface RequestLog {
   readonly sends: SendLine[];
   readonly finals: FinalLine[];
@@ -200,7 +203,8 @@
     missing += sequence - (lastSequences.get(incarnation) ?? 0) - 1;
     lastSequences.set(incarnation, sequence);
     if (event === "lines-dropped") {
-      const count = Number(line["routine"] ?? 0) + Number(line["notable"] ?? 0);
+      const count = PRIORITIES
+        .reduce((sum, priority) => sum + Number(line[priority] ?? 0), 0);
       dropped.set(incarnation, count);
     }
   }
--- a/packages/proof/src/audit_test.ts
+++ b/packages/proof/src/audit_test.ts
@@ -167,10 +167,10 @@
   const [first, , third] = formatLines("a", [
     makeSend("r1"),
     makeFinal("r1"),
-    { event: "lines-dropped", routine: 4, notable: 1 },
+    { event: "lines-dropped", routine: 4, notable: 1, repeated: 2 },
   ]).split("\n");
   const report = checkPromises(parseLines([`${first}\nnoise\n${third}`]));
-  assert.equal(report.missingLines, 6);
+  assert.equal(report.missingLines, 8);
   assert.equal(report.unreadableLines, 1);
 });
 
