--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -36,6 +36,8 @@
 const TCP_KEEP_ALIVE_MS = 1_000;
 /** A connection on which this many requests were refused is replaced. */
 const MAX_REFUSED_IDS = 256;
+/** The same if the id of one of them is longer; callers choose their ids. */
+const MAX_ID_LENGTH = 128;
 
 export class HttpConnection {
   static #lastNumber = 0;
@@ -158,7 +160,9 @@
   #recordVerdict(verdict: ResponseVerdict, id: string | undefined): void {
     switch (verdict) {
       case "own-refusal":
-        if (id !== undefined) {
+        if (id === undefined || id.length > MAX_ID_LENGTH) {
+          this.#isUsedUp = true;
+        } else {
           this.#refusedIds.add(id);
         }
         return;
