fix(transport): send no request twice on a connection, whatever it is repeated for

An idempotent request is also sent again after its own response, if that has no signature, is encoded, or has a status that promises "not run" without saying so. A late copy of it had the same id, so the second answer was lost as well. The connection remembers these ids like those of refused requests.

--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -34,9 +34,9 @@
  * After this long without traffic the kernel probes whether the peer is alive.
  */
 const TCP_KEEP_ALIVE_MS = 1_000;
-/** A connection on which this many requests were refused is replaced. */
-const MAX_REFUSED_IDS = 256;
-/** The same if the id of one of them is longer; callers choose their ids. */
+/** A connection that remembers this many ids is replaced. */
+const MAX_REPEATABLE_IDS = 256;
+/** The same if one of them is longer; callers choose their ids. */
 const MAX_ID_LENGTH = 128;
 
 export class HttpConnection {
@@ -44,8 +44,8 @@
   readonly #number = ++HttpConnection.#lastNumber;
   readonly #localPort: number | undefined;
   #requests = 0;
-  /** Ids of requests that were refused and may be sent again. */
-  readonly #refusedIds = new Set<string>();
+  /** Ids of requests that may be sent again, on other connections. */
+  readonly #repeatableIds = new Set<string>();
   #isUsedUp = false;
   readonly #socket: Socket;
   readonly #client: Client;
@@ -86,7 +86,7 @@
 
   /** Whether the connection may carry a request with this id. */
   mayCarry(id: string | undefined): boolean {
-    return id === undefined || !this.#refusedIds.has(id);
+    return id === undefined || !this.#repeatableIds.has(id);
   }
 
   /**
@@ -94,7 +94,7 @@
    * a response could not be told from the next response.
    */
   get isUsedUp(): boolean {
-    return this.#isUsedUp || this.#refusedIds.size >= MAX_REFUSED_IDS;
+    return this.#isUsedUp || this.#repeatableIds.size >= MAX_REPEATABLE_IDS;
   }
 
   /**
@@ -159,11 +159,11 @@
 
   #recordVerdict(verdict: ResponseVerdict, id: string | undefined): void {
     switch (verdict) {
-      case "own-refusal":
+      case "own-repeatable":
         if (id === undefined || id.length > MAX_ID_LENGTH) {
           this.#isUsedUp = true;
         } else {
-          this.#refusedIds.add(id);
+          this.#repeatableIds.add(id);
         }
         return;
       case "own-last":
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -14,8 +14,8 @@
 export type ResponseVerdict =
   /** That of the request. */
   | "own"
-  /** The same; the request may be sent again under its id. */
-  | "own-refusal"
+  /** The same; the request may be sent again under its id after it. */
+  | "own-repeatable"
   /**
    * The same; a late copy of it could pass for the response to any request, so
    * the connection carries no further one.
@@ -30,8 +30,8 @@
  */
 export interface ResponseIdentity {
   /**
-   * The request is not sent on a connection on which a request with this id was
-   * refused, since a late copy of the refusal would have the same id.
+   * The request is not sent on a connection that has brought an `own-repeatable`
+   * response for this id, since a late copy of it would have the same id.
    */
   readonly id?: string;
   /** Whether the request is sent only on a connection that has carried none. */
