feat(gateway): log and count responses to orders and hops that may belong to others

An order whose response was foreign had the line and the count of one that got none, and a hop those of a lost connection. The line of an order that is not done has the message, lentilspur_key_orders_total the outcome foreign, a hop the cause garbled, and lentilspur_invalid_responses_total counts it. No decision depends on either.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -60,6 +60,9 @@
         return;
       case "forward":
         this.#metrics.forwards.inc({ service, outcome });
+        if (event.cause === "garbled" && outcome === "lost") {
+          this.#metrics.invalidResponses.inc({ service });
+        }
         return;
       case "final":
         this.#metrics.requests.inc({ service, outcome });
@@ -212,7 +215,7 @@
     }
     this.#metrics.orders.inc({
       order: keeperEvent.order,
-      outcome: keeperEvent.outcome,
+      outcome: keeperEvent.isForeign ? "foreign" : keeperEvent.outcome,
     });
     // Successful renewals are only counted, since their lines would add
     // nothing.
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -71,6 +71,51 @@
   assert.equal(line.tookMs, 12);
 });
 
+test("responses that may belong to another order or hop are counted apart", async () => {
+  const metrics = new GatewayMetrics(() => GAUGES);
+  const logger = new StructuredLogger({
+    clock: new VirtualClock(),
+    instance: "a",
+    incarnation: "b",
+    stream: new PassThrough(),
+  });
+  const reporter = new EventReporter(logger, metrics);
+  const order = {
+    kind: "order",
+    service: "files",
+    order: "release",
+    targetId: "file-1",
+    from: 0,
+    to: 9,
+    token: 2,
+    outcome: "unanswered",
+    message: "not proved",
+    tookMs: 12,
+  } as const;
+  for (const event of [order, { ...order, isForeign: true as const }]) {
+    reporter.observeKeeper({ kind: "keeper", partition: PARTITION, event });
+  }
+  reporter.observeRequest({
+    kind: "forward",
+    requestId: "1",
+    peer: "b",
+    route: "a",
+    service: "files",
+    idempotent: false,
+    remainingMs: 1,
+    outcome: "lost",
+    cause: "garbled",
+    tookMs: 1,
+  });
+  const text = await metrics.render();
+  assert.match(text, /key_orders_total\{order="release",outcome="foreign"\} 1/);
+  assert.match(
+    text,
+    /key_orders_total\{order="release",outcome="unanswered"\} 1/,
+  );
+  assert.match(text, /invalid_responses_total\{service="files"\} 1/);
+});
+
 test("a response that ended with its target's connection is told from the others", async () => {
   const stream = new PassThrough();
   const metrics = new GatewayMetrics(() => GAUGES);
--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -38,7 +38,7 @@
   /** The peer may have sent the request. */
   | {
     readonly kind: "lost";
-    readonly cause: "silent" | "reset" | "cancelled";
+    readonly cause: "silent" | "reset" | "cancelled" | "garbled";
     readonly message: string;
     /** The connection to the peer, if the request was sent on one. */
     readonly trace?: ConnectionTrace;
@@ -107,7 +107,7 @@
       : undefined;
     return reply ?? {
       kind: "lost",
-      cause: "reset",
+      cause: "garbled",
       message: `The reply of "${peer.instance}" is not valid`,
       trace: sent.val.trace,
     };
@@ -192,8 +192,9 @@
       return { kind: "lost", cause, message, trace };
     case "reset":
     case "cut":
+      return { kind: "lost", cause: "reset", message, trace };
     case "too-large":
     case "foreign":
-      return { kind: "lost", cause: "reset", message, trace };
+      return { kind: "lost", cause: "garbled", message, trace };
   }
 }
--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -242,5 +242,5 @@
   client.close();
   server.close();
   assert.equal(first.kind, "unable");
-  assert.equal(second.kind, "lost");
+  assert.equal(second.kind === "lost" && second.cause, "garbled");
 });
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -99,7 +99,8 @@
   });
   readonly invalidResponses = new Counter({
     name: "lentilspur_invalid_responses_total",
-    help: "Responses of targets that were not valid or too large, by service",
+    help:
+      "Responses of targets and peers that were not valid, too large or another request's, by service",
     labelNames: ["service"] as const,
     registers: [this.#registry],
   });
--- a/packages/ownership/src/table_reconciler.ts
+++ b/packages/ownership/src/table_reconciler.ts
@@ -37,6 +37,10 @@
   readonly to: number;
   readonly token: number;
   readonly outcome: OrderOutcome["kind"];
+  /** Why the order is not done. */
+  readonly message?: string;
+  /** Set if a response arrived that may belong to another order. */
+  readonly isForeign?: true;
   /** Time until the outcome was known, in whole milliseconds. */
   readonly tookMs: number;
 };
@@ -428,6 +432,12 @@
       to: state.range.to,
       token: state.range.owner.token,
       outcome: result.outcome.kind,
+      ...("message" in result.outcome
+        ? { message: result.outcome.message }
+        : {}),
+      ...(result.outcome.kind === "unanswered" && result.outcome.isForeign
+        ? { isForeign: true as const }
+        : {}),
       tookMs: Math.round(this.#options.clock.readMs() - result.sentAtMs),
     });
   }
--- a/packages/ports/src/key_orders.ts
+++ b/packages/ports/src/key_orders.ts
@@ -69,7 +69,12 @@
    */
   | { readonly kind: "session-over"; readonly message: string }
   /** The order may still take effect. */
-  | { readonly kind: "unanswered"; readonly message: string };
+  | {
+    readonly kind: "unanswered";
+    readonly message: string;
+    /** Set if a response arrived that may belong to another order. */
+    readonly isForeign?: true;
+  };
 
 export interface KeyOrderSender {
   /**
