feat(gateway): log how far failed requests had got, and what a stop left open

A final line did not tell how far the request had got or how much time it had at its admission, and the end of a stop counted all open requests in one number.

Final lines of failed requests have stage and allowedMs; stop lines have the times of the stop and count the open requests by stage, those held behind others, and those that peers have forwarded. No decision changes.

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -127,6 +127,7 @@
       isForwardDue: false,
       ...(fingerprint === undefined ? {} : { fingerprint }),
       origin: forwarded.from,
+      stage: "admitted",
       route,
       service,
       version: catalogue.routingTable!.version,
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -41,6 +41,7 @@
 import { PeerTransport } from "./peers/peer_transport.ts";
 import type { PeerMessage, PeerStatus } from "./peers/peer_message.ts";
 import type { PeerOptions } from "./peers/peer_options.ts";
+import type { StageCounts } from "./requests/open_requests.ts";
 import { RequestQuarantine } from "./requests/request_quarantine.ts";
 import { RequestRouter } from "./requests/request_router.ts";
 import { RequestServer } from "./entry/request_server.ts";
@@ -83,6 +84,18 @@
  */
 const EVACUATION_MARGIN_MS = 3_000;
 
+/** What was not finished at one moment of a stop. */
+interface OpenCounts {
+  /** Requests that are not answered yet, also those half read. */
+  readonly openRequests: number;
+  /** Those without a response, by how far they have got. */
+  readonly stages: StageCounts;
+  /** Those that are not passed on yet because of earlier ones. */
+  readonly heldRequests: number;
+  /** Requests that other instances have forwarded to this one. */
+  readonly forwardedRequests: number;
+}
+
 export class Instance {
   readonly #options: InstanceOptions;
   readonly #incarnation = randomUUID().slice(0, 8);
@@ -282,7 +295,8 @@
     this.#isStopping = true;
     this.#logger.log("stop", "notable", {
       phase: "begun",
-      openRequests: this.#server.openRequests,
+      ...timing,
+      ...this.#countOpen(),
     });
     this.#server.drain();
     void this.#keeperService.leave();
@@ -302,7 +316,7 @@
     this.#stopController.abort();
     this.#logger.log("stop", "notable", {
       phase: "ended",
-      openRequests: this.#server.openRequests,
+      ...this.#countOpen(),
     });
     this.#server.close();
     this.#statusServer.close();
@@ -314,6 +328,16 @@
     this.#logger.flush();
   }
 
+  /** Counts what a stop has to wait for. */
+  #countOpen(): OpenCounts {
+    return {
+      openRequests: this.#server.openRequests,
+      stages: this.#router.countOpenByStage(),
+      heldRequests: this.#server.heldRequests,
+      forwardedRequests: this.#forwardingServer.openRequests,
+    };
+  }
+
   #createCatalogue(): Catalogue {
     const { decodeConfiguration, decodeTarget } = this.#adapter;
     return new Catalogue({
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -103,6 +103,7 @@
     owner: FoundOwner,
     options: AttemptOptions,
   ): Promise<Attempt> {
+    context.stage = "waiting-for-place";
     const decision = await this.#waitForPlace(context, owner, options);
     if (decision === undefined) {
       return { kind: "outdated" };
@@ -110,6 +111,7 @@
     if (decision.kind === "refused") {
       return { kind: "no-place", decision };
     }
+    context.stage = "waiting-for-permit";
     const permit = await this.#waitForPermit(context, decision.target);
     if (
       permit.kind === "granted" &&
@@ -198,6 +200,7 @@
     const remainingMs = context.deadlineAtMs - sentAtMs;
     const retry = takeHeldRetry(context);
     context.sends++;
+    context.stage = "sent";
     const abortController = new SendAbortController(request.signal);
     const expectedMs = this.#overdue.watch(context, {
       target,
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -10,6 +10,18 @@
 /** Largest share of its remaining time that a caller is asked to wait. */
 const MAX_RETRY_AFTER_SHARE = 0.3;
 
+/** How far a request has got. */
+export type RequestStage =
+  | "admitted"
+  | "waiting-for-owner"
+  | "waiting-for-place"
+  | "waiting-for-permit"
+  | "pausing"
+  /** A target may have it. */
+  | "sent"
+  /** Another instance, and through it a target, may have it. */
+  | "forwarded";
+
 /** The mutable state of one request. */
 export interface RequestContext {
   readonly request: CallerRequest;
@@ -55,6 +67,7 @@
   readonly origin: string | null;
   /** Computed on first use. */
   fingerprint?: string;
+  stage: RequestStage;
   route: Route;
   service: string;
   /** Version of the configuration by which the service was chosen. */
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -12,7 +12,11 @@
 import type { OwnerLookup } from "./owner_finder.ts";
 import type { HopResult } from "../forwarding/forwarding_client.ts";
 import type { Member } from "../members/members.ts";
-import { getFingerprint, type RequestContext } from "./request_context.ts";
+import {
+  getFingerprint,
+  type RequestContext,
+  type RequestStage,
+} from "./request_context.ts";
 
 export type RequestEvent =
   | {
@@ -116,6 +120,10 @@
     readonly brokenOff?: StreamBreak;
     /** Set if only the end of the target's connection ended the response. */
     readonly isCloseDelimited?: true;
+    /** How far a request that failed had got. */
+    readonly stage?: RequestStage;
+    /** How long it could take at its admission. */
+    readonly allowedMs?: number;
   };
 
 export class RequestReporter {
@@ -250,6 +258,10 @@
           ...(context?.retryClaim === undefined
             ? {}
             : { retryClaim: context.retryClaim }),
+          ...(context === undefined ? {} : {
+            stage: context.stage,
+            allowedMs: Math.round(context.deadlineAtMs - request.arrivedAtMs),
+          }),
         }),
     });
   }
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -22,6 +22,7 @@
   AttemptRunner,
   type AttemptRunnerOptions,
 } from "./attempt_runner.ts";
+import { OpenRequests, type StageCounts } from "./open_requests.ts";
 import {
   OutcomeHandler,
   REFUSED_RETRY_MS,
@@ -98,6 +99,7 @@
   readonly #runner: AttemptRunner;
   readonly #forwarded: ForwardedRequests;
   readonly #callerReturns = new CallerReturns();
+  readonly #openRequests = new OpenRequests();
 
   constructor(options: RequestRouterOptions) {
     this.#options = options;
@@ -124,7 +126,8 @@
       this.#reporter.reportFinal(request, undefined, context);
       return context;
     }
-    const response = await this.#run(context);
+    const response = await this.#openRequests
+      .run(context, () => this.#run(context));
     if (context.heldRetry !== null) {
       this.#options.services.releaseRetry(context.heldRetry);
     }
@@ -138,6 +141,11 @@
     return response;
   }
 
+  /** Counts the callers' requests that have no response yet. */
+  countOpenByStage(): StageCounts {
+    return this.#openRequests.countByStage();
+  }
+
   /** Records the end of a request, and of its stream if it has one. */
   #recordEnd(
     context: RequestContext,
@@ -240,6 +248,7 @@
       isTrial: false,
       origin: null,
       isForwardDue: false,
+      stage: "admitted",
       route,
       service,
       version,
@@ -264,6 +273,9 @@
       if (result.kind === "done") {
         return result.response;
       }
+      context.stage = context.ownerMissingSinceMs === null
+        ? "pausing"
+        : "waiting-for-owner";
       await clock.sleep(result.pauseMs, context.request.signal);
     }
   }
@@ -385,6 +397,7 @@
     context: RequestContext,
     owner: FoundOwner,
   ): Promise<AttemptResult> {
+    context.stage = "forwarded";
     const result = await this.#options.forwarder.forward(context, owner, {
       reporter: this.#reporter,
       claimRetry: () => this.#outcomes.claimRetry(context),
