fix(gateway): send no request during a stop that could outlast the process

Cause: a stopping instance passed on new requests until 2.3 s before the kill, since "deadlines are about 2 s", and ended 0.4 s before it. Routes allow 2.5 s to 10 s. Whatever was open then was cut off: at a target, in a queue, before a retry. The class: a constant that stands for a time that the configuration states.

A request is now sent only if its deadline or its route's timeout passes before the process ends; while balancers still send new callers, also if the slowest recent request of its route would fit. All others are refused at once as not run. The check stands before each send and retry and before a hop, and waiting requests are refused as soon as it fails. At the end, what is open is answered: not run, or unknown if it may have run. A signal that is handled after a standstill counts from its beginning.

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -12,6 +12,7 @@
 import type { OwnerFinder, OwnerLookup } from "../requests/owner_finder.ts";
 import type { RequestContext } from "../requests/request_context.ts";
 import type { RequestQuarantine } from "../requests/request_quarantine.ts";
+import type { StopAdmission } from "../requests/stop_admission.ts";
 import type { FinalResponse } from "../entry/caller_request.ts";
 import type { Catalogue } from "../views/catalogue.ts";
 import type { ForwardedRequest, ForwardReply } from "./forwarded_request.ts";
@@ -22,7 +23,7 @@
   readonly paths: PathMonitor;
   readonly quarantine: RequestQuarantine;
   readonly findMember: (name: string) => Member | undefined;
-  readonly isStopping: () => boolean;
+  readonly stopAdmission: StopAdmission;
 }
 
 /** The components of the router that forwarded requests use. */
@@ -62,11 +63,11 @@
       readonly signal: AbortSignal;
     },
   ): Promise<ForwardReply> {
-    const { isStopping, paths, findMember } = this.#options;
+    const { stopAdmission, paths, findMember } = this.#options;
     if (findMember(forwarded.from)?.incarnation !== forwarded.incarnation) {
       return { kind: "unable", reason: "unknown-sender" };
     }
-    if (isStopping()) {
+    if (stopAdmission.isStopping) {
       return { kind: "unable", reason: "stopping" };
     }
     if (paths.paths.isDoubtful) {
@@ -128,6 +129,7 @@
       ...(fingerprint === undefined ? {} : { fingerprint }),
       origin: forwarded.from,
       stage: "admitted",
+      hasEnded: false,
       route,
       service,
       version: catalogue.routingTable!.version,
@@ -140,7 +142,7 @@
   }
 
   async #run(context: RequestContext): Promise<ForwardReply> {
-    const { clock, quarantine, catalogue } = this.#options;
+    const { clock, quarantine, catalogue, stopAdmission } = this.#options;
     const { ownerFinder, outcomes, runner, waitForOwner } = this.#tools;
     for (;;) {
       if (context.request.signal.aborted) {
@@ -155,6 +157,9 @@
       ) {
         return { kind: "unable", reason: "configuration" };
       }
+      if (!stopAdmission.maySend(context)) {
+        return { kind: "unable", reason: "stopping" };
+      }
       const owner = ownerFinder.find(context);
       if (owner.kind === "wait") {
         const failure = await waitForOwner(context, owner.isLongWait);
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -100,7 +100,10 @@
   ): Promise<ForwardResult> {
     const { excludedPeers } = context;
     let unreached = 0;
-    while (this.hasPeer(context) && !context.request.signal.aborted) {
+    while (
+      this.hasPeer(context) && !context.hasEnded &&
+      !context.request.signal.aborted
+    ) {
       const peer = this.#options.peers.choose(excludedPeers)!;
       excludedPeers.add(peer.instance);
       const result = await this.#forwardTo(peer, context, { owner, tools });
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -51,8 +51,10 @@
 import { MonitoringServer } from "./entry/monitoring_server.ts";
 import {
   type ShutdownTiming,
+  waitUntilAnswered,
   waitUntilDrained,
 } from "./entry/graceful_shutdown.ts";
+import { StopAdmission } from "./requests/stop_admission.ts";
 import { StoreViews } from "./views/store_views.ts";
 import { SuspensionDetector } from "./keeper/suspension_detector.ts";
 import { TableRequests } from "./views/table_requests.ts";
@@ -110,6 +112,7 @@
   readonly #members: Members;
   readonly #duties: Duties;
   readonly #services: ServiceRegistry;
+  readonly #stopAdmission: StopAdmission;
   readonly #views: StoreViews;
   readonly #quarantine: RequestQuarantine;
   readonly #limits: TargetLimits;
@@ -137,7 +140,6 @@
   /** Undefined until the ports are open. */
   #publisher: MemberPublisher | undefined;
   #drainMs: number;
-  #isStopping = false;
 
   constructor(options: InstanceOptions) {
     this.#options = options;
@@ -169,6 +171,7 @@
       hasLostStore: () => this.#views.hasLostStore,
       countLostPaths: () => this.#paths.countLosses(),
     });
+    this.#stopAdmission = new StopAdmission(clock);
     this.#services = new ServiceRegistry({
       clock,
       catalogue: this.#catalogue,
@@ -292,7 +295,12 @@
    */
   async stop(timing: ShutdownTiming): Promise<void> {
     const { clock } = this.#options;
-    this.#isStopping = true;
+    // A signal that is handled after a stall may have come at its beginning.
+    const startedAtMs = clock.readMs() - this.#services.readStallMs();
+    this.#stopAdmission.start({
+      estimatesUntilMs: startedAtMs + timing.estimatesUntilMs,
+      lastResponseMs: startedAtMs + timing.lastResponseMs,
+    });
     this.#logger.log("stop", "notable", {
       phase: "begun",
       ...timing,
@@ -300,25 +308,32 @@
     });
     this.#server.drain();
     void this.#keeperService.leave();
-    await waitUntilDrained({
+    const end = await waitUntilDrained({
       server: this.#server,
       countForwardedRequests: () => this.#forwardingServer.openRequests,
       clock,
       timing,
+      startedAtMs,
+      refuseLate: () => this.#router.refuseLate(),
       hasKeys: () => this.#keeperService.hasKeptPartitions,
     });
-    this.#close();
+    this.#logger.log("stop", "notable", {
+      phase: "ended",
+      end,
+      tookMs: Math.round(clock.readMs() - startedAtMs),
+      ...this.#countOpen(),
+    });
+    this.#server.refuse();
+    this.#router.stopAll();
+    await waitUntilAnswered(this.#server, clock);
+    await this.#close();
   }
 
-  #close(): void {
+  async #close(): Promise<void> {
     // Runs while the peer socket is still open, to notify other instances.
     this.#keeperService.stop();
     this.#stopController.abort();
-    this.#logger.log("stop", "notable", {
-      phase: "ended",
-      ...this.#countOpen(),
-    });
-    this.#server.close();
+    await this.#server.close();
     this.#statusServer.close();
     this.#metricsServer.close();
     this.#peerTransport.close();
@@ -463,7 +478,7 @@
       handleOwnerMiss: (service) =>
         this.#views.handleOwnerMiss(this.#choosePartition(service)),
       sender: this.#adapter.sender,
-      isStopping: () => this.#isStopping,
+      stopAdmission: this.#stopAdmission,
       getWithdrawalGraceMs: (reason) => this.#getWithdrawalGraceMs(reason),
       observe: (event) => this.#reporter.observeRequest(event),
       isReadAheadUsedUp: () => this.#readAhead.isUsedUp,
@@ -705,7 +720,7 @@
   }
 
   #isReady(): boolean {
-    return !this.#isStopping && this.#views.isLoaded;
+    return !this.#stopAdmission.isStopping && this.#views.isLoaded;
   }
 
   #createStatus(): InstanceStatus {
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -24,6 +24,7 @@
 import type { RequestReporter } from "./request_reporter.ts";
 import { SendAbortController } from "./send_abort_controller.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
+import type { StopAdmission } from "./stop_admission.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetRateLimiter } from "./target_rate_limiter.ts";
 
@@ -39,10 +40,8 @@
   /** Called when the known key owners of a service seem to be outdated. */
   readonly handleOwnerMiss: (service: string) => void;
   readonly sender: RequestSender;
-  /**
-   * Whether this instance is shutting down; it then aborts no overdue sends.
-   */
-  readonly isStopping: () => boolean;
+  /** During a stop, it aborts no overdue sends. */
+  readonly stopAdmission: StopAdmission;
 }
 
 /** The components of a router that its attempts use. */
@@ -178,9 +177,10 @@
     target: RoutingTarget,
     owner: string | undefined,
   ): boolean {
-    const { catalogue, quarantine, services } = this.#options;
+    const { catalogue, quarantine, services, stopAdmission } = this.#options;
     const currentOwner = this.#tools.ownerFinder.find(context);
-    return context.request.signal.aborted ||
+    return context.request.signal.aborted || context.hasEnded ||
+      !stopAdmission.maySend(context) ||
       (owner === undefined && catalogue.isWithdrawn(target.id)) ||
       services.isBackedOff(context.service, target.id) ||
       quarantine.isQuarantined(context) ||
@@ -239,6 +239,10 @@
       isOverdue,
     });
     const recordEnd = (outcome: SendOutcome, end?: StreamEnd): void => {
+      if (outcome.kind === "answered" || outcome.cause === "silent") {
+        const tookMs = clock.readMs() - sentAtMs;
+        this.#options.stopAdmission.recordDuration(route.name, tookMs);
+      }
       this.#recordOutcome(context, placed, {
         outcome,
         sentAtMs,
--- a/packages/gateway/src/requests/overdue_responses.ts
+++ b/packages/gateway/src/requests/overdue_responses.ts
@@ -13,6 +13,7 @@
 import { countRuns, type RequestContext } from "./request_context.ts";
 import type { SendAbortController } from "./send_abort_controller.ts";
 import type { ServiceRegistry } from "./service_registry.ts";
+import type { StopAdmission } from "./stop_admission.ts";
 
 export interface OverdueResponsesOptions {
   readonly clock: Clock;
@@ -21,10 +22,8 @@
     "estimateResponseMs" | "hasRoom"
   >;
   readonly paths: Pick<PathMonitor, "checkOverdue">;
-  /**
-   * Whether this instance is shutting down; it then gives up no overdue sends.
-   */
-  readonly isStopping: () => boolean;
+  /** During a stop, no overdue sends are given up. */
+  readonly stopAdmission: Pick<StopAdmission, "isStopping">;
 }
 
 /** A send whose response is awaited. */
@@ -116,7 +115,7 @@
     { owner, abortController }: WatchedSend,
     expectedMs: number,
   ): Promise<void> {
-    const { clock, services, isStopping } = this.#options;
+    const { clock, services, stopAdmission } = this.#options;
     const { route, service, deadlineAtMs } = context;
     const { signal } = abortController;
     if (
@@ -126,7 +125,7 @@
       return;
     }
     await clock.sleep(this.#computeOverdueMs(context, expectedMs), signal);
-    while (!signal.aborted && !isStopping()) {
+    while (!signal.aborted && !stopAdmission.isStopping) {
       if (deadlineAtMs - clock.readMs() < expectedMs) {
         return;
       }
--- a/packages/gateway/src/requests/overdue_responses_test.ts
+++ b/packages/gateway/src/requests/overdue_responses_test.ts
@@ -47,7 +47,7 @@
       hasRoom: () => clock.readMs() - startMs >= roomAtMs,
     },
     paths: { checkOverdue: () => undefined },
-    isStopping: () => false,
+    stopAdmission: { isStopping: false },
   }, () => hasBudget);
   const abortController = new SendAbortController(new AbortController().signal);
   let abortedAtMs: number | undefined;
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -68,6 +68,8 @@
   /** Computed on first use. */
   fingerprint?: string;
   stage: RequestStage;
+  /** Whether it has been answered early, so that it may not be sent any more. */
+  hasEnded: boolean;
   route: Route;
   service: string;
   /** Version of the configuration by which the service was chosen. */
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -22,7 +22,11 @@
   AttemptRunner,
   type AttemptRunnerOptions,
 } from "./attempt_runner.ts";
-import { OpenRequests, type StageCounts } from "./open_requests.ts";
+import {
+  createStopFailure,
+  OpenRequests,
+  type StageCounts,
+} from "./open_requests.ts";
 import {
   OutcomeHandler,
   REFUSED_RETRY_MS,
@@ -146,6 +150,18 @@
     return this.#openRequests.countByStage();
   }
 
+  /** Refuses waiting requests that could outlast the instance. */
+  refuseLate(): void {
+    const { stopAdmission } = this.#options;
+    this.#openRequests
+      .refuseWaiting((context) => stopAdmission.maySend(context));
+  }
+
+  /** Answers all callers, since the process ends. */
+  stopAll(): void {
+    this.#openRequests.stopAll();
+  }
+
   /** Records the end of a request, and of its stream if it has one. */
   #recordEnd(
     context: RequestContext,
@@ -249,6 +265,7 @@
       origin: null,
       isForwardDue: false,
       stage: "admitted",
+      hasEnded: false,
       route,
       service,
       version,
@@ -265,6 +282,7 @@
     for (;;) {
       const response = this.#updateRoute(context) ??
         this.#checkDeadline(context) ??
+        this.#checkStop(context) ??
         this.#checkQuarantine(context);
       if (response !== undefined) {
         return response;
@@ -320,6 +338,12 @@
       : undefined;
   }
 
+  #checkStop(context: RequestContext): FinalResponse | undefined {
+    return context.hasEnded || !this.#options.stopAdmission.maySend(context)
+      ? createStopFailure(context)
+      : undefined;
+  }
+
   #checkQuarantine(context: RequestContext): FinalResponse | undefined {
     if (context.isTrial && context.sends > 0) {
       return this.#outcomes.createTrialResponse(context);
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -32,6 +32,7 @@
 import type { RequestEvent } from "./request_reporter.ts";
 import { RequestRouter } from "./request_router.ts";
 import { type LateRequests, ServiceRegistry } from "./service_registry.ts";
+import { StopAdmission } from "./stop_admission.ts";
 
 const RESPONSE: SendOutcome = {
   kind: "answered",
@@ -77,12 +78,12 @@
   readonly directory = new KeyDirectory();
   readonly catalogue: Catalogue;
   readonly accounts = new AccountAdmission(this.clock);
-  readonly #router: RequestRouter;
+  readonly router: RequestRouter;
   readonly quarantine: RequestQuarantine;
   readonly events: RequestEvent[] = [];
   readonly late: LateRequests[] = [];
   readonly services: ServiceRegistry;
-  isStopping = false;
+  readonly stopAdmission = new StopAdmission(this.clock);
   isReadAheadUsedUp = false;
   #version = 0;
 
@@ -181,7 +182,7 @@
       services,
       findTarget: (id) => this.catalogue.getTarget(id),
     });
-    this.#router = new RequestRouter({
+    this.router = new RequestRouter({
       clock: this.clock,
       random: new SeededRandom(4),
       catalogue: this.catalogue,
@@ -208,7 +209,7 @@
         },
       },
       getWithdrawalGraceMs: () => 1_000,
-      isStopping: () => this.isStopping,
+      stopAdmission: this.stopAdmission,
       isReadAheadUsedUp: () => this.isReadAheadUsedUp,
       observe: (event) => this.events.push(event),
     });
@@ -256,11 +257,28 @@
     changes: Partial<CallerRequest> = {},
     advanceMs = 2_000,
   ): Promise<FinalResponse | undefined> {
-    let response: FinalResponse | undefined;
-    void this.#router.handle({ ...this.#createRequest(), ...changes })
-      .then((given) => response = given);
+    const sent = this.open(changes);
     await this.clock.advance(advanceMs);
-    return response;
+    return sent.response;
+  }
+
+  /** Sends a request; the response is set when there is one. */
+  open(
+    changes: Partial<CallerRequest> = {},
+  ): { readonly response?: FinalResponse } {
+    const sent: { response?: FinalResponse } = {};
+    void this.router.handle({ ...this.#createRequest(), ...changes })
+      .then((response) => sent.response = response);
+    return sent;
+  }
+
+  /** Starts a stop; the times count from now. */
+  startStop(estimatesMs: number, lastResponseMs: number): void {
+    const nowMs = this.clock.readMs();
+    this.stopAdmission.start({
+      estimatesUntilMs: nowMs + estimatesMs,
+      lastResponseMs: nowMs + lastResponseMs,
+    });
   }
 
   /**
@@ -404,7 +422,7 @@
   fixture.setRoute({ idempotent: true, timeoutMs: 5_000 });
   assert.equal((await fixture.send({ deadlineMs: 5_000 }))?.kind, "answered");
   assert.equal(fixture.sent.length, 2);
-  fixture.isStopping = true;
+  fixture.startStop(Infinity, Infinity);
   fixture.sent.length = 0;
   await fixture.send({ deadlineMs: 5_000 });
   assert.equal(fixture.sent.length, 1);
@@ -688,3 +706,74 @@
   fixture.setRoute({});
   assert.equal((await fixture.send())?.kind, "answered");
 });
+
+test("a request that could outlast a stop is refused before a target has it", async () => {
+  const fixture = new RouterFixture(() => RESPONSE);
+  fixture.setRoute({ timeoutMs: 3_000 });
+  fixture.startStop(0, 2_900);
+  const refused = await fixture.send({ deadlineMs: 5_000 }, 0);
+  assert.deepEqual(
+    [refused?.kind === "failed" && refused.failure, fixture.sent.length],
+    ["stopping", 0],
+  );
+  const sent = await fixture.send({ requestId: "r2", deadlineMs: 2_800 });
+  assert.equal(sent?.kind, "answered");
+});
+
+test("a refusal during a stop costs no caller a retry whose request usually ends in time", async () => {
+  const fixture = new RouterFixture(() => RESPONSE);
+  fixture.setRoute({ timeoutMs: 10_000 });
+  for (let count = 0; count < 60; count++) {
+    await fixture.send({ requestId: `e${count}`, deadlineMs: 10_000 }, 50);
+  }
+  fixture.startStop(1_000, 3_000);
+  const early = await fixture.send({ requestId: "a", deadlineMs: 9_000 }, 999);
+  assert.equal(early?.kind, "answered");
+  await fixture.clock.advance(2);
+  const late = await fixture.send({ requestId: "b", deadlineMs: 9_000 }, 0);
+  assert.equal(late?.kind === "failed" && late.failure, "stopping");
+});
+
+test("a stop admits no long request on an estimate that has missed slow ones", async () => {
+  const fixture = new RouterFixture((_request, attempt) =>
+    attempt === 30 ? SILENT : RESPONSE
+  );
+  fixture.setRoute({ timeoutMs: 10_000 });
+  for (let count = 0; count < 60; count++) {
+    await fixture.send({ requestId: `e${count}`, deadlineMs: 10_000 }, 5_000);
+  }
+  fixture.startStop(1_000, 3_000);
+  const refused = await fixture.send({ deadlineMs: 9_000 }, 0);
+  assert.equal(refused?.kind === "failed" && refused.failure, "stopping");
+});
+
+test("a request that waits when a stop begins is refused once it could outlast it, and never sent", async () => {
+  const fixture = new RouterFixture(() => SILENT);
+  fixture.setRoute({ timeoutMs: 8_000, goalMs: 6_000 });
+  for (let count = 0; count < 20; count++) {
+    fixture.open({ requestId: `s${count}`, deadlineMs: 8_000 });
+  }
+  const waiting = fixture.open({ requestId: "w", deadlineMs: 8_000 });
+  await fixture.clock.advance(100);
+  fixture.startStop(0, 5_000);
+  fixture.router.refuseLate();
+  await fixture.clock.advance(0);
+  const { response } = waiting;
+  assert.equal(response?.kind === "failed" && response.failure, "stopping");
+  await fixture.clock.advance(10_000);
+  assert.ok(!fixture.sent.some(({ requestId }) => requestId === "w"));
+});
+
+test("callers whose requests are at a target when the process ends are told that the outcome is unknown", async () => {
+  const fixture = new RouterFixture(() => SILENT);
+  fixture.setRoute({});
+  const sent = fixture.open();
+  await fixture.clock.advance(50);
+  assert.deepEqual(fixture.router.countOpenByStage(), { sent: 1 });
+  fixture.router.stopAll();
+  await fixture.clock.advance(0);
+  const { response } = sent;
+  assert.equal(response?.kind === "failed" && response.failure, "answer-lost");
+  const final = fixture.events.find(({ kind }) => kind === "final");
+  assert.ok(final?.kind === "final" && final.stage === "sent");
+});
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -59,6 +59,7 @@
 import { TargetRateLimiter } from "./target_rate_limiter.ts";
 import { RequestRouter } from "./request_router.ts";
 import { ServiceRegistry } from "./service_registry.ts";
+import { StopAdmission } from "./stop_admission.ts";
 
 export interface RequestSimulationOptions {
   readonly instances: readonly string[];
@@ -443,7 +444,7 @@
         send: (request) => this.#sendToTarget(name, request),
       },
       getWithdrawalGraceMs: () => 1_000,
-      isStopping: () => false,
+      stopAdmission: new StopAdmission(clock),
       isReadAheadUsedUp: () => false,
       observe: () => undefined,
     });
