fix(gateway): answer requests on open connections until the process ends

A response that the end of the process broke off was logged as one whose caller had left.

Idle connections stay open, and the listener too; requests that may not be sent any more get a 503, not run, that closes the connection. Streamed responses that are broken off then have the result instance-stopped.

Both tests need the new behaviour: the first one's connection was closed without a response before, by reading.

--- a/packages/gateway/src/entry/caller_connection.ts
+++ b/packages/gateway/src/entry/caller_connection.ts
@@ -3,6 +3,7 @@
  * once for all of them, and reads no further while too many are held.
  */
 import type { Socket } from "node:net";
+import { CALLER_DISCONNECTED } from "./abort_reasons.ts";
 import {
   type ConnectionRequest,
   ConnectionRequests,
@@ -15,8 +16,8 @@
 
   constructor(socket: Socket) {
     this.#socket = socket;
-    socket.once("end", () => this.requests.leave());
-    socket.once("close", () => this.requests.leave());
+    socket.once("end", () => this.requests.leave(CALLER_DISCONNECTED));
+    socket.once("close", () => this.requests.leave(CALLER_DISCONNECTED));
   }
 
   add(request: ConnectionRequest): void {
@@ -33,13 +34,6 @@
     this.#updateReading();
   }
 
-  /** Closes the connection unless requests on it are unanswered. */
-  closeIdle(): void {
-    if (this.requests.isIdle) {
-      this.#socket.destroySoon();
-    }
-  }
-
   #updateReading(): void {
     if (this.requests.isFull) {
       this.#isPaused = true;
--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -9,8 +9,8 @@
 export interface ConnectionRequest {
   /** Whether its last byte has been read. */
   readonly isRead: () => boolean;
-  /** Called if the caller leaves before the response. */
-  readonly cancel: () => void;
+  /** Called if it can no longer be answered. */
+  readonly cancel: (reason: Error) => void;
   /** Called once, when it is answered or can no longer be. */
   readonly end: () => void;
 }
@@ -171,13 +171,13 @@
     this.#advance();
   }
 
-  /** Cancels all requests: the caller has closed the connection. */
-  leave(): void {
+  /** Cancels all requests: the connection has ended. */
+  leave(reason: Error): void {
     this.#hasEnded = true;
     this.#handleLast = undefined;
     const requests = this.#entries.map(({ request }) => request);
     this.#removeFrom(0);
-    requests.forEach((request) => request.cancel());
+    requests.forEach((request) => request.cancel(reason));
   }
 
   #advance(): void {
--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -74,7 +74,7 @@
 process.on("message", (order: ProcessOrder) => {
   switch (order) {
     case "stop":
-      server.close();
+      void server.close();
       process.exit(0);
   }
 });
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -100,7 +100,7 @@
 
 function close({ server, caller }: Trial): void {
   caller.destroy();
-  server.close();
+  void server.close();
 }
 
 test("responses keep the order of the requests", async () => {
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -27,6 +27,7 @@
   FinalResponse,
   RequestMetadata,
 } from "./caller_request.ts";
+import { SERVER_CLOSED } from "./abort_reasons.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
 import { ConnectionResets } from "./connection_resets.ts";
@@ -98,8 +99,6 @@
 const CHECK_INTERVAL_MS = 1_000;
 /** Statuses whose responses have no body (RFC 9110). */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
-/** Created once, since a new error with its stack trace costs 0.05 ms. */
-const CALLER_DISCONNECTED = new Error("The caller closed the connection");
 /** Header that states whether the request ran, as far as it can be proved. */
 const OUTCOME_HEADER = "lentilspur-outcome";
 const REQUEST_ID_HEADER = "lentilspur-request-id";
@@ -193,21 +192,26 @@
   }
 
   /**
-   * Refuses new requests, which might not finish before the process has to end.
-   * A caller learns at once that its request has not run, and can send it to
-   * another instance.
+   * Accepts no more connections, and refuses requests on those that are open. A
+   * caller learns that its request has not run, and can send it to another
+   * instance; on a connection that is closed it would learn nothing.
    */
   refuse(): void {
     this.#isRefusing = true;
     // `Server.close` of `node:http` would also destroy connections whose
     // responses are still being flushed.
     ListeningServer.prototype.close.call(this.#server);
-    this.#connections.forEach((connection) => connection.closeIdle());
   }
 
-  close(): void {
+  /**
+   * Ends all connections, and resolves when the responses that this breaks off
+   * have been reported.
+   */
+  async close(): Promise<void> {
+    this.#connections.forEach(({ requests }) => requests.leave(SERVER_CLOSED));
     this.#server.close();
     this.#server.closeAllConnections();
+    await waitForPendingEnds();
   }
 
   #addConnection(socket: Socket): void {
@@ -235,7 +239,7 @@
     const controller = new AbortController();
     const request: ConnectionRequest = {
       isRead: () => message.complete,
-      cancel: () => controller.abort(CALLER_DISCONNECTED),
+      cancel: (reason) => controller.abort(reason),
       end: () => this.#openRequests--,
     };
     connection.add(request);
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
 import { RequestServer } from "./request_server.ts";
@@ -51,7 +53,7 @@
     socket.on("data", (chunk) => received.push(chunk));
     socket.on("close", () => resolve());
   });
-  server.close();
+  void server.close();
   return Buffer.concat(received).toString();
 }
 
@@ -90,3 +92,23 @@
   const received = await sendRaw(text, () => RESPONSE);
   assert.match(received, /^HTTP\/1.1 400/);
 });
+
+test("a request on a connection that was idle when the stop began is refused, not cut off", async () => {
+  const server = await openServer(() => RESPONSE);
+  const socket = connect(server.port, "127.0.0.1");
+  await once(socket, "connect");
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\nx-id: 1\r\n\r\n");
+  await once(socket, "data");
+  server.drain();
+  server.refuse();
+  const received: Buffer[] = [];
+  socket.on("data", (chunk) => received.push(chunk));
+  await sleep(50);
+  socket.write("GET / HTTP/1.1\r\nHost: a\r\nx-id: 2\r\n\r\n");
+  await once(socket, "close");
+  const text = Buffer.concat(received).toString();
+  assert.match(text, /^HTTP\/1.1 503/);
+  assert.match(text, /lentilspur-outcome: not-run/i);
+  assert.match(text, /connection: close/i);
+  await server.close();
+});
--- a/packages/gateway/src/entry/stream_writer.ts
+++ b/packages/gateway/src/entry/stream_writer.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { ResponseStream } from "@lentilspur/ports/response_stream";
+import { SERVER_CLOSED } from "./abort_reasons.ts";
 
 /** How the delivery of a streamed response ended. */
 export type StreamDeliveryResult =
@@ -12,6 +13,8 @@
   /** The response broke off before its end. */
   | "broken-off"
   | "caller-left"
+  /** This process had to end. */
+  | "instance-stopped"
   /** The caller took nothing for too long. */
   | "caller-stalled";
 
@@ -42,7 +45,7 @@
     const part = await stream.read();
     if (signal.aborted) {
       resetConnection(response);
-      return { result: "caller-left", bytes };
+      return { result: getAbortResult(signal), bytes };
     }
     switch (part.kind) {
       case "data": {
@@ -50,7 +53,10 @@
         if (written !== "written") {
           stream.cancel("The caller did not take the response");
           resetConnection(response);
-          return { result: written, bytes };
+          return {
+            result: written === "closed" ? getAbortResult(signal) : written,
+            bytes,
+          };
         }
         bytes += part.bytes.byteLength;
         break;
@@ -78,17 +84,24 @@
   }
 }
 
+/** Whose end has closed the connection. */
+function getAbortResult(
+  { reason }: AbortSignal,
+): "caller-left" | "instance-stopped" {
+  return reason === SERVER_CLOSED ? "instance-stopped" : "caller-left";
+}
+
 /** Waits until the part has left this process. */
 function writePart(
   response: ServerResponse,
   bytes: Uint8Array,
   stallTimeoutMs: number,
-): Promise<"written" | "caller-left" | "caller-stalled"> {
+): Promise<"written" | "closed" | "caller-stalled"> {
   return new Promise((resolve) => {
-    const handleClose = () => settle("caller-left");
+    const handleClose = () => settle("closed");
     const timer = setTimeout(() => settle("caller-stalled"), stallTimeoutMs);
     const settle = (
-      result: "written" | "caller-left" | "caller-stalled",
+      result: "written" | "closed" | "caller-stalled",
     ): void => {
       clearTimeout(timer);
       response.off("close", handleClose);
@@ -99,7 +112,7 @@
       bytes,
       (error) =>
         settle(
-          error === undefined || error === null ? "written" : "caller-left",
+          error === undefined || error === null ? "written" : "closed",
         ),
     );
   });
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -108,7 +108,7 @@
 
   close(): void {
     this.caller.destroy();
-    this.server.close();
+    void this.server.close();
     this.#pool?.close();
     this.targets.forEach((socket) => socket.destroy());
     this.#target.close();
@@ -345,6 +345,21 @@
   });
 }
 
+test("a response that the end of the process breaks off is not taken for one whose caller has left", async () => {
+  const trial = new StreamTrial();
+  await trial.open();
+  trial.startReading();
+  await waitUntil(() => trial.requests === 1);
+  trial.targets[0]!.write(LENGTH_HEAD);
+  trial.targets[0]!.write(PART);
+  await waitUntil(() => trial.body.length === PART.length);
+  await trial.server.close();
+  assert.deepEqual(trial.deliveries.map(({ result }) => result), [
+    "instance-stopped",
+  ]);
+  trial.close();
+});
+
 /** A response that goes on until it is cancelled. */
 class EndlessStream implements ResponseStream {
   readonly length = undefined;
