fix(platform): an odd entry of another writer no longer ends every process

One entry in the targets' partition that is nested deeply ended all running instances, and one that started later read the same record and never became ready: `createFieldError` called JSON.stringify on the refused value. JSON.parse takes any depth, JSON.stringify throws a RangeError, which went through `Catalogue.applyTarget` and the loop of the partition's view. Others were accepted: a `cold_remaining` of 400 digits (Infinity), `slots`, `born` and `sequence` of 2^53 - 1, and names of any length.

An entry that cannot be decoded is counted in `lentilspur_unreadable_records_total` and logged once (`record-ignored`), within a limit of lines of its own, and is not passed on to other instances.

An unreadable entry of a known target leaves the target as it was, as before: the pages say that such an entry names no upstream to use and that the others hold, but not that it takes one away. A target that lives writes a true entry within a heartbeat; one that has ended is removed when its key expires. An instance that starts while the odd entry is the newest does not know the target until then.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -6,7 +6,9 @@
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { StoreEraChange } from "@lentilspur/ports/store";
 import type { StreamDelivery } from "./entry/stream_writer.ts";
-import type { CatalogueEvent } from "./views/catalogue_event.ts";
+import { removeOldest } from "@lentilspur/routing/bounded_collections";
+import type { CatalogueEvent, IgnoredEvent } from "./views/catalogue_event.ts";
+import type { Fault, UnreadableRecord } from "./fault.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { KeeperServiceEvent } from "./keeper/keeper_service.ts";
 import type {
@@ -22,10 +24,15 @@
 import type { PartitionViewEvent } from "./views/partition_view.ts";
 import type { RequestEvent } from "./requests/request_reporter.ts";
 
+/** Records whose last fault is remembered, so that it is logged only once. */
+const MAX_REMEMBERED_FAULTS = 1_000;
+
 export class EventReporter {
   readonly #logger: StructuredLogger;
   readonly #metrics: GatewayMetrics;
   #hasReportedAssignmentFailure = false;
+  /** By record and key: why it could not be decoded when this was last logged. */
+  readonly #lastFaults = new Map<string, string>();
 
   constructor(logger: StructuredLogger, metrics: GatewayMetrics) {
     this.#logger = logger;
@@ -111,6 +118,10 @@
 
   observeCatalogue(event: CatalogueEvent): void {
     const { kind, ...fields } = event;
+    if ("isUnreadable" in event && event.isUnreadable) {
+      this.#observeUnreadable(toUnreadableRecord(event));
+      return;
+    }
     this.#logger.log(kind, "notable", fields);
     if (event.kind === "evacuation") {
       this.#metrics.evacuations.inc({ state: event.state });
@@ -183,8 +194,28 @@
     this.#metrics.requests.inc({ service: "", outcome });
   }
 
-  reportFault(message: string): void {
-    this.#logger.log("fault", "notable", { message });
+  reportFault(fault: Fault): void {
+    if (typeof fault === "string") {
+      this.#logger.log("fault", "notable", { message: fault });
+    } else {
+      this.#observeUnreadable(fault);
+    }
+  }
+
+  /**
+   * Counts a record that was left out, and logs it unless the last line about
+   * its key said the same: a writer may repeat its record every second.
+   */
+  #observeUnreadable({ record, key, why }: UnreadableRecord): void {
+    this.#metrics.unreadableRecords.inc({ record });
+    const name = `${record} ${key}`;
+    if (this.#lastFaults.get(name) === why) {
+      return;
+    }
+    this.#lastFaults.delete(name);
+    this.#lastFaults.set(name, why);
+    removeOldest(this.#lastFaults, MAX_REMEMBERED_FAULTS);
+    this.#logger.log("record-ignored", "unreadable", { record, key, why });
   }
 
   /**
@@ -234,6 +265,12 @@
   }
 }
 
+function toUnreadableRecord(event: IgnoredEvent): UnreadableRecord {
+  return event.kind === "target-ignored"
+    ? { record: "target", key: event.targetId, why: event.why }
+    : { record: "configuration", key: "", why: event.why };
+}
+
 function choosePriority(event: RequestEvent): LogPriority {
   if (event.idempotent === false && isOfRepeatedRequest(event)) {
     return "repeated";
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -238,3 +238,45 @@
     /not_run_sends_total\{service="deposits",idempotent="false",proof="refusal-with-id"\} 1/,
   );
 });
+
+test("a record that is unreadable again and again is counted each time and logged once", async () => {
+  const stream = new PassThrough();
+  const metrics = new GatewayMetrics(() => GAUGES);
+  const logger = new StructuredLogger({
+    clock: new VirtualClock(),
+    instance: "a",
+    incarnation: "b",
+    stream,
+  });
+  const reporter = new EventReporter(logger, metrics);
+  for (let index = 0; index < 1_000; index++) {
+    reporter.reportFault({ record: "member", key: "m", why: "odd" });
+    reporter.observeCatalogue({
+      kind: "target-ignored",
+      targetId: "t",
+      why: "odd",
+      isUnreadable: true,
+    });
+  }
+  for (let index = 0; index < 1_000; index++) {
+    reporter.reportFault({ record: "datagram", key: "d", why: `odd ${index}` });
+  }
+  reporter.reportFault("another line");
+  logger.flush();
+  const lines = String(stream.read()).trim().split("\n")
+    .map((line) => JSON.parse(line) as Readonly<Record<string, unknown>>);
+  const ofEvent = (name: string) => lines.filter(({ event }) => event === name);
+  const keys = ofEvent("record-ignored").map(({ key }) => key);
+  assert.equal(keys.filter((key) => key === "m").length, 1);
+  assert.equal(keys.filter((key) => key === "t").length, 1);
+  assert.ok(keys.length <= 10);
+  assert.equal(ofEvent("fault").length, 1);
+  const rendered = await metrics.render();
+  for (const record of ["member", "target", "datagram"]) {
+    assert.ok(
+      rendered.includes(
+        `lentilspur_unreadable_records_total{record="${record}"} 1000`,
+      ),
+    );
+  }
+});
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -157,6 +157,14 @@
     registers: [this.#registry],
   });
 
+  readonly unreadableRecords = new Counter({
+    name: "lentilspur_unreadable_records_total",
+    help:
+      "Records of the store and messages of other instances that were left out because they could not be decoded",
+    labelNames: ["record"] as const,
+    registers: [this.#registry],
+  });
+
   readonly evacuations = new Counter({
     name: "lentilspur_evacuations_total",
     help: "Data centres evacuated or restored, by state",
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -382,6 +382,7 @@
           batch,
           ({ key, value }) =>
             this.#catalogue.isChange(key, value, this.#options.clock.readMs()),
+          ({ key, value }) => this.#catalogue.isReadable(key, value),
         ),
       fetchTable: (part, keeper, end) =>
         void this.#tables.fetch(part, keeper, end),
--- a/packages/gateway/src/structured_logger.ts
+++ b/packages/gateway/src/structured_logger.ts
@@ -21,9 +21,10 @@
 /**
  * `routine` is for successes, `notable` for failures and changes. `repeated` is
  * for requests that run at most once and are sent more than once: their lines
- * prove that the earlier sends did not run.
+ * prove that the earlier sends did not run. `unreadable` is for records of other
+ * programs, whose number nothing bounds.
  */
-export type LogPriority = "routine" | "notable" | "repeated";
+export type LogPriority = "routine" | "notable" | "repeated" | "unreadable";
 
 export interface StructuredLoggerOptions {
   readonly clock: Clock;
@@ -43,6 +44,7 @@
   routine: 150,
   notable: 300,
   repeated: 300,
+  unreadable: 10,
 };
 /** Maximum bytes that are buffered while nothing reads standard output. */
 const MAX_UNWRITTEN_BYTES = 512 * 1024;
@@ -50,8 +52,8 @@
 export class StructuredLogger {
   readonly #options: StructuredLoggerOptions;
   readonly #winston: winston.Logger;
-  readonly #countInSecond = { routine: 0, notable: 0, repeated: 0 };
-  readonly #dropped = { routine: 0, notable: 0, repeated: 0 };
+  readonly #countInSecond = createCounts();
+  readonly #dropped = createCounts();
   #secondStartedAtMs = -Infinity;
   /** Number of dropped lines that have been reported. */
   #reportedDrops = 0;
@@ -69,8 +71,8 @@
   }
 
   get droppedCount(): number {
-    const { routine, notable, repeated } = this.#dropped;
-    return routine + notable + repeated;
+    const { routine, notable, repeated, unreadable } = this.#dropped;
+    return routine + notable + repeated + unreadable;
   }
 
   log(event: string, priority: LogPriority, fields: LogFields): void {
@@ -125,9 +127,7 @@
 
   #startSecond(nowMs: number): void {
     this.#secondStartedAtMs = nowMs;
-    this.#countInSecond.routine = 0;
-    this.#countInSecond.notable = 0;
-    this.#countInSecond.repeated = 0;
+    Object.assign(this.#countInSecond, createCounts());
     if (this.droppedCount > this.#reportedDrops) {
       this.#reportedDrops = this.droppedCount;
       this.#add("lines-dropped", { ...this.#dropped });
@@ -138,3 +138,7 @@
     return (this.#options.stream as NodeJS.WriteStream).writableLength ?? 0;
   }
 }
+
+function createCounts(): Record<LogPriority, number> {
+  return { routine: 0, notable: 0, repeated: 0, unreadable: 0 };
+}
--- a/packages/gateway/src/views/catalogue.ts
+++ b/packages/gateway/src/views/catalogue.ts
@@ -108,14 +108,18 @@
     const { decodeConfiguration, observe } = this.#options;
     const decoded = decodeConfiguration(text);
     if (!decoded.ok) {
-      observe({ kind: "configuration-ignored", why: decoded.val });
+      observe({
+        kind: "configuration-ignored",
+        why: decoded.val,
+        isUnreadable: true,
+      });
       return false;
     }
     const table = decoded.val;
     if (this.#table !== undefined && table.version <= this.#table.version) {
       const why =
         `Version ${table.version} is not above version ${this.#table.version}, which is in force`;
-      observe({ kind: "configuration-ignored", why });
+      observe({ kind: "configuration-ignored", why, isUnreadable: false });
       return false;
     }
     this.#table = table;
@@ -125,6 +129,11 @@
     return true;
   }
 
+  /** Whether an entry names a target or removes one. */
+  isReadable(id: string, text: string): boolean {
+    return text === "" || this.#options.decodeTarget(id, text).ok;
+  }
+
   /** Whether applying an entry would change the state of its target. */
   isChange(id: string, text: string, nowMs: number): boolean {
     const known = this.#targets.get(id);
@@ -132,10 +141,8 @@
       return known !== undefined && known.goneAtMs === null;
     }
     const decoded = this.#options.decodeTarget(id, text);
-    if (!decoded.ok) {
-      return true;
-    }
-    return this.#describeStaleness(decoded.val) === undefined &&
+    return decoded.ok &&
+      this.#describeStaleness(decoded.val) === undefined &&
       (known === undefined || known.goneAtMs !== null ||
         !isSameState(known.target, decoded.val) ||
         isColdLonger(known.target, decoded.val, nowMs));
@@ -153,12 +160,12 @@
     }
     const decoded = this.#options.decodeTarget(id, text);
     if (!decoded.ok) {
-      this.#reportIgnored(id, decoded.val);
+      this.#reportIgnored(id, decoded.val, true);
       return;
     }
     const staleness = this.#describeStaleness(decoded.val);
     if (staleness !== undefined) {
-      this.#reportIgnored(id, staleness);
+      this.#reportIgnored(id, staleness, false);
       return;
     }
     this.#setTarget(decoded.val, options.nowMs);
@@ -391,8 +398,13 @@
       : undefined;
   }
 
-  #reportIgnored(targetId: string, why: string): void {
-    this.#options.observe({ kind: "target-ignored", targetId, why });
+  #reportIgnored(targetId: string, why: string, isUnreadable: boolean): void {
+    this.#options.observe({
+      kind: "target-ignored",
+      targetId,
+      why,
+      isUnreadable,
+    });
   }
 
   #setTarget(target: RoutingTarget, nowMs: number): void {
--- a/packages/gateway/src/views/catalogue_event.ts
+++ b/packages/gateway/src/views/catalogue_event.ts
@@ -9,7 +9,7 @@
     readonly version: number;
     readonly routes: number;
   }
-  | { readonly kind: "configuration-ignored"; readonly why: string }
+  | IgnoredEvent
   | {
     readonly kind: "target";
     readonly targetId: string;
@@ -21,11 +21,6 @@
       | "missing"
       | "gone";
   }
-  | {
-    readonly kind: "target-ignored";
-    readonly targetId: string;
-    readonly why: string;
-  }
   | {
     /**
      * A target is cold: it reported so, or its data centre has just been
@@ -44,6 +39,18 @@
     readonly targets: number;
   };
 
+/** An entry or a configuration that changes nothing. */
+export type IgnoredEvent =
+  & {
+    readonly why: string;
+    /** Whether it could not be decoded; otherwise it is out of date. */
+    readonly isUnreadable: boolean;
+  }
+  & (
+    | { readonly kind: "configuration-ignored" }
+    | { readonly kind: "target-ignored"; readonly targetId: string }
+  );
+
 /**
  * Why a target gets no new work: its entry says that it leaves or is missing
  * (`leaving`), a response of it says that it leaves (`reported-leaving`), or
--- a/packages/gateway/src/views/catalogue_test.ts
+++ b/packages/gateway/src/views/catalogue_test.ts
@@ -177,6 +177,17 @@
   assert.equal(events[0]?.kind, "target-ignored");
 });
 
+test("an unreadable entry of a known target leaves the target as it is and is not passed on", () => {
+  const { catalogue } = createCatalogue();
+  catalogue.applyTarget("a", formatTarget({}), NOW);
+  const before = catalogue.getTarget("a");
+  assert.ok(!catalogue.isChange("a", "garbage", 0));
+  assert.ok(!catalogue.isReadable("a", "garbage"));
+  assert.ok(catalogue.isReadable("a", ""));
+  catalogue.applyTarget("a", "garbage", NOW);
+  assert.deepEqual(catalogue.getTarget("a"), before);
+});
+
 test("a target that restarts under its id does not inherit the leaving state", () => {
   // A target reports that it is leaving, crashes and restarts under its id. If
   // the new incarnation counted as the old one, it would be leaving for good
--- a/packages/gateway/src/views/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -11,6 +11,7 @@
   WITNESSES_KEY,
 } from "@lentilspur/ownership/keeper_records";
 import { type Catalogue, EXPIRED_ENTRY_GRACE_MS } from "./catalogue.ts";
+import type { Fault } from "../fault.ts";
 import type { StoreLayout } from "../gateway_settings.ts";
 import type { KeyDirectory } from "./key_directory.ts";
 import type { Duties } from "../members/duties.ts";
@@ -46,7 +47,7 @@
   /** Fetches from the keeper the tables up to `end`, which were missed here. */
   readonly fetchTable: (part: number, keeper: string, end: number) => void;
   readonly observe: (event: PartitionViewEvent) => void;
-  readonly reportFault: (message: string) => void;
+  readonly reportFault: (fault: Fault) => void;
 }
 
 /**
--- a/packages/gateway/src/views/store_views_test.ts
+++ b/packages/gateway/src/views/store_views_test.ts
@@ -15,6 +15,7 @@
 import { encodeOffset } from "@lentilspur/ports/store_offset";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { Catalogue } from "./catalogue.ts";
+import type { Fault } from "../fault.ts";
 import { Duties } from "../members/duties.ts";
 import type { StoreLayout } from "../gateway_settings.ts";
 import { KeyDirectory } from "./key_directory.ts";
@@ -88,12 +89,12 @@
   constructor({
     peers = 20,
     hasReadMembers = true,
-    reportFault = assert.fail,
+    reportFault = (fault) => assert.fail(JSON.stringify(fault)),
   }: {
     readonly peers?: number;
     /** If not, the views begin while the store refuses this instance. */
     readonly hasReadMembers?: boolean;
-    readonly reportFault?: (message: string) => void;
+    readonly reportFault?: (fault: Fault) => void;
   } = {}) {
     this.write();
     for (const dataCentre of DATA_CENTRES) {
@@ -322,7 +323,7 @@
 });
 
 test("an evacuation of a data centre without targets is reported as a fault", async () => {
-  const faults: string[] = [];
+  const faults: Fault[] = [];
   const simulation = new StoreViewsSimulation({
     reportFault: (fault) => faults.push(fault),
   });
--- a/packages/gateway/src/views/view_relay.ts
+++ b/packages/gateway/src/views/view_relay.ts
@@ -76,10 +76,11 @@
     this.#options = options;
   }
 
-  /** Passes on the targets' entries that a read returned. */
+  /** Passes on the readable entries of targets that a read returned. */
   sendTargets(
     batch: RecordBatch,
     isChange: (record: StoreRecord) => boolean,
+    isReadable: (record: StoreRecord) => boolean,
   ): void {
     const { duties, instance: from } = this.#options;
     const receivers = duties.isReader()
@@ -95,7 +96,9 @@
     const changedKeys = new Set(
       batch.records.filter(isChange).map(({ key }) => key),
     );
-    const records = batch.records.filter(({ key }) => changedKeys.has(key));
+    const records = batch.records.filter((record) =>
+      changedKeys.has(record.key) && isReadable(record)
+    );
     for (const chunk of splitBatch({ ...batch, records })) {
       const message: TargetsMessage = { kind: "targets", from, ...chunk };
       if (!this.#options.send(receivers, message)) {
--- a/packages/gateway/src/views/view_relay_targets_test.ts
+++ b/packages/gateway/src/views/view_relay_targets_test.ts
@@ -102,6 +102,7 @@
         relay.sendTargets(
           batch,
           ({ key, value }) => known.get(key) !== value,
+          () => true,
         ),
     });
     this.views.set(name, view);
--- a/packages/proof/src/audit.ts
+++ b/packages/proof/src/audit.ts
@@ -49,7 +49,7 @@
 }
 
 /** Fields of a report of dropped lines, each a total. */
-const PRIORITIES = ["routine", "notable", "repeated"] as const;
+const PRIORITIES = ["routine", "notable", "repeated", "unreadable"] as const;
 
 interface RequestLog {
   readonly sends: SendLine[];
