fix(members): a member record with an odd port no longer ends every process

A record in the members' partition with the port 70000, 1.5, 0 or -1 ended each instance that read it: any number was taken, and `dgram.send` throws on such a port in the loop that sends heartbeats. A record with a huge number of cores ranked first for all duties.

The last good record of the instance stands, as before.

--- a/packages/cli/src/store_session.ts
+++ b/packages/cli/src/store_session.ts
@@ -7,7 +7,7 @@
   parsePublication,
   type Publication,
 } from "@lentilspur/declarations/publication";
-import { type Member, parseMember } from "@lentilspur/gateway/members/members";
+import { decodeMember, type Member } from "@lentilspur/gateway/members/members";
 import { choosePartition } from "@lentilspur/gateway/keeper/service_partition";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import {
@@ -118,9 +118,10 @@
       return Err(read.val);
     }
     return Ok(
-      read.val.records.flatMap(({ key, value }) =>
-        parseMember(key, value) ?? []
-      ),
+      read.val.records.flatMap(({ key, value }) => {
+        const member = decodeMember(key, value);
+        return member.ok ? [member.val] : [];
+      }),
     );
   }
 
--- a/packages/gateway/src/members/duties_test.ts
+++ b/packages/gateway/src/members/duties_test.ts
@@ -145,9 +145,9 @@
   const later = serializeMember({ ...other!, incarnation: "2" });
   members.apply(instance, later, { offset: 7, nowMs: 0 });
   const earlier = serializeMember(other!);
-  assert.ok(members.apply(instance, earlier, { offset: 3, nowMs: 0 }));
+  assert.ok(members.apply(instance, earlier, { offset: 3, nowMs: 0 }).ok);
   assert.ok(members.hasEnded({ instance, incarnation: "1" }));
-  assert.ok(!members.apply(instance, "{}", { offset: 9, nowMs: 0 }));
+  assert.ok(!members.apply(instance, "{}", { offset: 9, nowMs: 0 }).ok);
   assert.equal(members.get(instance)?.incarnation, "2");
 });
 
--- a/packages/gateway/src/members/member_publisher.ts
+++ b/packages/gateway/src/members/member_publisher.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "@lentilspur/ports/clock";
 import type { Partition, Store } from "@lentilspur/ports/store";
 import { encodeOffset, getEra } from "@lentilspur/ports/store_offset";
-import { type Member, parseMember, serializeMember } from "./members.ts";
+import { decodeMember, type Member, serializeMember } from "./members.ts";
 
 export interface MemberPublisherOptions {
   readonly clock: Clock;
@@ -65,9 +65,8 @@
   /** Writes the record if the members, as they were read, lack it. */
   handleSnapshot(snapshot: MembersSnapshot): void {
     const { instance, incarnation } = this.#options.member;
-    const known = snapshot.ownRecord === undefined
-      ? undefined
-      : parseMember(instance, snapshot.ownRecord);
+    const decoded = decodeMember(instance, snapshot.ownRecord ?? "");
+    const known = decoded.ok ? decoded.val : undefined;
     this.#startNumber ??= computeStartNumber(snapshot.end, known);
     if (known?.incarnation === incarnation) {
       this.#options.onFound();
--- a/packages/gateway/src/members/members.ts
+++ b/packages/gateway/src/members/members.ts
@@ -4,6 +4,17 @@
  * records of instances that are gone for good are kept, so a datagram is sent
  * to their addresses now and then.
  */
+import {
+  decodeJson,
+  describeValue,
+  isName,
+  isOptional,
+  isPort,
+  isWhole,
+  isWithin,
+  toObject,
+} from "@lentilspur/outcomes/json_boundary";
+import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Membership } from "@lentilspur/routing/retry_budget";
 import { hashToUint32 } from "./stable_hash.ts";
 
@@ -47,6 +58,13 @@
 const ALIVE_MS = 1_600;
 /** For records without this field, which earlier versions wrote. */
 const DEFAULT_CORES = 1;
+const MAX_CORES = 4_096;
+/** A record is announced in a datagram. */
+const MAX_RECORD_LENGTH = 4_096;
+/** Start numbers follow offsets, of which 2^52 is in era 450,000. */
+const MAX_START_NUMBER = 2 ** 52;
+/** A host name or an IP address. */
+const HOST = /^[\w.:-]+$/;
 
 /** What an instance last reported, and when. */
 interface LastContact {
@@ -97,34 +115,34 @@
    * Applies a record that was read from the store or received from an instance.
    * An instance that is new here or has restarted counts as alive until
    * `ALIVE_MS` have passed. This includes the old records that are read after a
-   * start of this instance. Returns false and leaves the record out if the text
-   * is no member's record.
+   * start of this instance. Fails and leaves the record out if the text is no
+   * member's record.
    */
   apply(
     instance: string,
     text: string,
     { offset, nowMs }: { readonly offset: number; readonly nowMs: number },
-  ): boolean {
+  ): Result<void, string> {
     if (offset <= (this.#offsets.get(instance) ?? -1)) {
-      return true;
+      return Ok(undefined);
     }
     if (text === "") {
       this.#members.delete(instance);
     } else {
-      const member = parseMember(instance, text);
-      if (member === undefined) {
-        return false;
+      const decoded = decodeMember(instance, text);
+      if (!decoded.ok) {
+        return Err(decoded.val);
       }
       // After a restore of the store, an older record has a higher offset.
-      if (isEarlierStart(member, this.#members.get(instance))) {
-        return true;
+      if (isEarlierStart(decoded.val, this.#members.get(instance))) {
+        return Ok(undefined);
       }
-      this.#setMember(member, nowMs);
+      this.#setMember(decoded.val, nowMs);
     }
     this.#offsets.set(instance, offset);
     this.#peers = undefined;
     this.#ranked = undefined;
-    return true;
+    return Ok(undefined);
   }
 
   recordContact(instance: string, nowMs: number): void {
@@ -286,35 +304,68 @@
   return JSON.stringify(fields);
 }
 
-/** Returns undefined if the text is no member's record. */
-export function parseMember(
+/** Fails if the text is no member's record that this instance can use. */
+export function decodeMember(
   instance: string,
   text: string,
-): Member | undefined {
-  try {
-    const value = JSON.parse(text) as Partial<Member> | null;
-    const { incarnation, dataCentre, host, port, statusPort } = value ?? {};
-    const { cores = DEFAULT_CORES, startNumber, forwardPort } = value ?? {};
-    const start = Number.isInteger(startNumber)
-      ? { startNumber: startNumber! }
-      : {};
-    return typeof incarnation === "string" && typeof host === "string" &&
-        typeof dataCentre === "string" && typeof port === "number" &&
-        typeof statusPort === "number" && typeof cores === "number"
-      ? {
-        instance,
-        incarnation,
-        ...start,
-        dataCentre,
-        host,
-        port,
-        statusPort,
-        ...(typeof forwardPort === "number" ? { forwardPort } : {}),
-        cores,
-      }
-      : undefined;
-  } catch {
-    // Not JSON; the caller logs that the record was left out.
-    return undefined;
+): Result<Member, string> {
+  const decoded = decodeJson(text, { maxLength: MAX_RECORD_LENGTH });
+  if (!decoded.ok) {
+    return Err(`The record ${decoded.val}`);
+  }
+  const fields = toObject(decoded.val);
+  const { incarnation, dataCentre, host, port, statusPort } = fields;
+  const { cores = DEFAULT_CORES, startNumber, forwardPort } = fields;
+  if (!isName(incarnation) || !isName(dataCentre)) {
+    return createFieldError(
+      "incarnation, dataCentre",
+      incarnation,
+      dataCentre,
+    );
+  }
+  if (!isName(host) || !HOST.test(host)) {
+    return createFieldError("host", host);
+  }
+  if (
+    !isPort(port) || !isPort(statusPort) || !isOptional(forwardPort, isPort)
+  ) {
+    return createFieldError(
+      "port, statusPort, forwardPort",
+      port,
+      statusPort,
+      forwardPort,
+    );
+  }
+  if (!isWithin(cores, MAX_CORES)) {
+    return createFieldError("cores", cores);
   }
+  if (!isOptional(startNumber, isStartNumber)) {
+    return createFieldError("startNumber", startNumber);
+  }
+  return Ok({
+    instance,
+    incarnation,
+    ...(startNumber === undefined ? {} : { startNumber }),
+    dataCentre,
+    host,
+    port,
+    statusPort,
+    ...(forwardPort === undefined ? {} : { forwardPort }),
+    cores,
+  });
+}
+
+function isStartNumber(value: unknown): value is number {
+  return isWhole(value, { max: MAX_START_NUMBER });
+}
+
+function createFieldError(
+  names: string,
+  ...values: readonly unknown[]
+): Result<Member, string> {
+  return Err(
+    `The record cannot have ${names} of ${
+      values.map(describeValue).join(", ")
+    }`,
+  );
 }
--- a/packages/gateway/src/peers/peer_dispatcher.ts
+++ b/packages/gateway/src/peers/peer_dispatcher.ts
@@ -6,6 +6,7 @@
 import type { Duties } from "../members/duties.ts";
 import type { KeeperService } from "../keeper/keeper_service.ts";
 import type { KeyTraffic } from "../keeper/key_traffic.ts";
+import type { Fault } from "../fault.ts";
 import type { LoadExchange } from "./load_exchange.ts";
 import type { LeavingTargets } from "../requests/leaving_targets.ts";
 import type { Members } from "../members/members.ts";
@@ -34,7 +35,7 @@
   readonly leaving: LeavingTargets;
   readonly rateLimiter: TargetRateLimiter;
   readonly tables: TableRequests;
-  readonly reportFault: (message: string) => void;
+  readonly reportFault: (fault: Fault) => void;
 }
 
 export class PeerDispatcher {
@@ -137,8 +138,12 @@
 
   #applyMember({ from, record, offset }: MemberMessage): void {
     const { clock, members, reportFault } = this.#options;
-    if (!members.apply(from, record, { offset, nowMs: clock.readMs() })) {
-      reportFault(`Cannot decode the record that member "${from}" sent`);
+    const applied = members.apply(from, record, {
+      offset,
+      nowMs: clock.readMs(),
+    });
+    if (!applied.ok) {
+      reportFault({ record: "member", key: from, why: applied.val });
     }
   }
 }
--- a/packages/gateway/src/views/store_views.ts
+++ b/packages/gateway/src/views/store_views.ts
@@ -451,8 +451,12 @@
     if (key === members.ownInstance) {
       this.#reportMembersRead();
     }
-    if (!members.apply(key, value, { offset, nowMs: clock.readMs() })) {
-      this.#options.reportFault(`Cannot decode the record of member "${key}"`);
+    const applied = members.apply(key, value, {
+      offset,
+      nowMs: clock.readMs(),
+    });
+    if (!applied.ok) {
+      this.#options.reportFault({ record: "member", key, why: applied.val });
     }
   }
 
@@ -471,7 +475,7 @@
       nowMs: this.#options.clock.readMs(),
     });
     if (fault !== undefined) {
-      reportFault(`Invalid ownership table of service "${service}": ${fault}`);
+      reportFault({ record: "table", key: service, why: fault });
     }
   }
 }
--- a/packages/outcomes/src/json_boundary.ts
+++ b/packages/outcomes/src/json_boundary.ts
@@ -81,6 +81,14 @@
     (value as number) <= max;
 }
 
+/** Whether the field is missing, or its value passes the check. */
+export function isOptional<Value>(
+  value: unknown,
+  isValue: (value: unknown) => value is Value,
+): value is Value | undefined {
+  return value === undefined || isValue(value);
+}
+
 /** Whether the value is a number from 0 to `max`. */
 export function isWithin(value: unknown, max: number): value is number {
   return typeof value === "number" && value >= 0 && value <= max;
