test(trials): tell how far a request had got that a planned stop cut off

checkPlannedStop named only the instance and "cut off". It now also gives the request, when it was sent after the signal, how long it was open, what the client library reports, which target had started it (by the targets' history, since an attempt without a response has no id), and when the process was gone. What is checked is the same.

--- /dev/null
+++ b/packages/trials/src/start/planned_stop.ts
@@ -0,0 +1,65 @@
+/** Describes attempts that a planned stop failed, so that they can be traced. */
+import type { TargetRun } from "@lentilspur/ports/fake_target";
+import type { CallerRecord } from "../traffic/caller_record.ts";
+
+export interface PlannedStop {
+  readonly instance: string;
+  /** When the instance got its signal, and when its process was gone. */
+  readonly signalledAtMs: number;
+  readonly endedAtMs: number;
+}
+
+export interface StopObservations {
+  readonly records: readonly CallerRecord[];
+  readonly runs: readonly TargetRun[];
+}
+
+export function describeFailedAttempt(
+  record: CallerRecord,
+  { instance, signalledAtMs, endedAtMs }: PlannedStop,
+  observations: StopObservations,
+): string {
+  const { requestId, entry, method, path, outcome } = record;
+  const { errorKind, cause, sentAtMs, receivedAtMs, deadlineMs } = record;
+  const runs = listUnansweredRuns(record, observations).map((run) =>
+    `started on ${run.target} as ${run.requestId} after ${
+      Math.round(run.startedAtMs - sentAtMs)
+    } ms and ${
+      run.endedAtMs === null
+        ? "did not end"
+        : `ended after ${Math.round(run.endedAtMs - sentAtMs)} ms`
+    }`
+  );
+  return [
+    `"${requestId ?? "no id"}" through ${entry} ended as ${outcome} ` +
+    `(${errorKind ?? cause ?? "cut off"}) during the stop of ${instance}`,
+    `${method} ${path} with ${
+      deadlineMs === undefined
+        ? "the default deadline"
+        : `a deadline of ${deadlineMs} ms`
+    }`,
+    `sent ${Math.round(sentAtMs - signalledAtMs)} ms after the signal`,
+    `open for ${Math.round(receivedAtMs - sentAtMs)} ms`,
+    runs.length === 0 ? "started on no target" : runs.join(" and "),
+    `the process ended ${Math.round(endedAtMs - signalledAtMs)} ms after it`,
+  ].join("; ");
+}
+
+/**
+ * Lists the runs that may be those of an attempt. Without a response it has no
+ * id, so runs for the same path count unless another attempt got their response.
+ */
+function listUnansweredRuns(
+  { requestId, path, sentAtMs, receivedAtMs }: CallerRecord,
+  { records, runs }: StopObservations,
+): readonly TargetRun[] {
+  const candidates = runs.filter((run) =>
+    run.path === path && run.startedAtMs >= sentAtMs &&
+    run.startedAtMs <= receivedAtMs
+  );
+  return candidates.filter((run) =>
+    run.requestId === requestId ||
+    (requestId === undefined &&
+      !records.some((record) => record.requestId === run.requestId))
+  );
+}
--- a/packages/trials/src/start/trial.ts
+++ b/packages/trials/src/start/trial.ts
@@ -23,7 +23,13 @@
   type InstanceProcess,
   waitUntil,
 } from "./deployment_processes.ts";
-import { buildReport, type TrialReport } from "./trial_report.ts";
+import { describeFailedAttempt, type PlannedStop } from "./planned_stop.ts";
+import {
+  buildReport,
+  listRuns,
+  loadHistory,
+  type TrialReport,
+} from "./trial_report.ts";
 
 export interface TrialOptions {
   readonly deployment: Deployment;
@@ -189,13 +195,15 @@
    * Stops an instance as planned, and reports each attempt during the stop that
    * `isFailed` matches, through whichever instance it came. Where other faults
    * are active, `isFailed` must match only attempts that the stop cut off.
+   * Returns how long the process ran on, in milliseconds.
    */
   async checkPlannedStop(
     instance: InstanceProcess,
     isFailed: (record: CallerRecord) => boolean,
-  ): Promise<void> {
-    const stoppedAtMs = readMonotonicMs();
+  ): Promise<number> {
+    const signalledAtMs = readMonotonicMs();
     const code = await this.processes.stopInstance(instance);
+    const endedAtMs = readMonotonicMs();
     if (code !== 0) {
       this.failedChecks.push(
         `${instance.name} exited with code "${code}" after a planned stop, not 0`,
@@ -203,13 +211,26 @@
     }
     await sleep(RESPONSE_DELAY_MS);
     const failed = this.traffic.records.filter((record) =>
-      record.receivedAtMs >= stoppedAtMs && isFailed(record)
+      record.receivedAtMs >= signalledAtMs && isFailed(record)
     );
-    for (const { requestId, entry, outcome, errorKind } of failed) {
-      this.failedChecks.push(
-        `"${requestId ?? "no id"}" through ${entry} ended as ${outcome} ` +
-          `(${errorKind ?? "cut off"}) during the stop of ${instance.name}`,
-      );
+    this.#reportFailed(failed, {
+      instance: instance.name,
+      signalledAtMs,
+      endedAtMs,
+    });
+    return Math.round(endedAtMs - signalledAtMs);
+  }
+
+  #reportFailed(failed: readonly CallerRecord[], stop: PlannedStop): void {
+    if (failed.length === 0) {
+      return;
+    }
+    const { historyFile, targetExits } = this.processes;
+    const runs = listRuns(loadHistory(historyFile).runs, targetExits);
+    const { records } = this.traffic;
+    for (const record of failed) {
+      this.failedChecks
+        .push(describeFailedAttempt(record, stop, { records, runs }));
     }
   }
 
--- a/packages/trials/src/start/trial_report.ts
+++ b/packages/trials/src/start/trial_report.ts
@@ -145,7 +145,7 @@
 }
 
 /** Loads what the targets recorded, one JSON object per line. */
-function loadHistory(file: string): TargetHistory {
+export function loadHistory(file: string): TargetHistory {
   const text = existsSync(file) ? readFileSync(file, "utf8") : "";
   const lines = text.split("\n").filter((line) => line !== "")
     .map((line) => JSON.parse(line) as HistoryLine);
@@ -164,7 +164,7 @@
  * The last record of each run counts; a run without an end ended when its
  * target's process did.
  */
-function listRuns(
+export function listRuns(
   records: readonly TargetRun[],
   targetExits: readonly TargetExit[],
 ): readonly TargetRun[] {
--- a/packages/trials/src/traffic/caller.ts
+++ b/packages/trials/src/traffic/caller.ts
@@ -17,6 +17,8 @@
   readonly method: string;
   readonly path: string;
   readonly idempotent: boolean;
+  /** How long the caller waits; the template's default if missing. */
+  readonly deadlineMs?: number;
 }
 
 export interface CallerOptions {
@@ -83,9 +85,8 @@
   ): Promise<CallerRecord> {
     const entry = this.#chooseInstance();
     const sentAtMs = readMonotonicMs();
-    const { template, key, idempotent } = logicalRequest;
     const { clientAccount } = this.#options;
-    const subject = { clientAccount, template, key, idempotent, wantedId };
+    const subject = { clientAccount, ...logicalRequest, wantedId };
     const response = await this.#fetch(logicalRequest, entry);
     const receivedAtMs = readMonotonicMs();
     return { ...subject, entry, ...response, sentAtMs, receivedAtMs };
@@ -95,12 +96,18 @@
     logicalRequest: LogicalRequest,
     entry: string,
   ): Promise<ResponseFields> {
+    const { deadlineMs } = logicalRequest;
     try {
       const response = await request(`http://${entry}${logicalRequest.path}`, {
         method: logicalRequest.method,
         dispatcher: this.#agent,
         signal: AbortSignal.timeout(ATTEMPT_TIMEOUT_MS),
-        headers: { authorization: `Bearer ${this.#options.credential}` },
+        headers: {
+          authorization: `Bearer ${this.#options.credential}`,
+          ...(deadlineMs === undefined
+            ? {}
+            : { "lentilspur-deadline-ms": String(deadlineMs) }),
+        },
       });
       const body = new Uint8Array(await response.body.arrayBuffer());
       const { headers, statusCode: status } = response;
@@ -112,10 +119,10 @@
       });
     } catch (error) {
       // Without a complete response, a caller knows nothing about the outcome.
-      const { code } = error as NodeJS.ErrnoException;
+      const { code, message } = error as NodeJS.ErrnoException;
       return code === "ECONNREFUSED"
         ? { outcome: "none", isConnectionRefused: true }
-        : { outcome: "none" };
+        : { outcome: "none", cause: `${code ?? "no code"}: ${message}` };
     }
   }
 
--- a/packages/trials/src/traffic/caller_record.ts
+++ b/packages/trials/src/traffic/caller_record.ts
@@ -12,7 +12,11 @@
   readonly clientAccount: string;
   readonly template: string;
   readonly key: string;
+  readonly method: string;
+  readonly path: string;
   readonly idempotent: boolean;
+  /** The deadline that the caller named; the template's default if missing. */
+  readonly deadlineMs?: number;
   /** Id of the caller's request; all attempts at it have the same. */
   readonly wantedId: string;
   /** Id in the response; absent without a response. */
@@ -22,6 +26,8 @@
   readonly outcome: CallerOutcome;
   /** Whether the instance refused the connection, so that nothing was sent. */
   readonly isConnectionRefused?: true;
+  /** Why no complete response arrived, as the client library names it. */
+  readonly cause?: string;
   readonly status?: number;
   /** Set where lentilspur refused or failed the request. */
   readonly errorKind?: string;
--- a/packages/trials/src/traffic/violations_test.ts
+++ b/packages/trials/src/traffic/violations_test.ts
@@ -29,6 +29,8 @@
     clientAccount: "nile",
     template: "demands",
     key: "case-9",
+    method: "POST",
+    path: "/demands/case-9",
     idempotent: false,
     wantedId: "w1",
     requestId: "a",
