test(trials): soak with repeated signals, pauses and series of planned stops

A planned stop was alone: one SIGTERM to one instance that stayed running, and requests whose work takes 2 or 3 ms. New faults, drawn only where they are named: further SIGTERM, SIGINT and SIGHUP during the grace period; SIGHUP 0.05 to 0.3 s before SIGTERM; SIGSTOP just after SIGTERM; a data centre, or all instances but one, stopped in series; and requests whose work takes 0.6 to 0.97 of their timeout, sent to the instances that stop as long as there are any. All use the check of instance-stopped.

--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -65,6 +65,8 @@
   /** Whether the target runs only requests for keys that it holds. */
   readonly keyed: boolean;
   readonly workMs: number;
+  /** Work time of a single request; `workMs` if undefined. */
+  readonly getWorkMs?: (request: TargetRequest) => number | undefined;
   /** Called when a run starts and when it ends. */
   readonly observeRun?: (run: TargetRun) => void;
   readonly observeHold?: (change: HoldChange) => void;
@@ -237,7 +239,8 @@
   }
 
   async #runToEnd(request: TargetRequest): Promise<TargetReply> {
-    const { clock, keyed, workMs, isFatal, isRefused } = this.#options;
+    const { clock, keyed, isFatal, isRefused } = this.#options;
+    const workMs = this.#options.getWorkMs?.(request) ?? this.#options.workMs;
     const { body, ...fields } = request;
     const { key } = fields;
     const token = keyed ? this.findToken(key) : 0;
--- a/packages/trials/src/soak/soak_cli.ts
+++ b/packages/trials/src/soak/soak_cli.ts
@@ -84,7 +84,7 @@
       long: "faults",
       type: FaultList,
       description:
-        "Faults to draw from, separated by commas; by default, all but responses-repeated",
+        "Faults to draw from, separated by commas; by default, all before responses-repeated",
       defaultValue: () => DEFAULT_FAULTS,
     }),
   },
--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -48,13 +48,18 @@
   "target-link-resetting",
   "target-link-delaying",
   "responses-repeated",
+  "instance-stopped-again",
+  "instance-stopped-after-reload",
+  "instance-paused-while-stopping",
+  "instances-stopped-at-once",
+  "targets-slow",
 ] as const;
 
 export type SoakFault = typeof SOAK_FAULTS[number];
 
 /** Drawn by default; another length would change what every seed draws. */
 export const DEFAULT_FAULTS: readonly SoakFault[] = SOAK_FAULTS
-  .filter((fault) => fault !== "responses-repeated");
+  .slice(0, SOAK_FAULTS.indexOf("responses-repeated"));
 
 /** Longer than the operating system takes to report the end of a process. */
 const EXIT_DELAY_MS = 1_000;
@@ -67,6 +72,22 @@
 /** Time after a restore of the store before the next one. */
 const RESTORE_PAUSES_MS = [300, 4_000];
 const JOINED_MS = [3_000, 9_000];
+/** The grace period that instances have by default. */
+const GRACE_PERIOD_MS = 6_000;
+const STOP_SIGNALS = ["SIGTERM", "SIGINT"] as const;
+/** Time from a reload to the stop signal. */
+const MIN_RELOAD_MS = 50;
+const MAX_RELOAD_MS = 300;
+/** Longest time between the stops of two instances. */
+const MAX_STOP_INTERVAL_MS = 1_000;
+const STOP_PAUSES_MS = [200, 700, 1_500];
+const STOP_EXTENTS = ["data-centre", "all-but-one"] as const;
+/** Requests whose work takes a large share of their timeout. */
+const SLOW_MS = [6_000, 9_000];
+const SLOW_REQUEST_INTERVAL_MS = 250;
+const MIN_SLOW_SHARE = 0.6;
+const MAX_SLOW_SHARE = 0.97;
+const SLOW_DEADLINES_MS = [undefined, undefined, 3_000];
 /** Orders that a disturbance holds up arrive within this time after it. */
 const HELD_UP_MS = 1_000;
 /** A fatal request is sent this many times, `FATAL_INTERVAL_MS` apart. */
@@ -201,6 +222,14 @@
         return await this.#failLink("target", "delaying");
       case "responses-repeated":
         return await this.#injectCopies();
+      case "instance-stopped-again":
+      case "instance-stopped-after-reload":
+      case "instance-paused-while-stopping":
+        return await this.#stopInstance(fault);
+      case "instances-stopped-at-once":
+        return await this.#stopInstances();
+      case "targets-slow":
+        return await this.#sendSlowRequests();
     }
   }
 
@@ -218,10 +247,7 @@
         await this.#restartInstance(instance);
         break;
       case "instance-stopped":
-        await this.#trial.checkPlannedStop(
-          instance,
-          (record) => isCutOff(record, instance),
-        );
+        await this.#checkPlannedStop(instance);
         await this.#restartInstance(instance);
         break;
       case "instance-paused":
@@ -234,6 +260,130 @@
     return instance.name;
   }
 
+  /** Returns a description. */
+  async #checkPlannedStop(
+    instance: InstanceProcess,
+    disturb?: () => Promise<void>,
+  ): Promise<string> {
+    const tookMs = await this.#trial.checkPlannedStop(
+      instance,
+      (record) => isCutOff(record, instance),
+      disturb,
+    );
+    return `${instance.name} ended after ${tookMs} ms`;
+  }
+
+  /** Stops an instance, and sends it further signals before or meanwhile. */
+  async #stopInstance(
+    fault:
+      | "instance-stopped-again"
+      | "instance-stopped-after-reload"
+      | "instance-paused-while-stopping",
+  ): Promise<string> {
+    const { instances } = this.#trial.processes;
+    const instance = this.#takeUnused(instances, ({ name }) => name);
+    if (instance === undefined) {
+      return `${SKIPPED}: no instance is available`;
+    }
+    const { name, child } = instance;
+    const described: string[] = [];
+    switch (fault) {
+      case "instance-stopped-again": {
+        const signals = [
+          this.#drawValue(STOP_SIGNALS),
+          this.#drawValue(STOP_SIGNALS),
+          "SIGHUP" as const,
+        ].map((signal) => ({
+          signal,
+          afterMs: Math.round(GRACE_PERIOD_MS * this.#random.draw()),
+        }));
+        const stop = await this.#checkPlannedStop(instance, async () => {
+          await Promise.all(signals.map(async ({ signal, afterMs }) => {
+            await sleep(afterMs);
+            child.send(signal);
+          }));
+        });
+        described.push(
+          stop,
+          ...signals.map(({ signal, afterMs }) => `${signal} ${afterMs} ms`),
+        );
+        break;
+      }
+      case "instance-stopped-after-reload":
+        child.send("SIGHUP");
+        await sleep(
+          MIN_RELOAD_MS + (MAX_RELOAD_MS - MIN_RELOAD_MS) * this.#random.draw(),
+        );
+        described.push(await this.#checkPlannedStop(instance));
+        break;
+      case "instance-paused-while-stopping": {
+        const pauseMs = this.#drawValue(STOP_PAUSES_MS);
+        const stop = await this.#checkPlannedStop(instance, async () => {
+          const fromMs = readMonotonicMs();
+          child.send("SIGSTOP");
+          await sleep(pauseMs);
+          child.send("SIGCONT");
+          this.#recordHeldUpOrders(fromMs, readMonotonicMs());
+        });
+        described.push(stop, `paused for ${pauseMs} ms`);
+        break;
+      }
+    }
+    await this.#restartInstance(instance);
+    this.#inUse.delete(name);
+    return described.join(", ");
+  }
+
+  /** Stops the instances of a data centre, or all but one, in series. */
+  async #stopInstances(): Promise<string> {
+    const stopped = this.#takeInstances(this.#drawInstances(STOP_EXTENTS));
+    if (stopped.length === 0) {
+      return `${SKIPPED}: no instance is available`;
+    }
+    const stops: Promise<string>[] = [];
+    for (const instance of stopped) {
+      const stop = async (): Promise<string> => {
+        const description = await this.#checkPlannedStop(instance);
+        await this.#restartInstance(instance);
+        this.#inUse.delete(instance.name);
+        return description;
+      };
+      stops.push(stop());
+      await sleep(MAX_STOP_INTERVAL_MS * this.#random.draw());
+    }
+    return (await Promise.all(stops)).join(", ");
+  }
+
+  /** Sends requests that targets take long for, to those that stop if any. */
+  async #sendSlowRequests(): Promise<string> {
+    if (this.#inUse.has("slow")) {
+      return `${SKIPPED}: requests are slow already`;
+    }
+    this.#inUse.add("slow");
+    const durationMs = this.#drawValue(SLOW_MS);
+    const endMs = readMonotonicMs() + durationMs;
+    const sent: Promise<void>[] = [];
+    while (readMonotonicMs() < endMs) {
+      const share = MIN_SLOW_SHARE +
+        (MAX_SLOW_SHARE - MIN_SLOW_SHARE) * this.#random.draw();
+      const deadlineMs = this.#drawValue(SLOW_DEADLINES_MS);
+      sent.push(this.#trial.traffic.sendSlowRequest({ share, deadlineMs }));
+      await sleep(SLOW_REQUEST_INTERVAL_MS);
+    }
+    await Promise.all(sent);
+    this.#inUse.delete("slow");
+    return `${sent.length} requests in ${durationMs} ms`;
+  }
+
+  /** Takes those of the named instances that no other fault uses. */
+  #takeInstances(names: readonly string[]): readonly InstanceProcess[] {
+    const taken = this.#trial.processes.instances.filter(({ name }) =>
+      names.includes(name) && !this.#inUse.has(name)
+    );
+    taken.forEach(({ name }) => this.#inUse.add(name));
+    return taken;
+  }
+
   /** Kills all instances that no other fault uses, as a power failure does. */
   async #killInstances(): Promise<string> {
     const { processes } = this.#trial;
@@ -248,12 +398,8 @@
 
   /** Pauses some instances together, once or several times. */
   async #injectPauses(): Promise<string> {
-    const { processes } = this.#trial;
     const names = this.#drawInstances();
-    const paused = processes.instances.filter(({ name }) =>
-      names.includes(name) && !this.#inUse.has(name)
-    );
-    paused.forEach(({ name }) => this.#inUse.add(name));
+    const paused = this.#takeInstances(names);
     const lengths: number[] = [];
     const times = this.#drawValue(SERIES_COUNTS);
     for (let count = 0; count < times; count++) {
@@ -513,10 +659,7 @@
     const instance = await processes.startInstance();
     this.#inUse.add(instance.name);
     await sleep(this.#drawValue(JOINED_MS));
-    await this.#trial.checkPlannedStop(
-      instance,
-      (record) => isCutOff(record, instance),
-    );
+    await this.#checkPlannedStop(instance);
     this.#inUse.delete(instance.name);
     this.#inUse.delete("joined");
     return instance.name;
@@ -560,12 +703,14 @@
   }
 
   /** Draws one instance, several, a data centre, all but one, or all. */
-  #drawInstances(): readonly string[] {
+  #drawInstances(
+    extents: readonly (typeof PATH_LOSS_EXTENTS[number])[] = PATH_LOSS_EXTENTS,
+  ): readonly string[] {
     const { processes } = this.#trial;
     const names = processes.instances.map(({ name }) => name);
     const [first = "", ...others] = names
       .toSorted(() => this.#random.draw() - 0.5);
-    switch (this.#drawValue(PATH_LOSS_EXTENTS)) {
+    switch (this.#drawValue(extents)) {
       case "one":
         return [first];
       case "several":
--- a/packages/trials/src/standins/standin_cli.ts
+++ b/packages/trials/src/standins/standin_cli.ts
@@ -11,6 +11,7 @@
 import { StoreServer } from "@lentilspur/platform/standins/store_server";
 import { TargetServer } from "@lentilspur/platform/standins/target_server";
 import { FATAL_PARAMETER } from "../traffic/fatal_request.ts";
+import { parseWorkMs } from "../traffic/slow_request.ts";
 import type {
   HoldChange,
   TargetArrival,
@@ -107,6 +108,7 @@
       clock,
       keyed: !unkeyed,
       isFatal: ({ path }) => path?.includes(FATAL_PARAMETER) === true,
+      getWorkMs: ({ path }) => parseWorkMs(path ?? ""),
       // Like a crashed process, reports nothing and leaves its entry in the
       // store.
       observeCrash: () => process.exit(CRASH_EXIT_CODE),
--- a/packages/trials/src/start/trial.ts
+++ b/packages/trials/src/start/trial.ts
@@ -80,6 +80,7 @@
   readonly targetDisturbances: HolderDisturbance[] = [];
   readonly failedChecks: string[] = [];
   readonly #options: TrialOptions;
+  readonly #stoppingAddresses = new Set<string>();
   #startRecords: readonly CallerRecord[] = [];
   readonly #stopController = new AbortController();
 
@@ -99,6 +100,7 @@
       listReadyAddresses: () => this.balancer.listReadyAddresses(),
       listRunningAddresses: () =>
         this.processes.instances.map(({ address }) => address),
+      listStoppingAddresses: () => [...this.#stoppingAddresses],
       steadyPerSecond,
     });
   }
@@ -195,15 +197,22 @@
    * Stops an instance as planned, and reports each attempt during the stop that
    * `isFailed` matches, through whichever instance it came. Where other faults
    * are active, `isFailed` must match only attempts that the stop cut off.
-   * Returns how long the process ran on, in milliseconds.
+   * `disturb` is called just after the signal. Returns how long the process ran
+   * on, in milliseconds.
    */
   async checkPlannedStop(
     instance: InstanceProcess,
     isFailed: (record: CallerRecord) => boolean,
+    disturb: () => Promise<void> = () => Promise.resolve(),
   ): Promise<number> {
     const signalledAtMs = readMonotonicMs();
-    const code = await this.processes.stopInstance(instance);
+    this.#stoppingAddresses.add(instance.address);
+    const stopped = this.processes.stopInstance(instance);
+    const disturbed = disturb();
+    const code = await stopped;
     const endedAtMs = readMonotonicMs();
+    this.#stoppingAddresses.delete(instance.address);
+    await disturbed;
     if (code !== 0) {
       this.failedChecks.push(
         `${instance.name} exited with code "${code}" after a planned stop, not 0`,
--- a/packages/trials/src/traffic/deployment.ts
+++ b/packages/trials/src/traffic/deployment.ts
@@ -16,6 +16,8 @@
   readonly path: string;
   /** Fraction of all requests. */
   readonly fraction: number;
+  /** The template's default deadline. */
+  readonly timeoutMs: number;
 }
 
 export interface CallerAccount {
@@ -51,18 +53,21 @@
       method: "GET",
       path: "/case-files/{key}",
       fraction: 0.6,
+      timeoutMs: 1_000,
     },
     {
       template: "demands",
       method: "POST",
       path: "/case-files/{key}/demands",
       fraction: 0.2,
+      timeoutMs: 2_000,
     },
     {
       template: "ledger",
       method: "POST",
       path: "/ledger/{key}/settlements",
       fraction: 0.2,
+      timeoutMs: 2_000,
     },
   ],
   accounts: [
@@ -96,18 +101,21 @@
       method: "GET",
       path: "/calendars/{key}",
       fraction: 0.6,
+      timeoutMs: 800,
     },
     {
       template: "reservations",
       method: "POST",
       path: "/reservations/{key}/holds",
       fraction: 0.2,
+      timeoutMs: 2_000,
     },
     {
       template: "payments",
       method: "POST",
       path: "/payments/{key}/deposits",
       fraction: 0.2,
+      timeoutMs: 3_000,
     },
   ],
   accounts: [
--- a/packages/trials/src/traffic/traffic_generator.ts
+++ b/packages/trials/src/traffic/traffic_generator.ts
@@ -6,8 +6,9 @@
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { Caller, type LogicalRequest } from "./caller.ts";
 import type { CallerRecord } from "./caller_record.ts";
-import type { CallerAccount, Deployment } from "./deployment.ts";
+import type { CallerAccount, Deployment, RequestKind } from "./deployment.ts";
 import { markFatal } from "./fatal_request.ts";
+import { markSlow } from "./slow_request.ts";
 
 const KEY_COUNT = 24;
 const HOT_KEY_FRACTION = 0.25;
@@ -21,6 +22,8 @@
   readonly listReadyAddresses: () => readonly string[];
   /** Addresses of the instances whose process has not ended. */
   readonly listRunningAddresses: () => readonly string[];
+  /** Addresses of the instances that stop as planned. */
+  readonly listStoppingAddresses: () => readonly string[];
   /**
    * Requests per second of callers who wait for no response and keep to their
    * instances until the process is gone.
@@ -35,6 +38,8 @@
   readonly #callers: readonly Caller[];
   /** One for each client account. */
   readonly #steadyCallers: readonly Caller[];
+  /** Sends to instances that stop as long as there are any. */
+  readonly #slowCaller: Caller;
   #running: readonly Promise<void>[] = [];
 
   constructor(options: TrafficGeneratorOptions) {
@@ -49,6 +54,10 @@
     this.#steadyCallers = deployment.accounts.map((account) =>
       this.#createCaller(account, listRunningAddresses)
     );
+    this.#slowCaller = this.#createCaller(deployment.accounts[0]!, () => {
+      const stopping = options.listStoppingAddresses();
+      return stopping.length > 0 ? stopping : listRunningAddresses();
+    });
   }
 
   #createCaller(
@@ -77,9 +86,8 @@
     this.#stopController.abort();
     await Promise.all(this.#running);
     await Promise.all(
-      [...this.#callers, ...this.#steadyCallers].map((caller) =>
-        caller.close()
-      ),
+      [...this.#callers, ...this.#steadyCallers, this.#slowCaller]
+        .map((caller) => caller.close()),
     );
   }
 
@@ -105,6 +113,25 @@
       .push(await this.#callers[0]!.sendOnce(markFatal(logicalRequest, name)));
   }
 
+  /** Sends a request whose work takes a share of its timeout. */
+  async sendSlowRequest(
+    { share, deadlineMs }: {
+      readonly share: number;
+      readonly deadlineMs: number | undefined;
+    },
+  ): Promise<void> {
+    const { random } = this.#options;
+    const kind = this.#drawKind();
+    const key = this.#makeKey(Math.floor(random.draw() * KEY_COUNT));
+    const workMs = share * (deadlineMs ?? kind.timeoutMs);
+    this.records.push(
+      await this.#slowCaller.sendOnce({
+        ...markSlow(makeRequest(kind, key), workMs),
+        ...(deadlineMs === undefined ? {} : { deadlineMs }),
+      }),
+    );
+  }
+
   /**
    * Sends one request of each kind for each key except the hot key; returns
    * whether all of them ran.
@@ -151,13 +178,18 @@
     this.records.push(await caller.sendOnce(this.#drawRequest()));
   }
 
-  #drawRequest(): LogicalRequest {
+  #drawKind(): RequestKind {
     const { deployment, random } = this.#options;
     let remaining = random.draw();
-    const kind = deployment.requests.find((each) => {
+    return deployment.requests.find((each) => {
       remaining -= each.fraction;
       return remaining < 0;
     }) ?? deployment.requests[0]!;
+  }
+
+  #drawRequest(): LogicalRequest {
+    const { deployment, random } = this.#options;
+    const kind = this.#drawKind();
     const key = random.draw() < HOT_KEY_FRACTION
       ? deployment.hotKey
       : this.#makeKey(Math.floor(random.draw() * KEY_COUNT));
@@ -170,7 +202,7 @@
 }
 
 function makeRequest(
-  kind: Deployment["requests"][number],
+  kind: RequestKind,
   key: string,
 ): LogicalRequest {
   return {
