fix(ownership): odd tables and claims in the ownership topic are left out

Tables were accepted with ports, tokens and start times that nothing can use, such as 10.0.0.1:70000 and 1e300. A claim with `unresolved` that is no list of keepers was accepted and would have thrown where it is filtered, and one with a term above the offset of its record made the terms of all later claims lower.

Tables, claims and witnesses are decoded through `decodeJson` and checked field by field. The term of a claim is at most the offset of its record, since it is the offset at which the claim was to be appended. An unreadable claim still starts a term of its offset, as before, and its successor waits the longest.

--- a/packages/gateway/src/keeper/keeper_service.ts
+++ b/packages/gateway/src/keeper/keeper_service.ts
@@ -257,7 +257,7 @@
   /** The keeper that the partition's record names. */
   findKeeper(part: number): KeeperClaim | undefined {
     const record = this.#options.getView(part)?.getRecord(KEEPER_KEY);
-    return record === undefined ? undefined : parseClaim(record.value);
+    return record === undefined ? undefined : parseClaim(record);
   }
 
   /** Hands over all partitions before this instance shuts down. */
@@ -701,7 +701,7 @@
   #hasActiveClaim(view: PartitionView): boolean {
     const { claim: own, hasInstanceEnded } = this.#options;
     const record = view.getRecord(KEEPER_KEY);
-    const claim = record && parseClaim(record.value);
+    const claim = record && parseClaim(record);
     if (claim === undefined) {
       return record !== undefined;
     }
@@ -713,5 +713,5 @@
 /** The term of the newest claim that a view contains. */
 function findTerm(view: PartitionView): number | undefined {
   const record = view.getRecord(KEEPER_KEY);
-  return record && (parseClaim(record.value)?.term ?? record.offset);
+  return record && (parseClaim(record)?.term ?? record.offset);
 }
--- a/packages/outcomes/src/json_boundary.ts
+++ b/packages/outcomes/src/json_boundary.ts
@@ -22,6 +22,7 @@
 /** A key of a record, which names targets and instances, has at most 255 bytes. */
 export const MAX_NAME_LENGTH = 255;
 const LAST_PORT = 65_535;
+const ENDPOINT = /^([\w.-]+):(\d{1,5})$/;
 
 export function decodeJson(
   text: string,
@@ -98,6 +99,12 @@
   return isWhole(value, { min: 1, max: LAST_PORT });
 }
 
+/** Whether the value is `host:port`. */
+export function isEndpoint(value: unknown): value is string {
+  const [, , port] = isName(value) ? ENDPOINT.exec(value) ?? [] : [];
+  return isPort(Number(port));
+}
+
 /** Whether the value is a name: a string that is neither empty nor too long. */
 export function isName(value: unknown): value is string {
   return isText(value, MAX_NAME_LENGTH) && value !== "";
@@ -107,6 +114,10 @@
   return typeof value === "string" && value.length <= maxLength;
 }
 
+export function isBoolean(value: unknown): value is boolean {
+  return typeof value === "boolean";
+}
+
 export function isListOf<Item>(
   value: unknown,
   isItem: (item: unknown) => item is Item,
--- a/packages/ownership/src/key_table.ts
+++ b/packages/ownership/src/key_table.ts
@@ -7,6 +7,14 @@
  * must not be granted before each of them has released it, has provably ended,
  * or its hold has expired. Any keeper can resume from the table after a crash.
  */
+import {
+  decodeJson,
+  isEndpoint,
+  isName,
+  isOptional,
+  isWhole,
+  toObject,
+} from "@lentilspur/outcomes/json_boundary";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import { hasOverlap, LAST_KEY } from "@lentilspur/ports/key_orders";
 
@@ -242,17 +250,21 @@
   return JSON.stringify(compact);
 }
 
+/** Four times the longest record that the store takes. */
+const MAX_TABLE_LENGTH = 1_048_576;
+/** Tokens follow offsets, of which 2^52 is in era 450,000. */
+const MAX_TOKEN = 2 ** 52;
+
 /**
  * Fails if the text is not a table, or if its ranges do not cover all keys in
  * order.
  */
 export function parseTable(text: string): Result<KeyTable, string> {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch (error) {
-    return Err(`The ownership table is not valid JSON: ${String(error)}`);
+  const decoded = decodeJson(text, { maxLength: MAX_TABLE_LENGTH });
+  if (!decoded.ok) {
+    return Err(`The ownership table ${decoded.val}`);
   }
+  const value = decoded.val;
   if (!isCompactTable(value)) {
     return Err("The ownership table lacks ranges, owners or tokens");
   }
@@ -297,11 +309,11 @@
 }
 
 function isCompactTable(value: unknown): value is CompactTable {
-  const { targets, ranges } = (value ?? {}) as Partial<CompactTable>;
+  const { targets, ranges } = toObject(value);
   return Array.isArray(targets) && targets.every(isTarget) &&
     Array.isArray(ranges) &&
     ranges.every((range) =>
-      Array.isArray(range) && range.length > 2 && range.every(Number.isInteger)
+      Array.isArray(range) && range.length > 2 && range.every(isTableNumber)
     );
 }
 
@@ -310,8 +322,12 @@
     return false;
   }
   const [id, address, bornMs] = value as unknown[];
-  return typeof id === "string" && typeof address === "string" &&
-    (bornMs === undefined || Number.isInteger(bornMs));
+  return isName(id) && isEndpoint(address) && isOptional(bornMs, isTableNumber);
+}
+
+/** Whether the value can be a key, an index, a token or a start time. */
+function isTableNumber(value: unknown): value is number {
+  return isWhole(value, { max: MAX_TOKEN });
 }
 
 function splitForChange(
--- a/packages/ownership/src/partition_state.ts
+++ b/packages/ownership/src/partition_state.ts
@@ -1,4 +1,14 @@
 /** Parses the records of one partition of the ownership table. */
+import {
+  decodeJson,
+  isBoolean,
+  isListOf,
+  isOptional,
+  isText,
+  isWhole,
+  MAX_NAME_LENGTH,
+  toObject,
+} from "@lentilspur/outcomes/json_boundary";
 import type { StoreRecord } from "@lentilspur/ports/store";
 import { getEra } from "@lentilspur/ports/store_offset";
 import {
@@ -11,6 +21,14 @@
 } from "./keeper_records.ts";
 import { type KeyTable, parseTable } from "./key_table.ts";
 
+/** Four times the longest record that the store takes. */
+const LIMITS = { maxLength: 1_048_576 };
+/** Terms and start numbers follow offsets; 2^52 is in era 450,000. */
+const MAX_TERM = 2 ** 52;
+/** More than the instances of the planned size. */
+const MAX_WITNESSES = 20_000;
+const MAX_UNRESOLVED = 20_000;
+
 export interface PartitionState {
   /** Term of the newest claim; undefined if no keeper has claimed yet. */
   readonly term: number | undefined;
@@ -44,7 +62,7 @@
   let witnesses: KeeperWitnesses | undefined;
   for (const { key, value, offset } of records) {
     if (key === KEEPER_KEY) {
-      claim = parseClaim(value);
+      claim = parseClaim({ value, offset });
       // A resignation is a claim record as well, so it ends the term of its
       // keeper.
       term = claim?.term ?? offset;
@@ -81,29 +99,58 @@
     : [];
 }
 
+/** Without readable witnesses, a successor waits the longest. */
 function parseWitnesses(text: string): KeeperWitnesses | undefined {
-  try {
-    const value = JSON.parse(text) as KeeperWitnesses | null;
-    return Number.isInteger(value?.term) && Array.isArray(value?.instances) &&
-        Array.isArray(value.unresolved)
-      ? value!
-      : undefined;
-  } catch {
-    // Without readable witnesses, a successor waits the longest.
-    return undefined;
-  }
+  const decoded = decodeJson(text, LIMITS);
+  const { term, instances, unresolved } = toObject(
+    decoded.ok ? decoded.val : undefined,
+  );
+  return isTerm(term) && isListOf(instances, isIncarnation, MAX_WITNESSES) &&
+      isListOf(unresolved, isUnresolvedKeeper, MAX_UNRESOLVED)
+    ? { term, instances, unresolved }
+    : undefined;
 }
 
-export function parseClaim(text: string): KeeperClaim | undefined {
-  try {
-    const claim = JSON.parse(text) as KeeperClaim | null;
-    return typeof claim?.instance === "string" &&
-        typeof claim.incarnation === "string" &&
-        (claim.term === undefined || Number.isInteger(claim.term))
-      ? claim
-      : undefined;
-  } catch {
-    // The content is lost, but the record still starts a new term.
-    return undefined;
-  }
+/**
+ * Undefined if the content cannot be read; the record still starts a new term.
+ * The term of a claim is not above the offset of its record.
+ */
+export function parseClaim(
+  { value: text, offset }: Pick<StoreRecord, "value" | "offset">,
+): KeeperClaim | undefined {
+  const decoded = decodeJson(text, LIMITS);
+  const value = decoded.ok ? decoded.val : undefined;
+  return isClaim(value) && (value.term ?? 0) <= offset ? value : undefined;
+}
+
+function isClaim(value: unknown): value is KeeperClaim {
+  const { instance, incarnation, term, startNumber, resigned, canLapse } =
+    toObject(value);
+  const { unresolved } = toObject(value);
+  return isText(instance, MAX_NAME_LENGTH) &&
+    isText(incarnation, MAX_NAME_LENGTH) && isOptional(term, isTerm) &&
+    isOptional(startNumber, isTerm) && isOptional(resigned, isBoolean) &&
+    isOptional(canLapse, isBoolean) &&
+    (unresolved === undefined ||
+      isListOf(unresolved, isUnresolvedKeeper, MAX_UNRESOLVED));
+}
+
+function isUnresolvedKeeper(value: unknown): value is UnresolvedKeeper {
+  const { witnesses, term, replacedForMs } = toObject(value);
+  return isClaim(value) && isTerm(term) &&
+    isListOf(witnesses, isIncarnation, MAX_WITNESSES) &&
+    isOptional(replacedForMs, isNumber);
+}
+
+/** Whether the value can be a term or a start number. */
+function isTerm(value: unknown): value is number {
+  return isWhole(value, { min: -1, max: MAX_TERM });
+}
+
+function isIncarnation(value: unknown): value is string {
+  return isText(value, 2 * MAX_NAME_LENGTH);
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === "number";
 }
