fix(peers): a peer port in use no longer leaves an instance half started

PeerTransport.open waited for an event that does not come if the port cannot be bound: the start never ended, the instance accepted connections and was never ready.

--- a/packages/gateway/src/peers/peer_transport.ts
+++ b/packages/gateway/src/peers/peer_transport.ts
@@ -63,9 +63,16 @@
     return this.#socket.address().port;
   }
 
+  /** Rejects if the port cannot be bound. */
   open(): Promise<void> {
     const { host, port } = this.#options;
-    return new Promise((resolve) => this.#socket.bind(port, host, resolve));
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(port, host, () => {
+        this.#socket.off("error", reject);
+        resolve();
+      });
+    });
   }
 
   close(): void {
