fix(platform): a signal while the program loads no longer ends it

The daemon installed its handlers after the whole program was loaded. A SIGHUP in that time ended the process, though it only says that the settings have changed. scripts/launch.cjs installs listeners before it loads the bundle; since loading does not return to the event loop, Node.js delivers such a signal to the handlers of `start`: SIGHUP reads the settings again, SIGTERM and SIGINT stop the process in order.

The test starts the bundle, which sends itself the signal before its first line. Before the fix the process ended by signal SIGTERM, the first of the three tried; now SIGTERM and SIGINT end with code 0 and the lines of a stop, and SIGHUP is followed by a reload.

--- a/scripts/launch.cjs
+++ b/scripts/launch.cjs
@@ -8,8 +8,15 @@
 const { readFileSync } = require("node:fs");
 const { wrap } = require("node:module");
 const { join } = require("node:path");
+const process = require("node:process");
 const { Script } = require("node:vm");
 
+// Without a listener, a signal that arrives while the program loads would end
+// the process. Node.js delivers it after `start` has installed its own.
+for (const signal of ["SIGHUP", "SIGINT", "SIGTERM"]) {
+  process.on(signal, () => {});
+}
+
 const filename = join(__dirname, "daemon.cjs");
 const script = new Script(wrap(readFileSync(filename, "utf8")), {
   filename,
