fix(cli): a further signal no longer ends lentilspur serve at once

waitForStopSignal waited for one SIGTERM or SIGINT and guarded against further SIGTERMs only: a SIGINT after either, or a SIGHUP at any time, had the default action and cut off the requests in progress. The listeners of all three stay now, and SIGHUP stops the instance in order: it has no settings file that could be read again.

--- a/packages/cli/src/command_context.ts
+++ b/packages/cli/src/command_context.ts
@@ -3,7 +3,6 @@
  * passes those of the process, tests pass fakes.
  */
 import { randomUUID } from "node:crypto";
-import { once } from "node:events";
 import process from "node:process";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { InstancePorts } from "@lentilspur/gateway/instance_options";
@@ -14,6 +13,9 @@
 import { fetchInstanceStatus, type StatusFetcher } from "./instance_status.ts";
 import type { ServeSettings } from "./setting_values.ts";
 
+/** A process whose terminal closes receives SIGHUP. */
+const STOP_SIGNALS = ["SIGTERM", "SIGINT", "SIGHUP"] as const;
+
 /** A store client that keeps connections open until `close`. */
 export interface StoreConnection extends Store {
   close(): void;
@@ -43,7 +45,7 @@
   startInstance(
     settings: ServeSettings,
   ): Promise<Result<RunningInstance, string>>;
-  /** Resolves when this process receives SIGTERM or SIGINT. */
+  /** Resolves when this process receives SIGTERM, SIGINT or SIGHUP. */
   waitForStopSignal(): Promise<void>;
 }
 
@@ -76,8 +78,12 @@
   }
 }
 
-async function waitForStopSignal(): Promise<void> {
-  await Promise.race([once(process, "SIGTERM"), once(process, "SIGINT")]);
-  // Ignores a further SIGTERM, which would abort the requests in progress.
-  process.on("SIGTERM", () => {});
+function waitForStopSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    // The listeners stay: without one, a further signal would end the process
+    // and abort the requests in progress.
+    for (const signal of STOP_SIGNALS) {
+      process.on(signal, () => resolve());
+    }
+  });
 }
--- a/packages/cli/src/commands/serve.ts
+++ b/packages/cli/src/commands/serve.ts
@@ -1,4 +1,4 @@
-/** `lentilspur serve`: runs one instance until SIGTERM or SIGINT. */
+/** `lentilspur serve`: runs one instance until a signal stops it. */
 import { command, option, optional, string } from "cmd-ts";
 import type { CommandContext } from "../command_context.ts";
 import { EXIT_CODES, type ExitCode } from "../exit_codes.ts";
@@ -16,7 +16,7 @@
   return command({
     name: "serve",
     description:
-      "Run one instance. SIGTERM or SIGINT stops it gracefully: it leaves the load balancer, hands over its duties, finishes every request in progress and exits with 0. Each setting is a flag or an environment variable; the flag takes precedence",
+      "Run one instance. SIGTERM, SIGINT or SIGHUP stops it gracefully: it leaves the load balancer, hands over its duties, finishes every request in progress and exits with 0. Each setting is a flag or an environment variable; the flag takes precedence",
     examples: [
       {
         description: "An instance in Bole",
