test(trials): let targets end what they run before the history is checked

Traced: the request had waited at calendars-2 for a place until its hold was released, so its run lapsed without an effect, but 0.4 s after the history had been read; without an end it counted as running for ever. Its caller had had its answer before. The report now waits up to 10 s for such runs. What is checked is the same.

--- a/packages/trials/src/start/trial.ts
+++ b/packages/trials/src/start/trial.ts
@@ -8,6 +8,7 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Random } from "@lentilspur/ports/clock";
+import type { TargetRun } from "@lentilspur/ports/fake_target";
 import { request } from "undici";
 import { readMonotonicMs } from "../traffic/caller.ts";
 import type { RetryLimits } from "@lentilspur/routing/retry_budget";
@@ -65,6 +66,8 @@
 const PATHS_LOST_SETTLED_MS = 3_000;
 /** They serve at least this often, relative to the others. */
 const SERVED_ALIKE_SHARE = 0.95;
+/** Targets end what they run within this time after the last request. */
+const RUNS_TIMEOUT_MS = 10_000;
 /** Time for responses in flight to reach the callers' records. */
 const RESPONSE_DELAY_MS = 500;
 
@@ -139,6 +142,11 @@
   async stopAndReport(): Promise<TrialReport> {
     await this.traffic.stop();
     await this.#checkVersions();
+    // A target may work on a request that its caller no longer waits for.
+    await waitUntil(
+      () => Promise.resolve(this.#listRuns().every(hasEnded)),
+      RUNS_TIMEOUT_MS,
+    );
     this.#writeRecords();
     const report = await buildReport({
       deployment: this.#options.deployment,
@@ -230,12 +238,16 @@
     return Math.round(endedAtMs - signalledAtMs);
   }
 
+  #listRuns(): readonly TargetRun[] {
+    const { historyFile, targetExits } = this.processes;
+    return listRuns(loadHistory(historyFile).runs, targetExits);
+  }
+
   #reportFailed(failed: readonly CallerRecord[], stop: PlannedStop): void {
     if (failed.length === 0) {
       return;
     }
-    const { historyFile, targetExits } = this.processes;
-    const runs = listRuns(loadHistory(historyFile).runs, targetExits);
+    const runs = this.#listRuns();
     const { records } = this.traffic;
     for (const record of failed) {
       this.failedChecks
@@ -356,6 +368,10 @@
     record.errorKind === "account-over-limit";
 }
 
+function hasEnded({ endedAtMs }: TargetRun): boolean {
+  return endedAtMs !== null;
+}
+
 async function readVersion(instance: InstanceProcess): Promise<unknown> {
   try {
     const url = `http://${instance.statusAddress}/status`;
