fix(gateway): count a stop from before the standstill in which its signal came

A process that stood still when SIGTERM came handled the signal after it and took a whole grace period from then, so that the platform killed it with requests in progress.

The registry remembers a standstill for the event loop round in which signals are handled. Only the stop asks for it.

--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -296,7 +296,8 @@
   async stop(timing: ShutdownTiming): Promise<void> {
     const { clock } = this.#options;
     // A signal that is handled after a stall may have come at its beginning.
-    const startedAtMs = clock.readMs() - this.#services.readStallMs();
+    const startedAtMs = clock.readMs() -
+      this.#services.readRecentStallMs();
     this.#stopAdmission.start({
       estimatesUntilMs: startedAtMs + timing.estimatesUntilMs,
       lastResponseMs: startedAtMs + timing.lastResponseMs,
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -88,6 +88,7 @@
   readonly #peerTargets = new Map<string, readonly string[]>();
   #retryLimits: RetryLimits;
   #lastTickAtMs = Infinity;
+  #endedStallMs = 0;
   #tickMs = IDLE_TICK_MS;
   readonly #gaps = new RequestGaps();
   /** Late requests that are not reported yet. */
@@ -159,6 +160,12 @@
   }
 
   #recordTick(nowMs: number): void {
+    const lateMs = nowMs - this.#lastTickAtMs - this.#tickMs;
+    if (lateMs > MIN_STALL_MS) {
+      this.#endedStallMs = lateMs;
+      // Signals that came meanwhile are handled in the next event loop round.
+      setImmediate(() => setImmediate(() => this.#endedStallMs = 0));
+    }
     this.#lastTickAtMs = nowMs;
     this.#ticksMs.push(nowMs);
     if (this.#ticksMs.length > UNREAD_TICKS) {
@@ -187,6 +194,13 @@
     return sinceMs > this.#tickMs + MIN_STALL_MS ? sinceMs - this.#tickMs : 0;
   }
 
+  /**
+   * The same, also just after the stall: timers run before signals are handled.
+   */
+  readRecentStallMs(): number {
+    return Math.max(this.readStallMs(), this.#endedStallMs);
+  }
+
   /** Resolves to undefined if the caller disconnects meanwhile. */
   waitForPlace(
     service: string,
