fix(gateway): a log that nobody reads any more does not end the process

When the process that reads standard output ends, the next write fails with EPIPE, and the error event of the stream had no listener: the instance ended with code 1 and cut off its requests. The logger ignores such errors; its lines are lost, as they are when the reader falls behind.

--- a/packages/gateway/src/structured_logger.ts
+++ b/packages/gateway/src/structured_logger.ts
@@ -62,6 +62,9 @@
 
   constructor(options: StructuredLoggerOptions) {
     this.#options = options;
+    // Without a listener, the error of a write that nobody reads any more would
+    // end the process.
+    options.stream.on("error", () => {});
     this.#winston = winston.createLogger({
       format: winston.format.printf((info) => String(info.message)),
       transports: [
