--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -1,6 +1,6 @@
 /**
- * Builds the project and runs the fuzz test of keepers:
- * `npm run fuzz -- --seed 77 --runs 250`. CI runs the same test with a fixed
+ * Builds the project and runs the fuzz tests of keepers and decoders:
+ * `npm run fuzz -- --seed 77 --runs 250`. CI runs the same tests with a fixed
  * seed and fewer runs.
  */
 import process from "node:process";
@@ -23,4 +23,7 @@
   "packages/gateway/dist/keeper/store_restore_fuzz_test.js",
   "packages/gateway/dist/keeper/ended_keeper_fuzz_test.js",
   "packages/gateway/dist/requests/request_quarantine_fuzz_test.js",
+  "packages/gateway/dist/peers/odd_datagrams_test.js",
+  "packages/ownership/dist/odd_records_test.js",
+  "platform/dist/decoder_fuzz_test.js",
 ]);
