fix(forwarding): forwarded requests and replies are checked field by field

A forwarded request with headers or excluded targets that are null, and a reply with a status of 1e300 or headers that are null, were taken as complete and reached the code that sends or answers. Both are decoded through `decodeJson` and each field is checked. A malformed request is answered as before, and a malformed reply counts as lost, so a request that may have run is not repeated.

Before: odd_messages_test failed, since the request with the headers [null] was decoded.

--- a/packages/gateway/src/forwarding/forwarded_request.ts
+++ b/packages/gateway/src/forwarding/forwarded_request.ts
@@ -3,6 +3,15 @@
  * peer, which carries out one attempt of it. Each message is JSON in one line,
  * followed by the body of the request or of the target's response.
  */
+import {
+  decodeJson,
+  isBoolean,
+  isListOf,
+  isObject,
+  isOptional,
+  isWhole,
+  toObject,
+} from "@lentilspur/outcomes/json_boundary";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { HeaderField } from "@lentilspur/ports/header_field";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
@@ -96,6 +105,11 @@
   "unknown",
 ] satisfies readonly ReachAnswer[];
 const NEWLINE = 10;
+/** The line before the body, with all headers of a request or response. */
+const MAX_HEAD_LENGTH = 1_048_576;
+const MAX_ITEMS = 100_000;
+/** Far more than any time; tokens follow offsets. */
+const MAX_AMOUNT = 2 ** 52;
 
 /** Undefined if the text is no complete query. */
 export function parseReachQuery(text: string): ReachQuery | undefined {
@@ -164,13 +178,10 @@
 }
 
 function parseObject<Fields>(text: string): Partial<Fields> | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    return typeof value === "object" && value !== null ? value : undefined;
-  } catch {
-    // Not JSON; the caller treats the message as malformed.
-    return undefined;
-  }
+  const decoded = decodeJson(text, { maxLength: MAX_HEAD_LENGTH });
+  return decoded.ok && isObject(decoded.val)
+    ? decoded.val as Partial<Fields>
+    : undefined;
 }
 
 function isForwardedRequest(
@@ -186,23 +197,23 @@
     fields.service,
   ];
   const numbers = [fields.remainingMs, fields.elapsedMs, fields.sends];
-  return texts.every((text) => typeof text === "string") &&
-    numbers.every((number) => Number.isFinite(number)) &&
-    Array.isArray(fields.headers) && Array.isArray(fields.excludedTargets) &&
-    typeof fields.isTrial === "boolean" &&
-    (fields.fingerprint === undefined ||
-      typeof fields.fingerprint === "string") &&
-    (fields.key === undefined || Number.isInteger(fields.key));
+  return texts.every(isString) && numbers.every(isNumber) &&
+    isListOf(fields.headers, isHeaderField, MAX_ITEMS) &&
+    isListOf(fields.excludedTargets, isString, MAX_ITEMS) &&
+    (fields.refusingOwner === null || isRefusingOwner(fields.refusingOwner)) &&
+    isOptional(fields.share, isShare) && isBoolean(fields.isTrial) &&
+    isOptional(fields.fingerprint, isString) &&
+    isOptional(fields.key, isWholeNumber);
 }
 
 function isForwardReply(reply: Partial<ForwardReply>): reply is ForwardReply {
   switch (reply.kind) {
     case "sent":
-      return typeof reply.targetId === "string" &&
-        typeof reply.outcome?.kind === "string";
+      return isString(reply.targetId) && isOptional(reply.token, isNumber) &&
+        isSendOutcome(reply.outcome);
     case "refused":
-      return typeof reply.failure === "string" &&
-        typeof reply.message === "string";
+      return isString(reply.failure) && isString(reply.message) &&
+        isOptional(reply.retryAfterMs, isNumber);
     case "unable":
       return typeof reply.reason === "string";
     case undefined:
@@ -210,3 +221,45 @@
       return false;
   }
 }
+
+function isSendOutcome(value: unknown): boolean {
+  const { kind, status, headers, cause, message } = toObject(value);
+  switch (kind) {
+    case "answered":
+      return isWhole(status, { min: 100, max: 999 }) &&
+        isListOf(headers, isHeaderField, MAX_ITEMS);
+    case "not-run":
+    case "unknown":
+      return isString(cause) && isString(message);
+    default:
+      return false;
+  }
+}
+
+function isHeaderField(value: unknown): value is HeaderField {
+  const { name, value: content } = toObject(value);
+  return isString(name) && isString(content);
+}
+
+function isRefusingOwner(value: unknown): value is RefusingOwner {
+  const { targetId, token } = toObject(value);
+  return isString(targetId) && isWholeNumber(token);
+}
+
+function isShare(value: unknown): value is AccountShare {
+  const { clientAccount, weight } = toObject(value);
+  return isString(clientAccount) && isNumber(weight);
+}
+
+/** The length of the whole message bounds the text. */
+function isString(value: unknown): value is string {
+  return typeof value === "string";
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === "number" && Math.abs(value) <= MAX_AMOUNT;
+}
+
+function isWholeNumber(value: unknown): value is number {
+  return isWhole(value, { max: MAX_AMOUNT });
+}
--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -23,6 +23,7 @@
   "packages/gateway/dist/keeper/store_restore_fuzz_test.js",
   "packages/gateway/dist/keeper/ended_keeper_fuzz_test.js",
   "packages/gateway/dist/requests/request_quarantine_fuzz_test.js",
+  "packages/gateway/dist/forwarding/odd_messages_test.js",
   "packages/gateway/dist/peers/odd_datagrams_test.js",
   "packages/ownership/dist/odd_records_test.js",
   "platform/dist/decoder_fuzz_test.js",
