fix(gateway): read what has arrived before a stop ends

The class is that of the stop signal that is handled late.

Before each decision of the stop, the server goes on for rounds of the event loop until some bring neither a connection nor a request. New requests are refused first, and the listener is closed last.

--- a/packages/gateway/src/entry/graceful_shutdown.ts
+++ b/packages/gateway/src/entry/graceful_shutdown.ts
@@ -61,10 +61,7 @@
 const CHECK_INTERVAL_MS = 100;
 /** Interval at which open requests are checked once the time is over. */
 const FLUSH_INTERVAL_MS = 20;
-/**
- * Requests that had reached the operating system before the listener was closed
- * are read, and refused, within this time.
- */
+/** Requests on connections that are open are refused for this long at least. */
 const MIN_FLUSH_MS = 40;
 /** Longest time to write the last responses. */
 const MAX_FLUSH_MS = 100;
@@ -93,6 +90,7 @@
   const { server, countForwardedRequests, clock, timing, hasKeys } = options;
   const { startedAtMs, refuseLate } = options;
   for (;;) {
+    await server.readArrived();
     refuseLate();
     const nowMs = clock.readMs();
     const idleSinceMs = Math.max(startedAtMs, server.lastRequestAtMs);
@@ -110,14 +108,20 @@
   }
 }
 
-/** Resolves when the last responses are written, or after `MAX_FLUSH_MS`. */
+/**
+ * Resolves when the last responses are written and nothing more is accepted, or
+ * after `MAX_FLUSH_MS`.
+ */
 export async function waitUntilAnswered(
   server: RequestServer,
   clock: Clock,
 ): Promise<void> {
   const startedAtMs = clock.readMs();
+  await server.readArrived();
+  server.closeListener();
   for (;;) {
     await clock.sleep(FLUSH_INTERVAL_MS);
+    await server.readArrived();
     const sinceMs = clock.readMs() - startedAtMs;
     const isAnswered = server.openRequests === 0 && sinceMs >= MIN_FLUSH_MS;
     if (isAnswered || sinceMs >= MAX_FLUSH_MS) {
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -97,6 +97,10 @@
  */
 const BODY_TIMEOUT_MS = 10_000;
 const CHECK_INTERVAL_MS = 1_000;
+/** A connection is accepted in one round, and read in a later one. */
+const QUIET_ROUNDS = 4;
+/** More than the connections that wait to be accepted at once. */
+const MAX_ROUNDS = 1_000;
 /** Statuses whose responses have no body (RFC 9110). */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 /** Header that states whether the request ran, as far as it can be proved. */
@@ -124,6 +128,8 @@
   #isRefusing = false;
   #openRequests = 0;
   #lastRequestAtMs = -Infinity;
+  /** Number of connections and requests so far. */
+  #arrivals = 0;
 
   constructor(options: RequestServerOptions) {
     this.#options = options;
@@ -192,12 +198,34 @@
   }
 
   /**
-   * Accepts no more connections, and refuses requests on those that are open. A
-   * caller learns that its request has not run, and can send it to another
-   * instance; on a connection that is closed it would learn nothing.
+   * Refuses new requests. A caller learns that its request has not run, and can
+   * send it to another instance; on a connection that is closed it would learn
+   * nothing.
    */
   refuse(): void {
     this.#isRefusing = true;
+  }
+
+  /**
+   * Resolves when the connections and requests that have reached this machine
+   * are read. After a standstill of the process, timers run before these are,
+   * and a round of the event loop accepts few connections.
+   */
+  async readArrived(): Promise<void> {
+    let quietRounds = 0;
+    for (
+      let round = 0;
+      round < MAX_ROUNDS && quietRounds < QUIET_ROUNDS;
+      round++
+    ) {
+      const before = this.#arrivals;
+      await new Promise((resolve) => setImmediate(resolve));
+      quietRounds = this.#arrivals === before ? quietRounds + 1 : 0;
+    }
+  }
+
+  /** Accepts no more connections; those that are open stay so. */
+  closeListener(): void {
     // `Server.close` of `node:http` would also destroy connections whose
     // responses are still being flushed.
     ListeningServer.prototype.close.call(this.#server);
@@ -215,6 +243,7 @@
   }
 
   #addConnection(socket: Socket): void {
+    this.#arrivals++;
     const connection = new CallerConnection(socket);
     if (this.#isDraining) {
       connection.requests.drain();
@@ -235,6 +264,7 @@
     // A request that is read after a stall may have arrived at its beginning.
     const arrivedAtMs = clock.readMs() - readStallMs();
     this.#lastRequestAtMs = clock.readMs();
+    this.#arrivals++;
     this.#openRequests++;
     const controller = new AbortController();
     const request: ConnectionRequest = {
