--- a/packages/gateway/src/entry/caller_connection.ts
+++ b/packages/gateway/src/entry/caller_connection.ts
@@ -9,6 +9,9 @@
   ConnectionRequests,
 } from "./connection_requests.ts";
 
+/** A caller that does not end its side loses its connection after this. */
+const CLOSE_TIMEOUT_MS = 2_000;
+
 export class CallerConnection {
   readonly requests = new ConnectionRequests();
   readonly #socket: Socket;
@@ -16,6 +19,8 @@
 
   constructor(socket: Socket) {
     this.#socket = socket;
+    // The HTTP server calls it after the last response.
+    socket.destroySoon = () => this.#closeInOrder();
     socket.once("end", () => this.requests.leave(CALLER_DISCONNECTED));
     socket.once("close", () => this.requests.leave(CALLER_DISCONNECTED));
   }
@@ -34,6 +39,18 @@
     this.#updateReading();
   }
 
+  /**
+   * Ends the connection, and reads on until the caller has ended it too. A
+   * socket that is closed with unread bytes is reset, which would drop what the
+   * operating system has not sent yet of the responses.
+   */
+  #closeInOrder(): void {
+    const socket = this.#socket;
+    socket.end();
+    const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
+    socket.once("close", () => clearTimeout(timer));
+  }
+
   #updateReading(): void {
     if (this.requests.isFull) {
       this.#isPaused = true;
