--- a/packages/trials/src/soak/soak_faults.ts
+++ b/packages/trials/src/soak/soak_faults.ts
@@ -81,6 +81,8 @@
 /** Longest time between the stops of two instances. */
 const MAX_STOP_INTERVAL_MS = 1_000;
 const STOP_PAUSES_MS = [200, 700, 1_500];
+/** After the signal: at once, and shortly before the process ends. */
+const STOP_PAUSE_STARTS_MS = [0, GRACE_PERIOD_MS - 600];
 const STOP_EXTENTS = ["data-centre", "all-but-one"] as const;
 /** Requests whose work takes a large share of their timeout. */
 const SLOW_MS = [6_000, 9_000];
@@ -317,15 +319,17 @@
         described.push(await this.#checkPlannedStop(instance));
         break;
       case "instance-paused-while-stopping": {
+        const startMs = this.#drawValue(STOP_PAUSE_STARTS_MS);
         const pauseMs = this.#drawValue(STOP_PAUSES_MS);
         const stop = await this.#checkPlannedStop(instance, async () => {
+          await sleep(startMs);
           const fromMs = readMonotonicMs();
           child.send("SIGSTOP");
           await sleep(pauseMs);
           child.send("SIGCONT");
           this.#recordHeldUpOrders(fromMs, readMonotonicMs());
         });
-        described.push(stop, `paused for ${pauseMs} ms`);
+        described.push(stop, `paused after ${startMs} for ${pauseMs} ms`);
         break;
       }
     }
