fix(gateway): let no given-up send pass for a short request at a stop

A stopping instance gives up no overdue send, but the longest durations by which it admits requests came from a time in which it did.

A send that is given up counts as one that takes until its deadline, so that the estimate of its route admits nothing for a minute or two.

--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -239,9 +239,12 @@
       isOverdue,
     });
     const recordEnd = (outcome: SendOutcome, end?: StreamEnd): void => {
-      if (outcome.kind === "answered" || outcome.cause === "silent") {
-        const tookMs = clock.readMs() - sentAtMs;
-        this.#options.stopAdmission.recordDuration(route.name, tookMs);
+      const { stopAdmission } = this.#options;
+      if (isOverdue) {
+        // It may have taken until the deadline.
+        stopAdmission.recordDuration(route.name, remainingMs);
+      } else if (outcome.kind === "answered" || outcome.cause === "silent") {
+        stopAdmission.recordDuration(route.name, clock.readMs() - sentAtMs);
       }
       this.#recordOutcome(context, placed, {
         outcome,
