fix(forwarding): give up no silent peer during a stop

An instance that stops gives up no overdue send, since it may have no time left for another one, but it gave up a peer that was silent for 0.6 s or six times the usual time, and could then refuse the retry as one that outlasts it, while a target was at work.

--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -22,6 +22,7 @@
 } from "../requests/request_context.ts";
 import type { RequestReporter } from "../requests/request_reporter.ts";
 import { SendAbortController } from "../requests/send_abort_controller.ts";
+import type { StopAdmission } from "../requests/stop_admission.ts";
 import type {
   HeldRetry,
   ServiceRegistry,
@@ -45,6 +46,8 @@
   readonly paths: PathMonitor;
   readonly services: ServiceRegistry;
   readonly findTarget: (id: string) => TargetIncarnation | undefined;
+  /** During a stop, no silent peer is given up. */
+  readonly stopAdmission: Pick<StopAdmission, "isStopping">;
 }
 
 export interface ForwardTools {
@@ -267,7 +270,7 @@
     context: RequestContext,
     { claimRetry }: ForwardTools,
   ): SendAbortController {
-    const { clock, services } = this.#options;
+    const { clock, services, stopAdmission } = this.#options;
     const { request, route, service } = context;
     const abortController = new SendAbortController(request.signal);
     const runs = countRuns(context) + 1;
@@ -279,7 +282,10 @@
     const expectedMs = services.getAverageServiceMs(service) ?? 0;
     const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
     void clock.sleep(overdueMs, abortController.signal).then(() => {
-      if (!abortController.signal.aborted && claimRetry(context)) {
+      if (
+        !abortController.signal.aborted && !stopAdmission.isStopping &&
+        claimRetry(context)
+      ) {
         abortController.cancelOverdue();
       }
     });
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -498,6 +498,7 @@
       paths: this.#paths,
       services: this.#services,
       findTarget: (id) => this.#catalogue.getTarget(id),
+      stopAdmission: this.#stopAdmission,
     });
   }
 
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -160,6 +160,7 @@
       observe: () => undefined,
     });
     const forwarder = new RequestForwarder({
+      stopAdmission: this.stopAdmission,
       clock: this.clock,
       instance: self.instance,
       incarnation: self.incarnation,
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -413,8 +413,10 @@
     });
     const sender = { instance: name, incarnation: components.self.incarnation };
     const checker = new PathChecker({ ...sender, client, peers });
+    const stopAdmission = new StopAdmission(clock);
     const forwarder = new RequestForwarder({
       ...sender,
+      stopAdmission,
       clock,
       client,
       peers,
@@ -444,7 +446,7 @@
         send: (request) => this.#sendToTarget(name, request),
       },
       getWithdrawalGraceMs: () => 1_000,
-      stopAdmission: new StopAdmission(clock),
+      stopAdmission,
       isReadAheadUsedUp: () => false,
       observe: () => undefined,
     });
