fix(declarations): a publication with odd templates throws no more

A record under the key of the published declarations whose templates or accounts lacked fields passed the shallow check and threw a TypeError where the routing table is built, which ended the loop that reads the configuration.

The record is decoded through `decodeJson`, and an instance checks all fields that the table is built from before it builds it. The description of the faults is cut at 300 characters.

Before: odd_publications_test failed with "Cannot read properties of undefined (reading 'maxBodyBytes')" at buildRoutingTable.

--- a/packages/declarations/src/publication.ts
+++ b/packages/declarations/src/publication.ts
@@ -4,6 +4,7 @@
  * is appended only if no other record was appended since it was read. A version
  * and its history can therefore not diverge.
  */
+import { decodeJson } from "@lentilspur/outcomes/json_boundary";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { RoutingTable } from "@lentilspur/ports/routing_table";
 import { z } from "zod";
@@ -43,6 +44,10 @@
 const MAX_NOTES = 20;
 /** Per publication; a longer list, as of a new deployment, is truncated. */
 const MAX_CHANGE_LINES = 40;
+/** Sixteen times the longest record that the store takes. */
+const MAX_PUBLICATION_LENGTH = 4 * 1_048_576;
+/** Characters of the description of all faults. */
+const MAX_FAULTS_LENGTH = 300;
 
 const noteSchema = z.object({
   version: z.int().min(1),
@@ -53,7 +58,7 @@
 });
 
 const publicationSchema = z.object({
-  version: z.int().min(1),
+  version: z.int().min(1).max(2 ** 52),
   configuration: z.object({
     templates: z.array(z.object({ name: z.string() }).loose()),
     clientAccounts: z.array(z.object({ name: z.string() }).loose()),
@@ -61,6 +66,39 @@
   notes: z.array(noteSchema),
 });
 
+const amountSchema = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
+/** At most as long as a timer can wait. */
+const durationSchema = z.number().min(0).max(2 ** 31 - 1);
+
+/** The fields that `buildRoutingTable` reads. */
+const routedSchema = z.object({
+  templates: z.array(z.object({
+    routes: z.array(z.object({
+      method: z.string(),
+      path: z.string(),
+      idempotent: z.boolean(),
+    })),
+    deadlines: z.object({ defaultMs: durationSchema, maxMs: durationSchema }),
+    limits: z.object({
+      maxBodyBytes: amountSchema,
+      maxAnswerBytes: amountSchema,
+      maxQueuedPerTarget: amountSchema,
+      maxQueueMs: durationSchema,
+    }),
+    retry: z.object({ budgetRatio: amountSchema, maxAttempts: amountSchema }),
+  })),
+  clientAccounts: z.array(z.object({
+    credentialDigests: z.array(z.string()),
+    templates: z.array(z.object({
+      template: z.string(),
+      weight: amountSchema,
+      requestsPerSecond: amountSchema,
+      burst: amountSchema,
+      maxConcurrent: amountSchema,
+    })),
+  })),
+});
+
 /** Creates the version that follows `before`. */
 export function createPublication(
   before: Publication,
@@ -86,24 +124,35 @@
  * shallow, because only lentilspur's own commands write the record.
  */
 export function parsePublication(text: string): Result<Publication, string> {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch (error) {
-    return Err(`The publication is not valid JSON: ${String(error)}`);
+  const decoded = decodeJson(text, { maxLength: MAX_PUBLICATION_LENGTH });
+  if (!decoded.ok) {
+    return Err(`The publication ${decoded.val}`);
   }
-  const parsed = publicationSchema.safeParse(value);
+  const parsed = publicationSchema.safeParse(decoded.val);
   return parsed.success
     ? Ok(parsed.data as unknown as Publication)
-    : Err(`The publication is invalid: ${z.prettifyError(parsed.error)}`);
+    : createError(parsed.error);
 }
 
-/** Decodes the record into the routing table of an instance. */
+/**
+ * Decodes the record into the routing table of an instance. Checks all fields
+ * that the table is built from.
+ */
 export function decodePublishedRouting(
   text: string,
 ): Result<RoutingTable, string> {
   const parsed = parsePublication(text);
-  return parsed.ok
-    ? Ok(buildRoutingTable(parsed.val.configuration, parsed.val.version))
-    : Err(parsed.val);
+  if (!parsed.ok) {
+    return Err(parsed.val);
+  }
+  const { configuration, version } = parsed.val;
+  const checked = routedSchema.safeParse(configuration);
+  return checked.success
+    ? Ok(buildRoutingTable(configuration, version))
+    : createError(checked.error);
+}
+
+function createError(error: z.ZodError): Err<string> {
+  const faults = z.prettifyError(error).slice(0, MAX_FAULTS_LENGTH);
+  return Err(`The publication is invalid: ${faults}`);
 }
