--- a/packages/gateway/src/entry/graceful_shutdown.ts
+++ b/packages/gateway/src/entry/graceful_shutdown.ts
@@ -63,8 +63,8 @@
 const FLUSH_INTERVAL_MS = 20;
 /** Requests on connections that are open are refused for this long at least. */
 const MIN_FLUSH_MS = 40;
-/** Longest time to write the last responses. */
-const MAX_FLUSH_MS = 100;
+/** Longest time to write the last responses; within `STOP_MARGIN_MS`. */
+const MAX_FLUSH_MS = 250;
 
 export interface DrainOptions {
   readonly server: RequestServer;
