fix(peers): let no fault of a handler of messages end the process

The check of datagrams took over what the catch around their handling had hidden as invalid datagrams, and left no guard: a handler that throws on a message that passes the check would end the process and its requests. It is reported as what it is now, with the kind of the message, and the next message is handled.

--- a/packages/gateway/src/peers/peer_transport.ts
+++ b/packages/gateway/src/peers/peer_transport.ts
@@ -5,6 +5,7 @@
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Clock } from "@lentilspur/ports/clock";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
+import { MAX_QUOTED_LENGTH } from "@lentilspur/outcomes/json_boundary";
 import type { Fault } from "../fault.ts";
 import type { Member } from "../members/members.ts";
 import type { PeerMessage, PeerStatus } from "./peer_message.ts";
@@ -146,7 +147,7 @@
   #handleDatagram(data: Buffer, sender: RemoteInfo): void {
     const decoded = decodePeerMessage(data);
     if (decoded.ok) {
-      this.#options.handle(decoded.val);
+      this.#handleMessage(decoded.val, sender);
     } else {
       this.#options.reportFault({
         record: "datagram",
@@ -155,4 +156,16 @@
       });
     }
   }
+
+  /** A fault of a handler must not end the requests of this process. */
+  #handleMessage(message: PeerMessage, sender: RemoteInfo): void {
+    try {
+      this.#options.handle(message);
+    } catch (error) {
+      const reason = String(error).slice(0, MAX_QUOTED_LENGTH);
+      this.#options.reportFault(
+        `The "${message.kind}" message of ${sender.address} was not handled: ${reason}`,
+      );
+    }
+  }
 }
