fix(forwarding): hand back forwarded requests that wait when their peer stops

A peer that stopped kept requests of other instances that waited there until they got a place or the process ended; then the origin lost the hop and told its caller that the outcome was unknown, although no target had the request. They are handed back as "stopping" as soon as they could outlast the peer, and the origin asks another one. The test fails without that.

What a target is working on for another instance when the peer ends is still lost to the origin (unknown).

--- a/packages/gateway/src/forwarding/forwarded_requests.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests.ts
@@ -8,6 +8,7 @@
 import type { Member } from "../members/members.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { Attempt, AttemptRunner } from "../requests/attempt_runner.ts";
+import { isBeingSent, OpenRequests } from "../requests/open_requests.ts";
 import type { OutcomeHandler } from "../requests/outcome_handler.ts";
 import type { OwnerFinder, OwnerLookup } from "../requests/owner_finder.ts";
 import type { RequestContext } from "../requests/request_context.ts";
@@ -38,11 +39,16 @@
   ) => Promise<FinalResponse | undefined>;
 }
 
+const STOPPING: ForwardReply = { kind: "unable", reason: "stopping" };
+
 type FoundOwner = OwnerLookup & { readonly kind: "found" };
 
 export class ForwardedRequests {
   readonly #options: ForwardedRequestsOptions;
   readonly #tools: ForwardedRequestTools;
+  readonly #open = new OpenRequests<ForwardReply>((context) =>
+    isBeingSent(context) ? undefined : STOPPING
+  );
 
   constructor(
     options: ForwardedRequestsOptions,
@@ -68,7 +74,7 @@
       return { kind: "unable", reason: "unknown-sender" };
     }
     if (stopAdmission.isStopping) {
-      return { kind: "unable", reason: "stopping" };
+      return STOPPING;
     }
     if (paths.paths.isDoubtful) {
       return { kind: "unable", reason: "isolated" };
@@ -76,7 +82,18 @@
     const context = this.#createContext(forwarded, { receivedAtMs, signal });
     return context === undefined
       ? { kind: "unable", reason: "configuration" }
-      : await this.#run(context);
+      : await this.#open.run(context, () => this.#run(context));
+  }
+
+  /** Returns waiting requests that could outlast this instance. */
+  refuseLate(): void {
+    const { stopAdmission } = this.#options;
+    this.#open.refuseWaiting((context) => stopAdmission.maySend(context));
+  }
+
+  /** Returns all requests that no target may have, since the process ends. */
+  stopAll(): void {
+    this.#open.stopAll();
   }
 
   #createContext(
@@ -157,11 +174,12 @@
       ) {
         return { kind: "unable", reason: "configuration" };
       }
-      if (!stopAdmission.maySend(context)) {
-        return { kind: "unable", reason: "stopping" };
+      if (context.hasEnded || !stopAdmission.maySend(context)) {
+        return STOPPING;
       }
       const owner = ownerFinder.find(context);
       if (owner.kind === "wait") {
+        context.stage = "waiting-for-owner";
         const failure = await waitForOwner(context, owner.isLongWait);
         if (failure !== undefined) {
           return refuse(failure);
--- a/packages/gateway/src/forwarding/forwarded_requests_test.ts
+++ b/packages/gateway/src/forwarding/forwarded_requests_test.ts
@@ -62,3 +62,25 @@
   assert.deepEqual(reply, { kind: "unable", reason: "isolated" });
   assert.equal(arrivals, 0);
 });
+
+test("a forwarded request that waits when its peer stops is handed back at once, and never sent", async () => {
+  const simulation = createSimulation();
+  await forward(simulation);
+  const before = simulation.arrivals.length;
+  const replies: ForwardReply[] = [];
+  for (let count = 0; count < 12; count++) {
+    void simulation.forwardTo("i2").then((reply) => replies.push(reply));
+  }
+  await simulation.clock.advance(1);
+  simulation.stopInstance("i2");
+  await simulation.clock.advance(0);
+  const handedBack = replies.length;
+  assert.ok(handedBack > 0);
+  assert.deepEqual(
+    replies,
+    replies.map(() => ({ kind: "unable", reason: "stopping" })),
+  );
+  await simulation.clock.advance(2_000);
+  assert.equal(replies.length, 12);
+  assert.equal(simulation.arrivals.length - before, 12 - handedBack);
+});
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -1,7 +1,7 @@
 /**
- * The callers' requests that have no response yet, by how far they have got.
- * During a planned stop, those that can no longer be sent are refused, and when
- * the process ends, all others are answered.
+ * The requests of callers, or of other instances, that have no response yet, by
+ * how far they have got. During a planned stop, those that can no longer be
+ * sent are refused, and when the process ends, all others are answered.
  */
 import type { FinalResponse } from "../entry/caller_request.ts";
 import {
@@ -13,8 +13,17 @@
 /** Number of requests by stage; stages without requests are left out. */
 export type StageCounts = { readonly [Stage in RequestStage]?: number };
 
-export class OpenRequests {
-  readonly #open = new Map<RequestContext, (response: FinalResponse) => void>();
+export class OpenRequests<Response> {
+  readonly #open = new Map<RequestContext, (response: Response) => void>();
+  readonly #createEnd: (context: RequestContext) => Response | undefined;
+
+  /**
+   * `createEnd` creates the response to a request that a stop ends; undefined
+   * if it cannot be ended.
+   */
+  constructor(createEnd: (context: RequestContext) => Response | undefined) {
+    this.#createEnd = createEnd;
+  }
 
   countByStage(): StageCounts {
     const counts: { [Stage in RequestStage]?: number } = {};
@@ -30,8 +39,8 @@
    */
   async run(
     context: RequestContext,
-    run: () => Promise<FinalResponse>,
-  ): Promise<FinalResponse> {
+    run: () => Promise<Response>,
+  ): Promise<Response> {
     try {
       return await new Promise((resolve, reject) => {
         this.#open.set(context, resolve);
@@ -59,9 +68,12 @@
   }
 
   #stop(context: RequestContext): void {
-    context.hasEnded = true;
-    this.#open.get(context)?.(createStopFailure(context));
-    this.#open.delete(context);
+    const end = this.#createEnd(context);
+    if (end !== undefined) {
+      context.hasEnded = true;
+      this.#open.get(context)?.(end);
+      this.#open.delete(context);
+    }
   }
 }
 
@@ -82,6 +94,7 @@
     );
 }
 
-function isBeingSent({ stage }: RequestContext): boolean {
+/** Whether a target may have the request now. */
+export function isBeingSent({ stage }: RequestContext): boolean {
   return stage === "sent" || stage === "forwarded";
 }
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -103,7 +103,7 @@
   readonly #runner: AttemptRunner;
   readonly #forwarded: ForwardedRequests;
   readonly #callerReturns = new CallerReturns();
-  readonly #openRequests = new OpenRequests();
+  readonly #openRequests = new OpenRequests(createStopFailure);
 
   constructor(options: RequestRouterOptions) {
     this.#options = options;
@@ -153,6 +153,7 @@
   /** Refuses waiting requests that could outlast the instance. */
   refuseLate(): void {
     const { stopAdmission } = this.#options;
+    this.#forwarded.refuseLate();
     this.#openRequests
       .refuseWaiting((context) => stopAdmission.maySend(context));
   }
@@ -160,6 +161,7 @@
   /** Answers all callers, since the process ends. */
   stopAll(): void {
     this.#openRequests.stopAll();
+    this.#forwarded.stopAll();
   }
 
   /** Records the end of a request, and of its stream if it has one. */
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -111,6 +111,7 @@
   readonly rateLimiter: TargetRateLimiter;
   readonly paths: PathMonitor;
   readonly router: RequestRouter;
+  readonly stopAdmission: StopAdmission;
 }
 
 const SERVICE = "files";
@@ -251,6 +252,14 @@
     }, { receivedAtMs, signal: new AbortController().signal });
   }
 
+  /** Begins the stop of an instance that can wait for no response. */
+  stopInstance(name: string): void {
+    const { router, stopAdmission } = this.#instances.get(name)!;
+    const nowMs = this.clock.readMs();
+    stopAdmission.start({ estimatesUntilMs: nowMs, lastResponseMs: nowMs });
+    router.refuseLate();
+  }
+
   /**
    * Lets a target announce that it leaves, then end before it answers its
    * requests.
@@ -450,7 +459,15 @@
       isReadAheadUsedUp: () => false,
       observe: () => undefined,
     });
-    return { ...components, catalogue, directory, services, paths, router };
+    return {
+      ...components,
+      catalogue,
+      directory,
+      services,
+      paths,
+      router,
+      stopAdmission,
+    };
   }
 
   #createCatalogue(name: string): Catalogue {
