test(trials): tell how much of a request was written when its connection ended

A request that failed without a response may never have been written: its connection was closed before the caller used it. The report of a planned stop names the bytes now. What is checked is the same.

--- a/packages/trials/src/traffic/caller.ts
+++ b/packages/trials/src/traffic/caller.ts
@@ -119,10 +119,10 @@
       });
     } catch (error) {
       // Without a complete response, a caller knows nothing about the outcome.
-      const { code, message } = error as NodeJS.ErrnoException;
+      const { code } = error as NodeJS.ErrnoException;
       return code === "ECONNREFUSED"
         ? { outcome: "none", isConnectionRefused: true }
-        : { outcome: "none", cause: `${code ?? "no code"}: ${message}` };
+        : { outcome: "none", cause: describeCause(error) };
     }
   }
 
@@ -134,6 +134,16 @@
   }
 }
 
+function describeCause(error: unknown): string {
+  const { code = "no code", message, socket } = error as
+    & NodeJS.ErrnoException
+    & { readonly socket?: { readonly bytesWritten: number } };
+  const written = socket === undefined
+    ? ""
+    : `, ${socket.bytesWritten} bytes written`;
+  return `${code}: ${message}${written}`;
+}
+
 /** Reads the monotonic clock that all processes of this machine share. */
 export function readMonotonicMs(): number {
   return Number(process.hrtime.bigint()) / 1e6;
