fix(gateway): let no connection that is not accepted end the process

The servers for callers, for peers, and for readiness and metrics had a listener for one error, that of the bind. A later error of the listening socket, such as EMFILE when the descriptors are used up, was taken by it, and a second one had no listener: it ended the process and its requests. Found on the last read; the system may answer EMFILE by itself, so that how often it comes is not known.

Shown on a server with such a listener: the second error is thrown. The servers are opened by one function now, which reports later errors.

--- a/packages/gateway/src/entry/monitoring_server.ts
+++ b/packages/gateway/src/entry/monitoring_server.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { type ListenerOptions, openListener } from "./open_listener.ts";
 
 export interface MonitoringResponse {
   readonly status: number;
@@ -30,11 +31,8 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
-  open(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+  open(options: ListenerOptions): Promise<void> {
+    return openListener(this.#server, options);
   }
 
   close(): void {
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -30,6 +30,7 @@
 import { SERVER_CLOSED } from "./abort_reasons.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
+import { openListener } from "./open_listener.ts";
 import { ConnectionResets } from "./connection_resets.ts";
 import {
   readWhole,
@@ -174,11 +175,7 @@
   }
 
   open(): Promise<void> {
-    const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return openListener(this.#server, this.#options);
   }
 
   setLimits(limits: ServerLimits): void {
--- a/packages/gateway/src/forwarding/forwarding_server.ts
+++ b/packages/gateway/src/forwarding/forwarding_server.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { Clock } from "@lentilspur/ports/clock";
+import { openListener } from "../entry/open_listener.ts";
 import {
   decodeForwardedRequest,
   encodeForwardReply,
@@ -66,11 +67,7 @@
   }
 
   open(): Promise<void> {
-    const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return openListener(this.#server, this.#options);
   }
 
   close(): void {
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -270,11 +270,14 @@
     const { settings } = this.#options;
     const { signal } = this.#stopController;
     this.#logger.log("start", "notable", { ...settings });
-    await this.#statusServer.open(settings.host, settings.readyPort);
+    const { host, readyPort, metricsPort } = settings;
+    const reportFault = (message: string) =>
+      this.#reporter.reportFault(message);
+    await this.#statusServer.open({ host, port: readyPort, reportFault });
     await this.#server.open();
     await this.#peerTransport.open();
     await this.#forwardingServer.open();
-    await this.#metricsServer.open(settings.host, settings.metricsPort);
+    await this.#metricsServer.open({ host, port: metricsPort, reportFault });
     this.#publisher = this.#createPublisher();
     this.#views.start();
     void this.#peerTransport.run(signal);
