fix(gateway): begin the time of an orderly close once all is written

A caller had 2 s from the call of the close, and the rest of a response that the socket still held would have been dropped then. By reading: the HTTP server calls it when the response has been passed to the operating system, so that no such case is known.

--- a/packages/gateway/src/entry/caller_connection.ts
+++ b/packages/gateway/src/entry/caller_connection.ts
@@ -46,9 +46,10 @@
    */
   #closeInOrder(): void {
     const socket = this.#socket;
-    socket.end();
-    const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
-    socket.once("close", () => clearTimeout(timer));
+    socket.end(() => {
+      const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
+      socket.once("close", () => clearTimeout(timer));
+    });
   }
 
   #updateReading(): void {
