feat(gateway): log from which estimate a request was refused a place

Refusals as overloaded could not be told apart: the final line had neither the service time that decided, nor how old it was, nor how many targets the instance counted as usable.

The final line of a failed request has `refusal` now: the reason, the average service time, that of the key's owner, the time since the last send they can have been learned from, the requests ahead, and the targets that may run the request and accept requests. lentilspur_place_refusals_total counts by reason.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -73,6 +73,10 @@
         return;
       case "final":
         this.#metrics.requests.inc({ service, outcome });
+        if (event.refusal !== undefined) {
+          const { reason } = event.refusal;
+          this.#metrics.placeRefusals.inc({ service, reason });
+        }
         this.#metrics.latency.observe(
           { service, outcome },
           event.tookMs / 1_000,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -54,6 +54,12 @@
     buckets: LATENCY_BUCKETS_S,
     registers: [this.#registry],
   });
+  readonly placeRefusals = new Counter({
+    name: "lentilspur_place_refusals_total",
+    help: "Requests that failed without a place at a target, by reason",
+    labelNames: ["service", "reason"] as const,
+    registers: [this.#registry],
+  });
   readonly sends = new Counter({
     name: "lentilspur_sends_total",
     help: "Requests sent on a connection to a target, by service and outcome",
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -11,7 +11,10 @@
 import type { StreamEnd } from "@lentilspur/ports/response_stream";
 import type { RoutingTarget } from "@lentilspur/ports/routing_table";
 import type { PermitDecision } from "@lentilspur/routing/request_pacer";
-import type { PlaceDecision } from "@lentilspur/routing/service_places";
+import type {
+  PlaceDecision,
+  PlaceRequest,
+} from "@lentilspur/routing/service_places";
 import type { Catalogue } from "../views/catalogue.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import { computeLatestStart } from "./latest_start.ts";
@@ -130,7 +133,7 @@
     };
   }
 
-  #waitForPlace(
+  async #waitForPlace(
     context: RequestContext,
     { targetId: owner }: FoundOwner,
     { refusesLostPaths }: AttemptOptions,
@@ -138,7 +141,7 @@
     const { request, route, admission, service } = context;
     const { services } = this.#options;
     const serviceMs = services.getAverageServiceMs(service) ?? 0;
-    return services.waitForPlace(service, {
+    const placeRequest: PlaceRequest = {
       requestId: request.requestId,
       priority: route.priority,
       arrivedAtMs: request.arrivedAtMs,
@@ -147,7 +150,16 @@
       excluded: context.excludedTargets,
       refusesLostPaths,
       ...(admission.kind === "admitted" ? { share: admission.share } : {}),
-    }, request.signal);
+    };
+    const decision = await services
+      .waitForPlace(service, placeRequest, request.signal);
+    if (decision?.kind === "refused") {
+      context.placeRefusal = {
+        reason: decision.reason,
+        ...services.describeEstimate(service, placeRequest),
+      };
+    }
+    return decision;
   }
 
   /**
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -1,6 +1,10 @@
 /** Holds the state of a request while the router handles it. */
 import type { Route } from "@lentilspur/ports/routing_table";
 import type { RetryClaim } from "@lentilspur/routing/retry_budget";
+import type {
+  PlaceEstimate,
+  RefusalReason,
+} from "@lentilspur/routing/service_places";
 import type { HeldRetry } from "./service_registry.ts";
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { Admission } from "../entry/account_admission.ts";
@@ -22,6 +26,11 @@
   /** Another instance, and through it a target, may have it. */
   | "forwarded";
 
+/** Why a request got no place, and what that was decided from. */
+export interface PlaceRefusal extends PlaceEstimate {
+  readonly reason: RefusalReason;
+}
+
 /** The mutable state of one request. */
 export interface RequestContext {
   readonly request: CallerRequest;
@@ -67,6 +76,8 @@
   readonly origin: string | null;
   /** Computed on first use. */
   fingerprint?: string;
+  /** Why it got no place, if it got none. */
+  placeRefusal?: PlaceRefusal;
   stage: RequestStage;
   /** Whether it has been answered early, so that it may not be sent any more. */
   hasEnded: boolean;
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -14,6 +14,7 @@
 import type { Member } from "../members/members.ts";
 import {
   getFingerprint,
+  type PlaceRefusal,
   type RequestContext,
   type RequestStage,
 } from "./request_context.ts";
@@ -124,6 +125,8 @@
     readonly stage?: RequestStage;
     /** How long it could take at its admission. */
     readonly allowedMs?: number;
+    /** Why it got no place, and from what that was decided. */
+    readonly refusal?: PlaceRefusal;
   };
 
 export class RequestReporter {
@@ -261,6 +264,9 @@
           ...(context === undefined ? {} : {
             stage: context.stage,
             allowedMs: Math.round(context.deadlineAtMs - request.arrivedAtMs),
+            ...(context.placeRefusal === undefined
+              ? {}
+              : { refusal: context.placeRefusal }),
           }),
         }),
     });
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -778,3 +778,21 @@
   const final = fixture.events.find(({ kind }) => kind === "final");
   assert.ok(final?.kind === "final" && final.stage === "sent");
 });
+
+test("the final line of a request that gets no place has the estimate that decided", async () => {
+  const fixture = new RouterFixture(() => RESPONSE);
+  fixture.setRoute({});
+  await fixture.send();
+  const response = await fixture.send({ deadlineMs: 20 });
+  assert.ok(response?.kind === "failed" && response.failure === "overloaded");
+  const final = fixture.events.at(-1);
+  assert.ok(final?.kind === "final");
+  assert.deepEqual(final.refusal, {
+    reason: "overloaded",
+    averageServiceMs: 20,
+    lastSendAgeMs: 2_000,
+    ahead: 0,
+    targets: 2,
+    acceptingTargets: 2,
+  });
+});
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -14,6 +14,7 @@
 import { RequestGaps } from "@lentilspur/routing/request_gaps";
 import {
   type PlaceDecision,
+  type PlaceEstimate,
   type PlaceRequest,
   ServicePlaces,
 } from "@lentilspur/routing/service_places";
@@ -221,6 +222,12 @@
     });
   }
 
+  /** Describes what decides on a request, for the log. */
+  describeEstimate(service: string, request: PlaceRequest): PlaceEstimate {
+    return this.#getPlaces(service)
+      .describeEstimate(request, this.#options.clock.readMs());
+  }
+
   /**
    * Records a request for a service, whether or not it will be sent. Its caller
    * may have sent it earlier: while this process stood still, or while no bytes
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -68,6 +68,24 @@
     readonly retryAfterMs: number;
   };
 
+/** What a refusal was decided from. */
+export interface PlaceEstimate {
+  /** Average service time over the targets, in ms; null if none is known. */
+  readonly averageServiceMs: number | null;
+  /** Estimated service time of the owner, in ms, if only it may run the request. */
+  readonly ownerServiceMs?: number;
+  /**
+   * Time in ms since the last send that these estimates can have learned from;
+   * null without one.
+   */
+  readonly lastSendAgeMs: number | null;
+  /** Requests that were ahead in the queues of all instances. */
+  readonly ahead: number;
+  /** Targets that may run the request, and those of them that accept requests. */
+  readonly targets: number;
+  readonly acceptingTargets: number;
+}
+
 type PlaceCallback = (decision: PlaceDecision) => void;
 type PlaceEntry = QueueEntry<PlaceRequest, PlaceCallback>;
 
@@ -263,6 +281,30 @@
     this.dispatchQueued(nowMs);
   }
 
+  /** Describes what decides on a request, for the log. */
+  describeEstimate(request: PlaceRequest, nowMs: number): PlaceEstimate {
+    const candidates = this.#listCandidates(request);
+    const averageMs = this.getAverageServiceMs();
+    const [owner] = request.owner === undefined ? [] : candidates;
+    const learnedFrom = owner === undefined ? this.listLoads() : [owner];
+    const lastSentAtMs = Math.max(
+      ...learnedFrom.map((load) => load.lastSentAtMs),
+    );
+    return {
+      averageServiceMs: averageMs === null ? null : Math.round(averageMs),
+      ...(owner === undefined ? {} : {
+        ownerServiceMs: Math.round(owner.estimateServiceMs(nowMs, averageMs)),
+      }),
+      lastSendAgeMs: Number.isFinite(lastSentAtMs)
+        ? Math.round(nowMs - lastSentAtMs)
+        : null,
+      ahead: this.#queue.countAhead(request, nowMs),
+      targets: candidates.length,
+      acceptingTargets: candidates
+        .filter((load) => this.#isAccepting(load, request, nowMs)).length,
+    };
+  }
+
   /** Removes a request whose caller has left or that was cancelled. */
   remove(requestId: string): void {
     this.#queue.remove(requestId);
@@ -436,17 +478,20 @@
       return false;
     }
     const { isPathLost } = this.#options;
-    const targets = [...this.#loads.values()]
-      .map(({ target }) => target)
-      .filter(({ id, leaving }) =>
-        request.owner === undefined
-          ? !leaving && !request.excluded.has(id)
-          : id === request.owner
-      );
-    const lost = targets.filter(isPathLost);
+    const targets = this.#listCandidates(request);
+    const lost = targets.filter(({ target }) => isPathLost(target));
     return lost.length > 0 && lost.length >= MIN_LOST_SHARE * targets.length;
   }
 
+  /** Lists the targets that may run a request: its owner, or any. */
+  #listCandidates(
+    { owner, excluded }: PlaceRequest,
+  ): readonly TargetLoad[] {
+    return this.listLoads().filter(({ target: { id, leaving } }) =>
+      owner === undefined ? !leaving && !excluded.has(id) : id === owner
+    );
+  }
+
   #computeRandomness(): number {
     const extraInstances = Math.max(
       0,
--- a/packages/routing/src/target_load.ts
+++ b/packages/routing/src/target_load.ts
@@ -62,6 +62,7 @@
   #suspensionMs = 0;
   #suspendedUntilMs = -Infinity;
   #backoffUntilMs = -Infinity;
+  #lastSentAtMs = -Infinity;
 
   constructor(target: KnownTarget, previous?: TargetLoad) {
     this.target = target;
@@ -75,6 +76,7 @@
       this.#suspensionMs = previous.#suspensionMs;
       this.#suspendedUntilMs = previous.#suspendedUntilMs;
       this.#backoffUntilMs = previous.#backoffUntilMs;
+      this.#lastSentAtMs = previous.#lastSentAtMs;
     }
   }
 
@@ -83,6 +85,11 @@
     return this.#startedAt.size;
   }
 
+  /** When this instance last sent it a request; -Infinity if never. */
+  get lastSentAtMs(): number {
+    return this.#lastSentAtMs;
+  }
+
   get measuredServiceMs(): number | null {
     return this.#serviceMs;
   }
@@ -106,6 +113,7 @@
 
   recordSent(requestId: string, nowMs: number): void {
     this.#startedAt.set(requestId, nowMs);
+    this.#lastSentAtMs = nowMs;
   }
 
   /**
