--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -68,6 +68,10 @@
   readonly keyed: boolean;
   readonly route?: Partial<Route>;
   readonly target?: Partial<FakeTargetOptions>;
+  /** Work time of each request at a target; as usual if undefined. */
+  readonly getTargetWorkMs?: (id: string) => number | undefined;
+  /** Whether targets stop work on requests that instances have given up. */
+  readonly dropsGivenUp?: boolean;
   /** Data centres of the targets, in turn; a single one by default. */
   readonly dataCentres?: readonly string[];
   /** Requests per second that a cold target accepts. */
@@ -745,7 +749,13 @@
       atMs: this.clock.readMs(),
     });
     const reply = await Promise.race([
-      target.run({ requestId, key, path: requestPath, body: "" }),
+      target.run({
+        requestId,
+        key,
+        path: requestPath,
+        body: "",
+        ...(this.#options.dropsGivenUp === true ? { signal: sending } : {}),
+      }),
       waitForAbort(sending).then(() => "aborted" as const),
       path.waitForReset(sending).then(() => "reset" as const),
     ]);
@@ -799,6 +809,7 @@
       service: SERVICE,
       keyed: false,
       workMs: 60,
+      getWorkMs: () => this.#options.getTargetWorkMs?.(id),
       isRefused: () => this.backoffsMs.has(id),
       ...this.#options.target,
       observeCrash: () => void this.#restartTarget(id),
--- a/packages/ports/src/fake_target.ts
+++ b/packages/ports/src/fake_target.ts
@@ -84,6 +84,8 @@
   readonly path?: string;
   /** The response body. */
   readonly body: string;
+  /** Ends the work on the request, as the close of its connection does. */
+  readonly signal?: AbortSignal;
 }
 
 export type TargetReply =
@@ -241,7 +243,10 @@
   async #runToEnd(request: TargetRequest): Promise<TargetReply> {
     const { clock, keyed, isFatal, isRefused } = this.#options;
     const workMs = this.#options.getWorkMs?.(request) ?? this.#options.workMs;
-    const { body, ...fields } = request;
+    const { body, signal, ...fields } = request;
+    const stopSignal = signal === undefined
+      ? this.#crash.signal
+      : AbortSignal.any([signal, this.#crash.signal]);
     const { key } = fields;
     const token = keyed ? this.findToken(key) : 0;
     if (token === undefined) {
@@ -257,7 +262,7 @@
       await clock.sleep(CRASH_DELAY_MS);
       this.fail();
     }
-    await clock.sleep(workMs, this.#crash.signal);
+    await clock.sleep(workMs, stopSignal);
     if (this.hasCrashed) {
       return { kind: "crashed" };
     }
