fix(routing): send some requests against estimates that no send has checked

Cause: admission and choice compare the learned service time and failure rate of targets with the time that a request has left. Only sends change what is learned. After a stall of all targets, timeouts put the service time above every deadline, so nothing is sent and nothing is learned; a target whose failure rate is high is never in time beside another that could be. The class of fault: a filter that stops its own evidence.

Fix: a request that is first in its queue, and would wait or be refused because of estimates, is sent all the same to a target with a free place whose estimates no send of this instance has checked for a second. One such recheck per service is open at a time; each response doubles that number and replaces the estimates, each failure puts it back to one. So a service that is slow still costs one request at a time, and one that has recovered serves again within a few response times.

--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -57,6 +57,9 @@
         if (event.cause === "garbled") {
           this.#metrics.invalidResponses.inc({ service });
         }
+        if (event.isRecheck === true) {
+          this.#metrics.rechecks.inc({ service, outcome });
+        }
         if (event.expectedMs !== undefined) {
           this.#metrics.overdueSends.inc({ service });
         }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -60,6 +60,13 @@
     labelNames: ["service", "reason"] as const,
     registers: [this.#registry],
   });
+  readonly rechecks = new Counter({
+    name: "lentilspur_rechecks_total",
+    help:
+      "Sends against an outdated estimate of a target, by service and outcome",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.#registry],
+  });
   readonly sends = new Counter({
     name: "lentilspur_sends_total",
     help: "Requests sent on a connection to a target, by service and outcome",
--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -123,7 +123,7 @@
     }
     this.#options.services.releasePlace(
       context.service,
-      decision.target.id,
+      decision,
       context.request.requestId,
     );
     return permit.kind === "granted" ? { kind: "outdated" } : {
--- a/packages/gateway/src/requests/outdated_estimates_test.ts
+++ b/packages/gateway/src/requests/outdated_estimates_test.ts
@@ -68,7 +68,6 @@
   const kind = keyed ? "keys" : "a service without keys";
   test(
     `requests for ${kind} are served again after all targets were too slow for a while`,
-    { todo: "issue 71" },
     async () => {
       const targets = new SlowTargets({ keyed });
       await targets.measureServed(3_000);
@@ -97,9 +96,7 @@
   },
 );
 
-test("targets that are fast again are used although others always were fast", {
-  todo: "issue 71",
-}, async () => {
+test("targets that are fast again are used although others always were fast", async () => {
   const targets = new SlowTargets({ keyed: false });
   await targets.measureServed(3_000);
   targets.setSlow(2, 3, 4);
--- a/packages/gateway/src/requests/request_reporter.ts
+++ b/packages/gateway/src/requests/request_reporter.ts
@@ -37,6 +37,8 @@
     readonly ownersOffset?: number;
     readonly occupancy: number;
     readonly waitedMs: number;
+    /** Set if it was sent to correct an outdated estimate. */
+    readonly isRecheck?: true;
     readonly remainingMs: number;
     readonly outcome: string;
     readonly cause?: string;
@@ -168,6 +170,9 @@
         : { ownersOffset: owner.ownersOffset }),
       occupancy: placed.occupancy,
       waitedMs: Math.round(placed.waitedMs),
+      ...(placed.isRecheck === undefined
+        ? {}
+        : { isRecheck: placed.isRecheck }),
       remainingMs: Math.round(remainingMs),
       outcome: outcome.kind,
       ...(outcome.kind === "answered"
--- a/packages/gateway/src/requests/request_router_test.ts
+++ b/packages/gateway/src/requests/request_router_test.ts
@@ -782,7 +782,8 @@
 test("the final line of a request that gets no place has the estimate that decided", async () => {
   const fixture = new RouterFixture(() => RESPONSE);
   fixture.setRoute({});
-  await fixture.send();
+  fixture.setTarget("b", true);
+  await fixture.send({}, 500);
   const response = await fixture.send({ deadlineMs: 20 });
   assert.ok(response?.kind === "failed" && response.failure === "overloaded");
   const final = fixture.events.at(-1);
@@ -790,9 +791,9 @@
   assert.deepEqual(final.refusal, {
     reason: "overloaded",
     averageServiceMs: 20,
-    lastSendAgeMs: 2_000,
+    lastSendAgeMs: 500,
     ahead: 0,
-    targets: 2,
-    acceptingTargets: 2,
+    targets: 1,
+    acceptingTargets: 1,
   });
 });
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -294,9 +294,16 @@
   }
 
   /** Releases a place that was given to a request and is not used. */
-  releasePlace(service: string, targetId: string, requestId: string): void {
+  releasePlace(
+    service: string,
+    placed: PlaceDecision & { readonly kind: "placed" },
+    requestId: string,
+  ): void {
     const places = this.#getPlaces(service);
-    places.getLoad(targetId)?.recordEnded(requestId);
+    places.getLoad(placed.target.id)?.recordEnded(requestId);
+    if (placed.isRecheck) {
+      places.recordRecheckEnd(placed.target.id, requestId, "unsent");
+    }
     places.dispatchQueued(this.#options.clock.readMs());
   }
 
@@ -315,6 +322,10 @@
     const places = this.#getPlaces(service);
     const load = places.getLoad(placed.target.id);
     load?.recordEnded(requestId);
+    if (placed.isRecheck) {
+      const end = outcome.kind === "answered" ? "responded" : "failed";
+      places.recordRecheckEnd(placed.target.id, requestId, end);
+    }
     // A lost path says nothing about the speed or the failures of the target.
     const isFailure = outcome.kind === "unknown" ||
       (outcome.kind === "not-run" && outcome.cause === "unreachable");
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -7,7 +7,9 @@
  * never answer. So requests are queued here: more urgent ones can overtake, and
  * a refused request is certain not to have run. A request is sent to a target
  * only when the target has room. A request that could not be answered in time
- * is refused on arrival instead of at its deadline.
+ * is refused on arrival instead of at its deadline. An estimate that refuses
+ * requests would stay as it is, so some are sent all the same once it is
+ * outdated, see `rechecks.ts`.
  */
 import type { Random } from "@lentilspur/ports/clock";
 import type {
@@ -16,6 +18,7 @@
 } from "@lentilspur/ports/routing_table";
 import { formatTargetIncarnation } from "./target_incarnation.ts";
 import { TargetLoad } from "./target_load.ts";
+import { type RecheckEnd, Rechecks } from "./rechecks.ts";
 import {
   getQueueKey,
   type QueuedRequest,
@@ -60,6 +63,8 @@
     /** Estimated number of requests at the target. */
     readonly occupancy: number;
     readonly waitedMs: number;
+    /** Set if it is sent against an outdated estimate, to correct that. */
+    readonly isRecheck?: true;
   }
   | {
     readonly kind: "refused";
@@ -86,6 +91,7 @@
   readonly acceptingTargets: number;
 }
 
+type Refusal = PlaceDecision & { readonly kind: "refused" };
 type PlaceCallback = (decision: PlaceDecision) => void;
 type PlaceEntry = QueueEntry<PlaceRequest, PlaceCallback>;
 
@@ -160,6 +166,7 @@
   readonly #options: ServicePlacesOptions;
   readonly #loads = new Map<string, TargetLoad>();
   readonly #queue = new WaitQueue<PlaceRequest, PlaceCallback>();
+  readonly #rechecks = new Rechecks();
   #maxWaitingPerTarget = Infinity;
   /**
    * By incarnation: when the pause that it asked for ends. Kept while its entry
@@ -274,7 +281,11 @@
   ): void {
     const refusal = this.#findRefusal(request, nowMs);
     if (refusal !== undefined) {
-      callback(refusal);
+      const isTried = refusal.reason === "overloaded" &&
+        this.#queue.countAhead(request, nowMs) === 0;
+      callback(
+        (isTried ? this.#startRecheck(request, nowMs) : null) ?? refusal,
+      );
       return;
     }
     this.#queue.add(request, callback);
@@ -356,6 +367,21 @@
     return count === 0 ? null : sum / count;
   }
 
+  /**
+   * Records the end of a recheck. A response, which has to be recorded after this,
+   * replaces the outdated estimate.
+   */
+  recordRecheckEnd(
+    targetId: string,
+    requestId: string,
+    end: RecheckEnd,
+  ): void {
+    this.#rechecks.recordEnd(requestId, end);
+    if (end === "responded") {
+      this.#loads.get(targetId)?.resetEstimates();
+    }
+  }
+
   #decide(
     request: PlaceRequest,
     nowMs: number,
@@ -363,9 +389,8 @@
   ): PlaceDecision | undefined {
     const waitedMs = nowMs - request.arrivedAtMs;
     const queueKey = getQueueKey(request);
-    const load = fullQueues.has(queueKey)
-      ? undefined
-      : this.#choose(request, nowMs);
+    const isFirst = !fullQueues.has(queueKey);
+    const load = isFirst ? this.#choose(request, nowMs) : undefined;
     if (load === undefined && request.excluded.size === 0) {
       fullQueues.add(queueKey);
     }
@@ -375,6 +400,10 @@
       load.recordSent(request.requestId, nowMs);
       return { kind: "placed", target: load.target, occupancy, waitedMs };
     }
+    const recheck = isFirst ? this.#startRecheck(request, nowMs) : undefined;
+    if (recheck !== undefined) {
+      return recheck;
+    }
     if (this.#mayBeSentElsewhere(request)) {
       const retryAfterMs = NO_TARGET_RETRY_MS;
       return { kind: "refused", reason: "path-lost", retryAfterMs };
@@ -527,7 +556,7 @@
   #findRefusal(
     request: PlaceRequest,
     nowMs: number,
-  ): PlaceDecision | undefined {
+  ): Refusal | undefined {
     if (this.#countPlaces(request) === 0) {
       const retryAfterMs = NO_TARGET_RETRY_MS;
       return { kind: "refused", reason: "no-target", retryAfterMs };
@@ -555,7 +584,7 @@
   #findBackoffRefusal(
     request: PlaceRequest,
     nowMs: number,
-  ): PlaceDecision | undefined {
+  ): Refusal | undefined {
     const retryAfterMs = this.#computeBackoffMs(request, nowMs);
     return retryAfterMs > 0 && nowMs + retryAfterMs > request.latestStartMs
       ? { kind: "refused", reason: "backed-off", retryAfterMs }
@@ -579,6 +608,39 @@
     return Number.isFinite(shortestMs) ? shortestMs : 0;
   }
 
+  /**
+   * Places a request that would be refused, or would wait beside a free place,
+   * because of an estimate that is outdated: the target may have become fast
+   * again, which only a send can show.
+   */
+  #startRecheck(
+    request: PlaceRequest,
+    nowMs: number,
+  ): PlaceDecision | undefined {
+    if (!this.#rechecks.mayStart()) {
+      return undefined;
+    }
+    let oldest: TargetLoad | undefined;
+    for (const load of this.#listCandidates(request)) {
+      if (
+        this.#isAccepting(load, request, nowMs) && load.isOutdated(nowMs) &&
+        hasRoom(load, 0, nowMs) &&
+        load.lastSentAtMs < (oldest?.lastSentAtMs ?? Infinity)
+      ) {
+        oldest = load;
+      }
+    }
+    if (oldest === undefined) {
+      return undefined;
+    }
+    const occupancy = oldest.computeOccupancy(nowMs);
+    const waitedMs = nowMs - request.arrivedAtMs;
+    const { target } = oldest;
+    oldest.recordSent(request.requestId, nowMs);
+    this.#rechecks.recordStart(request.requestId);
+    return { kind: "placed", target, occupancy, waitedMs, isRecheck: true };
+  }
+
   #computeMaxWaiting(request: PlaceRequest): number {
     const targets = request.owner === undefined ? this.#loads.size : 1;
     return this.#maxWaitingPerTarget * targets;
--- a/packages/routing/src/service_places_test.ts
+++ b/packages/routing/src/service_places_test.ts
@@ -250,3 +250,50 @@
   places.getLoad("a")!.recordUnresponsive(100);
   assert.ok(!places.hasRoom({ owner: "a", excluded }, 100));
 });
+
+test("an outdated estimate refuses all requests but one recheck, and its response corrects the estimate", () => {
+  const places = createPlaces(createTarget("a"));
+  submit(places, createRequest("0"));
+  places.getLoad("a")!.recordEnded("0");
+  places.getLoad("a")!.recordTimeout(4_000);
+  const late = (n: number, nowMs: number) =>
+    submit(places, createRequest(`${n}`, { latestStartMs: nowMs - 1 }), nowMs);
+  const recheck = late(1, 2_000);
+  assert.ok(recheck.decision?.kind === "placed" && recheck.decision.isRecheck);
+  assert.equal(late(2, 2_000).decision?.kind, "refused", "during the recheck");
+  places.getLoad("a")!.recordEnded("1");
+  places.recordRecheckEnd("a", "1", "failed");
+  assert.equal(
+    late(3, 2_500).decision?.kind,
+    "refused",
+    "just after the recheck",
+  );
+  assert.equal(getTarget(late(4, 4_000)), "a");
+  places.getLoad("a")!.recordEnded("4");
+  places.recordRecheckEnd("a", "4", "responded");
+  places.getLoad("a")!.recordResponse(100, 0);
+  assert.equal(places.getAverageServiceMs(), 100);
+});
+
+test("each response to a recheck doubles the number of rechecks, and a failure ends all but one", () => {
+  const ids = ["a", "b", "c", "d"];
+  const places = createPlaces(...ids.map((id) => createTarget(id)));
+  let requests = 0;
+  const submitLate = (nowMs: number) =>
+    ids.map(() => {
+      const requestId = `${requests++}`;
+      const changes = { latestStartMs: nowMs - 1 };
+      const result = submit(places, createRequest(requestId, changes), nowMs);
+      return { requestId, targetId: getTarget(result) };
+    }).filter(({ targetId }) => targetId !== undefined);
+  const counts = ["responded", "responded", "failed", "failed"] as const;
+  const started = counts.map((end, index) => {
+    const rechecks = submitLate(2_000 * (index + 1));
+    for (const { requestId, targetId } of rechecks) {
+      places.getLoad(targetId!)!.recordEnded(requestId);
+      places.recordRecheckEnd(targetId!, requestId, end);
+    }
+    return rechecks.length;
+  });
+  assert.deepEqual(started, [1, 2, 4, 1]);
+});
--- a/packages/routing/src/target_load.ts
+++ b/packages/routing/src/target_load.ts
@@ -28,6 +28,11 @@
  * missing in a deployment of a dozen instances, or two in one of 60.
  */
 const PEER_VALID_MS = 1_500;
+/**
+ * An estimate that no send has checked for this long may be outdated; it takes
+ * some of the longest usual responses.
+ */
+const OUTDATED_AFTER_MS = 1_000;
 /** First and longest suspension of a target that does not respond. */
 const MIN_SUSPENSION_MS = 250;
 const MAX_SUSPENSION_MS = 2_000;
@@ -151,6 +156,16 @@
     this.#failureRate += SAMPLE_WEIGHT * (1 - this.#failureRate);
   }
 
+  /**
+   * Forgets the service time and the failures, so that the next response alone
+   * decides both.
+   */
+  resetEstimates(): void {
+    this.#serviceMs = null;
+    this.#uncontendedServiceMs = null;
+    this.#failureRate = 0;
+  }
+
   recordReport(load: ReportedLoad, nowMs: number): void {
     const others = load.running + load.waiting - this.ownCount;
     this.#report = { others: Math.max(0, others), atMs: nowMs };
@@ -210,6 +225,16 @@
     known.atMs = atMs;
   }
 
+  /**
+   * Whether the service time is unknown, or no send of this instance has checked
+   * it for a while.
+   */
+  isOutdated(nowMs: number): boolean {
+    return this.ownCount === 0 &&
+      (this.#serviceMs === null || Number.isFinite(this.#lastSentAtMs)) &&
+      nowMs - this.#lastSentAtMs > OUTDATED_AFTER_MS;
+  }
+
   isSuspended(nowMs: number): boolean {
     return nowMs < this.#suspendedUntilMs;
   }
