fix(routing): leave far slower targets out of the average service time

Callers with short deadlines were refused as overloaded on arrival, with no send, while two of four targets were idle and fast.

Cause: the latest start of a request is its deadline less the mean service time over all targets. Two targets that answer after seconds, or time out, put that mean above the deadlines of whole classes of requests, which the other targets could serve.

Fix: targets slower than four times the harmonic mean, which is the mean over requests instead of targets, are left out.

--- a/packages/gateway/src/requests/outdated_estimates_test.ts
+++ b/packages/gateway/src/requests/outdated_estimates_test.ts
@@ -83,7 +83,6 @@
 
 test(
   "requests with short deadlines are served beside targets that are too slow for them",
-  { todo: "issue 71" },
   async () => {
     const targets = new SlowTargets({ keyed: false });
     targets.setSlow(1, 2);
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -139,6 +139,13 @@
  * for those that are left.
  */
 const MIN_LOST_SHARE = 0.25;
+/**
+ * Targets of one service differ in speed by a factor of two to three, and
+ * queueing can double the measured time of one.
+ */
+const OUTLIER_FACTOR = 4;
+/** A response takes as long at least, even if the clock shows no time. */
+const MIN_SERVICE_MS = 0.1;
 /** More than the targets of a large service. */
 const MAX_BACKOFFS = 5_000;
 
@@ -353,20 +360,38 @@
 
   /**
    * Average service time of one request over the service's targets; null if
-   * unknown.
+   * unknown. Targets that are far slower than the others are left out: they
+   * would put it above the deadlines of requests that others can serve.
    */
   getAverageServiceMs(): number | null {
     let sum = 0;
     let count = 0;
-    for (const load of this.#loads.values()) {
-      if (load.unloadedServiceMs !== null) {
-        sum += load.unloadedServiceMs;
+    const limitMs = OUTLIER_FACTOR * this.#computeHarmonicMeanMs();
+    for (const { unloadedServiceMs } of this.#loads.values()) {
+      if (unloadedServiceMs !== null && unloadedServiceMs <= limitMs) {
+        sum += unloadedServiceMs;
         count++;
       }
     }
     return count === 0 ? null : sum / count;
   }
 
+  /**
+   * Mean service time over the requests that all targets serve while they are
+   * busy; slow targets serve few of them.
+   */
+  #computeHarmonicMeanMs(): number {
+    let servedPerMs = 0;
+    let count = 0;
+    for (const { unloadedServiceMs } of this.#loads.values()) {
+      if (unloadedServiceMs !== null) {
+        servedPerMs += 1 / Math.max(MIN_SERVICE_MS, unloadedServiceMs);
+        count++;
+      }
+    }
+    return count / servedPerMs;
+  }
+
   /**
    * Records the end of a recheck. A response, which has to be recorded after this,
    * replaces the outdated estimate.
