fix(gateway): report no service time that no send has checked for ten seconds

The plan of keys takes a target for slow by what instances report of it. An instance went on to report the last measurement of a target that it had sent nothing since, each time as a new report, so a target that had lost its keys for being slow stayed slow in the plans and was given few or none back.

A target without sends for ten seconds is not listed any more, which is as long as OwnerSpeeds counts a report; missing reports count as the service's average. The test failed before: the target was still listed 20 s after its last send.

--- a/packages/gateway/src/requests/outdated_estimates_test.ts
+++ b/packages/gateway/src/requests/outdated_estimates_test.ts
@@ -105,3 +105,14 @@
   const served = await targets.measureServed(MEASURED_MS);
   assert.ok(served > 0.9, `${served} served`);
 });
+
+test("a target that lost its keys for being slow is not reported as slow for ever", async () => {
+  const targets = new SlowTargets({ keyed: true });
+  const { simulation } = targets;
+  simulation.setOwners((id) => id === "t1");
+  await targets.measureServed(1_000);
+  simulation.setOwners((id) => id === "t2");
+  await targets.measureServed(20_000);
+  const { serviceMs } = simulation.describeLoad(INSTANCE);
+  assert.deepEqual(Object.keys(serviceMs), ["t2"]);
+});
--- a/packages/gateway/src/requests/request_simulation.ts
+++ b/packages/gateway/src/requests/request_simulation.ts
@@ -293,6 +293,11 @@
     return dataCentres[(Number(targetId.slice(1)) - 1) % dataCentres.length]!;
   }
 
+  /** Assigns all keys to these targets. */
+  setOwners(isOwner: (id: string) => boolean): void {
+    this.#assignKeys(isOwner);
+  }
+
   /** Assigns all keys to the targets of these data centres. */
   assignKeysTo(dataCentres: readonly string[]): void {
     this.#assignKeys((id) => dataCentres.includes(this.getDataCentre(id)));
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -74,6 +74,8 @@
  * until its bytes were read.
  */
 const UNREAD_TICKS = 3;
+/** How long the service time of a target is reported without a further send. */
+const SERVICE_TIME_VALID_MS = 10_000;
 /** Requests that are less late are as usual. */
 const MIN_LATENESS_MS = 500;
 const LATE_REPORT_INTERVAL_MS = 1_000;
@@ -440,12 +442,15 @@
   }
 
   /**
-   * Lists the known processing time of one request at each target of a service.
+   * Lists the processing time of one request at each target of a service that
+   * was sent requests lately. A target that is never sent any would otherwise
+   * stay slow in the plans of keys, and get none back.
    */
   listServiceMs(service: string): Readonly<Record<string, number>> {
+    const oldestMs = this.#options.clock.readMs() - SERVICE_TIME_VALID_MS;
     const measured: Record<string, number> = {};
     for (const load of this.#getPlaces(service).listLoads()) {
-      if (load.unloadedServiceMs !== null) {
+      if (load.unloadedServiceMs !== null && load.lastSentAtMs >= oldestMs) {
         measured[load.target.id] = Math.round(load.unloadedServiceMs);
       }
     }
