--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -12,6 +12,9 @@
  */
 const FILE_TIMEOUT_MS = 300_000;
 
+/** Tests of what a process holds, which run apart from other load. */
+const ALONE = /\/memory_limit_test\.js$/;
+
 buildProject();
 const pathParts = process.argv.slice(2);
 const files = ["packages", "platform"]
@@ -23,12 +26,19 @@
   .filter((file) => existsSync(getSourcePath(file)))
   .filter((file) => pathParts.every((part) => file.includes(part)))
   .sort();
-runTool("node", [
-  "--test",
-  "--test-reporter=spec",
-  `--test-timeout=${FILE_TIMEOUT_MS}`,
-  ...files,
-]);
+const [shared, alone] = [false, true].map((isAlone) =>
+  files.filter((file) => ALONE.test(file) === isAlone)
+);
+for (const group of [shared, ...alone.map((file) => [file])]) {
+  if (group.length > 0) {
+    runTool("node", [
+      "--test",
+      "--test-reporter=spec",
+      `--test-timeout=${FILE_TIMEOUT_MS}`,
+      ...group,
+    ]);
+  }
+}
 
 /**
  * Returns the source of a built test, which is run only while its source
