fix(gateway): hold bodies of requests within the memory of the machine

In a trial of the users, callers that do not keep to the limits ended a process: it ran out of memory. They sent many large bodies of legal size at once, most of which stopped short of their end, bodies over the limit, and bodies in very small chunks.

Cause: each body was kept up to the limit of one body, for as many connections as there were, and nothing summed them; each chunk was kept as an object of its own; after a refusal the rest of the body stayed with its connection or was read without end; the response to an invalid or late request ended the connection on one side only, so it stayed as long as its caller wrote.

Read-ahead claims from the same account.

--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -4,6 +4,7 @@
  * for each of them.
  */
 import {
+  computeCallerMemoryBytes,
   computeReadAheadBytes,
   DEFAULT_MEMORY_MB,
   type ResolvedGatewaySettings,
@@ -126,6 +127,7 @@
       dataCentre: values.dataCentre,
       cores: values.cores,
       readAheadBytes: computeReadAheadBytes(DEFAULT_MEMORY_MB),
+      callerMemoryBytes: computeCallerMemoryBytes(DEFAULT_MEMORY_MB),
       host: values.host,
       requestPort: values.port,
       readyPort: values.statusPort,
--- a/packages/gateway/src/entry/caller_request.ts
+++ b/packages/gateway/src/entry/caller_request.ts
@@ -28,6 +28,7 @@
   readonly path: string;
   /** All headers as sent, with names in lower case. */
   readonly headers: readonly HeaderField[];
+  /** May be put together from its parts each time it is read. */
   readonly body: Uint8Array;
   readonly arrivedAtMs: number;
   /** Aborts when the caller disconnects. */
--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -7,6 +7,7 @@
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import { ConnectionPool } from "@lentilspur/transport/connection_pool";
 import { ReadAheadBudget } from "@lentilspur/transport/read_ahead_budget";
+import { MemoryAccount } from "@lentilspur/transport/memory_account";
 import { RequestServer } from "./request_server.ts";
 
 /** Sent to the parent. */
@@ -40,6 +41,8 @@
   mode === "in-parts" ? 0 : 2 * MAX_RESPONSE_BYTES,
 );
 const server = new RequestServer({
+  memory: new MemoryAccount(Infinity),
+  observeBodyRefusal: () => undefined,
   clock,
   host: "127.0.0.1",
   port: 0,
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
+import { MemoryAccount } from "@lentilspur/transport/memory_account";
 import { RequestServer } from "./request_server.ts";
 
 type Answer = (isSelfDelimited?: boolean) => void;
@@ -23,6 +24,8 @@
   const requests: CallerRequest[] = [];
   const answers = new Map<string, Answer>();
   const server = new RequestServer({
+    memory: new MemoryAccount(Infinity),
+    observeBodyRefusal: () => undefined,
     clock: new SystemClock(),
     host: "127.0.0.1",
     port: 0,
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -16,6 +16,7 @@
 } from "node:net";
 import type { HeaderField } from "@lentilspur/ports/header_field";
 import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
+import type { MemoryAccount } from "@lentilspur/transport/memory_account";
 import type { Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
@@ -31,6 +32,11 @@
 import { CallerConnection } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
 import { openListener } from "./open_listener.ts";
+import {
+  type BodyFailure,
+  RequestBodies,
+  type RequestBody,
+} from "./request_bodies.ts";
 import { ConnectionResets } from "./connection_resets.ts";
 import {
   readWhole,
@@ -59,11 +65,18 @@
     readonly message: string;
   }) => void;
   readonly reportFault: (message: string) => void;
+  /** Accounts for the bodies of requests. */
+  readonly memory: MemoryAccount;
+  /** Called when a body is refused because that memory is used up. */
+  readonly observeBodyRefusal: () => void;
   /** Replaces the socket option of this system. */
   readonly loadResetOnClose?: () => Promise<Result<ResetOnClose, string>>;
 }
 
 type AnsweredResponse = FinalResponse & { readonly kind: "answered" };
+type FailedResponse = FinalResponse & { readonly kind: "failed" };
+/** A request, or why it is refused without being run. */
+type ReadRequest = CallerRequest | FailedResponse;
 
 /** Where the response to a request is written. */
 interface Reply {
@@ -124,6 +137,7 @@
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #resets: ConnectionResets;
+  readonly #bodies: RequestBodies;
   #limits = DEFAULT_LIMITS;
   #isDraining = false;
   #isRefusing = false;
@@ -138,6 +152,10 @@
       load: options.loadResetOnClose ?? ResetOnClose.load,
       reportFault: options.reportFault,
     });
+    this.#bodies = new RequestBodies({
+      memory: options.memory,
+      observeRefusal: options.observeBodyRefusal,
+    });
     this.#server = createServer({
       headersTimeout: DEFAULT_LIMITS.headTimeoutMs,
       requestTimeout: DEFAULT_LIMITS.headTimeoutMs + BODY_TIMEOUT_MS,
@@ -271,32 +289,50 @@
     };
     connection.add(request);
     response.on("finish", () => connection.remove(request));
-    const read = await this.#readRequest(
-      message,
+    const body = this.#bodies.open(message, this.#limits.maxBodyBytes);
+    const read = await this.#readRequest(message, body, {
       arrivedAtMs,
-      controller.signal,
-    );
+      signal: controller.signal,
+    });
+    const finalResponse = await this.#answer(read, {
+      message,
+      body,
+      request,
+      connection,
+      response,
+      signal: controller.signal,
+    });
+    releaseAfter(finalResponse, body);
+  }
+
+  /** Runs a request when it is its turn, and begins to write the response. */
+  async #answer(
+    read: ReadRequest,
+    { message, body, request, connection, response, signal }:
+      & Omit<Reply, "requestId">
+      & { readonly message: IncomingMessage; readonly body: RequestBody },
+  ): Promise<FinalResponse | undefined> {
     await waitForPendingEnds();
     const mayRun = await connection.requests.waitForTurn(request, {
-      bytes: "failure" in read ? 0 : read.body.byteLength,
+      bytes: body.size,
       isIdempotent: "failure" in read || this.#options.isIdempotent(read),
       endsConnection: !message.complete || !response.shouldKeepAlive,
     });
     if (!mayRun) {
-      return;
+      return undefined;
     }
     const finalResponse = await this.#run(read);
     if (!await connection.requests.waitForResponseTurn(request)) {
       cancelStream(finalResponse);
-      return;
+      return finalResponse;
     }
     const requestId = "failure" in read ? undefined : read.requestId;
-    const { signal } = controller;
     const reply = { requestId, request, connection, response, signal };
     this.#writeResponse(
       await this.#collectIfNeeded(finalResponse, reply),
       reply,
     );
+    return finalResponse;
   }
 
   /**
@@ -340,9 +376,7 @@
       : { ...head, body };
   }
 
-  async #run(
-    read: CallerRequest | (FinalResponse & { readonly kind: "failed" }),
-  ): Promise<FinalResponse> {
+  async #run(read: ReadRequest): Promise<FinalResponse> {
     if ("failure" in read) {
       return read;
     }
@@ -353,77 +387,48 @@
 
   async #readRequest(
     message: IncomingMessage,
-    arrivedAtMs: number,
-    signal: AbortSignal,
-  ): Promise<CallerRequest | (FinalResponse & { readonly kind: "failed" })> {
+    requestBody: RequestBody,
+    received: Pick<CallerRequest, "arrivedAtMs" | "signal">,
+  ): Promise<ReadRequest> {
     const headers = listHeaders(message.rawHeaders);
     const fields = this.#options.parseMetadata(headers);
     const { requestId } = fields;
-    const body = await this.#readBody(message);
-    const failure = !body.ok
-      ? body.failure
-      : requestId === undefined || message.headers.host === undefined
-      ? "malformed"
-      : undefined;
-    if (failure !== undefined || !body.ok || requestId === undefined) {
-      return this.#fail(requestId, failure ?? "malformed");
+    const result = await requestBody.result;
+    if (!result.ok) {
+      return this.#fail(requestId, result.failure.kind, result.failure);
+    }
+    if (requestId === undefined || message.headers.host === undefined) {
+      return this.#fail(requestId, "malformed");
     }
     return {
       ...fields,
       requestId,
       method: message.method ?? "GET",
-      host: message.headers.host ?? "",
+      host: message.headers.host,
       path: message.url ?? "/",
       headers,
-      body: body.bytes,
-      arrivedAtMs,
-      signal,
+      get body() {
+        return requestBody.take();
+      },
+      ...received,
     };
   }
 
   #fail(
     requestId: string | undefined,
     failure: ErrorKind,
-  ): FinalResponse & { readonly kind: "failed" } {
-    const message = ERROR_RESPONSES[failure].advice;
+    {
+      message = ERROR_RESPONSES[failure].advice,
+      retryAfterMs,
+    }: Omit<BodyFailure, "kind"> = {},
+  ): FailedResponse {
     this.#options.reportFailure({ requestId, kind: failure, message });
-    return { kind: "failed", failure, message };
-  }
-
-  #readBody(
-    message: IncomingMessage,
-  ): Promise<
-    | { readonly ok: true; readonly bytes: Uint8Array }
-    | { readonly ok: false; readonly failure: ErrorKind }
-  > {
-    const declaredLength = message.headers["content-length"];
-    const isChunked = message.headers["transfer-encoding"] !== undefined;
-    const { maxBodyBytes } = this.#limits;
-    if (
-      !isChunked && (declaredLength === undefined || declaredLength === "0")
-    ) {
-      return Promise.resolve({ ok: true, bytes: new Uint8Array(0) });
-    }
-    if (Number(declaredLength ?? 0) > maxBodyBytes) {
-      return Promise.resolve({ ok: false, failure: "body-too-large" });
-    }
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      message.on("data", (chunk: Buffer) => {
-        size += chunk.byteLength;
-        chunks.push(chunk);
-        if (size > maxBodyBytes) {
-          message.pause();
-          resolve({ ok: false, failure: "body-too-large" });
-        }
-      });
-      message.on(
-        "end",
-        () => resolve({ ok: true, bytes: Buffer.concat(chunks, size) }),
-      );
-      message.on("close", () => resolve({ ok: false, failure: "too-slow" }));
-    });
+    return {
+      kind: "failed",
+      failure,
+      message,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    };
   }
 
   #writeResponse(
@@ -575,6 +580,24 @@
   return !isSelfDelimited || (needsChunks && !hasChunks);
 }
 
+/**
+ * Releases the body of a request once the target has responded to the end: it
+ * may read the body until then.
+ */
+function releaseAfter(
+  finalResponse: FinalResponse | undefined,
+  body: RequestBody,
+): void {
+  const stream = finalResponse?.kind === "answered"
+    ? finalResponse.stream
+    : undefined;
+  if (stream === undefined) {
+    body.release();
+  } else {
+    void stream.ended.then(() => body.release());
+  }
+}
+
 /** Ends the target's work on a response that can no longer be passed on. */
 function cancelStream(finalResponse: FinalResponse): void {
   if (finalResponse.kind === "answered") {
@@ -673,9 +696,11 @@
     : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
     ? "408 Request Timeout"
     : "400 Bad Request";
-  socket.end(
+  socket.write(
     `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
   );
+  // A socket that is only ended would stay as long as its caller writes.
+  socket.destroySoon();
 }
 
 function listHeaders(rawHeaders: readonly string[]): readonly HeaderField[] {
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
+import { MemoryAccount } from "@lentilspur/transport/memory_account";
 import { RequestServer } from "./request_server.ts";
 
 const RESPONSE: FinalResponse = {
@@ -21,6 +22,8 @@
 
 async function openServer(handle: Handle): Promise<RequestServer> {
   const server = new RequestServer({
+    memory: new MemoryAccount(Infinity),
+    observeBodyRefusal: () => undefined,
     clock: new SystemClock(),
     host: "127.0.0.1",
     port: 0,
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -12,6 +12,7 @@
 import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
 import { Err } from "@lentilspur/outcomes/result";
 import type { FinalResponse } from "./caller_request.ts";
+import { MemoryAccount } from "@lentilspur/transport/memory_account";
 import { RequestServer } from "./request_server.ts";
 import type { StreamDelivery } from "./stream_writer.ts";
 
@@ -52,6 +53,8 @@
   ) {
     this.budget = new ReadAheadBudget(budgetBytes);
     this.server = new RequestServer({
+      memory: new MemoryAccount(Infinity),
+      observeBodyRefusal: () => undefined,
       clock: new SystemClock(),
       host: "127.0.0.1",
       port: 0,
--- a/packages/gateway/src/event_reporter_test.ts
+++ b/packages/gateway/src/event_reporter_test.ts
@@ -13,6 +13,7 @@
   openRetries: 0,
   heldRequests: 0,
   readAheadBytes: 0,
+  callerMemoryBytes: 0,
   targets: 0,
   configurationVersion: 0,
   droppedLines: 0,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -22,6 +22,7 @@
   readonly openRetries: number;
   readonly heldRequests: number;
   readonly readAheadBytes: number;
+  readonly callerMemoryBytes: number;
   readonly targets: number;
   readonly configurationVersion: number;
   readonly droppedLines: number;
@@ -130,6 +131,12 @@
     labelNames: ["service", "decision"] as const,
     registers: [this.#registry],
   });
+  readonly refusedBodies = new Counter({
+    name: "lentilspur_refused_bodies_total",
+    help:
+      "Bodies of requests that were refused because their memory is used up",
+    registers: [this.#registry],
+  });
   readonly lateRequests = new Counter({
     name: "lentilspur_late_requests_total",
     help: "Requests that callers may have sent half a second before or more",
@@ -227,6 +234,11 @@
       "Memory of large responses that callers have not taken yet",
       () => readGauges().readAheadBytes,
     );
+    this.#addGauge(
+      "lentilspur_caller_memory_bytes",
+      "Memory of bodies of requests, and of responses that are read ahead",
+      () => readGauges().callerMemoryBytes,
+    );
     this.#addGauge(
       "lentilspur_targets",
       "Targets that this instance knows",
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -6,6 +6,14 @@
 /** Leaves the rest to the process itself and to requests that wait. */
 const READ_AHEAD_SHARE = 0.08;
 const MAX_READ_AHEAD_BYTES = 32_000_000;
+/**
+ * Taken by the process at rest, by V8's young generation, and by what has been
+ * read and is not collected yet.
+ */
+const PROCESS_BYTES = 156_000_000;
+/** The rest is for connections and what the operating system holds of them. */
+const MAX_CALLER_SHARE = 0.4;
+const MIN_CALLER_BYTES = 4_000_000;
 
 export interface ResolvedGatewaySettings {
   readonly instance: string;
@@ -17,6 +25,11 @@
    * them.
    */
   readonly readAheadBytes: number;
+  /**
+   * Memory for all that is held for callers: bodies of requests, and responses
+   * that are read ahead.
+   */
+  readonly callerMemoryBytes: number;
   /** Address of the machine; all listeners bind to it. */
   readonly host: string;
   readonly requestPort: number;
@@ -63,6 +76,14 @@
   readonly owners: { readonly topic: string; readonly parts: number };
 }
 
+export function computeCallerMemoryBytes(memoryMb: number): number {
+  const bytes = memoryMb * 1_000_000;
+  return Math.floor(Math.max(
+    MIN_CALLER_BYTES,
+    Math.min(MAX_CALLER_SHARE * bytes, bytes - PROCESS_BYTES),
+  ));
+}
+
 export function computeReadAheadBytes(memoryMb: number): number {
   const bytes = Math.floor(memoryMb * 1_000_000 * READ_AHEAD_SHARE);
   return Math.min(bytes, MAX_READ_AHEAD_BYTES);
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from "@lentilspur/ports/seeded_random";
 import type { StoreRecord } from "@lentilspur/ports/store";
 import { sleepUntilTick } from "@lentilspur/ports/tick";
+import { MemoryAccount } from "@lentilspur/transport/memory_account";
 import { ReadAheadBudget } from "@lentilspur/transport/read_ahead_budget";
 import { AccountDemands } from "./entry/account_demands.ts";
 import { AccountAdmission } from "./entry/account_admission.ts";
@@ -105,6 +106,7 @@
   readonly #logger: StructuredLogger;
   readonly #metrics: GatewayMetrics;
   readonly #reporter: EventReporter;
+  readonly #memory: MemoryAccount;
   readonly #readAhead: ReadAheadBudget;
   readonly #adapter: InstanceAdapter;
   readonly #catalogue: Catalogue;
@@ -154,7 +156,11 @@
     });
     this.#metrics = new GatewayMetrics(() => this.#status.readGauges());
     this.#reporter = new EventReporter(this.#logger, this.#metrics);
-    this.#readAhead = new ReadAheadBudget(settings.readAheadBytes);
+    this.#memory = new MemoryAccount(settings.callerMemoryBytes);
+    this.#readAhead = new ReadAheadBudget(
+      settings.readAheadBytes,
+      this.#memory,
+    );
     this.#adapter = options.createAdapter({
       readAhead: this.#readAhead,
       observeStoreCall: (call, outcome) =>
@@ -539,6 +545,8 @@
       clock,
       host: settings.host,
       port: settings.requestPort,
+      memory: this.#memory,
+      observeBodyRefusal: () => this.#metrics.refusedBodies.inc(),
       readStallMs: () => this.#services.readStallMs(),
       parseMetadata: this.#adapter.parseMetadata,
       isIdempotent: (request) =>
@@ -742,6 +750,7 @@
       countOpenRetries: () => this.#services.countOpenRetries(),
       countHeldRequests: () => this.#server.heldRequests,
       countReadAheadBytes: () => this.#readAhead.claimedBytes,
+      countCallerMemoryBytes: () => this.#memory.claimedBytes,
       countWaitingRequests: () => this.#services.waiting,
       countQuarantinedRequests: () => this.#quarantine.countQuarantined(),
       countLimitedTargets: () => this.#limits.count,
--- a/packages/gateway/src/instance_status.ts
+++ b/packages/gateway/src/instance_status.ts
@@ -24,6 +24,7 @@
   readonly countHeldRequests: () => number;
   /** Memory of large responses that are read ahead. */
   readonly countReadAheadBytes: () => number;
+  readonly countCallerMemoryBytes: () => number;
   /** Requests that wait for a place at a target. */
   readonly countWaitingRequests: () => number;
   readonly countQuarantinedRequests: () => number;
@@ -96,6 +97,7 @@
       countOpenRetries,
       countHeldRequests,
       countReadAheadBytes,
+      countCallerMemoryBytes,
       countWaitingRequests,
       countQuarantinedRequests,
       countLimitedTargets,
@@ -107,6 +109,7 @@
       openRetries: countOpenRetries(),
       heldRequests: countHeldRequests(),
       readAheadBytes: countReadAheadBytes(),
+      callerMemoryBytes: countCallerMemoryBytes(),
       targets: catalogue.targetCount,
       configurationVersion: catalogue.routingTable?.version ?? 0,
       droppedLines: logger.droppedCount,
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -209,8 +209,8 @@
     if (matched === undefined) {
       return createFailure("no-such-route", `No route for "${request.path}"`);
     }
-    const maxBytes = matched.route.maxBodyBytes ?? Infinity;
-    if (request.body.byteLength > maxBytes) {
+    const { maxBodyBytes: maxBytes } = matched.route;
+    if (maxBytes !== undefined && request.body.byteLength > maxBytes) {
       const message = `The body is larger than ${maxBytes} bytes`;
       return createFailure("body-too-large", message);
     }
--- a/packages/transport/src/read_ahead_budget.ts
+++ b/packages/transport/src/read_ahead_budget.ts
@@ -2,17 +2,20 @@
  * Limits the memory of all responses that are read faster than their callers
  * take them. A target cuts off a response that remains unread, so responses are
  * read ahead; without a limit, slow callers would fill the memory of the
- * instance.
+ * instance. The memory is part of what the process holds for its callers.
  */
+import { MemoryAccount } from "./memory_account.ts";
 
 export class ReadAheadBudget {
   readonly #limitBytes: number;
+  readonly #account: MemoryAccount;
   readonly #waiting = new Set<() => void>();
   #claimedBytes = 0;
   #isOfferScheduled = false;
 
-  constructor(limitBytes: number) {
+  constructor(limitBytes: number, account = new MemoryAccount(Infinity)) {
     this.#limitBytes = limitBytes;
+    this.#account = account;
   }
 
   /** Bytes that are held or reserved for a part that is being read. */
@@ -28,6 +31,7 @@
   /** Claims memory that is in use already. */
   claim(bytes: number): void {
     this.#claimedBytes += bytes;
+    this.#account.claim(bytes);
   }
 
   /** Claims memory if the limit allows it. */
@@ -35,12 +39,13 @@
     if (this.#claimedBytes + bytes > this.#limitBytes) {
       return false;
     }
-    this.#claimedBytes += bytes;
+    this.claim(bytes);
     return true;
   }
 
   release(bytes: number): void {
     this.#claimedBytes -= bytes;
+    this.#account.release(bytes);
     this.#scheduleOffer();
   }
 
