fix(gateway): keep a body that was taken for its fingerprint after the release

A send that fails after its caller was answered, at a stop, computes the fingerprint of its request from the body, which was empty by then.

--- a/packages/gateway/src/entry/body_buffer.ts
+++ b/packages/gateway/src/entry/body_buffer.ts
@@ -53,11 +53,12 @@
     return this.#buffer.subarray(0, this.#size);
   }
 
-  /** Gives back the memory. */
+  /** Gives back the blocks of a body that was not taken. */
   clear(): void {
     this.#releaseBlocks();
-    this.#buffer = undefined;
-    this.#size = 0;
+    if (this.#buffer === undefined) {
+      this.#size = 0;
+    }
   }
 
   #addToBlocks(part: Buffer): void {
--- a/packages/gateway/src/entry/request_bodies.ts
+++ b/packages/gateway/src/entry/request_bodies.ts
@@ -168,10 +168,12 @@
     return this.#buffer?.take() ?? new Uint8Array(0);
   }
 
-  /** Gives back the memory; the body must not be used any more. */
+  /**
+   * Gives back the memory. A body that was taken can be taken again, as long as
+   * something refers to its request.
+   */
   release(): void {
     this.#buffer?.clear();
-    this.#buffer = undefined;
     this.#options.release(this.#heldBytes);
     this.#heldBytes = 0;
   }
@@ -206,6 +208,7 @@
   #fail(failure: BodyFailure): void {
     if (!this.#isSettled) {
       this.release();
+      this.#buffer = undefined;
       this.#settle({ ok: false, failure });
     }
   }
--- a/packages/gateway/src/entry/request_bodies_test.ts
+++ b/packages/gateway/src/entry/request_bodies_test.ts
@@ -141,3 +141,16 @@
   assert.deepEqual(await body.result, { ok: true });
   assert.equal(body.take().byteLength, 6 * MEGABYTE);
 });
+
+test("a body that was sent is the same after its memory was given back", async () => {
+  const fixture = new BodiesFixture();
+  const sent = fixture.open();
+  await sent.add("sent");
+  await sent.close();
+  const bytes = sent.body.take();
+  sent.body.release();
+  const other = fixture.open();
+  await other.add("other");
+  assert.equal(Buffer.from(bytes).toString(), "sent");
+  assert.deepEqual(sent.body.take(), bytes);
+});
