fix(gateway): bound the connections that callers keep open

Callers that open connections and send next to nothing could use up the descriptors of a process, and with them its connections to targets, peers and the store.

Nothing bounded them but the operating system. Now three quarters of the sockets that the settings allow are for callers; at the limit the connection that has gone longest without a response is closed, unless its request was passed on, so that an ordinary caller that comes after a crowd is served.

--- a/packages/cli/src/setting_values.ts
+++ b/packages/cli/src/setting_values.ts
@@ -5,7 +5,9 @@
  */
 import {
   computeCallerMemoryBytes,
+  computeMaxCallerConnections,
   computeReadAheadBytes,
+  DEFAULT_DESCRIPTORS,
   DEFAULT_MEMORY_MB,
   type ResolvedGatewaySettings,
 } from "@lentilspur/gateway/gateway_settings";
@@ -127,6 +129,7 @@
       dataCentre: values.dataCentre,
       cores: values.cores,
       readAheadBytes: computeReadAheadBytes(DEFAULT_MEMORY_MB),
+      maxCallerConnections: computeMaxCallerConnections(DEFAULT_DESCRIPTORS),
       callerMemoryBytes: computeCallerMemoryBytes(DEFAULT_MEMORY_MB),
       host: values.host,
       requestPort: values.port,
--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -64,6 +64,11 @@
     return this.#entries.length === 0;
   }
 
+  /** Whether a request has been passed on and is not answered yet. */
+  get isRunning(): boolean {
+    return this.#entries.some(({ stage }) => stage === "running");
+  }
+
   /** Number of requests that are read but not passed on. */
   get held(): number {
     return this.#entries.filter(({ stage }) => stage !== "running").length;
--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -41,6 +41,8 @@
   mode === "in-parts" ? 0 : 2 * MAX_RESPONSE_BYTES,
 );
 const server = new RequestServer({
+  maxConnections: Infinity,
+  observeClosedConnection: () => undefined,
   memory: new MemoryAccount(Infinity),
   observeBodyRefusal: () => undefined,
   clock,
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -24,6 +24,8 @@
   const requests: CallerRequest[] = [];
   const answers = new Map<string, Answer>();
   const server = new RequestServer({
+    maxConnections: Infinity,
+    observeClosedConnection: () => undefined,
     memory: new MemoryAccount(Infinity),
     observeBodyRefusal: () => undefined,
     clock: new SystemClock(),
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -65,6 +65,10 @@
     readonly message: string;
   }) => void;
   readonly reportFault: (message: string) => void;
+  /** Connections that are open at the same time. */
+  readonly maxConnections: number;
+  /** Called when one is closed because as many are open as may be. */
+  readonly observeClosedConnection: (connections: number) => void;
   /** Accounts for the bodies of requests. */
   readonly memory: MemoryAccount;
   /** Called when a body is refused because that memory is used up. */
@@ -135,6 +139,7 @@
 export class RequestServer {
   readonly #options: RequestServerOptions;
   readonly #server: Server;
+  /** By when they last received a response, or were opened. */
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #resets: ConnectionResets;
   readonly #bodies: RequestBodies;
@@ -263,8 +268,42 @@
     if (this.#isDraining) {
       connection.requests.drain();
     }
-    this.#connections.set(socket, connection);
-    socket.once("close", () => this.#connections.delete(socket));
+    if (this.#connections.size >= this.#options.maxConnections) {
+      this.#closeLeastUseful(socket);
+    }
+    if (!socket.destroyed) {
+      this.#connections.set(socket, connection);
+      socket.once("close", () => this.#connections.delete(socket));
+    }
+  }
+
+  /**
+   * Makes room for a new connection: closes the one that has gone longest
+   * without a response and whose request, if it has one, was not passed on.
+   * Closes the new one if all others wait for a target.
+   */
+  #closeLeastUseful(newSocket: Socket): void {
+    const connections = this.#connections.size;
+    const socket = this.#findLeastUseful() ?? newSocket;
+    this.#connections.delete(socket);
+    socket.destroy();
+    this.#options.observeClosedConnection(connections);
+  }
+
+  #findLeastUseful(): Socket | undefined {
+    for (const [socket, { requests }] of this.#connections) {
+      if (!requests.isRunning) {
+        return socket;
+      }
+    }
+    return undefined;
+  }
+
+  /** Counts a connection as used just now. */
+  #recordUse(socket: Socket, connection: CallerConnection): void {
+    if (this.#connections.delete(socket)) {
+      this.#connections.set(socket, connection);
+    }
   }
 
   async #handle(
@@ -288,7 +327,10 @@
       end: () => this.#openRequests--,
     };
     connection.add(request);
-    response.on("finish", () => connection.remove(request));
+    response.on("finish", () => {
+      connection.remove(request);
+      this.#recordUse(message.socket, connection);
+    });
     const body = this.#bodies.open(message, this.#limits.maxBodyBytes);
     const read = await this.#readRequest(message, body, {
       arrivedAtMs,
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -22,6 +22,8 @@
 
 async function openServer(handle: Handle): Promise<RequestServer> {
   const server = new RequestServer({
+    maxConnections: Infinity,
+    observeClosedConnection: () => undefined,
     memory: new MemoryAccount(Infinity),
     observeBodyRefusal: () => undefined,
     clock: new SystemClock(),
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -53,6 +53,8 @@
   ) {
     this.budget = new ReadAheadBudget(budgetBytes);
     this.server = new RequestServer({
+      maxConnections: Infinity,
+      observeClosedConnection: () => undefined,
       memory: new MemoryAccount(Infinity),
       observeBodyRefusal: () => undefined,
       clock: new SystemClock(),
--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -110,6 +110,12 @@
     this.#metrics.lateRequests.inc(requests);
   }
 
+  /** A connection was closed since `connections` were open. */
+  observeClosedConnection(connections: number): void {
+    this.#log("connection-closed", { reason: "limit", connections });
+    this.#metrics.closedConnections.inc();
+  }
+
   observeDelivery(
     { requestId, result, bytes, message }: StreamDelivery & {
       readonly requestId: string | undefined;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -131,6 +131,11 @@
     labelNames: ["service", "decision"] as const,
     registers: [this.#registry],
   });
+  readonly closedConnections = new Counter({
+    name: "lentilspur_closed_connections_total",
+    help: "Connections of callers that were closed because too many were open",
+    registers: [this.#registry],
+  });
   readonly refusedBodies = new Counter({
     name: "lentilspur_refused_bodies_total",
     help:
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -14,6 +14,12 @@
 /** The rest is for connections and what the operating system holds of them. */
 const MAX_CALLER_SHARE = 0.4;
 const MIN_CALLER_BYTES = 4_000_000;
+/** Descriptors of an instance whose settings do not state them. */
+export const DEFAULT_DESCRIPTORS = 4_096;
+/** Not available to sockets. */
+const FILE_DESCRIPTORS = 200;
+/** The other sockets are those to targets, peers and the store. */
+const CALLER_SOCKETS_SHARE = 0.75;
 
 export interface ResolvedGatewaySettings {
   readonly instance: string;
@@ -30,6 +36,8 @@
    * that are read ahead.
    */
   readonly callerMemoryBytes: number;
+  /** Connections of callers that are open at the same time. */
+  readonly maxCallerConnections: number;
   /** Address of the machine; all listeners bind to it. */
   readonly host: string;
   readonly requestPort: number;
@@ -76,6 +84,11 @@
   readonly owners: { readonly topic: string; readonly parts: number };
 }
 
+export function computeMaxCallerConnections(descriptors: number): number {
+  const sockets = Math.max(0, descriptors - FILE_DESCRIPTORS);
+  return Math.max(1, Math.floor(CALLER_SOCKETS_SHARE * sockets));
+}
+
 export function computeCallerMemoryBytes(memoryMb: number): number {
   const bytes = memoryMb * 1_000_000;
   return Math.floor(Math.max(
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -545,6 +545,9 @@
       clock,
       host: settings.host,
       port: settings.requestPort,
+      maxConnections: settings.maxCallerConnections,
+      observeClosedConnection: (connections) =>
+        this.#reporter.observeClosedConnection(connections),
       memory: this.#memory,
       observeBodyRefusal: () => this.#metrics.refusedBodies.inc(),
       readStallMs: () => this.#services.readStallMs(),
