fix(gateway): report service times for a minute without a further send

A large deployment sends some targets so little that an instance's measurement came and went, and the plan with it.

--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -74,8 +74,11 @@
  * until its bytes were read.
  */
 const UNREAD_TICKS = 3;
-/** How long the service time of a target is reported without a further send. */
-const SERVICE_TIME_VALID_MS = 10_000;
+/**
+ * How long the service time of a target is reported without a further send. In a
+ * large deployment an instance sends some targets a request every ten seconds.
+ */
+const SERVICE_TIME_VALID_MS = 60_000;
 /** Requests that are less late are as usual. */
 const MIN_LATENESS_MS = 500;
 const LATE_REPORT_INTERVAL_MS = 1_000;
