fix(gateway): hold forwarded bodies within the memory of the machine

Each body that another instance forwards was kept up to 65 MiB, for as many connections as there were, beside the account of the callers' bodies. They claim from the same account now, by the same rules; a refused one is answered as unable for lack of memory, so that the origin asks another instance.

--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -8,6 +8,7 @@
 import { ConnectionPool } from "@lentilspur/transport/connection_pool";
 import { ReadAheadBudget } from "@lentilspur/transport/read_ahead_budget";
 import { MemoryAccount } from "@lentilspur/transport/memory_account";
+import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
 
 /** Sent to the parent. */
@@ -43,8 +44,10 @@
 const server = new RequestServer({
   maxConnections: Infinity,
   observeClosedConnection: () => undefined,
-  memory: new MemoryAccount(Infinity),
-  observeBodyRefusal: () => undefined,
+  bodies: new RequestBodies({
+    memory: new MemoryAccount(Infinity),
+    observeRefusal: () => undefined,
+  }),
   clock,
   host: "127.0.0.1",
   port: 0,
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -6,6 +6,7 @@
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
 import { MemoryAccount } from "@lentilspur/transport/memory_account";
+import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
 
 type Answer = (isSelfDelimited?: boolean) => void;
@@ -26,8 +27,10 @@
   const server = new RequestServer({
     maxConnections: Infinity,
     observeClosedConnection: () => undefined,
-    memory: new MemoryAccount(Infinity),
-    observeBodyRefusal: () => undefined,
+    bodies: new RequestBodies({
+      memory: new MemoryAccount(Infinity),
+      observeRefusal: () => undefined,
+    }),
     clock: new SystemClock(),
     host: "127.0.0.1",
     port: 0,
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -16,7 +16,6 @@
 } from "node:net";
 import type { HeaderField } from "@lentilspur/ports/header_field";
 import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
-import type { MemoryAccount } from "@lentilspur/transport/memory_account";
 import type { Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
 import {
@@ -32,10 +31,10 @@
 import { CallerConnection } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
 import { openListener } from "./open_listener.ts";
-import {
-  type BodyFailure,
+import type {
+  BodyFailure,
   RequestBodies,
-  type RequestBody,
+  RequestBody,
 } from "./request_bodies.ts";
 import { ConnectionResets } from "./connection_resets.ts";
 import {
@@ -69,10 +68,7 @@
   readonly maxConnections: number;
   /** Called when one is closed because as many are open as may be. */
   readonly observeClosedConnection: (connections: number) => void;
-  /** Accounts for the bodies of requests. */
-  readonly memory: MemoryAccount;
-  /** Called when a body is refused because that memory is used up. */
-  readonly observeBodyRefusal: () => void;
+  readonly bodies: RequestBodies;
   /** Replaces the socket option of this system. */
   readonly loadResetOnClose?: () => Promise<Result<ResetOnClose, string>>;
 }
@@ -142,7 +138,6 @@
   /** By when they last received a response, or were opened. */
   readonly #connections = new Map<Socket, CallerConnection>();
   readonly #resets: ConnectionResets;
-  readonly #bodies: RequestBodies;
   #limits = DEFAULT_LIMITS;
   #isDraining = false;
   #isRefusing = false;
@@ -157,10 +152,6 @@
       load: options.loadResetOnClose ?? ResetOnClose.load,
       reportFault: options.reportFault,
     });
-    this.#bodies = new RequestBodies({
-      memory: options.memory,
-      observeRefusal: options.observeBodyRefusal,
-    });
     this.#server = createServer({
       headersTimeout: DEFAULT_LIMITS.headTimeoutMs,
       requestTimeout: DEFAULT_LIMITS.headTimeoutMs + BODY_TIMEOUT_MS,
@@ -331,7 +322,7 @@
       connection.remove(request);
       this.#recordUse(message.socket, connection);
     });
-    const body = this.#bodies.open(message, this.#limits.maxBodyBytes);
+    const body = this.#options.bodies.open(message, this.#limits.maxBodyBytes);
     const read = await this.#readRequest(message, body, {
       arrivedAtMs,
       signal: controller.signal,
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -6,6 +6,7 @@
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
 import { MemoryAccount } from "@lentilspur/transport/memory_account";
+import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
 
 const RESPONSE: FinalResponse = {
@@ -24,8 +25,10 @@
   const server = new RequestServer({
     maxConnections: Infinity,
     observeClosedConnection: () => undefined,
-    memory: new MemoryAccount(Infinity),
-    observeBodyRefusal: () => undefined,
+    bodies: new RequestBodies({
+      memory: new MemoryAccount(Infinity),
+      observeRefusal: () => undefined,
+    }),
     clock: new SystemClock(),
     host: "127.0.0.1",
     port: 0,
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -13,6 +13,7 @@
 import { Err } from "@lentilspur/outcomes/result";
 import type { FinalResponse } from "./caller_request.ts";
 import { MemoryAccount } from "@lentilspur/transport/memory_account";
+import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
 import type { StreamDelivery } from "./stream_writer.ts";
 
@@ -55,8 +56,10 @@
     this.server = new RequestServer({
       maxConnections: Infinity,
       observeClosedConnection: () => undefined,
-      memory: new MemoryAccount(Infinity),
-      observeBodyRefusal: () => undefined,
+      bodies: new RequestBodies({
+        memory: new MemoryAccount(Infinity),
+        observeRefusal: () => undefined,
+      }),
       clock: new SystemClock(),
       host: "127.0.0.1",
       port: 0,
--- a/packages/gateway/src/forwarding/forwarded_request.ts
+++ b/packages/gateway/src/forwarding/forwarded_request.ts
@@ -57,6 +57,8 @@
   /** The peer has no such route and service in force. */
   | "configuration"
   | "stopping"
+  /** The peer has no memory left for the body. */
+  | "memory"
   /** No target has responded to the peer lately. */
   | "isolated"
   /** The peer has lost its own paths to the targets that may run the request. */
--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -12,6 +12,8 @@
   type ForwardReply,
 } from "./forwarded_request.ts";
 import { type HopResult, HttpForwardingClient } from "./forwarding_client.ts";
+import { MemoryAccount } from "@lentilspur/transport/memory_account";
+import { RequestBodies } from "../entry/request_bodies.ts";
 import { ForwardingServer } from "./forwarding_server.ts";
 
 const REQUEST: ForwardedRequest = {
@@ -57,6 +59,10 @@
   } = {},
 ): Promise<HopResult> {
   const server = new ForwardingServer({
+    bodies: new RequestBodies({
+      memory: new MemoryAccount(Infinity),
+      observeRefusal: () => undefined,
+    }),
     clock: new SystemClock(),
     host: "127.0.0.1",
     port: 0,
@@ -170,6 +176,10 @@
   test(`an endless body of a message to ${path} is read up to its limit only`, async () => {
     const faults: string[] = [];
     const server = new ForwardingServer({
+      bodies: new RequestBodies({
+        memory: new MemoryAccount(Infinity),
+        observeRefusal: () => undefined,
+      }),
       clock: new SystemClock(),
       host: "127.0.0.1",
       port: 0,
--- a/packages/gateway/src/forwarding/forwarding_server.ts
+++ b/packages/gateway/src/forwarding/forwarding_server.ts
@@ -8,6 +8,11 @@
 import type { AddressInfo } from "node:net";
 import type { Clock } from "@lentilspur/ports/clock";
 import { openListener } from "../entry/open_listener.ts";
+import type {
+  BodyFailure,
+  RequestBodies,
+  RequestBody,
+} from "../entry/request_bodies.ts";
 import {
   decodeForwardedRequest,
   encodeForwardReply,
@@ -29,6 +34,7 @@
   readonly port: number;
   /** How long this process has just been stalled; 0 if it was not. */
   readonly readStallMs: () => number;
+  readonly bodies: RequestBodies;
   readonly handle: (
     request: ForwardedRequest,
     options: { readonly receivedAtMs: number; readonly signal: AbortSignal },
@@ -115,7 +121,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, handle, readStallMs, reportFault } = this.#options;
+    const { clock, bodies, readStallMs, reportFault } = this.#options;
     // A request that is read after a stall may have arrived at its beginning.
     const receivedAtMs = clock.readMs() - readStallMs();
     const controller = new AbortController();
@@ -124,22 +130,50 @@
       controller.abort();
     });
     this.#openRequests++;
+    const body = bodies.open(message, MAX_REQUEST_BYTES);
     try {
-      const request = decodeForwardedRequest(
-        await readBody(message, MAX_REQUEST_BYTES),
-      );
-      const reply: ForwardReply = request === undefined
-        ? { kind: "unable", reason: "malformed" }
-        : await handle(request, { receivedAtMs, signal: controller.signal });
-      const body = encodeForwardReply(reply);
-      response.setHeader("Content-Length", body.byteLength);
-      response.end(body);
+      const result = await body.result;
+      if (result.ok) {
+        const { signal } = controller;
+        const reply = await this.#handleBody(body, { receivedAtMs, signal });
+        writeReply(response, reply);
+      } else if (result.failure.kind === "overloaded") {
+        // The rest of the body would be read as a message.
+        response.setHeader("Connection", "close");
+        writeReply(response, { kind: "unable", reason: "memory" });
+      } else {
+        throw new Error(describeFailure(result.failure));
+      }
     } catch (error) {
       // The sender has closed the connection or sends without end.
       reportFault(`A forwarded request was not read: ${String(error)}`);
       response.destroy();
+    } finally {
+      body.release();
     }
   }
+
+  #handleBody(
+    body: RequestBody,
+    options: Parameters<ForwardingServerOptions["handle"]>[1],
+  ): Promise<ForwardReply> {
+    const request = decodeForwardedRequest(body.take());
+    return request === undefined
+      ? Promise.resolve({ kind: "unable", reason: "malformed" })
+      : this.#options.handle(request, options);
+  }
+}
+
+function describeFailure({ kind }: BodyFailure): string {
+  return kind === "body-too-large"
+    ? `The body is larger than ${MAX_REQUEST_BYTES} bytes`
+    : "The sender has closed the connection";
+}
+
+function writeReply(response: ServerResponse, reply: ForwardReply): void {
+  const bytes = encodeForwardReply(reply);
+  response.setHeader("Content-Length", bytes.byteLength);
+  response.end(bytes);
 }
 
 /** Rejects if the sender closes the connection or the body is too large. */
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -308,6 +308,7 @@
       // Without an owner, it has lost the paths to many targets.
       return owner === undefined;
     case "configuration":
+    case "memory":
       return false;
   }
 }
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -45,6 +45,7 @@
 import type { StageCounts } from "./requests/open_requests.ts";
 import { RequestQuarantine } from "./requests/request_quarantine.ts";
 import { RequestRouter } from "./requests/request_router.ts";
+import { RequestBodies } from "./entry/request_bodies.ts";
 import { RequestServer } from "./entry/request_server.ts";
 import { PathMonitor } from "./paths/path_monitor.ts";
 import { ServiceRegistry } from "./requests/service_registry.ts";
@@ -107,6 +108,7 @@
   readonly #metrics: GatewayMetrics;
   readonly #reporter: EventReporter;
   readonly #memory: MemoryAccount;
+  readonly #bodies: RequestBodies;
   readonly #readAhead: ReadAheadBudget;
   readonly #adapter: InstanceAdapter;
   readonly #catalogue: Catalogue;
@@ -157,6 +159,10 @@
     this.#metrics = new GatewayMetrics(() => this.#status.readGauges());
     this.#reporter = new EventReporter(this.#logger, this.#metrics);
     this.#memory = new MemoryAccount(settings.callerMemoryBytes);
+    this.#bodies = new RequestBodies({
+      memory: this.#memory,
+      observeRefusal: () => this.#metrics.refusedBodies.inc(),
+    });
     this.#readAhead = new ReadAheadBudget(
       settings.readAheadBytes,
       this.#memory,
@@ -514,6 +520,7 @@
   #createForwardingServer(): ForwardingServer {
     const { clock, settings } = this.#options;
     return new ForwardingServer({
+      bodies: this.#bodies,
       clock,
       host: settings.host,
       port: settings.peerPort,
@@ -548,8 +555,7 @@
       maxConnections: settings.maxCallerConnections,
       observeClosedConnection: (connections) =>
         this.#reporter.observeClosedConnection(connections),
-      memory: this.#memory,
-      observeBodyRefusal: () => this.#metrics.refusedBodies.inc(),
+      bodies: this.#bodies,
       readStallMs: () => this.#services.readStallMs(),
       parseMetadata: this.#adapter.parseMetadata,
       isIdempotent: (request) =>
