fix(routing): let a recheck replace only an estimate that it contradicts

The response to a recheck replaced the service time of its target, also where it was about as long as the estimate. In a large deployment most targets have had no send of an instance for a second, so single responses, which vary, became the estimate of many.

The tests of outdated estimates pass as before.

--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -307,7 +307,10 @@
     const places = this.#getPlaces(service);
     places.getLoad(placed.target.id)?.recordEnded(requestId);
     if (placed.isRecheck) {
-      places.recordRecheckEnd(placed.target.id, requestId, "unsent");
+      places.recordRecheckEnd(placed.target.id, requestId, {
+        end: "unsent",
+        elapsedMs: 0,
+      });
     }
     places.dispatchQueued(this.#options.clock.readMs());
   }
@@ -329,7 +332,8 @@
     load?.recordEnded(requestId);
     if (placed.isRecheck) {
       const end = outcome.kind === "answered" ? "responded" : "failed";
-      places.recordRecheckEnd(placed.target.id, requestId, end);
+      const elapsedMs = nowMs - sentAtMs;
+      places.recordRecheckEnd(placed.target.id, requestId, { end, elapsedMs });
     }
     // A lost path says nothing about the speed or the failures of the target.
     const isFailure = outcome.kind === "unknown" ||
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -393,17 +393,20 @@
   }
 
   /**
-   * Records the end of a recheck. A response, which has to be recorded after this,
-   * replaces the outdated estimate.
+   * Records the end of a recheck after this time. A response, which has to be
+   * recorded after this, replaces an estimate that it contradicts.
    */
   recordRecheckEnd(
     targetId: string,
     requestId: string,
-    end: RecheckEnd,
+    { end, elapsedMs }: {
+      readonly end: RecheckEnd;
+      readonly elapsedMs: number;
+    },
   ): void {
     this.#rechecks.recordEnd(requestId, end);
     if (end === "responded") {
-      this.#loads.get(targetId)?.resetEstimates();
+      this.#loads.get(targetId)?.resetEstimates(elapsedMs);
     }
   }
 
--- a/packages/routing/src/service_places_test.ts
+++ b/packages/routing/src/service_places_test.ts
@@ -262,7 +262,7 @@
   assert.ok(recheck.decision?.kind === "placed" && recheck.decision.isRecheck);
   assert.equal(late(2, 2_000).decision?.kind, "refused", "during the recheck");
   places.getLoad("a")!.recordEnded("1");
-  places.recordRecheckEnd("a", "1", "failed");
+  places.recordRecheckEnd("a", "1", { end: "failed", elapsedMs: 500 });
   assert.equal(
     late(3, 2_500).decision?.kind,
     "refused",
@@ -270,7 +270,7 @@
   );
   assert.equal(getTarget(late(4, 4_000)), "a");
   places.getLoad("a")!.recordEnded("4");
-  places.recordRecheckEnd("a", "4", "responded");
+  places.recordRecheckEnd("a", "4", { end: "responded", elapsedMs: 100 });
   places.getLoad("a")!.recordResponse(100, 0);
   assert.equal(places.getAverageServiceMs(), 100);
 });
@@ -291,7 +291,7 @@
     const rechecks = submitLate(2_000 * (index + 1));
     for (const { requestId, targetId } of rechecks) {
       places.getLoad(targetId!)!.recordEnded(requestId);
-      places.recordRecheckEnd(targetId!, requestId, end);
+      places.recordRecheckEnd(targetId!, requestId, { end, elapsedMs: 100 });
     }
     return rechecks.length;
   });
--- a/packages/routing/src/target_load.ts
+++ b/packages/routing/src/target_load.ts
@@ -157,13 +157,16 @@
   }
 
   /**
-   * Forgets the service time and the failures, so that the next response alone
-   * decides both.
+   * Forgets the failures, and the service time if a response shows that it is
+   * far too long. A single response says little of a target of about the usual
+   * speed.
    */
-  resetEstimates(): void {
-    this.#serviceMs = null;
-    this.#uncontendedServiceMs = null;
+  resetEstimates(elapsedMs: number): void {
     this.#failureRate = 0;
+    if ((this.#serviceMs ?? 0) > SLOW_FACTOR * elapsedMs) {
+      this.#serviceMs = null;
+      this.#uncontendedServiceMs = null;
+    }
   }
 
   recordReport(load: ReportedLoad, nowMs: number): void {
