fix(routing): leave slow targets out of the average for admission only

Cause: the average without far slower targets also stood in the plan of keys for targets that too few instances report, so these counted as faster than those with reports, and keys moved to and fro.

Fix: only what decides on a request's latest start uses the average without far slower targets (getTypicalServiceMs); all else uses the mean over all targets, as it did.

The tests of outdated estimates, of routing, requests and the load simulation pass.

--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -140,7 +140,7 @@
   ): Promise<PlaceDecision | undefined> {
     const { request, route, admission, service } = context;
     const { services } = this.#options;
-    const serviceMs = services.getAverageServiceMs(service) ?? 0;
+    const serviceMs = services.getTypicalServiceMs(service) ?? 0;
     const placeRequest: PlaceRequest = {
       requestId: request.requestId,
       priority: route.priority,
@@ -174,7 +174,7 @@
     if (rateLimiter.getLimitPerSecond(target) === undefined) {
       return { kind: "granted", waitMs: 0 };
     }
-    const serviceMs = services.getAverageServiceMs(context.service) ?? 0;
+    const serviceMs = services.getTypicalServiceMs(context.service) ?? 0;
     const latestStartMs = computeLatestStart(context, serviceMs);
     const maxWaitMs = Math.max(0, latestStartMs - clock.readMs());
     const { signal } = context.request;
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -428,6 +428,11 @@
     return this.#getPlaces(service).getAverageServiceMs();
   }
 
+  /** The same without targets that are far slower than the others. */
+  getTypicalServiceMs(service: string): number | null {
+    return this.#getPlaces(service).getTypicalServiceMs();
+  }
+
   /**
    * Estimates how long a request that has just been placed takes to be
    * answered.
--- a/packages/routing/src/service_places.ts
+++ b/packages/routing/src/service_places.ts
@@ -75,7 +75,10 @@
 
 /** What a refusal was decided from. */
 export interface PlaceEstimate {
-  /** Average service time over the targets, in ms; null if none is known. */
+  /**
+   * Average service time over the targets that are not far slower than the
+   * others, in ms; null if none is known.
+   */
   readonly averageServiceMs: number | null;
   /** Estimated service time of the owner, in ms, if only it may run the request. */
   readonly ownerServiceMs?: number;
@@ -302,7 +305,7 @@
   /** Describes what decides on a request, for the log. */
   describeEstimate(request: PlaceRequest, nowMs: number): PlaceEstimate {
     const candidates = this.#listCandidates(request);
-    const averageMs = this.getAverageServiceMs();
+    const averageMs = this.getTypicalServiceMs();
     const [owner] = request.owner === undefined ? [] : candidates;
     const learnedFrom = owner === undefined ? this.listLoads() : [owner];
     const lastSentAtMs = Math.max(
@@ -360,13 +363,23 @@
 
   /**
    * Average service time of one request over the service's targets; null if
-   * unknown. Targets that are far slower than the others are left out: they
-   * would put it above the deadlines of requests that others can serve.
+   * unknown.
    */
   getAverageServiceMs(): number | null {
+    return this.#computeMeanMs(Infinity);
+  }
+
+  /**
+   * The same without targets that are far slower than the others: they would put
+   * it above the deadlines of requests that others can serve.
+   */
+  getTypicalServiceMs(): number | null {
+    return this.#computeMeanMs(OUTLIER_FACTOR * this.#computeHarmonicMeanMs());
+  }
+
+  #computeMeanMs(limitMs: number): number | null {
     let sum = 0;
     let count = 0;
-    const limitMs = OUTLIER_FACTOR * this.#computeHarmonicMeanMs();
     for (const { unloadedServiceMs } of this.#loads.values()) {
       if (unloadedServiceMs !== null && unloadedServiceMs <= limitMs) {
         sum += unloadedServiceMs;
@@ -479,7 +492,8 @@
     nowMs: number,
   ): TargetLoad | undefined {
     const averageMs = this.getAverageServiceMs();
-    const remainingMs = request.latestStartMs + (averageMs ?? 0) - nowMs;
+    const remainingMs = request.latestStartMs +
+      (this.getTypicalServiceMs() ?? 0) - nowMs;
     let best: TargetLoad | undefined;
     let bestMs = Infinity;
     let isLate = true;
--- a/packages/trials/src/load/places_simulation.ts
+++ b/packages/trials/src/load/places_simulation.ts
@@ -261,7 +261,7 @@
         priority,
         arrivedAtMs: nowMs,
         latestStartMs: nowMs + latencyGoalMs -
-          (places.getAverageServiceMs() ?? workMs),
+          (places.getTypicalServiceMs() ?? workMs),
         excluded: new Set(),
         ...(owner === undefined ? {} : { owner }),
         ...(share === undefined ? {} : { share }),
