--- a/packages/gateway/src/entry/request_bodies.ts
+++ b/packages/gateway/src/entry/request_bodies.ts
@@ -36,8 +36,8 @@
 const SMALL_BODY_BYTES = 64 * 1024;
 /** The last part of the memory. */
 const SMALL_BODIES_BYTES = 1024 * 1024;
-/** Most callers read the refusal before they have sent as much. */
-const MAX_DROPPED_BYTES = 64 * 1024;
+/** Small bodies are read to their ends, so that the refusal is not lost. */
+const MAX_DROPPED_BYTES = 16 * 1024;
 /** The largest bodies are usually complete or refused by then. */
 const RETRY_MS = 250;
 
