--- a/packages/gateway/src/entry/request_bodies.ts
+++ b/packages/gateway/src/entry/request_bodies.ts
@@ -181,7 +181,7 @@
   #add(part: Buffer): void {
     const buffer = this.#buffer;
     if (buffer === undefined) {
-      this.#countDropped(part);
+      this.#recordDropped(part);
       return;
     }
     if (buffer.size + part.byteLength > this.#options.maxBytes) {
@@ -198,7 +198,7 @@
   }
 
   /** Reads no further once much was dropped; the connection is closed soon. */
-  #countDropped(part: Buffer): void {
+  #recordDropped(part: Buffer): void {
     this.#droppedBytes += part.byteLength;
     if (this.#droppedBytes > MAX_DROPPED_BYTES) {
       this.#message.pause();
