fix(gateway): serve small bodies beside one that is larger than the account

On a machine of 210 MB, any small body refused a body of more than 53 MB that was still arriving, and was itself refused while such a body was at its target: a body could exceed the account only while it was alone. The largest body no longer counts beyond what others need, and 2 MB beside it are for them. The new test failed before.

--- a/packages/gateway/src/entry/request_bodies.ts
+++ b/packages/gateway/src/entry/request_bodies.ts
@@ -36,6 +36,11 @@
 const SMALL_BODY_BYTES = 64 * 1024;
 /** The last part of the memory. */
 const SMALL_BODIES_BYTES = 1024 * 1024;
+/**
+ * Others have this much beside the largest body, which is served whatever the
+ * size of the machine.
+ */
+const BESIDE_BYTES = 2 * SMALL_BODIES_BYTES;
 /** Small bodies are read to their ends, so that the refusal is not lost. */
 const MAX_DROPPED_BYTES = 16 * 1024;
 /** The largest bodies are usually complete or refused by then. */
@@ -45,6 +50,8 @@
   readonly #options: RequestBodiesOptions;
   readonly #pool = new BlockPool();
   readonly #incomplete = new Set<RequestBody>();
+  /** Bodies that claim memory, complete or not. */
+  readonly #held = new Set<RequestBody>();
 
   constructor(options: RequestBodiesOptions) {
     this.#options = options;
@@ -56,10 +63,14 @@
       pool: this.#pool,
       maxBytes,
       reserve: (bytes) => this.#reserve(body, bytes),
-      release: (bytes) => this.#options.memory.release(bytes),
+      release: (bytes) => {
+        this.#held.delete(body);
+        this.#options.memory.release(bytes);
+      },
       onRead: () => this.#incomplete.delete(body),
     });
     this.#incomplete.add(body);
+    this.#held.add(body);
     body.start();
     return body;
   }
@@ -70,13 +81,12 @@
     const keptBytes = body.heldBytes + bytes <= SMALL_BODY_BYTES
       ? 0
       : SMALL_BODIES_BYTES;
-    const othersBytes = memory.claimedBytes - body.heldBytes;
-    if (othersBytes <= SMALL_BODIES_BYTES) {
-      // A single body is served, whatever the size of the machine.
-      memory.claim(bytes);
-      return true;
-    }
     while (!memory.reserve(bytes, keptBytes)) {
+      const neededBytes = memory.claimedBytes + bytes + keptBytes;
+      if (neededBytes <= this.#findMostHeld(body, bytes) + BESIDE_BYTES) {
+        memory.claim(bytes);
+        return true;
+      }
       const largest = this.#findLargest();
       observeRefusal();
       if (largest.heldBytes <= body.heldBytes) {
@@ -87,6 +97,15 @@
     return true;
   }
 
+  /** Finds the memory of the largest body, with what this one would claim. */
+  #findMostHeld(growing: RequestBody, bytes: number): number {
+    let most = growing.heldBytes + bytes;
+    for (const { heldBytes } of this.#held) {
+      most = Math.max(most, heldBytes);
+    }
+    return most;
+  }
+
   #findLargest(): Pick<RequestBody, "heldBytes" | "refuse"> {
     let largest: RequestBody | undefined;
     for (const body of this.#incomplete) {
--- a/packages/gateway/src/entry/request_bodies_test.ts
+++ b/packages/gateway/src/entry/request_bodies_test.ts
@@ -154,3 +154,29 @@
   assert.equal(Buffer.from(bytes).toString(), "sent");
   assert.deepEqual(sent.body.take(), bytes);
 });
+
+test("small bodies and one that is larger than the memory are served beside each other", async () => {
+  const memory = new MemoryAccount(2 * MEGABYTE);
+  const bodies = new RequestBodies({ memory, observeRefusal: () => undefined });
+  const open = (): OpenBody => {
+    const message = new PassThrough({ highWaterMark: 100 * MEGABYTE });
+    Object.assign(message, { headers: { "transfer-encoding": "chunked" } });
+    const body = bodies.open(
+      message as unknown as IncomingMessage,
+      8 * MEGABYTE,
+    );
+    return new OpenBody(message, body);
+  };
+  const large = open();
+  await large.add(Buffer.alloc(5 * MEGABYTE));
+  const small = open();
+  await small.add(Buffer.alloc(1_000));
+  await small.close();
+  await large.add(Buffer.alloc(MEGABYTE));
+  await large.close();
+  const late = open();
+  await late.add(Buffer.alloc(1_000));
+  await late.close();
+  const results = [small, large, late].map(({ result }) => result?.ok);
+  assert.deepEqual(results, [true, true, true]);
+});
