fix(gateway): log a refusal of a place only if it ended the request

A request that got no place because its path was lost, was forwarded and failed there had the first refusal in its final line, and counted in lentilspur_place_refusals_total. Found by reading; no test shows it.

--- a/packages/gateway/src/requests/attempt_runner.ts
+++ b/packages/gateway/src/requests/attempt_runner.ts
@@ -140,6 +140,7 @@
   ): Promise<PlaceDecision | undefined> {
     const { request, route, admission, service } = context;
     const { services } = this.#options;
+    context.placeRefusal = undefined;
     const serviceMs = services.getTypicalServiceMs(service) ?? 0;
     const placeRequest: PlaceRequest = {
       requestId: request.requestId,
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -76,8 +76,8 @@
   readonly origin: string | null;
   /** Computed on first use. */
   fingerprint?: string;
-  /** Why it got no place, if it got none. */
-  placeRefusal?: PlaceRefusal;
+  /** Why its last attempt got no place, if it got none. */
+  placeRefusal?: PlaceRefusal | undefined;
   stage: RequestStage;
   /** Whether it has been answered early, so that it may not be sent any more. */
   hasEnded: boolean;
--- a/packages/gateway/src/requests/request_router.ts
+++ b/packages/gateway/src/requests/request_router.ts
@@ -424,6 +424,7 @@
     owner: FoundOwner,
   ): Promise<AttemptResult> {
     context.stage = "forwarded";
+    context.placeRefusal = undefined;
     const result = await this.#options.forwarder.forward(context, owner, {
       reporter: this.#reporter,
       claimRetry: () => this.#outcomes.claimRetry(context),
