fix(gateway): close no connection at the limit that has sent a whole request

A request that had been read whole but not passed on yet, which takes two turns of the event loop, could lose its connection without an answer when as many connections were open as may be. Found by reading; no test shows it.

--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -64,9 +64,9 @@
     return this.#entries.length === 0;
   }
 
-  /** Whether a request has been passed on and is not answered yet. */
-  get isRunning(): boolean {
-    return this.#entries.some(({ stage }) => stage === "running");
+  /** Whether a request that has been read whole is not answered yet. */
+  get hasWholeRequest(): boolean {
+    return this.#entries.some(({ request }) => request.isRead());
   }
 
   /** Number of requests that are read but not passed on. */
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -270,8 +270,8 @@
 
   /**
    * Makes room for a new connection: closes the one that has gone longest
-   * without a response and whose request, if it has one, was not passed on.
-   * Closes the new one if all others wait for a target.
+   * without a response, and on which no whole request waits for one. Closes the
+   * new one if there is none.
    */
   #closeLeastUseful(newSocket: Socket): void {
     const connections = this.#connections.size;
@@ -283,7 +283,7 @@
 
   #findLeastUseful(): Socket | undefined {
     for (const [socket, { requests }] of this.#connections) {
-      if (!requests.isRunning) {
+      if (!requests.hasWholeRequest) {
         return socket;
       }
     }
