test(review): show requests that run after they were answered with 408

Cause: after the time-out of a head, the connection is read on until the caller has ended it, and a request that is read on it is passed on.

Added: review/5, a script that freezes one of three machines at a time.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# A machine freezes for 3.5 s while callers are about to send requests that may
+# run once only. TROUBLE=0: no machine freezes. Exits with 1 if the rule was
+# broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec timeout -k 2 100 node case.mjs
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -95,7 +95,9 @@
     });
   }
 
-  static async start({ storeAddress, name = "frontend-bole-1" }) {
+  static async start(
+    { storeAddress, name = "frontend-bole-1", zone = "bole" },
+  ) {
     const ports = {
       request: await findPort(),
       ready: await findPort(),
@@ -104,7 +106,10 @@
     };
     const directory = mkdtempSync(join(tmpdir(), "review-"));
     const settings = join(directory, "settings.toml");
-    writeFileSync(settings, formatSettings({ name, ports, storeAddress }));
+    writeFileSync(
+      settings,
+      formatSettings({ name, zone, ports, storeAddress }),
+    );
     const [program, ...args] = readCommand();
     const child = spawn(
       program === "node" ? process.execPath : program,
@@ -122,6 +127,10 @@
     return new Router(child, ports, directory);
   }
 
+  get pid() {
+    return this.#child.pid;
+  }
+
   send(signal) {
     this.#child.kill(signal);
   }
@@ -157,13 +166,13 @@
   }
 }
 
-function formatSettings({ name, ports, storeAddress }) {
+function formatSettings({ name, zone, ports, storeAddress }) {
   return `node_name = "${name}"
 role = "router"
 machine_class = "frontend"
 serves = ["frontend"]
 ip_address = "127.0.0.1"
-zone = "bole"
+zone = "${zone}"
 region = "addis"
 internal_port_range = [${ports.peer}, ${ports.peer}]
 heartbeat_interval = "870ms"
