fix(transport): take no reset that arrives with data for the end of a response

Callers saw: a target answered a long upload at once with a 200 without a length, sent 9,000 bytes of its body and reset the connection; the caller got these bytes as the whole response, with the target's signature (MIXED).

Cause: if a reset arrives together with data, libuv reads the data, sees that the connection has hung up, and reports the end of the stream without the read that would return ECONNRESET. HttpConnection took every `end` for a FIN, and ResponseCollector takes a FIN for the end of a response without a length. The upload is no condition: GET, HTTP/1.0 and `Connection: close` are the same.

Change: at the `end`, the connection must still have a peer. After a FIN it is in CLOSE_WAIT and getpeername(2) succeeds; after a reset it is in CLOSE, where getpeername fails with ENOTCONN at any later time. Node.js asks the kernel when `remoteAddress` is read for the first time and caches it; nothing in the product or in undici reads it earlier on a connection that lives on, and the tests fail if something does. If a reset follows a FIN before the end is read, the response counts as truncated, which is the safe side.

Not run on arm64: this machine is x86-64.

--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -65,7 +65,7 @@
     // response that ends with its connection as complete however that ended, and
     // asserts that its read is not paused.
     socket.on("end", () => {
-      this.#hasReceivedFin = true;
+      this.#hasReceivedFin = hasPeer(socket);
       this.#collector?.resumeReading();
     });
     socket.on("error", markPeerReset);
@@ -263,6 +263,18 @@
   }
 }
 
+/**
+ * Whether the connection still has a peer, which it has after a FIN and not
+ * after a reset. libuv reports the end of the stream in both cases if a reset
+ * arrives together with data, so `end` alone does not prove a FIN.
+ *
+ * Node.js asks the kernel for the address (`getpeername`) when it is first read,
+ * and caches it; so nothing may read the address of the peer before the end.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
 /**
  * Keeps `undici` from taking a response that ends with its connection for whole
  * when the peer resets the connection.
--- a/packages/transport/src/response_stream_test.ts
+++ b/packages/transport/src/response_stream_test.ts
@@ -221,6 +221,25 @@
   trial.close();
 });
 
+for (const isReset of [true, false]) {
+  const end = isReset ? "reset" : "FIN";
+  test(`a stream without a length is ${isReset ? "broken" : "complete"} if a ${end} arrives with its last part`, async () => {
+    const sockets: Socket[] = [];
+    const trial = await PoolTrial.open((socket) => {
+      sockets.push(socket);
+      socket.write("HTTP/1.1 200 OK\r\n\r\n");
+      socket.write(Buffer.alloc(100_000));
+    });
+    const { stream } = (await trial.send()).unwrap();
+    const [target] = sockets;
+    target!.write(Buffer.alloc(1_000));
+    isReset ? target!.resetAndDestroy() : target!.end();
+    const { kind } = await stream!.ended;
+    trial.close();
+    assert.equal(kind, isReset ? "broken" : "complete");
+  });
+}
+
 /** Heads of responses that end with their connection. */
 const LAST_HEADS: Readonly<Record<string, string>> = {
   "no length": "HTTP/1.1 200 OK\r\n\r\n",
