fix(transport): reject responses with another transfer coding than chunked

Cause: ResponseCollector took every Transfer-Encoding for one that marks the end of the response. The parser decodes chunks only if the value ends in `chunked` and otherwise reads to the end of the connection (RFC 9112, 6.3), where an early end cannot be told from the right one; and it never removes another coding.

Change: findHeadFault checks each final head before anything else reads it. One field with the value `chunked` is the only transfer coding that passes: this client sends no TE, so a target may use no other. `chunked` followed by a tab, and lists with an empty element, are rejected too; the parser does not decode the former, nor all of the latter.

--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -194,6 +194,7 @@
     case "cut":
       return { kind: "lost", cause: "reset", message, trace };
     case "too-large":
+    case "malformed":
     case "foreign":
       return { kind: "lost", cause: "garbled", message, trace };
   }
--- a/packages/transport/src/http_exchange.ts
+++ b/packages/transport/src/http_exchange.ts
@@ -112,6 +112,8 @@
    */
   | "cut"
   | "too-large"
+  /** The head that arrived is not that of a valid response. */
+  | "malformed"
   /** The response may belong to another request or to none. */
   | "foreign"
   | "cancelled";
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -5,6 +5,7 @@
  */
 import type { Dispatcher } from "undici";
 import type { HeaderField } from "@lentilspur/ports/header_field";
+import type { StreamBreak } from "@lentilspur/ports/response_stream";
 import { BufferedStream } from "./buffered_stream.ts";
 import type {
   HttpRequest,
@@ -12,6 +13,7 @@
   ResponseVerdict,
   SendFailureCause,
 } from "./http_exchange.ts";
+import { findHeadFault } from "./response_head_check.ts";
 
 export type CollectedResponse = Omit<HttpResponse, "trace">;
 
@@ -64,8 +66,7 @@
   /** Callbacks that `undici` invokes as the response arrives. */
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => this.#checkStart(controller),
-    onResponseStart: (controller, status) =>
-      this.#addHead(status, controller.rawHeaders),
+    onResponseStart: (controller, status) => this.#addHead(controller, status),
     onResponseData: (controller, chunk) => this.#addChunk(controller, chunk),
     onResponseEnd: () => this.#handleEnd(),
     onResponseError: (_controller, error) =>
@@ -95,8 +96,7 @@
 
   /** Ends the request with a failure, unless it has ended already. */
   fail(cause: SendFailureCause, message: string): void {
-    const isLost = cause === "reset" || cause === "foreign";
-    this.#stream?.fail(isLost ? "cut" : cause, message);
+    this.#stream?.fail(toStreamBreak(cause), message);
     this.#resolve({ kind: "failed", cause, message });
   }
 
@@ -132,16 +132,21 @@
     }
   }
 
-  #addHead(
-    status: number,
-    raw: Dispatcher.DispatchController["rawHeaders"],
-  ): void {
-    if (status >= FIRST_FINAL_STATUS) {
-      this.#options.observeData();
-      this.#status = status;
-      this.#headers = listFields(raw);
-      this.#checkOrigin();
+  #addHead(controller: Dispatcher.DispatchController, status: number): void {
+    if (status < FIRST_FINAL_STATUS) {
+      return;
+    }
+    this.#options.observeData();
+    const headers = listFields(controller.rawHeaders);
+    const fault = findHeadFault({ status, headers });
+    if (fault !== undefined) {
+      this.fail("malformed", fault);
+      controller.abort(new Error(fault));
+      return;
     }
+    this.#status = status;
+    this.#headers = headers;
+    this.#checkOrigin();
   }
 
   #checkOrigin(): void {
@@ -285,6 +290,23 @@
   }
 }
 
+/** A stream exists only after a valid head of the request's own response. */
+function toStreamBreak(
+  cause: SendFailureCause,
+): Exclude<StreamBreak, "unread"> {
+  switch (cause) {
+    case "reset":
+    case "foreign":
+    case "malformed":
+      return "cut";
+    case "silent":
+    case "cut":
+    case "too-large":
+    case "cancelled":
+      return cause;
+  }
+}
+
 function listFields(
   raw: Dispatcher.DispatchController["rawHeaders"],
 ): readonly HeaderField[] {
--- /dev/null
+++ b/packages/transport/src/response_head_check.ts
@@ -0,0 +1,31 @@
+/**
+ * Checks the head of a response for what the HTTP parser accepts although it is
+ * no valid response to this client (RFC 9110 and 9112).
+ */
+import type { ResponseHead } from "./http_exchange.ts";
+
+const MAX_QUOTED_LENGTH = 64;
+
+/** Describes the fault; undefined if the head has none. */
+export function findHeadFault(head: ResponseHead): string | undefined {
+  return findCodingFault(head);
+}
+
+/**
+ * This client announces no transfer coding, so `chunked` is the only one that a
+ * target may use. The parser recognizes it only in this form, and reads any
+ * other response up to the end of the connection, or without decoding it.
+ */
+function findCodingFault({ headers }: ResponseHead): string | undefined {
+  const codings = headers
+    .filter(({ name }) => name === "transfer-encoding")
+    .map(({ value }) => value);
+  const isChunked = codings.length === 1 && /^chunked *$/i.test(codings[0]!);
+  return codings.length === 0 || isChunked
+    ? undefined
+    : `The response has the transfer coding ${formatQuoted(codings.join())}`;
+}
+
+function formatQuoted(text: string): string {
+  return JSON.stringify(text.slice(0, MAX_QUOTED_LENGTH));
+}
