fix(transport): reject responses whose status is none of a response

Callers saw: on other systems, a response with the status 000 as their response. Statuses of 600 and more, which are invalid as well (RFC 9110, 15), were passed on.

Cause: the client takes each status below 200 for an interim response, but asserts that a response that has ended has one of 100 or more, and that it had asked for an upgrade after a 101. What a target, a peer or the store sends reached these assertions.

Change: only 100 to 199 except 101 are interim. Any other status outside of 200 to 599 is a fault of the head; the request is aborted in the callback of the head, and the parser stops there, before the assertions. The outcome is `malformed` where it was `reset`, since the target has responded.

--- a/packages/transport/src/http_connection_test.ts
+++ b/packages/transport/src/http_connection_test.ts
@@ -128,3 +128,17 @@
     });
   }
 }
+
+for (const status of ["000", "001", "099", "101", "600", "999"]) {
+  for (const line of ["", "HTTP/1.1 102 Processing\r\n\r\n"]) {
+    test(`a response with the status ${status} is malformed and reaches no assertion of the client (after "${line.trim()}")`, async () => {
+      const response = await sendToTarget((socket) => {
+        socket.end(
+          `${line}HTTP/1.1 ${status} OK\r\nContent-Length: 40000\r\n\r\n` +
+            "a".repeat(40_000),
+        );
+      });
+      assert.equal(describe(response), "malformed");
+    });
+  }
+}
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -13,7 +13,7 @@
   ResponseVerdict,
   SendFailureCause,
 } from "./http_exchange.ts";
-import { findHeadFault } from "./response_head_check.ts";
+import { findHeadFault, isInterim } from "./response_head_check.ts";
 
 export type CollectedResponse = Omit<HttpResponse, "trace">;
 
@@ -30,7 +30,6 @@
 
 /** Responses with these statuses have no body, whatever their headers say. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-const FIRST_FINAL_STATUS = 200;
 /**
  * Responses up to this size are held whole, so that one that breaks off can be
  * requested again.
@@ -133,7 +132,7 @@
   }
 
   #addHead(controller: Dispatcher.DispatchController, status: number): void {
-    if (status < FIRST_FINAL_STATUS) {
+    if (isInterim(status)) {
       return;
     }
     this.#options.observeData();
@@ -141,6 +140,7 @@
     const fault = findHeadFault({ status, headers });
     if (fault !== undefined) {
       this.fail("malformed", fault);
+      // The parser must read no further: it asserts that a status is valid.
       controller.abort(new Error(fault));
       return;
     }
--- a/packages/transport/src/response_head_check.ts
+++ b/packages/transport/src/response_head_check.ts
@@ -4,11 +4,28 @@
  */
 import type { ResponseHead } from "./http_exchange.ts";
 
+const FIRST_INTERIM_STATUS = 100;
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+/** An upgrade, which this client never asks for, and not an interim response. */
+const SWITCHING_PROTOCOLS = 101;
 const MAX_QUOTED_LENGTH = 64;
 
-/** Describes the fault; undefined if the head has none. */
+/** Whether another response to the same request follows. */
+export function isInterim(status: number): boolean {
+  return status >= FIRST_INTERIM_STATUS && status < FIRST_FINAL_STATUS &&
+    status !== SWITCHING_PROTOCOLS;
+}
+
+/** Describes the fault of a final head; undefined if it has none. */
 export function findHeadFault(head: ResponseHead): string | undefined {
-  return findCodingFault(head);
+  return findStatusFault(head) ?? findCodingFault(head);
+}
+
+function findStatusFault({ status }: ResponseHead): string | undefined {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS
+    ? undefined
+    : `The response has the status ${String(status).padStart(3, "0")}`;
 }
 
 /**
