fix(build): keep a failed assertion of a library from stopping the process

Cause: Node's `assert` reads the source around a failed assertion that has no message, to word one, and parses it from there. The bundle has no line breaks within a library: its lines have up to 284 kB.

Change: the bundle uses scripts/plain_assert.cjs in place of `node:assert`, which throws with a fixed text.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -43,6 +43,7 @@
   supported: { "dynamic-import": false },
   format: "cjs",
   alias: {
+    "node:assert": "./scripts/plain_assert.cjs",
     "ts-results": "./scripts/ts_results_default.mjs",
     "undici": "./scripts/undici_client.mjs",
   },
