fix(transport): reject responses whose first line is not that of HTTP/1

Callers saw: a response that began with `RTSP/1.0 200 OK`, `ICE/1.0`, `HTTP/0.9` or `HTTP/2.0`, or with a control byte in its reason phrase, as their response, and one of HTTP/1.0 whose chunks it cannot have.

Cause: the parser accepts these, and undici reports neither the protocol and version nor, if the line arrives in pieces, more than the end of the phrase.

Change: HttpConnection observes the bytes that undici reads from the socket, and StatusLines finds in them the first line of each head, interim ones included. The parser has checked by then that lines and heads end as they must, so the line is what stands before the first line break. A line other than that of HTTP/1.0 or 1.1, with a status and an optional phrase without control bytes, is a fault of the head; so are transfer codings of HTTP/1.0, whose framing counts as faulty (RFC 9112, 6.1). Still accepted, since nothing is misread: no blank behind the status, and empty lines before the line.

Valid forms, also byte by byte, are accepted by all. The first bytes of a response are kept only until its head is complete.

--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -20,6 +20,7 @@
 } from "./http_exchange.ts";
 import { ResponseCollector } from "./response_collector.ts";
 import { ResponseTimeout } from "./response_timeout.ts";
+import { observeReads } from "./status_lines.ts";
 
 export interface OpenFailure {
   /**
@@ -69,6 +70,7 @@
       this.#collector?.resumeReading();
     });
     socket.on("error", markPeerReset);
+    observeReads(socket, (bytes) => this.#collector?.observeRead(bytes));
     this.#clock = clock;
     this.#lastResponseAtMs = clock.readMs();
     this.#client = new Client(`http://${address}`, {
--- a/packages/transport/src/http_connection_test.ts
+++ b/packages/transport/src/http_connection_test.ts
@@ -142,3 +142,34 @@
     });
   }
 }
+
+/** Each byte arrives in a read of its own. */
+function writeBytes(socket: Socket, text: string): void {
+  socket.setNoDelay(true);
+  const [byte, ...rest] = text;
+  if (byte === undefined) {
+    socket.end();
+    return;
+  }
+  socket.write(
+    byte,
+    "latin1",
+    () => setImmediate(() => writeBytes(socket, rest.join(""))),
+  );
+}
+
+for (
+  const [line, expected] of Object.entries({
+    "HTTP/1.1 200 OK": "whole, 2 bytes",
+    "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK": "whole, 2 bytes",
+    "HTTP/1.1 200 O\0K": "malformed",
+    "HTTP/1.1 102 Processing\r\n\r\nHTTP/2.0 200 OK": "malformed",
+  })
+) {
+  test(`the status line ${JSON.stringify(line)} is read whole if it arrives byte by byte`, async () => {
+    const response = await sendToTarget((socket) =>
+      writeBytes(socket, `${line}\r\nContent-Length: 2\r\n\r\nok`)
+    );
+    assert.equal(describe(response), expected);
+  });
+}
--- a/packages/transport/src/response_collector.ts
+++ b/packages/transport/src/response_collector.ts
@@ -13,7 +13,12 @@
   ResponseVerdict,
   SendFailureCause,
 } from "./http_exchange.ts";
-import { findHeadFault, isInterim } from "./response_head_check.ts";
+import {
+  findHeadFault,
+  findStatusLineFault,
+  isInterim,
+} from "./response_head_check.ts";
+import { StatusLines } from "./status_lines.ts";
 
 export type CollectedResponse = Omit<HttpResponse, "trace">;
 
@@ -73,6 +78,7 @@
   };
   readonly #request: HttpRequest;
   readonly #options: CollectorOptions;
+  readonly #statusLines = new StatusLines();
   readonly #chunks: Uint8Array[] = [];
   #resolve: (outcome: ResponseOutcome) => void = () => undefined;
   #status = 0;
@@ -99,6 +105,13 @@
     this.#resolve({ kind: "failed", cause, message });
   }
 
+  /** Observes bytes of the response that the parser reads next. */
+  observeRead(bytes: Buffer): void {
+    if (this.#status === 0) {
+      this.#statusLines.add(bytes);
+    }
+  }
+
   /** Resumes a paused read, since nothing follows what has arrived. */
   resumeReading(): void {
     this.#controller?.resume();
@@ -132,23 +145,37 @@
   }
 
   #addHead(controller: Dispatcher.DispatchController, status: number): void {
+    const statusLine = this.#statusLines.take();
+    const lineFault = findStatusLineFault(statusLine);
+    if (lineFault !== undefined) {
+      this.#failMalformed(controller, lineFault);
+      return;
+    }
     if (isInterim(status)) {
       return;
     }
     this.#options.observeData();
     const headers = listFields(controller.rawHeaders);
-    const fault = findHeadFault({ status, headers });
-    if (fault !== undefined) {
-      this.fail("malformed", fault);
-      // The parser must read no further: it asserts that a status is valid.
-      controller.abort(new Error(fault));
+    const headFault = findHeadFault(statusLine, { status, headers });
+    if (headFault !== undefined) {
+      this.#failMalformed(controller, headFault);
       return;
     }
     this.#status = status;
     this.#headers = headers;
+    this.#statusLines.clear();
     this.#checkOrigin();
   }
 
+  /** The parser must read no further: it asserts that a status is valid. */
+  #failMalformed(
+    controller: Dispatcher.DispatchController,
+    message: string,
+  ): void {
+    this.fail("malformed", message);
+    controller.abort(new Error(message));
+  }
+
   #checkOrigin(): void {
     const head = { status: this.#status, headers: this.#headers };
     const { isFirst } = this.#options;
--- a/packages/transport/src/response_head_check.ts
+++ b/packages/transport/src/response_head_check.ts
@@ -4,6 +4,13 @@
  */
 import type { ResponseHead } from "./http_exchange.ts";
 
+/**
+ * The reason phrase may be missing, also with the blank before it, and may have
+ * no control bytes.
+ */
+const STATUS_LINE = /^HTTP\/1\.[01] \d{3}( [\t\x20-\x7e\x80-\xff]*)?$/;
+/** The version that has no transfer codings. */
+const HTTP_1_0 = "HTTP/1.0 ";
 const FIRST_INTERIM_STATUS = 100;
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
@@ -17,9 +24,19 @@
     status !== SWITCHING_PROTOCOLS;
 }
 
+/** Describes the fault of a status line; undefined if it has none. */
+export function findStatusLineFault(statusLine: string): string | undefined {
+  return STATUS_LINE.test(statusLine)
+    ? undefined
+    : `The response has the status line ${formatQuoted(statusLine)}`;
+}
+
 /** Describes the fault of a final head; undefined if it has none. */
-export function findHeadFault(head: ResponseHead): string | undefined {
-  return findStatusFault(head) ?? findCodingFault(head);
+export function findHeadFault(
+  statusLine: string,
+  head: ResponseHead,
+): string | undefined {
+  return findStatusFault(head) ?? findCodingFault(statusLine, head);
 }
 
 function findStatusFault({ status }: ResponseHead): string | undefined {
@@ -33,12 +50,16 @@
  * target may use. The parser recognizes it only in this form, and reads any
  * other response up to the end of the connection, or without decoding it.
  */
-function findCodingFault({ headers }: ResponseHead): string | undefined {
+function findCodingFault(
+  statusLine: string,
+  { headers }: ResponseHead,
+): string | undefined {
   const codings = headers
     .filter(({ name }) => name === "transfer-encoding")
     .map(({ value }) => value);
   const isChunked = codings.length === 1 && /^chunked *$/i.test(codings[0]!);
-  return codings.length === 0 || isChunked
+  const isAllowed = isChunked && !statusLine.startsWith(HTTP_1_0);
+  return codings.length === 0 || isAllowed
     ? undefined
     : `The response has the transfer coding ${formatQuoted(codings.join())}`;
 }
