fix(gateway): accept no forwarded response that a caller cannot get

Callers saw: nothing yet; found while checking every reader of responses. An instance that had forwarded a request took a reply whose response had the status 600, or 100, or a field whose name or value HTTP does not allow. Node.js throws on such a field while the response is written (ERR_INVALID_HTTP_TOKEN, ERR_INVALID_CHAR), in a promise that nobody awaits.

Cause: the check of a forwarded reply wanted a number from 100 to 999 and fields that are texts. A peer passes on what its HTTP parser and checks accept, but the instance must not rely on that: the peer may run another version.

Change: the status is one of a final response, 200 to 599, and names and values have only the characters of RFC 9110, as for responses of targets. A reply that breaks this is `garbled`, as other malformed replies are.

--- a/packages/gateway/src/forwarding/forwarded_request.ts
+++ b/packages/gateway/src/forwarding/forwarded_request.ts
@@ -107,6 +107,11 @@
   "unknown",
 ] satisfies readonly ReachAnswer[];
 const NEWLINE = 10;
+/** Final statuses, see RFC 9110. */
+const FIRST_STATUS = 200;
+const LAST_STATUS = 599;
+const FIELD_NAME = /^[!#$%&'*+\-.^_`|~0-9a-z]+$/i;
+const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
 /** The line before the body, with all headers of a request or response. */
 const MAX_HEAD_LENGTH = 1_048_576;
 const MAX_ITEMS = 100_000;
@@ -228,7 +233,7 @@
   const { kind, status, headers, cause, message } = toObject(value);
   switch (kind) {
     case "answered":
-      return isWhole(status, { min: 100, max: 999 }) &&
+      return isWhole(status, { min: FIRST_STATUS, max: LAST_STATUS }) &&
         isListOf(headers, isHeaderField, MAX_ITEMS);
     case "not-run":
     case "unknown":
@@ -240,7 +245,8 @@
 
 function isHeaderField(value: unknown): value is HeaderField {
   const { name, value: content } = toObject(value);
-  return isString(name) && isString(content);
+  return isString(name) && FIELD_NAME.test(name) &&
+    isString(content) && FIELD_VALUE.test(content);
 }
 
 function isRefusingOwner(value: unknown): value is RefusingOwner {
--- a/packages/gateway/src/forwarding/odd_messages_test.ts
+++ b/packages/gateway/src/forwarding/odd_messages_test.ts
@@ -55,6 +55,7 @@
   const oddRequests = [
     { headers: [null] },
     { headers: [{ name: "a" }] },
+    { headers: [{ name: "a b", value: "" }] },
     { excludedTargets: [7] },
     { refusingOwner: {} },
     { share: { clientAccount: 7 } },
@@ -71,6 +72,15 @@
   const oddOutcomes = [
     { ...ANSWERED, status: 1e300 },
     { ...ANSWERED, status: "200" },
+    { ...ANSWERED, status: 0 },
+    { ...ANSWERED, status: 101 },
+    { ...ANSWERED, status: 600 },
+    { ...ANSWERED, headers: [{ name: "", value: "" }] },
+    { ...ANSWERED, headers: [{ name: "a b", value: "" }] },
+    { ...ANSWERED, headers: [{ name: "a\0", value: "" }] },
+    { ...ANSWERED, headers: [{ name: "a", value: "\r\nb: c" }] },
+    { ...ANSWERED, headers: [{ name: "a", value: "\0" }] },
+    { ...ANSWERED, headers: [{ name: "a", value: "\u2028" }] },
     { ...ANSWERED, headers: null },
     { ...ANSWERED, headers: [null] },
     { ...NOT_RUN, cause: null },
