fix(transport): end a session of orders with a malformed response

Callers saw: nothing.

Change: a malformed response ends the session, as a lost connection does: what is no response does not show which process sent it.

Evidence: the new test failed before (the session went on), and passes.

--- a/packages/transport/src/connection_pool.ts
+++ b/packages/transport/src/connection_pool.ts
@@ -56,7 +56,7 @@
    * first connection. This takes three conditions:
    *
    * - at least one connection was open at all times;
-   * - no connection ended unexpectedly;
+   * - no connection ended unexpectedly or brought a malformed response;
    * - during each abandoned request (timed out, cancelled, or with too large a
    *   response), a response arrived on another connection.
    */
@@ -142,9 +142,9 @@
     cause: SendFailureCause | StreamBreak,
     sentAtMs: number,
   ): void {
-    const isAbandoned = cause !== "reset" && cause !== "cut" &&
-      cause !== "unread";
-    this.#mayHaveRestarted ||= !isAbandoned ||
+    const mayHaveRestarted = cause === "reset" || cause === "cut" ||
+      cause === "unread" || cause === "malformed";
+    this.#mayHaveRestarted ||= mayHaveRestarted ||
       this.#lastResponseAtMs < sentAtMs;
     this.#remove(connection);
   }
--- a/packages/transport/src/session_pool_test.ts
+++ b/packages/transport/src/session_pool_test.ts
@@ -12,6 +12,11 @@
   maxResponseBytes: 1_000,
 };
 
+/** The target sends a malformed response to this. */
+const MALFORMED = { ...ORDER, path: "/malformed" };
+/** Other responses arrive meanwhile. */
+const MALFORMED_AFTER_MS = 50;
+
 interface Target {
   readonly server: Server;
   readonly sockets: Set<Socket>;
@@ -21,7 +26,12 @@
 async function openTarget(
   options: { readonly port?: number; readonly closes?: boolean } = {},
 ): Promise<Target> {
-  const server = createServer((_message, response) => {
+  const server = createServer((message, response) => {
+    if (message.url === MALFORMED.path) {
+      const response = "HTTP/1.1 000 Unknown\r\n\r\n";
+      setTimeout(() => message.socket.end(response), MALFORMED_AFTER_MS);
+      return;
+    }
     response.setHeader("connection", options.closes ? "close" : "keep-alive");
     response.end("ok");
   });
@@ -107,3 +117,17 @@
   pool.close();
   await kill(target);
 });
+
+test("a session ends with a malformed response, which another process may have sent", async () => {
+  const target = await openTarget();
+  const pool = createPool(target.address);
+  const { session } = pool;
+  const malformed = pool.send(MALFORMED, session);
+  assert.ok((await pool.send(ORDER, session)).ok);
+  const sent = await malformed;
+  assert.ok(!sent.ok && sent.val.stage === "sending");
+  assert.equal(sent.val.cause, "malformed");
+  assert.ok(pool.session > session);
+  pool.close();
+  await kill(target);
+});
