fix(gateway): take no reply whose head names two messages

Callers saw: nothing yet; found in the last read of the change. If a peer's reply is truncated within the value of a field and a late copy of another reply follows, the instance took the copy's outcome for that of its own message: "not sent" for a request that the peer had sent, which then ran again.

Only the first id was compared with that of the message.

Change: each id that a reply names must be that of the message. Otherwise it is `foreign`, which ends the connection and proves nothing.

Evidence: the new test sends a reply with the message's id and another one; before, the reply was taken ("unable"). All tests of forwarding pass.

--- a/packages/gateway/src/forwarding/forwarding_client.ts
+++ b/packages/gateway/src/forwarding/forwarding_client.ts
@@ -159,10 +159,13 @@
   };
 }
 
-/** Earlier versions return no id with their replies. */
+/**
+ * Earlier versions return no id with their replies. A head with two ids is a
+ * truncated one that runs into that of another reply.
+ */
 function checkReply({ headers }: ResponseHead, id: string): ResponseVerdict {
-  const returned = headers.find(({ name }) => name === MESSAGE_ID_HEADER);
-  return returned === undefined || returned.value === id ? "own" : "foreign";
+  const returned = headers.filter(({ name }) => name === MESSAGE_ID_HEADER);
+  return returned.every(({ value }) => value === id) ? "own" : "foreign";
 }
 
 /** Deducts the time that passed until a connection was open. */
--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -254,3 +254,27 @@
   assert.equal(first.kind, "unable");
   assert.equal(second.kind === "lost" && second.cause, "garbled");
 });
+
+test("a truncated head of a reply that runs into that of another reply identifies neither", async () => {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.on("data", (bytes) => {
+      const id = /^lentilspur-message-id: (.*)\r\n/im.exec(String(bytes))?.[1];
+      const body = encodeForwardReply({ kind: "unable", reason: "stopping" });
+      socket.write(
+        `HTTP/1.1 200 OK\r\nlentilspur-message-id: ${id}\r\n` +
+          "x: HTTP/1.1 200 OK\r\nlentilspur-message-id: other\r\n" +
+          `content-length: ${body.byteLength}\r\n\r\n`,
+      );
+      socket.write(body);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpForwardingClient(new SystemClock());
+  const { signal } = new AbortController();
+  const result = await client.forward(createPeer(port), REQUEST, signal);
+  client.close();
+  server.close();
+  assert.equal(result.kind === "lost" && result.cause, "garbled");
+});
