fix(gateway): pass on nothing that is read behind a refusal of a late head

Cause: after the last response a connection is read on for up to 2 s, so that the response is not lost to a reset. closeAfter marks the connection, and a request that is read later is dropped; closeAfterAll, used for late heads and bodies and for invalid bytes, marked nothing. What was read after the 408 ran. With an earlier request unanswered, the 408 waited, the head that it was decided for could still become a request, and the 408 was the response to the next one.

Now the first decision on the last response holds, whatever it is and whether it is written or waits, and no later request is accepted.

bodyTimeoutMs is an option for the test of late bodies; its default is unchanged.

--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -57,6 +57,8 @@
   #streamed: ConnectionRequest | undefined;
   /** Whether no further request is passed on. */
   #isClosing = false;
+  /** Whether the last response is decided; what is read later is dropped. */
+  #isSealed = false;
   #hasEnded = false;
   #handleLast: (() => void) | undefined;
 
@@ -86,7 +88,7 @@
 
   /** Adds a request whose head has been read. */
   add(request: ConnectionRequest): void {
-    if (this.#hasEnded || this.#isClosing) {
+    if (this.#hasEnded || this.#isSealed) {
       request.end();
       return;
     }
@@ -141,6 +143,8 @@
   /** Marks the response to a request as the last one of the connection. */
   closeAfter(request: ConnectionRequest): void {
     this.#isClosing = true;
+    this.#isSealed = true;
+    this.#handleLast = undefined;
     this.#removeFrom(this.#findIndex(request) + 1);
   }
 
@@ -165,9 +169,15 @@
 
   /**
    * Calls `handleLast` when all requests that have been read whole are
-   * answered. What follows them on the connection is not a request.
+   * answered. What follows them on the connection is not a request: the caller
+   * learns that it has not run, so nothing of it runs even if it becomes whole.
+   * Has no effect once the last response is decided.
    */
   closeAfterAll(handleLast: () => void): void {
+    if (this.#isSealed) {
+      return;
+    }
+    this.#isSealed = true;
     this.#handleLast = handleLast;
     const unread = this.#entries.findIndex(({ request }) => !request.isRead());
     if (unread >= 0) {
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -69,6 +69,8 @@
   /** Called when one is closed because as many are open as may be. */
   readonly observeClosedConnection: (connections: number) => void;
   readonly bodies: RequestBodies;
+  /** Time to receive a body within the limits. */
+  readonly bodyTimeoutMs?: number;
   /** Replaces the socket option of this system. */
   readonly loadResetOnClose?: () => Promise<Result<ResetOnClose, string>>;
 }
@@ -105,10 +107,7 @@
  * start.
  */
 const MAX_HEAD_BYTES = 64 * 1024;
-/**
- * Time to receive a body within the limits; a slow phone network needs some
- * seconds.
- */
+/** A slow phone network needs some seconds. */
 const BODY_TIMEOUT_MS = 10_000;
 const CHECK_INTERVAL_MS = 1_000;
 /** A connection is accepted in one round, and read in a later one. */
@@ -154,7 +153,7 @@
     });
     this.#server = createServer({
       headersTimeout: DEFAULT_LIMITS.headTimeoutMs,
-      requestTimeout: DEFAULT_LIMITS.headTimeoutMs + BODY_TIMEOUT_MS,
+      requestTimeout: DEFAULT_LIMITS.headTimeoutMs + this.#bodyTimeoutMs,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
       keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -167,6 +166,10 @@
     );
   }
 
+  get #bodyTimeoutMs(): number {
+    return this.#options.bodyTimeoutMs ?? BODY_TIMEOUT_MS;
+  }
+
   /** The port that the server listens on; chosen by the system for port 0. */
   get port(): number {
     return (this.#server.address() as AddressInfo).port;
@@ -196,7 +199,7 @@
     this.#limits = limits;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
     this.#server.headersTimeout = limits.headTimeoutMs;
-    this.#server.requestTimeout = limits.headTimeoutMs + BODY_TIMEOUT_MS;
+    this.#server.requestTimeout = limits.headTimeoutMs + this.#bodyTimeoutMs;
   }
 
   /**
