fix(gateway): close a connection whose refused body has ended meanwhile

Found while looking for other responses that close a connection: a refused body makes its request the last one, and later requests are dropped. While its 413 waited behind an earlier response the rest of the body arrived, the response was written without "Connection: close", and the request behind it was never answered.

The response to the last request now closes the connection whatever has been read since. The new test of refused_connections_test.ts failed before (the connection did not end).

--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -66,6 +66,11 @@
     return this.#entries.length === 0;
   }
 
+  /** Whether a request that was passed on is the last one. */
+  get isClosing(): boolean {
+    return this.#isClosing;
+  }
+
   /** Whether a request that has been read whole is not answered yet. */
   get hasWholeRequest(): boolean {
     return this.#entries.some(({ request }) => request.isRead());
--- a/packages/gateway/src/entry/refused_connections_test.ts
+++ b/packages/gateway/src/entry/refused_connections_test.ts
@@ -96,3 +96,21 @@
   assert.deepEqual(trial.passedOn, ["first"]);
   assert.deepEqual(listResponses(caller), ["200", "first", "400"]);
 });
+
+test("a connection that a refused body closes does not stay open once the body has ended", async (context) => {
+  const trial = await openTrial(context);
+  const caller = await trial.openCaller();
+  const headers = "Content-Length: 2000\r\n";
+  caller.socket.write(
+    formatRequest("first") + formatRequest("large", { headers }),
+  );
+  await waitUntil(() => trial.server.openRequests === 2);
+  await waitForArrivals();
+  caller.socket.write(Buffer.alloc(2_000, "a"));
+  caller.socket.write(formatRequest("next"));
+  await waitForArrivals();
+  trial.answers.get("first")!();
+  await waitUntil(() => caller.socket.readableEnded);
+  assert.deepEqual(trial.passedOn, ["first"]);
+  assert.deepEqual(listResponses(caller), ["200", "first", "413"]);
+});
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -485,7 +485,9 @@
       return;
     }
     // A connection with an unread body cannot carry another request.
-    if (mayClose && (this.#isDraining || !request.isRead())) {
+    const mustClose = requests.isClosing || this.#isDraining ||
+      !request.isRead();
+    if (mayClose && mustClose) {
       response.setHeader("Connection", "close");
       requests.closeAfter(request);
     } else if (endsConnection) {
