fix(gateway): count no standstill of the process as lateness of a caller

Cause: the decision was taken when the timer ran. After a standstill the timers that have passed run before the sockets are read, so a request that had long arrived was not seen; and the time of the standstill counted as the caller's.

Now what has arrived is read first, and time in which the connection was not read (standstill, or too many requests held) is added before a caller counts as late. This holds for heads, bodies, idle connections and callers that take a response slowly. Node stops checking a connection once it has reported it, so a decision that is put off has its own timer. A 408 has a log line and a counter.

--- /dev/null
+++ b/packages/gateway/src/entry/caller_lateness.ts
@@ -0,0 +1,43 @@
+/**
+ * Decides whether a caller is late. Its time does not count while this process
+ * stands still or does not read its connection: a caller that keeps to the
+ * limits is never refused for that.
+ */
+import type { Clock } from "@lentilspur/ports/clock";
+import { waitForArrivedData } from "@lentilspur/ports/event_loop";
+
+export interface LatenessOptions {
+  readonly clock: Clock;
+  /** How long the caller's data has not been read, as a sum that only grows. */
+  readonly readUnreadMs: () => number;
+  /** Value of `readUnreadMs` when the caller's time began. */
+  readonly unreadBeforeMs: number;
+  /** Whether what is awaited from the caller has still not come. */
+  readonly isPending: () => boolean;
+}
+
+/** While a connection is not read, its caller is looked at this often. */
+const MIN_EXTENSION_MS = 20;
+
+/**
+ * Call it when the caller's time is over. Resolves to whether the caller is
+ * late, after the time that it has missed.
+ */
+export async function checkLateness(
+  { clock, readUnreadMs, unreadBeforeMs, isPending }: LatenessOptions,
+): Promise<boolean> {
+  let countedMs = unreadBeforeMs;
+  for (;;) {
+    await waitForArrivedData();
+    if (!isPending()) {
+      return false;
+    }
+    const unreadMs = readUnreadMs();
+    if (unreadMs <= countedMs) {
+      return true;
+    }
+    const missedMs = unreadMs - countedMs;
+    countedMs = unreadMs;
+    await clock.sleep(Math.max(missedMs, MIN_EXTENSION_MS));
+  }
+}
--- a/packages/gateway/src/entry/connection_requests.ts
+++ b/packages/gateway/src/entry/connection_requests.ts
@@ -57,15 +57,26 @@
   #streamed: ConnectionRequest | undefined;
   /** Whether no further request is passed on. */
   #isClosing = false;
-  /** Whether the last response is decided; what is read later is dropped. */
+  /** Whether what is read from now on is dropped. */
   #isSealed = false;
   #hasEnded = false;
+  #accepted = 0;
   #handleLast: (() => void) | undefined;
 
   get isIdle(): boolean {
     return this.#entries.length === 0;
   }
 
+  /** Number of requests so far whose heads have been read. */
+  get accepted(): number {
+    return this.#accepted;
+  }
+
+  /** Whether the last response is decided, so that no request is accepted. */
+  get isSealed(): boolean {
+    return this.#isSealed;
+  }
+
   /** Whether a request that was passed on is the last one. */
   get isClosing(): boolean {
     return this.#isClosing;
@@ -91,12 +102,22 @@
     return this.held >= MAX_HELD || bytes >= MAX_HELD_BYTES;
   }
 
+  /** Finds the request whose body is being read. */
+  findUnread(): ConnectionRequest | undefined {
+    return this.#entries.find(({ request }) => !request.isRead())?.request;
+  }
+
+  has(request: ConnectionRequest): boolean {
+    return this.#findIndex(request) >= 0;
+  }
+
   /** Adds a request whose head has been read. */
   add(request: ConnectionRequest): void {
     if (this.#hasEnded || this.#isSealed) {
       request.end();
       return;
     }
+    this.#accepted++;
     this.#entries.push({ request, stage: "reading" });
   }
 
--- a/packages/gateway/src/entry/entry_process.ts
+++ b/packages/gateway/src/entry/entry_process.ts
@@ -44,6 +44,7 @@
 const server = new RequestServer({
   maxConnections: Infinity,
   observeClosedConnection: () => undefined,
+  observeLateCaller: () => undefined,
   bodies: new RequestBodies({
     memory: new MemoryAccount(Infinity),
     observeRefusal: () => undefined,
@@ -52,6 +53,7 @@
   host: "127.0.0.1",
   port: 0,
   readStallMs: () => 0,
+  readTotalStallMs: () => 0,
   parseMetadata: () => ({
     requestId: "1",
     deadlineMs: undefined,
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -27,6 +27,7 @@
   const server = new RequestServer({
     maxConnections: Infinity,
     observeClosedConnection: () => undefined,
+    observeLateCaller: () => undefined,
     bodies: new RequestBodies({
       memory: new MemoryAccount(Infinity),
       observeRefusal: () => undefined,
@@ -35,6 +36,7 @@
     host: "127.0.0.1",
     port: 0,
     readStallMs: () => 0,
+    readTotalStallMs: () => 0,
     parseMetadata: (headers) => ({
       requestId: headers.find(({ name }) => name === "x-id")?.value,
       deadlineMs: undefined,
--- a/packages/gateway/src/entry/request_server.ts
+++ b/packages/gateway/src/entry/request_server.ts
@@ -18,6 +18,7 @@
 import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
 import type { Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
+import { waitForArrivedData } from "@lentilspur/ports/event_loop";
 import {
   ERROR_RESPONSES,
   type ErrorKind,
@@ -28,7 +29,7 @@
   RequestMetadata,
 } from "./caller_request.ts";
 import { SERVER_CLOSED } from "./abort_reasons.ts";
-import { CallerConnection } from "./caller_connection.ts";
+import { CallerConnection, type LatePart } from "./caller_connection.ts";
 import type { ConnectionRequest } from "./connection_requests.ts";
 import { openListener } from "./open_listener.ts";
 import type {
@@ -50,6 +51,8 @@
   readonly port: number;
   /** How long this process has just been stalled; 0 if it was not. */
   readonly readStallMs: () => number;
+  /** How long this process has been stalled since its start. */
+  readonly readTotalStallMs: () => number;
   readonly parseMetadata: (headers: readonly HeaderField[]) => RequestMetadata;
   /** Whether a request may run more than once. */
   readonly isIdempotent: (request: CallerRequest) => boolean;
@@ -68,6 +71,8 @@
   readonly maxConnections: number;
   /** Called when one is closed because as many are open as may be. */
   readonly observeClosedConnection: (connections: number) => void;
+  /** Called when a caller is refused because it sends a request too slowly. */
+  readonly observeLateCaller: (part: LatePart) => void;
   readonly bodies: RequestBodies;
   /** Time to receive a body within the limits. */
   readonly bodyTimeoutMs?: number;
@@ -164,6 +169,7 @@
       "clientError",
       (error, socket) => this.#handleInvalidRequest(error, socket as Socket),
     );
+    this.#server.on("timeout", (socket) => void this.#closeIdle(socket));
   }
 
   get #bodyTimeoutMs(): number {
@@ -253,12 +259,12 @@
     this.#connections.forEach(({ requests }) => requests.leave(SERVER_CLOSED));
     this.#server.close();
     this.#server.closeAllConnections();
-    await waitForPendingEnds();
+    await waitForArrivedData();
   }
 
   #addConnection(socket: Socket): void {
     this.#arrivals++;
-    const connection = new CallerConnection(socket);
+    const connection = new CallerConnection(socket, this.#options);
     if (this.#isDraining) {
       connection.requests.drain();
     }
@@ -348,7 +354,9 @@
       & Omit<Reply, "requestId">
       & { readonly message: IncomingMessage; readonly body: RequestBody },
   ): Promise<FinalResponse | undefined> {
-    await waitForPendingEnds();
+    // After a stall the end of a connection is read behind its last request,
+    // which must not be passed on.
+    await waitForArrivedData();
     const mayRun = await connection.requests.waitForTurn(request, {
       bytes: body.size,
       isIdempotent: "failure" in read || this.#options.isIdempotent(read),
@@ -558,6 +566,7 @@
     answered: AnsweredResponse,
     { requestId, response, signal }: Reply,
   ): Promise<void> {
+    const { clock, readTotalStallMs } = this.#options;
     const { stream } = answered;
     if (stream === undefined) {
       writeWholeResponse(answered, response);
@@ -571,7 +580,9 @@
     }
     const delivery = await writeStream(stream, response, {
       signal,
+      clock,
       stallTimeoutMs: this.#limits.idleTimeoutMs,
+      readTotalStallMs,
     });
     this.#options.observeDelivery({ ...delivery, requestId });
   }
@@ -581,6 +592,34 @@
    * connection.
    */
   #handleInvalidRequest(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || error.code !== "ERR_HTTP_REQUEST_TIMEOUT") {
+      this.#refuseInvalid(error, socket);
+    } else {
+      void this.#refuseLate(error, socket, connection);
+    }
+  }
+
+  /** Node checks the time of a head or body until it is over, and not again. */
+  async #refuseLate(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+    connection: CallerConnection,
+  ): Promise<void> {
+    const part = await connection.findLatePart(this.#bodyTimeoutMs);
+    if (part !== undefined) {
+      this.#options.observeLateCaller(part);
+      this.#refuseInvalid(error, socket);
+    }
+  }
+
+  async #closeIdle(socket: Socket): Promise<void> {
+    if (await this.#connections.get(socket)?.checkIdle() !== false) {
+      socket.destroy();
+    }
+  }
+
+  #refuseInvalid(error: NodeJS.ErrnoException, socket: Socket): void {
     const requests = this.#connections.get(socket)?.requests;
     if (requests === undefined || error.code === "ECONNRESET") {
       answerInvalidRequest(error, socket);
@@ -592,15 +631,6 @@
   }
 }
 
-/**
- * Prevents work for callers that have disconnected: after a stall, the server
- * reads a request and then the end of its connection, and would forward the
- * request before it sees the end. One turn of the event loop reads both.
- */
-function waitForPendingEnds(): Promise<void> {
-  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
-}
-
 /** Whether only the end of the connection marks the end of the response. */
 function isCloseDelimited(
   finalResponse: FinalResponse,
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -25,6 +25,7 @@
   const server = new RequestServer({
     maxConnections: Infinity,
     observeClosedConnection: () => undefined,
+    observeLateCaller: () => undefined,
     bodies: new RequestBodies({
       memory: new MemoryAccount(Infinity),
       observeRefusal: () => undefined,
@@ -33,6 +34,7 @@
     host: "127.0.0.1",
     port: 0,
     readStallMs: () => 0,
+    readTotalStallMs: () => 0,
     parseMetadata: (headers) => ({
       requestId: headers.find(({ name }) => name === "x-id")?.value,
       deadlineMs: undefined,
--- a/packages/gateway/src/entry/server_trial.ts
+++ b/packages/gateway/src/entry/server_trial.ts
@@ -30,6 +30,7 @@
     this.server = new RequestServer({
       maxConnections: Infinity,
       observeClosedConnection: () => undefined,
+      observeLateCaller: () => undefined,
       bodies: new RequestBodies({
         memory: new MemoryAccount(Infinity),
         observeRefusal: () => undefined,
@@ -38,6 +39,7 @@
       host: "127.0.0.1",
       port: 0,
       readStallMs: () => 0,
+      readTotalStallMs: () => 0,
       parseMetadata: (headers) => ({
         requestId: headers.find(({ name }) => name === "x-id")?.value,
         deadlineMs: undefined,
--- a/packages/gateway/src/entry/stream_writer.ts
+++ b/packages/gateway/src/entry/stream_writer.ts
@@ -4,8 +4,10 @@
  * connection, so that it never looks complete.
  */
 import type { ServerResponse } from "node:http";
+import type { Clock } from "@lentilspur/ports/clock";
 import type { ResponseStream } from "@lentilspur/ports/response_stream";
 import { SERVER_CLOSED } from "./abort_reasons.ts";
+import { checkLateness } from "./caller_lateness.ts";
 
 /** How the delivery of a streamed response ended. */
 export type StreamDeliveryResult =
@@ -26,18 +28,24 @@
   readonly message?: string;
 }
 
-export interface StreamWriterOptions {
+export interface StreamWriterOptions extends WriteOptions {
   /** Aborts when the caller leaves. */
   readonly signal: AbortSignal;
+}
+
+interface WriteOptions {
+  readonly clock: Clock;
   /** A caller that takes nothing for this long loses its connection. */
   readonly stallTimeoutMs: number;
+  /** How long this process has been stalled since its start. */
+  readonly readTotalStallMs: () => number;
 }
 
 /** Writes the body after the head has been set. */
 export async function writeStream(
   stream: ResponseStream,
   response: ServerResponse,
-  { signal, stallTimeoutMs }: StreamWriterOptions,
+  { signal, ...writeOptions }: StreamWriterOptions,
 ): Promise<StreamDelivery> {
   cancelOnAbort(stream, signal);
   let bytes = 0;
@@ -49,7 +57,7 @@
     }
     switch (part.kind) {
       case "data": {
-        const written = await writePart(response, part.bytes, stallTimeoutMs);
+        const written = await writePart(response, part.bytes, writeOptions);
         if (written !== "written") {
           stream.cancel("The caller did not take the response");
           resetConnection(response);
@@ -95,14 +103,28 @@
 function writePart(
   response: ServerResponse,
   bytes: Uint8Array,
-  stallTimeoutMs: number,
+  { clock, stallTimeoutMs, readTotalStallMs }: WriteOptions,
 ): Promise<"written" | "closed" | "caller-stalled"> {
   return new Promise((resolve) => {
+    let isSettled = false;
+    const unreadBeforeMs = readTotalStallMs();
     const handleClose = () => settle("closed");
-    const timer = setTimeout(() => settle("caller-stalled"), stallTimeoutMs);
+    const handleTimeout = async () => {
+      const isLate = await checkLateness({
+        clock,
+        readUnreadMs: readTotalStallMs,
+        unreadBeforeMs,
+        isPending: () => !isSettled,
+      });
+      if (isLate) {
+        settle("caller-stalled");
+      }
+    };
+    const timer = setTimeout(() => void handleTimeout(), stallTimeoutMs);
     const settle = (
       result: "written" | "closed" | "caller-stalled",
     ): void => {
+      isSettled = true;
       clearTimeout(timer);
       response.off("close", handleClose);
       resolve(result);
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -56,6 +56,7 @@
     this.server = new RequestServer({
       maxConnections: Infinity,
       observeClosedConnection: () => undefined,
+      observeLateCaller: () => undefined,
       bodies: new RequestBodies({
         memory: new MemoryAccount(Infinity),
         observeRefusal: () => undefined,
@@ -64,6 +65,7 @@
       host: "127.0.0.1",
       port: 0,
       readStallMs: () => 0,
+      readTotalStallMs: () => 0,
       parseMetadata: (headers) => ({
         requestId: headers.find(({ name }) => name === "x-id")?.value,
         deadlineMs: undefined,
--- a/packages/gateway/src/event_reporter.ts
+++ b/packages/gateway/src/event_reporter.ts
@@ -5,6 +5,7 @@
  */
 import type { ErrorKind } from "@lentilspur/outcomes/error_kinds";
 import type { StoreEraChange } from "@lentilspur/ports/store";
+import type { LatePart } from "./entry/caller_connection.ts";
 import type { StreamDelivery } from "./entry/stream_writer.ts";
 import { removeOldest } from "@lentilspur/routing/bounded_collections";
 import type { CatalogueEvent, IgnoredEvent } from "./views/catalogue_event.ts";
@@ -116,6 +117,12 @@
     this.#metrics.closedConnections.inc();
   }
 
+  /** A caller was answered with 408. */
+  observeLateCaller(part: LatePart): void {
+    this.#log("caller-late", { part });
+    this.#metrics.lateCallers.inc({ part });
+  }
+
   observeDelivery(
     { requestId, result, bytes, message }: StreamDelivery & {
       readonly requestId: string | undefined;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -136,6 +136,12 @@
     help: "Connections of callers that were closed because too many were open",
     registers: [this.#registry],
   });
+  readonly lateCallers = new Counter({
+    name: "lentilspur_late_callers_total",
+    help: "Callers that were answered with 408, by the part that was late",
+    labelNames: ["part"] as const,
+    registers: [this.#registry],
+  });
   readonly refusedBodies = new Counter({
     name: "lentilspur_refused_bodies_total",
     help:
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -555,8 +555,10 @@
       maxConnections: settings.maxCallerConnections,
       observeClosedConnection: (connections) =>
         this.#reporter.observeClosedConnection(connections),
+      observeLateCaller: (part) => this.#reporter.observeLateCaller(part),
       bodies: this.#bodies,
       readStallMs: () => this.#services.readStallMs(),
+      readTotalStallMs: () => this.#services.readTotalStallMs(),
       parseMetadata: this.#adapter.parseMetadata,
       isIdempotent: (request) =>
         this.#catalogue.match(request)?.route.idempotent === true,
--- a/packages/gateway/src/requests/service_registry.ts
+++ b/packages/gateway/src/requests/service_registry.ts
@@ -95,6 +95,8 @@
   #retryLimits: RetryLimits;
   #lastTickAtMs = Infinity;
   #endedStallMs = 0;
+  /** Sum of the stalls that have ended. */
+  #totalStallMs = 0;
   #tickMs = IDLE_TICK_MS;
   readonly #gaps = new RequestGaps();
   /** Late requests that are not reported yet. */
@@ -169,6 +171,7 @@
     const lateMs = nowMs - this.#lastTickAtMs - this.#tickMs;
     if (lateMs > MIN_STALL_MS) {
       this.#endedStallMs = lateMs;
+      this.#totalStallMs += lateMs;
       // Signals that came meanwhile are handled in the next event loop round.
       setImmediate(() => setImmediate(() => this.#endedStallMs = 0));
     }
@@ -207,6 +210,11 @@
     return Math.max(this.readStallMs(), this.#endedStallMs);
   }
 
+  /** The sum of all stalls since the start. */
+  readTotalStallMs(): number {
+    return this.#totalStallMs + this.readStallMs();
+  }
+
   /** Resolves to undefined if the caller disconnects meanwhile. */
   waitForPlace(
     service: string,
