--- a/packages/gateway/src/entry/late_callers_test.ts
+++ b/packages/gateway/src/entry/late_callers_test.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { type AddressInfo, connect, createServer } from "node:net";
 import { test, type TestContext } from "node:test";
+import { injectFreeze } from "@lentilspur/ports/process_freeze";
 import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { RequestServerOptions, ServerLimits } from "./request_server.ts";
 import {
@@ -48,29 +49,15 @@
   return trial;
 }
 
-/**
- * Calls `act`, and stops the process as a freeze does. Timers run next, before
- * any socket is read.
- */
-async function injectFreeze(act: () => void, ms = FREEZE_MS): Promise<void> {
-  await new Promise<void>((resolve) =>
-    setTimeout(() => {
-      act();
-      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
-      stalledMs += ms;
-      resolve();
-    }, 10)
-  );
-  // Only a new timer makes the event loop aware of the time that has passed.
-  await CLOCK.sleep(1);
-}
-
-function sendInFreeze(
+async function sendInFreeze(
   caller: TrialCaller,
   text: string,
-  ms?: number,
+  ms = FREEZE_MS,
 ): Promise<void> {
-  return injectFreeze(() => caller.socket.write(text), ms);
+  await injectFreeze(ms, () => {
+    caller.socket.write(text);
+    stalledMs += ms;
+  });
 }
 
 /** Waits for the answer to `post`, which the target answers at once. */
@@ -235,7 +222,7 @@
     end: () => undefined,
     write: (_bytes: Uint8Array, callback: () => void) => {
       acknowledge = callback;
-      void injectFreeze(() => caller.write("taken"), 200);
+      void injectFreeze(200, () => caller.write("taken"));
     },
   }) as unknown as ServerResponse;
   const parts = [
--- a/packages/transport/src/http_connection.ts
+++ b/packages/transport/src/http_connection.ts
@@ -10,6 +10,7 @@
 import { type buildConnector, Client } from "undici";
 import { Err, Ok, type Result } from "@lentilspur/outcomes/result";
 import type { Clock } from "@lentilspur/ports/clock";
+import { waitForArrivedData } from "@lentilspur/ports/event_loop";
 import type { ConnectionTrace } from "@lentilspur/ports/connection_trace";
 import type { ResponseStream } from "@lentilspur/ports/response_stream";
 import type {
@@ -315,7 +316,11 @@
       noDelay: true,
       ...(localAddress === undefined ? {} : { localAddress }),
     });
-    const timer = setTimeout(() => {
+    const timer = setTimeout(async () => {
+      await waitForArrivedData();
+      if (!socket.connecting) {
+        return;
+      }
       socket.destroy();
       const message =
         `No connection to ${address} within ${options.timeoutMs} ms`;
