fix(gateway): keep a peer's connection on which a request came in a standstill

Node's server closes a kept connection when its idle time is over, also when the process stood still and a request has arrived meanwhile. A forwarded request that may run once only was lost with it: its caller was told that the outcome is unknown although nothing had run.

--- a/packages/gateway/src/entry/monitoring_server.ts
+++ b/packages/gateway/src/entry/monitoring_server.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { closeIdleConnections } from "./idle_connections.ts";
 import { type ListenerOptions, openListener } from "./open_listener.ts";
 
 export interface MonitoringResponse {
@@ -24,6 +25,7 @@
           response.end(body);
         });
     });
+    closeIdleConnections(this.#server);
   }
 
   /** The port that the server listens on; chosen by the system for port 0. */
--- a/packages/gateway/src/forwarding/forwarding_server.ts
+++ b/packages/gateway/src/forwarding/forwarding_server.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { Clock } from "@lentilspur/ports/clock";
+import { closeIdleConnections } from "../entry/idle_connections.ts";
 import { openListener } from "../entry/open_listener.ts";
 import type {
   BodyFailure,
@@ -61,6 +62,7 @@
       { keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true },
       (message, response) => void this.#handle(message, response),
     );
+    closeIdleConnections(this.#server);
   }
 
   get port(): number {
