fix(gateway): give no send up as overdue before its response is read

After a standstill a send of an idempotent request, a forwarded one or a request for a permit could be given up although its response had arrived: the sleep ended before the sockets were read. The request was sent again and took a retry from the budget. Same cause as the 408 of callers that are not late.

The clock has waitForArrivals, which such decisions wait for; virtual time does not stand still, and there it resolves at once.

The forwarder and the limiter have the same line, shown by reading only.

--- a/packages/gateway/src/entry/caller_lateness.ts
+++ b/packages/gateway/src/entry/caller_lateness.ts
@@ -4,7 +4,6 @@
  * limits is never refused for that.
  */
 import type { Clock } from "@lentilspur/ports/clock";
-import { waitForArrivedData } from "@lentilspur/ports/event_loop";
 
 export interface LatenessOptions {
   readonly clock: Clock;
@@ -28,7 +27,7 @@
 ): Promise<boolean> {
   let countedMs = unreadBeforeMs;
   for (;;) {
-    await waitForArrivedData();
+    await clock.waitForArrivals();
     if (!isPending()) {
       return false;
     }
--- a/packages/gateway/src/forwarding/forwarding_http_test.ts
+++ b/packages/gateway/src/forwarding/forwarding_http_test.ts
@@ -43,6 +43,7 @@
 const FIXED_CLOCK: Clock = {
   readMs: () => 0,
   sleep: () => Promise.resolve(),
+  waitForArrivals: () => Promise.resolve(),
 };
 
 interface Handled {
--- a/packages/gateway/src/forwarding/request_forwarder.ts
+++ b/packages/gateway/src/forwarding/request_forwarder.ts
@@ -281,7 +281,9 @@
     }
     const expectedMs = services.getAverageServiceMs(service) ?? 0;
     const overdueMs = Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * expectedMs);
-    void clock.sleep(overdueMs, abortController.signal).then(() => {
+    const whenOverdue = clock.sleep(overdueMs, abortController.signal)
+      .then(() => clock.waitForArrivals());
+    void whenOverdue.then(() => {
       if (
         !abortController.signal.aborted && !stopAdmission.isStopping &&
         claimRetry(context)
--- a/packages/gateway/src/requests/overdue_responses.ts
+++ b/packages/gateway/src/requests/overdue_responses.ts
@@ -101,6 +101,7 @@
     const sentAtMs = clock.readMs();
     const checkMs = Math.max(MIN_OVERDUE_MS, CHECK_FACTOR * expectedMs);
     await clock.sleep(checkMs, signal);
+    await clock.waitForArrivals();
     if (!signal.aborted) {
       paths.checkOverdue(target, sentAtMs);
     }
@@ -125,6 +126,7 @@
       return;
     }
     await clock.sleep(this.#computeOverdueMs(context, expectedMs), signal);
+    await clock.waitForArrivals();
     while (!signal.aborted && !stopAdmission.isStopping) {
       if (deadlineAtMs - clock.readMs() < expectedMs) {
         return;
--- a/packages/gateway/src/requests/overdue_responses_test.ts
+++ b/packages/gateway/src/requests/overdue_responses_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
 import { test } from "node:test";
 import type { SendOutcome } from "@lentilspur/ports/request_sender";
+import type { Clock } from "@lentilspur/ports/clock";
+import { injectFreeze } from "@lentilspur/ports/process_freeze";
+import { SystemClock } from "@lentilspur/ports/system_clock";
 import { VirtualClock } from "@lentilspur/ports/virtual_clock";
 import { OverdueResponses } from "./overdue_responses.ts";
 import type { RequestContext } from "./request_context.ts";
@@ -9,6 +14,8 @@
 const EXPECTED_MS = 100;
 const GOAL_MS = 1_500;
 const TIMEOUT_MS = 3_000;
+/** Longer than an expected response takes, and shorter than the deadline. */
+const FREEZE_MS = 1_000;
 
 const RESPONSE: SendOutcome = {
   kind: "answered",
@@ -28,17 +35,17 @@
   readonly hasBudget?: boolean;
 }
 
-/** Returns when a send without a response is given up, if it ever is. */
-async function findAbortMs(
+/** Watches a send that has just begun. */
+function watchSend(
+  clock: Clock,
   {
     expectedMs = EXPECTED_MS,
     idempotent = true,
     knownResponses = 100,
     roomAtMs = 0,
     hasBudget = true,
-  }: Situation,
-): Promise<number | undefined> {
-  const clock = new VirtualClock();
+  }: Situation = {},
+): SendAbortController {
   const startMs = clock.readMs();
   const overdue = new OverdueResponses({
     clock,
@@ -50,10 +57,6 @@
     stopAdmission: { isStopping: false },
   }, () => hasBudget);
   const abortController = new SendAbortController(new AbortController().signal);
-  let abortedAtMs: number | undefined;
-  abortController.signal.addEventListener("abort", () => {
-    abortedAtMs = clock.readMs() - startMs;
-  });
   const context = {
     request: { arrivedAtMs: startMs },
     service: "files",
@@ -75,6 +78,19 @@
     owner: undefined,
     abortController,
   });
+  return abortController;
+}
+
+/** Returns when a send without a response is given up, if it ever is. */
+async function findAbortMs(
+  situation: Situation,
+): Promise<number | undefined> {
+  const clock = new VirtualClock();
+  const startMs = clock.readMs();
+  let abortedAtMs: number | undefined;
+  watchSend(clock, situation).signal.addEventListener("abort", () => {
+    abortedAtMs = clock.readMs() - startMs;
+  });
   await clock.advance(TIMEOUT_MS);
   return abortedAtMs;
 }
@@ -106,3 +122,20 @@
   assert.equal(await findAbortMs({ idempotent: false }), undefined);
   assert.equal(await findAbortMs({ hasBudget: false }), undefined);
 });
+
+test("a send whose response arrives while the process stands still is not given up as overdue", async (context) => {
+  const target = createServer().listen(0, "127.0.0.1");
+  await once(target, "listening");
+  const { port } = target.address() as AddressInfo;
+  const connection = connect(port, "127.0.0.1");
+  const [socket] = await once(target, "connection");
+  context.after(() => {
+    connection.destroy();
+    target.close();
+  });
+  const send = watchSend(new SystemClock());
+  const received = once(connection, "data").then(() => send.stop());
+  await injectFreeze(FREEZE_MS, () => socket.write("response"));
+  await received;
+  assert.equal(send.isOverdue(), false);
+});
--- a/packages/gateway/src/requests/target_rate_limiter.ts
+++ b/packages/gateway/src/requests/target_rate_limiter.ts
@@ -235,9 +235,9 @@
       };
       this.#pendingRequests.set(number, complete);
       send([member], message);
-      void clock.sleep(RESPONSE_TIMEOUT_MS, timeout.signal).then(() =>
-        complete(undefined)
-      );
+      void clock.sleep(RESPONSE_TIMEOUT_MS, timeout.signal)
+        .then(() => clock.waitForArrivals())
+        .then(() => complete(undefined));
     });
   }
 
--- a/packages/ports/src/clock.ts
+++ b/packages/ports/src/clock.ts
@@ -13,6 +13,12 @@
   readMs(): number;
   /** Resolves after `ms`, or as soon as `signal` aborts. Never rejects. */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  /**
+   * Resolves when what has arrived at this process is read. Once a process has
+   * stood still, its sleeps end before that; wait for it before deciding that
+   * something has not come in time.
+   */
+  waitForArrivals(): Promise<void>;
 }
 
 /** A source of random numbers; tests use a seeded one. */
--- a/packages/ports/src/system_clock.ts
+++ b/packages/ports/src/system_clock.ts
@@ -1,6 +1,7 @@
 /** The system's monotonic clock. */
 import { performance } from "node:perf_hooks";
 import type { Clock } from "./clock.ts";
+import { waitForArrivedData } from "./event_loop.ts";
 
 /**
  * `performance.now()` reads CLOCK_MONOTONIC, which continues while a process is
@@ -12,6 +13,10 @@
     return performance.now();
   }
 
+  waitForArrivals(): Promise<void> {
+    return waitForArrivedData();
+  }
+
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) {
       return Promise.resolve();
--- a/packages/ports/src/tick_test.ts
+++ b/packages/ports/src/tick_test.ts
@@ -34,6 +34,7 @@
       sleptMs = ms;
       return Promise.resolve();
     },
+    waitForArrivals: () => Promise.resolve(),
   };
   await sleepUntilTick(clock, 100);
   assert.equal(sleptMs, 101);
--- a/packages/ports/src/virtual_clock.ts
+++ b/packages/ports/src/virtual_clock.ts
@@ -23,6 +23,11 @@
     return this.#now;
   }
 
+  /** Virtual time does not stand still. */
+  waitForArrivals(): Promise<void> {
+    return Promise.resolve();
+  }
+
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) {
       return Promise.resolve();
