--- a/packages/gateway/src/entry/late_callers_test.ts
+++ b/packages/gateway/src/entry/late_callers_test.ts
@@ -60,6 +60,17 @@
   });
 }
 
+/** Sends the first request of a connection, and waits for its answer. */
+async function sendFirst(
+  trial: ServerTrial,
+  caller: TrialCaller,
+): Promise<void> {
+  caller.socket.write(formatRequest("first"));
+  await waitUntil(() => trial.answers.has("first"));
+  trial.answers.get("first")!();
+  await waitUntil(() => caller.text().includes("<first>"));
+}
+
 /** Waits for the answer to `post`, which the target answers at once. */
 async function waitForPost(
   trial: ServerTrial,
@@ -94,10 +105,7 @@
 test("a second head of a connection that ends in a freeze is not refused as late", async (context) => {
   const trial = await openTrial(context);
   const caller = await trial.openCaller();
-  caller.socket.write(formatRequest("first"));
-  await waitUntil(() => trial.answers.has("first"));
-  trial.answers.get("first")!();
-  await waitUntil(() => caller.text().includes("<first>"));
+  await sendFirst(trial, caller);
   caller.socket.write(POST.slice(0, 20));
   await waitForArrivals();
   await sendInFreeze(caller, POST.slice(20));
@@ -132,10 +140,7 @@
     limits: { ...LIMITS, idleTimeoutMs: 300 },
   });
   const caller = await trial.openCaller();
-  caller.socket.write(formatRequest("first"));
-  await waitUntil(() => trial.answers.has("first"));
-  trial.answers.get("first")!();
-  await waitUntil(() => caller.text().includes("<first>"));
+  await sendFirst(trial, caller);
   await sendInFreeze(caller, POST);
   await waitForPost(trial, caller);
   assert.deepEqual(listResponses(caller), ["200", "first", "200", "post"]);
@@ -146,10 +151,7 @@
     limits: { ...LIMITS, idleTimeoutMs: 300 },
   });
   const caller = await trial.openCaller();
-  caller.socket.write(formatRequest("first"));
-  await waitUntil(() => trial.answers.has("first"));
-  trial.answers.get("first")!();
-  await waitUntil(() => caller.text().includes("<first>"));
+  await sendFirst(trial, caller);
   await sendInFreeze(caller, "");
   await waitUntil(() => caller.socket.readableEnded);
   assert.deepEqual(listResponses(caller), ["200", "first"]);
--- a/packages/gateway/src/entry/pipelined_requests_test.ts
+++ b/packages/gateway/src/entry/pipelined_requests_test.ts
@@ -3,11 +3,9 @@
 import { connect, type Socket } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
-import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
-import { MemoryAccount } from "@lentilspur/transport/memory_account";
-import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
+import { createServerOptions } from "./server_trial.ts";
 
 type Answer = (isSelfDelimited?: boolean) => void;
 
@@ -24,45 +22,21 @@
 async function openTrial(bodyBytes = 10): Promise<Trial> {
   const requests: CallerRequest[] = [];
   const answers = new Map<string, Answer>();
-  const server = new RequestServer({
-    maxConnections: Infinity,
-    observeClosedConnection: () => undefined,
-    observeLateCaller: () => undefined,
-    bodies: new RequestBodies({
-      memory: new MemoryAccount(Infinity),
-      observeRefusal: () => undefined,
-    }),
-    clock: new SystemClock(),
-    host: "127.0.0.1",
-    port: 0,
-    readStallMs: () => 0,
-    readTotalStallMs: () => 0,
-    parseMetadata: (headers) => ({
-      requestId: headers.find(({ name }) => name === "x-id")?.value,
-      deadlineMs: undefined,
-      key: undefined,
-      credential: undefined,
-    }),
-    isIdempotent: ({ method }) => method === "GET",
-    handle: (request) => {
-      requests.push(request);
-      return new Promise<FinalResponse>((resolve) => {
-        const body = Buffer.alloc(bodyBytes, " ");
-        body.write(`<${request.requestId}>`);
-        answers.set(request.requestId, (isSelfDelimited = true) =>
-          resolve({
-            kind: "answered",
-            status: 200,
-            headers: [],
-            body,
-            isSelfDelimited,
-          }));
-      });
-    },
-    observeDelivery: () => undefined,
-    reportFailure: () => undefined,
-    reportFault: () => undefined,
-  });
+  const server = new RequestServer(createServerOptions((request) => {
+    requests.push(request);
+    return new Promise<FinalResponse>((resolve) => {
+      const body = Buffer.alloc(bodyBytes, " ");
+      body.write(`<${request.requestId}>`);
+      answers.set(request.requestId, (isSelfDelimited = true) =>
+        resolve({
+          kind: "answered",
+          status: 200,
+          headers: [],
+          body,
+          isSelfDelimited,
+        }));
+    });
+  }));
   await server.open();
   const caller = connect(server.port, "127.0.0.1");
   const received: Buffer[] = [];
--- a/packages/gateway/src/entry/request_server_test.ts
+++ b/packages/gateway/src/entry/request_server_test.ts
@@ -3,11 +3,9 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { SystemClock } from "@lentilspur/ports/system_clock";
 import type { CallerRequest, FinalResponse } from "./caller_request.ts";
-import { MemoryAccount } from "@lentilspur/transport/memory_account";
-import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
+import { createServerOptions } from "./server_trial.ts";
 
 const RESPONSE: FinalResponse = {
   kind: "answered",
@@ -22,31 +20,9 @@
 ) => FinalResponse | Promise<FinalResponse>;
 
 async function openServer(handle: Handle): Promise<RequestServer> {
-  const server = new RequestServer({
-    maxConnections: Infinity,
-    observeClosedConnection: () => undefined,
-    observeLateCaller: () => undefined,
-    bodies: new RequestBodies({
-      memory: new MemoryAccount(Infinity),
-      observeRefusal: () => undefined,
-    }),
-    clock: new SystemClock(),
-    host: "127.0.0.1",
-    port: 0,
-    readStallMs: () => 0,
-    readTotalStallMs: () => 0,
-    parseMetadata: (headers) => ({
-      requestId: headers.find(({ name }) => name === "x-id")?.value,
-      deadlineMs: undefined,
-      key: undefined,
-      credential: undefined,
-    }),
-    isIdempotent: ({ method }) => method === "GET",
-    handle: async (request) => await handle(request),
-    observeDelivery: () => undefined,
-    reportFailure: () => undefined,
-    reportFault: () => undefined,
-  });
+  const server = new RequestServer(
+    createServerOptions(async (request) => await handle(request)),
+  );
   await server.open();
   return server;
 }
--- a/packages/gateway/src/entry/server_trial.ts
+++ b/packages/gateway/src/entry/server_trial.ts
@@ -19,6 +19,37 @@
   readonly text: () => string;
 }
 
+/** Options of a server that limits and reports nothing. */
+export function createServerOptions(
+  handle: RequestServerOptions["handle"],
+): RequestServerOptions {
+  return {
+    maxConnections: Infinity,
+    observeClosedConnection: () => undefined,
+    observeLateCaller: () => undefined,
+    bodies: new RequestBodies({
+      memory: new MemoryAccount(Infinity),
+      observeRefusal: () => undefined,
+    }),
+    clock: new SystemClock(),
+    host: "127.0.0.1",
+    port: 0,
+    readStallMs: () => 0,
+    readTotalStallMs: () => 0,
+    parseMetadata: (headers) => ({
+      requestId: headers.find(({ name }) => name === "x-id")?.value,
+      deadlineMs: undefined,
+      key: undefined,
+      credential: undefined,
+    }),
+    isIdempotent: ({ method }) => method === "GET",
+    handle,
+    observeDelivery: () => undefined,
+    reportFailure: () => undefined,
+    reportFault: () => undefined,
+  };
+}
+
 export class ServerTrial {
   readonly server: RequestServer;
   /** Ids of requests that were passed on. */
@@ -28,29 +59,7 @@
 
   constructor(options: Partial<RequestServerOptions> = {}) {
     this.server = new RequestServer({
-      maxConnections: Infinity,
-      observeClosedConnection: () => undefined,
-      observeLateCaller: () => undefined,
-      bodies: new RequestBodies({
-        memory: new MemoryAccount(Infinity),
-        observeRefusal: () => undefined,
-      }),
-      clock: new SystemClock(),
-      host: "127.0.0.1",
-      port: 0,
-      readStallMs: () => 0,
-      readTotalStallMs: () => 0,
-      parseMetadata: (headers) => ({
-        requestId: headers.find(({ name }) => name === "x-id")?.value,
-        deadlineMs: undefined,
-        key: undefined,
-        credential: undefined,
-      }),
-      isIdempotent: ({ method }) => method === "GET",
-      handle: (request) => this.#handle(request),
-      observeDelivery: () => undefined,
-      reportFailure: () => undefined,
-      reportFault: () => undefined,
+      ...createServerOptions((request) => this.#handle(request)),
       ...options,
     });
   }
--- a/packages/gateway/src/entry/streamed_responses_test.ts
+++ b/packages/gateway/src/entry/streamed_responses_test.ts
@@ -12,9 +12,8 @@
 import { ResetOnClose } from "@lentilspur/transport/reset_on_close";
 import { Err } from "@lentilspur/outcomes/result";
 import type { FinalResponse } from "./caller_request.ts";
-import { MemoryAccount } from "@lentilspur/transport/memory_account";
-import { RequestBodies } from "./request_bodies.ts";
 import { RequestServer } from "./request_server.ts";
+import { createServerOptions } from "./server_trial.ts";
 import type { StreamDelivery } from "./stream_writer.ts";
 
 const PART = Buffer.alloc(100_000, "x");
@@ -54,26 +53,8 @@
   ) {
     this.budget = new ReadAheadBudget(budgetBytes);
     this.server = new RequestServer({
-      maxConnections: Infinity,
-      observeClosedConnection: () => undefined,
-      observeLateCaller: () => undefined,
-      bodies: new RequestBodies({
-        memory: new MemoryAccount(Infinity),
-        observeRefusal: () => undefined,
-      }),
-      clock: new SystemClock(),
-      host: "127.0.0.1",
-      port: 0,
-      readStallMs: () => 0,
-      readTotalStallMs: () => 0,
-      parseMetadata: (headers) => ({
-        requestId: headers.find(({ name }) => name === "x-id")?.value,
-        deadlineMs: undefined,
-        key: undefined,
-        credential: undefined,
-      }),
+      ...createServerOptions(async () => handle?.() ?? await this.#send()),
       isIdempotent: () => true,
-      handle: async () => handle?.() ?? await this.#send(),
       observeDelivery: (delivery) => this.deliveries.push(delivery),
       reportFailure: ({ kind }) => this.failures.push(kind),
       reportFault: (message) => this.faults.push(message),
