test(gateway): draw refusals in the property of connections

The property of ConnectionRequests drew no refusal of what follows on a connection, and so could not find that it did not bind. A second property draws them: nothing that is read behind one is passed on, and it comes once, after all before it are answered. It fails if accepted requests are not checked against the refusal.

--- a/packages/gateway/src/entry/connection_requests_test.ts
+++ b/packages/gateway/src/entry/connection_requests_test.ts
@@ -14,7 +14,9 @@
   }
   /** A target answers one of the requests that were passed on. */
   | { readonly kind: "answer"; readonly index: number; readonly wants: boolean }
-  | { readonly kind: "drain" };
+  | { readonly kind: "drain" }
+  /** What follows on the connection is refused. */
+  | { readonly kind: "refuse" };
 
 interface Tracked {
   readonly request: ConnectionRequest;
@@ -43,11 +45,19 @@
   { weight: 1, arbitrary: fc.constant({ kind: "drain" as const }) },
 );
 
+const STEP_OR_REFUSAL: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 15, arbitrary: STEP },
+  { weight: 1, arbitrary: fc.constant({ kind: "refuse" as const }) },
+);
+
 /** Runs steps on one connection and asserts what holds after each. */
 class Trial {
   readonly #requests = new ConnectionRequests();
   readonly #tracked: Tracked[] = [];
   #hasClosed = false;
+  /** Number of requests that were read before the refusal. */
+  #readBeforeRefusal = Infinity;
+  #refusals = 0;
 
   async run(steps: readonly Step[]): Promise<void> {
     for (const step of steps) {
@@ -74,9 +84,24 @@
       }
       case "drain":
         this.#requests.drain();
+        return;
+      case "refuse":
+        this.#refuse();
     }
   }
 
+  #refuse(): void {
+    this.#readBeforeRefusal = Math.min(
+      this.#readBeforeRefusal,
+      this.#tracked.length,
+    );
+    this.#requests.closeAfterAll(() => {
+      this.#refusals++;
+      const before = this.#tracked.slice(0, this.#readBeforeRefusal);
+      assert.ok(before.every(({ state }) => state === "answered"));
+    });
+  }
+
   #read(step: Step & { readonly kind: "read" }): void {
     const tracked: Tracked = {
       request: {
@@ -88,7 +113,7 @@
       state: "held",
       hasEnded: false,
     };
-    this.#tracked.push(tracked);
+    const index = this.#tracked.push(tracked) - 1;
     this.#requests.add(tracked.request);
     const turn = this.#requests.waitForTurn(tracked.request, {
       bytes: 0,
@@ -97,6 +122,7 @@
     void turn.then((mayRun) => {
       tracked.state = mayRun ? "passed-on" : "held";
       assert.ok(!mayRun || !this.#hasClosed, "passed on behind a close");
+      assert.ok(!mayRun || index < this.#readBeforeRefusal, "refused and run");
     });
   }
 
@@ -119,6 +145,7 @@
       "responses keep their order",
     );
     const running = this.#tracked.filter(({ state }) => state === "passed-on");
+    assert.ok(this.#refusals <= 1, "one refusal");
     assert.ok(running.length <= 32);
     assert.ok(running.every(({ hasEnded }) => !hasEnded), "passed on and cut");
     for (const [index, tracked] of this.#tracked.entries()) {
@@ -140,3 +167,13 @@
     { seed: 49, numRuns: 300 },
   );
 });
+
+test("no request that is read behind a refusal is passed on, and none before it is left out", async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(STEP_OR_REFUSAL, { maxLength: 120 }),
+      (steps) => new Trial().run(steps),
+    ),
+    { seed: 80, numRuns: 300 },
+  );
+});
