fix(gateway): end the extensions of a caller's time in a busy process

Found on a second reading of: a caller's time was extended by any stall since the last look, for at least 20 ms each time. In a process that is stalled again and again, a late head or an idle connection was never decided on, as long as that went on.

Less than 20 ms of missed time does not count now, and an extension is as long as what was missed, so that they shrink while the process runs at all.

--- a/packages/gateway/src/entry/caller_lateness.ts
+++ b/packages/gateway/src/entry/caller_lateness.ts
@@ -15,8 +15,11 @@
   readonly isPending: () => boolean;
 }
 
-/** While a connection is not read, its caller is looked at this often. */
-const MIN_EXTENSION_MS = 20;
+/**
+ * Less does not count: a process that is stalled again and again would put off
+ * its decision for ever.
+ */
+const MIN_MISSED_MS = 20;
 
 /**
  * Call it when the caller's time is over. Resolves to whether the caller is
@@ -32,11 +35,11 @@
       return false;
     }
     const unreadMs = readUnreadMs();
-    if (unreadMs <= countedMs) {
+    const missedMs = unreadMs - countedMs;
+    if (missedMs < MIN_MISSED_MS) {
       return true;
     }
-    const missedMs = unreadMs - countedMs;
     countedMs = unreadMs;
-    await clock.sleep(Math.max(missedMs, MIN_EXTENSION_MS));
+    await clock.sleep(missedMs);
   }
 }
